Lay the skeleton: layers, base parts, manifest, settings, peer protocol

Cause: nothing stands yet; every later part needs the same ground. Ruled out: ES modules, since jest would need its experimental loader; an import-order plugin, since the layer rule fits in no-restricted-imports. Change: strict TypeScript with type-checked lint, a verb rule for function names, layers that the linter checks, timers on a virtual or real clock, channels over most, chart interpreter, closed list of error kinds, manifest and settings schemas, peer protocol with committed generated code. Conclusion: parts can now be built beside each other.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,79 @@
+import tseslint from 'typescript-eslint';
+import { functionVerbs } from './scripts/functionVerbs.mjs';
+
+/** Layers from the lowest to the highest; a folder imports only from its own layer and those before it. */
+const layers = ['base', 'platform', 'entry', 'steward', 'ctl', 'standin', 'load', 'demo', 'bin'];
+
+/** Features beside each other: none of them imports another, whatever their order in `layers`. */
+const features = ['entry', 'steward', 'ctl', 'standin', 'load', 'demo'];
+
+/** Packages that touch the network, the file system or the process; `common` stays free of them. */
+const nodeOnlyPackages = ['undici', 'pino', 'yargs', 'prom-client', '@connectrpc/connect-node'];
+
+const verbPattern = `^(${functionVerbs.join('|')})(?![a-z])`;
+
+function listLayersBarredFrom(layer) {
+	const above = layers.slice(layers.indexOf(layer) + 1);
+	const beside = features.includes(layer) ? features.filter(other => other !== layer) : [];
+	return layer === 'bin' ? [] : [...new Set([...above, ...beside])];
+}
+
+function createLayerRule(layer, isCommon) {
+	const barred = listLayersBarredFrom(layer).map(other => ({
+		group: [`**/${other}/**`],
+		message: `src/${layer} may not import from src/${other}: imports go downwards only.`,
+	}));
+	const pure = [
+		{
+			group: ['node:*', '**/node/**'],
+			message: 'common modules are pure: no node: modules, no node folders.',
+		},
+	];
+	return {
+		files: [isCommon ? `src/${layer}/**/common/**/*.ts` : `src/${layer}/**/*.ts`],
+		ignores: isCommon ? ['**/test/**'] : [],
+		rules: {
+			'no-restricted-imports': [
+				'error',
+				{ patterns: [...barred, ...(isCommon ? pure : [])], paths: isCommon ? nodeOnlyPackages : [] },
+			],
+		},
+	};
+}
+
+export default tseslint.config(
+	{ ignores: ['dist/', 'node_modules/', 'src/gen/', '*.cjs', '*.mjs', 'scripts/*.mjs'] },
+	...tseslint.configs.strictTypeChecked,
+	...tseslint.configs.stylisticTypeChecked,
+	{
+		languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+		rules: {
+			curly: ['error', 'all'],
+			eqeqeq: 'error',
+			'prefer-const': 'error',
+			'@typescript-eslint/explicit-function-return-type': ['error', { allowExpressions: true }],
+			'@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+			'@typescript-eslint/no-extraneous-class': 'off',
+			'@typescript-eslint/naming-convention': [
+				'error',
+				{
+					selector: ['function', 'classMethod', 'typeMethod'],
+					format: ['camelCase'],
+					custom: { regex: verbPattern, match: true },
+				},
+				{ selector: 'interface', filter: '^I[A-Z]', format: ['PascalCase'] },
+				{ selector: ['class', 'typeAlias', 'enum', 'enumMember'], format: ['PascalCase'] },
+			],
+		},
+	},
+	...layers
+		.filter(layer => layer !== 'bin')
+		.flatMap(layer => [createLayerRule(layer, false), createLayerRule(layer, true)]),
+	{
+		files: ['src/**/test/**/*.ts'],
+		rules: {
+			'@typescript-eslint/no-non-null-assertion': 'off',
+			'@typescript-eslint/unbound-method': 'off',
+		},
+	},
+);
--- /dev/null
+++ b/src/entry/common/scheduling/fifoScheduler.ts
@@ -0,0 +1,128 @@
+/**
+ * First come, first served, to the target with the fewest requests in flight, without admission, fairness
+ * or retries. The baseline that every measured scheduler is compared with.
+ */
+
+import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
+import type { RequestId, TargetId } from '../../../platform/ids/common/ids';
+import type {
+	IServiceScheduler,
+	SchedulableRequest,
+	SchedulableTarget,
+	ScheduleDecision,
+	ServiceRoom,
+} from './serviceScheduler';
+import { ScheduleDecisionKind } from './serviceScheduler';
+
+const comeBackMs = 1_000;
+
+interface TargetUse {
+	readonly target: SchedulableTarget;
+	running: number;
+}
+
+/** The baseline scheduler. */
+export class FifoScheduler implements IServiceScheduler {
+	private readonly waiting: SchedulableRequest[] = [];
+	private readonly runningOn = new Map<RequestId, TargetId>();
+	private targets = new Map<TargetId, TargetUse>();
+
+	setTargets(targets: readonly SchedulableTarget[]): void {
+		const previous = this.targets;
+		this.targets = new Map(
+			targets.map(target => [target.id, { target, running: previous.get(target.id)?.running ?? 0 }]),
+		);
+	}
+
+	submit(request: SchedulableRequest): void {
+		this.waiting.push(request);
+	}
+
+	advance(nowMs: number): readonly ScheduleDecision[] {
+		const decisions: ScheduleDecision[] = [];
+		while (this.waiting.length > 0) {
+			const next = this.waiting[0];
+			if (next === undefined) {
+				break;
+			}
+			const decision = this.decideFor(next, nowMs);
+			if (decision === undefined) {
+				break;
+			}
+			this.waiting.shift();
+			decisions.push(decision);
+		}
+		return decisions;
+	}
+
+	getNextDueMs(): number | undefined {
+		return this.waiting[0]?.deadlineMs;
+	}
+
+	noteFirstByte(): void {
+		return;
+	}
+
+	noteEnd(requestId: RequestId): boolean {
+		const use = this.targets.get(this.runningOn.get(requestId) ?? ('' as TargetId));
+		if (use !== undefined) {
+			use.running--;
+		}
+		this.runningOn.delete(requestId);
+		return false;
+	}
+
+	noteLoad(): void {
+		return;
+	}
+
+	cancel(requestId: RequestId): void {
+		const index = this.waiting.findIndex(request => request.id === requestId);
+		if (index >= 0) {
+			this.waiting.splice(index, 1);
+		}
+	}
+
+	measureRoom(): ServiceRoom {
+		const freeSlots = [...this.targets.values()].reduce(
+			(sum, use) => sum + Math.max(0, use.target.slots * use.target.share - use.running),
+			0,
+		);
+		return { waitMs: 0, freeSlots, running: this.runningOn.size, queued: this.waiting.length };
+	}
+
+	private decideFor(request: SchedulableRequest, nowMs: number): ScheduleDecision | undefined {
+		if (request.deadlineMs <= nowMs) {
+			return this.createRefusal(request, ErrorKind.DeadlineUnreachable, 'the deadline passed in the queue');
+		}
+		const usable = [...this.targets.values()].filter(use => !use.target.isLeaving);
+		if (usable.length === 0) {
+			return this.createRefusal(request, ErrorKind.NoTarget, 'no target is in use');
+		}
+		const best = this.findLeastUsed(usable);
+		if (best === undefined) {
+			return undefined;
+		}
+		best.running++;
+		this.runningOn.set(request.id, best.target.id);
+		return {
+			kind: ScheduleDecisionKind.Start,
+			requestId: request.id,
+			target: best.target.id,
+			reason: `fewest in flight (${best.running})`,
+		};
+	}
+
+	private findLeastUsed(usable: readonly TargetUse[]): TargetUse | undefined {
+		const free = usable.filter(use => use.running < Math.max(1, use.target.slots * use.target.share));
+		return free.reduce<TargetUse | undefined>(
+			(best, use) => (best === undefined || use.running < best.running ? use : best),
+			undefined,
+		);
+	}
+
+	private createRefusal(request: SchedulableRequest, kind: ErrorKind, detail: string): ScheduleDecision {
+		const error = createRequestError(kind, detail, { retryAfterMs: comeBackMs });
+		return { kind: ScheduleDecisionKind.Refuse, requestId: request.id, error };
+	}
+}
--- /dev/null
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -0,0 +1,118 @@
+/**
+ * What stands between a request that has been read and the target that runs it. One scheduler decides for
+ * one service at one entry: whom it serves, who waits how long, who is refused, which target is used and
+ * whether a failed attempt is made again. It is pure: the entry and the virtual-time target model of the
+ * tests drive the same interface, hand the clock in and carry the decisions out.
+ */
+
+import type { OrganisationName, RequestId, TargetId, ZoneName } from '../../../platform/ids/common/ids';
+import type { RequestClass } from '../../../platform/requests/common/requestClass';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+
+/** A request as the scheduler sees it. Times are monotonic milliseconds of this process. */
+export interface SchedulableRequest {
+	readonly id: RequestId;
+	readonly organisation: OrganisationName;
+	readonly requestClass: RequestClass;
+	readonly arrivedMs: number;
+	readonly deadlineMs: number;
+	/** Names the prompt prefix shared with other requests, if the caller gave one. */
+	readonly prefixKey: string | undefined;
+	readonly bodyBytes: number;
+	/** Whether a second attempt is allowed after the first may have run. */
+	readonly isRepeatable: boolean;
+}
+
+/** A target as the manifest and the signs of its life describe it. */
+export interface SchedulableTarget {
+	readonly id: TargetId;
+	readonly zone: ZoneName;
+	/** Whether it stands in this entry's own availability zone. */
+	readonly isSameZone: boolean;
+	/** Requests that the target runs at a time, for all entries together. */
+	readonly slots: number;
+	/** The share of its slots that this entry may use, in (0, 1]; entries in view divide a target. */
+	readonly share: number;
+	/** Takes no new work; what runs there ends there. */
+	readonly isLeaving: boolean;
+}
+
+/** What a target last said of itself. */
+export interface ReportedLoad {
+	readonly running: number;
+	readonly waiting: number;
+	readonly slots: number;
+	/** How old the report was when it arrived, in milliseconds. */
+	readonly ageMs: number;
+}
+
+/** How an attempt ended. */
+export enum AttemptEnd {
+	/** The whole answer was delivered. */
+	Answered = 'answered',
+	/** The target said that it did not run the request. */
+	TargetRefused = 'target-refused',
+	/** No connection could be opened, so no byte reached the target. */
+	NotConnected = 'not-connected',
+	/** The connection broke, or the answer was not of this attempt. */
+	Failed = 'failed',
+	/** The target was silent for longer than the class allows. */
+	Silent = 'silent',
+	/** The caller went away or the deadline passed. */
+	Cancelled = 'cancelled',
+}
+
+export enum ScheduleDecisionKind {
+	Start = 'start',
+	Refuse = 'refuse',
+}
+
+/** Send the request to this target now. */
+export interface StartDecision {
+	readonly kind: ScheduleDecisionKind.Start;
+	readonly requestId: RequestId;
+	readonly target: TargetId;
+	/** For `anvilroadctl explain`: why this target. */
+	readonly reason: string;
+}
+
+/** Answer the request now with this fault; the scheduler has forgotten it. */
+export interface RefuseDecision {
+	readonly kind: ScheduleDecisionKind.Refuse;
+	readonly requestId: RequestId;
+	readonly error: RequestError;
+}
+
+export type ScheduleDecision = StartDecision | RefuseDecision;
+
+/** What this entry could do for a further request of the service. */
+export interface ServiceRoom {
+	/** Predicted wait of a normal request that arrives now. */
+	readonly waitMs: number;
+	readonly freeSlots: number;
+	readonly running: number;
+	readonly queued: number;
+}
+
+/** Decides for one service; every method takes the present time and none blocks. */
+export interface IServiceScheduler {
+	/** Replaces the targets; requests running on a target that is gone keep running. */
+	setTargets(targets: readonly SchedulableTarget[], nowMs: number): void;
+	/** Takes a request in; whether it waits, starts or is refused is told by the next `advance`. */
+	submit(request: SchedulableRequest, nowMs: number): void;
+	/** Decides what can be decided now. Call after every other method, and at `getNextDueMs`. */
+	advance(nowMs: number): readonly ScheduleDecision[];
+	/** When `advance` must be called though nothing happens, or undefined. */
+	getNextDueMs(): number | undefined;
+	/** The first byte of the running attempt's answer arrived. */
+	noteFirstByte(requestId: RequestId, nowMs: number): void;
+	/**
+	 * The running attempt ended. Gives true where the request was taken back for another attempt, which the
+	 * next `advance` starts or refuses; false where the scheduler has forgotten the request.
+	 */
+	noteEnd(requestId: RequestId, end: AttemptEnd, nowMs: number): boolean;
+	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void;
+	/** Forgets a waiting request. A running one is ended by `noteEnd`. */
+	cancel(requestId: RequestId, nowMs: number): void;
+	measureRoom(nowMs: number): ServiceRoom;
+}
--- /dev/null
+++ b/src/entry/common/sendAway/sendAwayPolicy.ts
@@ -0,0 +1,50 @@
+/**
+ * Whether a request that may be answered anywhere is sent to another region. Pure: what is known of the
+ * other regions is handed in with its age.
+ */
+
+import type { InstanceId, RegionName } from '../../../platform/ids/common/ids';
+import type { SchedulableRequest, ServiceRoom } from '../scheduling/serviceScheduler';
+
+/** An entry of another region that has offered room for the service. */
+export interface RemoteOffer {
+	readonly instance: InstanceId;
+	readonly region: RegionName;
+	readonly room: ServiceRoom;
+	/** How old the offer is, in milliseconds. */
+	readonly ageMs: number;
+	/** One way over the link, in milliseconds. */
+	readonly oneWayMs: number;
+	/** What the link carries for requests sent away, in bytes a millisecond. */
+	readonly linkBytesPerMs: number;
+}
+
+export interface SendAwayQuestion {
+	readonly request: SchedulableRequest;
+	readonly localRoom: ServiceRoom;
+	readonly offers: readonly RemoteOffer[];
+}
+
+export interface SendAwayAnswer {
+	/** The entry to send to, or undefined to stay. */
+	readonly sendTo: InstanceId | undefined;
+	readonly reason: string;
+}
+
+/** Decides for one service at one entry. */
+export interface ISendAwayPolicy {
+	decide(question: SendAwayQuestion, nowMs: number): SendAwayAnswer;
+	/** The request that was sent away ended; the policy learns from it. */
+	noteEnd(instance: InstanceId, isAnswered: boolean, tookMs: number, bytes: number, nowMs: number): void;
+}
+
+/** Never sends away: the baseline. */
+export class StayHomePolicy implements ISendAwayPolicy {
+	decide(): SendAwayAnswer {
+		return { sendTo: undefined, reason: 'nothing is sent away' };
+	}
+
+	noteEnd(): void {
+		return;
+	}
+}
--- /dev/null
+++ b/src/platform/settings/test/settings.test.ts
@@ -0,0 +1,51 @@
+import { entrySettingsSchema } from '../common/entrySettings';
+import { formatSettingsFault, parseSettings } from '../common/settings';
+
+function createText(replacements: Record<string, string> = {}): string {
+	const lines = [
+		'[instance]',
+		'id = entry-kingston-1',
+		'region = kingston',
+		'zone = kingston-a',
+		'[callers]',
+		'listen = 127.0.0.1:7001',
+		'url = http://127.0.0.1:7001',
+		'[peers]',
+		'listen = 127.0.0.1:7101',
+		'url = http://127.0.0.1:7101',
+		'seeds = http://127.0.0.1:7102, http://127.0.0.1:7103',
+		'[operators]',
+		'listen = 127.0.0.1:7201',
+		'[platform]',
+		'url = http://127.0.0.1:7300',
+		'[tickets]',
+		'key = a-key-that-is-long-enough',
+	];
+	return lines.map(line => replacements[line] ?? line).join('\n');
+}
+
+describe('parseSettings', () => {
+	it('reads a whole file and fills in defaults', () => {
+		const settings = parseSettings(entrySettingsSchema, createText())._unsafeUnwrap();
+		expect(settings.callers.listen).toEqual({ host: '127.0.0.1', port: 7001 });
+		expect(settings.peers.seeds).toEqual(['http://127.0.0.1:7102', 'http://127.0.0.1:7103']);
+		expect(settings.limits.max_body_bytes).toBe(8_388_608);
+	});
+
+	it('names every fault with section, key, value and what is allowed', () => {
+		const text = createText({
+			'listen = 127.0.0.1:7001': 'listen = nowhere',
+			'key = a-key-that-is-long-enough': 'key = short',
+			'zone = kingston-a': 'zoen = kingston-a',
+		});
+		const lines = parseSettings(entrySettingsSchema, text)._unsafeUnwrapErr().map(formatSettingsFault);
+		expect(lines).toEqual(
+			expect.arrayContaining([
+				'[callers] listen = nowhere: an IP number and a port, such as 127.0.0.1:7001',
+				'[tickets] key = short: at least 16 characters',
+				'[instance] zoen = kingston-a: no such key in this section',
+			]),
+		);
+		expect(lines.some(line => line.startsWith('[instance] zone is missing'))).toBe(true);
+	});
+});
