--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -59,6 +59,8 @@
 				{
 					selector: ['function', 'classMethod', 'typeMethod'],
 					format: ['camelCase'],
+					// Callbacks that a library's interface names keep its names.
+					filter: { regex: '^on[A-Z]', match: false },
 					custom: { regex: verbPattern, match: true },
 				},
 				{ selector: 'interface', filter: '^I[A-Z]', format: ['PascalCase'] },
