--- /dev/null
+++ b/src/entry/common/placement/callPlan.ts
@@ -0,0 +1,122 @@
+/**
+ * What the manifest says of one call: where it may be answered, whether it may be repeated, how long it
+ * may take. Everything here is decided from the head, before a byte of the body is read, since a body
+ * that must stay in its region must not even be read outside it.
+ */
+
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
+import type { OrganisationName, RegionName, ServiceName } from '../../../platform/ids/common/ids';
+import type {
+	ManifestCallRule,
+	ManifestOrganisation,
+	ManifestService,
+} from '../../../platform/manifest/common/manifest';
+import type { RepeatRule } from '../../../platform/manifest/common/manifest';
+import { ResidencyRule, UnticketedRule } from '../../../platform/manifest/common/manifest';
+import { matchPath, parseCallPath } from './callPath';
+import type { ManifestIndex } from './manifestIndex';
+
+/** The parts of a request's head that placement looks at. */
+export interface Call {
+	readonly service: ServiceName;
+	readonly organisation: OrganisationName;
+	readonly method: string;
+	/** Path and query below the service. */
+	readonly path: string;
+}
+
+/** What holds for one call under one manifest. */
+export interface CallPlan {
+	readonly service: ManifestService;
+	readonly organisation: ManifestOrganisation;
+	readonly repeat: RepeatRule;
+	readonly unticketed: UnticketedRule;
+	/** The only region that may answer it, or undefined where any may. */
+	readonly homeRegion: RegionName | undefined;
+	/** Limits for each request class. */
+	readonly classes: ManifestService['classes'];
+}
+
+/** How a call came from another entry. */
+export interface ForwardedFrom {
+	/** Forwarding hops, the one that brought it here included. */
+	readonly hops: number;
+	readonly region: RegionName;
+}
+
+const allowedHops = 1;
+
+function findRule(service: ManifestService, method: string, path: string): ManifestCallRule | undefined {
+	return service.rules.find(
+		rule => (rule.method === '*' || rule.method === method) && matchPath(rule.path, path),
+	);
+}
+
+function createPlan(
+	service: ManifestService,
+	organisation: ManifestOrganisation,
+	rule: ManifestCallRule | undefined,
+): CallPlan {
+	const residency = rule?.residency ?? service.residency;
+	return {
+		service,
+		organisation,
+		repeat: rule?.repeat ?? service.repeat,
+		unticketed: rule?.unticketed ?? UnticketedRule.Refuse,
+		homeRegion: residency === ResidencyRule.Home ? organisation.home : undefined,
+		classes: service.classes,
+	};
+}
+
+function refuseCall(kind: ErrorKind, detail: string): Result<never, RequestError> {
+	return err(createRequestError(kind, detail));
+}
+
+/** Finds what holds for a call at an entry of `ownRegion`; a call bound to another region is refused. */
+export function planCall(
+	index: ManifestIndex,
+	ownRegion: RegionName,
+	call: Call,
+): Result<CallPlan, RequestError> {
+	const service = index.findService(call.service);
+	if (service === undefined) {
+		return refuseCall(ErrorKind.UnknownService, `no service ${call.service}`);
+	}
+	const organisation = index.findOrganisation(call.organisation);
+	if (organisation === undefined) {
+		return refuseCall(ErrorKind.OrganisationUnknown, `no organisation ${call.organisation}`);
+	}
+	const path = parseCallPath(call.path);
+	if (path.isErr()) {
+		return err(path.error);
+	}
+	const plan = createPlan(service, organisation, findRule(service, call.method, path.value));
+	if (plan.homeRegion !== undefined && plan.homeRegion !== ownRegion) {
+		return refuseCall(ErrorKind.WrongRegion, `bound to ${plan.homeRegion}, this entry is in ${ownRegion}`);
+	}
+	return ok(plan);
+}
+
+/**
+ * Checks a call that another entry forwarded, after `planCall` with this entry's own manifest. Two entries
+ * with different manifests may disagree on a call's region; the call is served only where the sender's
+ * manifest let it go and this one lets it in, so whichever of the two is newer is obeyed. A forwarded call
+ * is never forwarded again: two full regions that each believe the other is empty would otherwise pass it
+ * to and fro, seen as link traffic that grows while nothing is answered.
+ */
+export function checkForwarded(
+	plan: CallPlan,
+	from: ForwardedFrom,
+	ownRegion: RegionName,
+): Result<CallPlan, RequestError> {
+	if (from.hops !== allowedHops) {
+		return refuseCall(ErrorKind.MalformedHeader, `${from.hops} forwarding hops, only 1 is allowed`);
+	}
+	if (plan.homeRegion !== undefined && (plan.homeRegion !== ownRegion || from.region !== ownRegion)) {
+		return refuseCall(ErrorKind.WrongRegion, `bound to ${plan.homeRegion}, came from ${from.region}`);
+	}
+	return ok(plan);
+}
--- /dev/null
+++ b/src/entry/common/placement/test/callPlan.test.ts
@@ -0,0 +1,142 @@
+import fc from 'fast-check';
+import { ErrorKind } from '../../../../platform/errors/common/errorKinds';
+import type { OrganisationName, RegionName, ServiceName } from '../../../../platform/ids/common/ids';
+import { checkManifest, RepeatRule, UnticketedRule } from '../../../../platform/manifest/common/manifest';
+import type { Call } from '../callPlan';
+import { checkForwarded, planCall } from '../callPlan';
+import { ManifestIndex } from '../manifestIndex';
+
+const kingston = 'kingston' as RegionName;
+const ocho = 'ocho' as RegionName;
+
+function createIndex(): ManifestIndex {
+	const document = {
+		regions: [
+			{ name: 'kingston', zones: ['kingston-a'] },
+			{ name: 'ocho', zones: ['ocho-a'] },
+		],
+		organisations: [
+			{ name: 'harbour-hotel', home: 'kingston' },
+			{ name: 'beach-hotel', home: 'ocho' },
+		],
+		services: [
+			{
+				name: 'bookings',
+				kind: 'plain',
+				residency: 'home',
+				repeat: 'idempotent',
+				rules: [
+					{ method: 'GET', path: '/visits/*', repeat: 'idempotent', residency: 'any' },
+					{ method: 'POST', path: '/payments', repeat: 'at-most-once', unticketed: 'run-once' },
+					{ method: '*', path: '/payments*', repeat: 'at-most-once' },
+				],
+			},
+		],
+		targets: ['kingston', 'ocho'].map(region => ({
+			id: `bookings-${region}`,
+			service: 'bookings',
+			region,
+			zone: `${region}-a`,
+			url: 'http://127.0.0.1:9001',
+		})),
+	};
+	return new ManifestIndex(checkManifest(document)._unsafeUnwrap());
+}
+
+function createCall(change: Partial<Record<keyof Call, string>> = {}): Call {
+	const call = {
+		service: 'bookings',
+		organisation: 'harbour-hotel',
+		method: 'GET',
+		path: '/jobs',
+		...change,
+	};
+	return {
+		...call,
+		service: call.service as ServiceName,
+		organisation: call.organisation as OrganisationName,
+	};
+}
+
+const index = createIndex();
+
+describe('planCall', () => {
+	it('takes the first matching rule, and the service where none matches', () => {
+		const plan = planCall(index, kingston, createCall({ method: 'POST', path: '/payments?x=/a/..' }));
+		expect(plan._unsafeUnwrap()).toMatchObject({
+			repeat: RepeatRule.AtMostOnce,
+			unticketed: UnticketedRule.RunOnce,
+			homeRegion: kingston,
+		});
+		expect(planCall(index, kingston, createCall())._unsafeUnwrap()).toMatchObject({
+			repeat: RepeatRule.Idempotent,
+			unticketed: UnticketedRule.Refuse,
+		});
+	});
+
+	it('leaves a call free whose rule says any region', () => {
+		const visits = createCall({ path: '/visits/7' });
+		expect(planCall(index, ocho, visits)._unsafeUnwrap().homeRegion).toBeUndefined();
+	});
+
+	it.each([
+		[{ service: 'billing' }, ErrorKind.UnknownService],
+		[{ organisation: 'nobody' }, ErrorKind.OrganisationUnknown],
+		[{ organisation: 'beach-hotel' }, ErrorKind.WrongRegion],
+		[{ path: 'payments' }, ErrorKind.UnknownRoute],
+		[{ path: '/%zz' }, ErrorKind.UnknownRoute],
+	])('refuses %j as %s', (change, kind) => {
+		expect(planCall(index, kingston, createCall(change))._unsafeUnwrapErr().kind).toBe(kind);
+	});
+
+	// A caller spells the path of a payment in another way that the service takes for the same. If the rule
+	// missed it, the payment would be retried after a broken attempt and the customer charged twice.
+	it('knows a payment under every spelling of its path, or refuses it', () => {
+		const spelling = (char: string): fc.Arbitrary<string> =>
+			fc.constantFrom(char, `%${char.charCodeAt(0).toString(16)}`);
+		const path = fc
+			.tuple(
+				fc.constantFrom('/', '//', '/./', '/x/../', '/%2e/', '/;v=1/', '\\'),
+				fc.tuple(...'payments'.match(/./g)!.map(spelling)),
+				fc.constantFrom('', '/', '//', '/.', '?a', '/x', '%2f', '%252f'),
+			)
+			.map(([before, middle, after]) => before + middle.join('') + after);
+		fc.assert(
+			fc.property(path, spelled => {
+				const plan = planCall(index, kingston, createCall({ method: 'POST', path: spelled }));
+				return plan.isErr() || plan.value.repeat === RepeatRule.AtMostOnce;
+			}),
+			{ seed: 4, numRuns: 1_000 },
+		);
+	});
+
+	it('finds the targets of a service in one region', () => {
+		const found = index.listTargets('bookings' as ServiceName, ocho);
+		expect(found.map(target => target.id)).toEqual(['bookings-ocho']);
+		expect(index.findTarget(found[0]!.id)).toBe(found[0]);
+	});
+});
+
+describe('checkForwarded', () => {
+	const free = planCall(index, kingston, createCall({ path: '/visits/7' }))._unsafeUnwrap();
+	const bound = planCall(index, kingston, createCall())._unsafeUnwrap();
+
+	it('lets one hop in, from anywhere for a free call and from its own region for a bound one', () => {
+		expect(checkForwarded(free, { hops: 1, region: ocho }, kingston).isOk()).toBe(true);
+		expect(checkForwarded(bound, { hops: 1, region: kingston }, kingston).isOk()).toBe(true);
+	});
+
+	// Two full regions each believe that the other has room, or a caller forges the hop count. A call that
+	// is passed on a second time would go round on the thin link and never be answered.
+	it.each([0, 2, -1, 1.5, Number.NaN])('refuses %d hops', hops => {
+		expect(checkForwarded(free, { hops, region: ocho }, kingston).isErr()).toBe(true);
+	});
+
+	// One entry still has the manifest under which the call could be answered anywhere and sends it away; the
+	// other has the newer one that binds it. Served, the data would be answered outside the caller's rule.
+	it('refuses a bound call that comes from or to another region', () => {
+		const fromOcho = checkForwarded(bound, { hops: 1, region: ocho }, kingston);
+		expect(fromOcho._unsafeUnwrapErr().kind).toBe(ErrorKind.WrongRegion);
+		expect(checkForwarded(bound, { hops: 1, region: ocho }, ocho).isErr()).toBe(true);
+	});
+});
