--- a/src/platform/audit/common/auditTrail.ts
+++ b/src/platform/audit/common/auditTrail.ts
@@ -20,6 +20,8 @@
 
 /** One change. */
 export interface AuditRecord {
+	/** Counts up from 1 in one life of the process; a reader that follows the trail asks for what comes after. */
+	readonly sequence: number;
 	/** Wall-clock time, for people; never compared. */
 	readonly at: Date;
 	readonly kind: AuditKind;
@@ -32,10 +34,13 @@
 	readonly manifestVersion: ManifestVersion | undefined;
 }
 
+/** What the part that makes a change tells of it; the trail adds time and number. */
+export type AuditChange = Omit<AuditRecord, 'sequence' | 'at'>;
+
 /** Records changes and gives them to whoever shows them. */
 export interface IAuditTrail {
 	readonly onDidRecord: Stream<AuditRecord>;
-	record(change: Omit<AuditRecord, 'at'>): void;
+	record(change: AuditChange): void;
 	/** The newest records, oldest first. */
 	list(most?: number): readonly AuditRecord[];
 }
--- /dev/null
+++ b/src/platform/telemetry/common/entryMetricDefinitions.ts
@@ -0,0 +1,153 @@
+/**
+ * The names, help texts and labels of an entry's metrics, apart from the library that keeps them, so that
+ * a test can hold docs/METRICS.md against them. Names follow the Prometheus conventions: base units,
+ * `_total` for counters.
+ *
+ * Label values come from closed lists or from the manifest. No metric has the organisation as a label: 540
+ * organisations by 7 models by classes and outcomes would make tens of thousands of series an entry and
+ * spend the memory that is meant for requests. What one organisation sees is told by `explain`.
+ */
+
+/** What is needed to register a metric. */
+export interface MetricDefinition<TLabel extends string = string> {
+	readonly name: string;
+	readonly help: string;
+	readonly labelNames: readonly TLabel[];
+}
+
+/** A histogram, with its upper bounds. */
+export interface HistogramDefinition<TLabel extends string = string> extends MetricDefinition<TLabel> {
+	readonly buckets: readonly number[];
+}
+
+function createDefinition<TLabel extends string = never>(
+	name: string,
+	help: string,
+	...labelNames: TLabel[]
+): MetricDefinition<TLabel> {
+	return { name: `anvilroad_${name}`, help, labelNames };
+}
+
+function withBuckets<TLabel extends string>(
+	definition: MetricDefinition<TLabel>,
+	buckets: readonly number[],
+): HistogramDefinition<TLabel> {
+	return { ...definition, buckets };
+}
+
+/** Dense around 0.61 s, the bound for the first token that 95 in 100 requests are meant to meet. */
+const firstByteBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.61, 0.75, 1, 2, 5, 15, 60, 300];
+
+/** Dense around 36 ms, the bound between two tokens. */
+const gapBuckets = [0.005, 0.01, 0.02, 0.028, 0.036, 0.045, 0.06, 0.1, 0.25, 1, 5, 30];
+
+/** From short questions to drafts of many minutes. */
+const answerBuckets = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60, 120, 300, 600];
+
+export const counterDefinitions = {
+	requests: createDefinition(
+		'requests_total',
+		'Requests that ended, by outcome and, where the answer is our own, by error kind.',
+		'service',
+		'class',
+		'outcome',
+		'error',
+	),
+	attempts: createDefinition('attempts_total', 'Attempts at targets, by how they ended.', 'service', 'end'),
+	sentAway: createDefinition(
+		'sent_away_requests_total',
+		'Requests sent to an entry of another region, by result.',
+		'service',
+		'region',
+		'result',
+	),
+	linkBytes: createDefinition(
+		'link_bytes_total',
+		'Bytes of request and answer bodies carried to and from another region.',
+		'region',
+		'direction',
+	),
+	tickets: createDefinition('tickets_total', 'Tickets by what became of them.', 'result'),
+	manifests: createDefinition('manifests_total', 'Manifests seen, by what was made of them.', 'result'),
+	platformReads: createDefinition(
+		'platform_reads_total',
+		'Reads of the platform, waiting watches included.',
+		'kind',
+		'result',
+	),
+	peerExchanges: createDefinition('peer_exchanges_total', 'Exchanges of views with peers.', 'result'),
+	peerBytes: createDefinition(
+		'peer_bytes_total',
+		'Bytes of views exchanged with peers, before framing.',
+		'direction',
+	),
+	auditRecords: createDefinition('audit_records_total', 'Records of the audit trail.', 'kind'),
+};
+
+export const gaugeDefinitions = {
+	info: createDefinition(
+		'info',
+		'Always 1; the labels tell the process.',
+		'version',
+		'instance',
+		'region',
+		'zone',
+	),
+	ready: createDefinition('ready', '1 when the entry takes requests, else 0.'),
+	leaving: createDefinition('leaving', '1 when the entry is leaving, else 0.'),
+	queued: createDefinition('queued_requests', 'Requests that wait for a target.', 'service'),
+	running: createDefinition('running_requests', 'Requests that run at a target.', 'service'),
+	predictedWait: createDefinition(
+		'predicted_wait_seconds',
+		'Predicted wait of a normal request that arrives now.',
+		'service',
+	),
+	targets: createDefinition('targets', 'Targets by state of their chart.', 'service', 'state'),
+	peers: createDefinition('peers', 'Other entries in view by state.', 'state'),
+	manifestVersion: createDefinition('manifest_version', 'Version of the manifest in force; 0 for none.'),
+	platformLastRead: createDefinition(
+		'platform_last_read_timestamp_seconds',
+		'Unix time of the last good read of the platform.',
+		'kind',
+	),
+	heldBytes: createDefinition('held_body_bytes', 'Bytes of request bodies held in memory.'),
+	ticketsOutstanding: createDefinition('tickets_outstanding', 'Tickets issued here and not yet expired.'),
+};
+
+export const histogramDefinitions = {
+	firstByte: withBuckets(
+		createDefinition(
+			'first_byte_seconds',
+			'From the arrival of the head to the first byte of the answer body.',
+			'service',
+			'class',
+		),
+		firstByteBuckets,
+	),
+	answer: withBuckets(
+		createDefinition(
+			'answer_seconds',
+			'From the arrival of the head to the end of the whole answer.',
+			'service',
+			'class',
+		),
+		answerBuckets,
+	),
+	gap: withBuckets(
+		createDefinition('answer_gap_seconds', 'Between two pieces of a streaming answer.', 'service', 'class'),
+		gapBuckets,
+	),
+	queueWait: withBuckets(
+		createDefinition('queue_wait_seconds', 'From submission to the start of an attempt.', 'service', 'class'),
+		firstByteBuckets,
+	),
+};
+
+/** Every metric of an entry, besides those of the process itself. */
+export function listEntryMetrics(): MetricDefinition[] {
+	return [
+		...Object.values<MetricDefinition>(counterDefinitions),
+		...Object.values<MetricDefinition>(gaugeDefinitions),
+		...Object.values<MetricDefinition>(histogramDefinitions),
+	];
+}
--- /dev/null
+++ b/src/platform/telemetry/node/logger.ts
@@ -0,0 +1,41 @@
+/**
+ * The log: one JSON line for each change of state, on standard output. What happens often is counted by
+ * metrics and never logged a request at a time, so the log stays readable when an entry is busiest.
+ */
+
+import type { DestinationStream, Logger } from 'pino';
+import pino from 'pino';
+import { subscribeTo } from '../../../base/common/channel';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import type { IAuditTrail } from '../../audit/common/auditTrail';
+import type { logLevels } from '../../settings/common/entrySettings';
+
+export type LogLevel = (typeof logLevels)[number];
+
+/**
+ * Bytes of log that wait for a reader of standard output. When that reader stalls, a synchronous write
+ * would stop the one loop and with it every request; an unbounded buffer would take the memory. Beyond
+ * this bound lines are dropped, which shows as gaps in the log's audit sequence.
+ */
+const mostWaitingBytes = 1_048_576;
+
+function openStandardOutput(): DestinationStream {
+	return pino.destination({ dest: 1, sync: false, maxLength: mostWaitingBytes });
+}
+
+/** Makes the log of a process; `name` stands in each line, as `anvilroad-entry kingston-1`. */
+export function createLogger(
+	name: string,
+	level: LogLevel,
+	destination: DestinationStream = openStandardOutput(),
+): Logger {
+	return pino({ name, level, timestamp: pino.stdTimeFunctions.isoTime }, destination);
+}
+
+/** Writes each record of the trail as a line with one `audit` object, until disposed of. */
+export function writeAuditLines(logger: Logger, trail: IAuditTrail): IDisposable {
+	return subscribeTo(trail.onDidRecord, record => {
+		const { kind, subject, from, to, sign } = record;
+		logger.info({ audit: record }, `${kind} ${subject}: ${from} -> ${to} (${sign})`);
+	});
+}
