Serve operators: metrics, health, readiness, status, explain, trail, manifest

Cause: people on call and anvilroadctl read an entry through one port that is only read and answers from what the process holds. Ruled out: pushing status anywhere (nothing of the system writes shared state); a parsed copy of the manifest in the answer (the accepted text is given, so what is shown is what is in force). Conclusion: the entry hands in an IOperatorsSource and its EntryMetrics.

--- /dev/null
+++ b/src/platform/operators/node/operatorsServer.ts
@@ -0,0 +1,75 @@
+/**
+ * The operators' port: metrics, health, readiness and what `anvilroadctl` reads. It is only read, and it
+ * answers from what the process holds, so it works while the platform and the peers are away.
+ */
+
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { Disposable, toDisposable } from '../../../base/common/lifecycle';
+import type { ListenAddress } from '../../settings/common/settingsTypes';
+import { OperatorsFault } from '../../status/common/operatorsAnswers';
+import type { OperatorsAnswer } from '../common/operatorsRouter';
+import { createFaultAnswer, OperatorsRouter } from '../common/operatorsRouter';
+import type { IMetricsPage, IOperatorsSource } from '../common/operatorsSource';
+
+/**
+ * Connections at a time. A scraper that opens one for each read and never closes it would otherwise take
+ * the descriptors that callers need; beyond the bound the newest is closed at once.
+ */
+const mostConnections = 64;
+
+/** Milliseconds in which a request must have arrived whole. */
+const requestTimeoutMs = 5_000;
+
+/** Serves operators until disposed of. */
+export class OperatorsServer extends Disposable {
+	private readonly router: OperatorsRouter;
+	private readonly server: Server;
+
+	constructor(source: IOperatorsSource, metrics: IMetricsPage) {
+		super();
+		this.router = new OperatorsRouter(source, metrics);
+		this.server = createServer({ requestTimeout: requestTimeoutMs }, (request, response) => {
+			void this.serve(request, response);
+		});
+		this.server.maxConnections = mostConnections;
+		this.register(
+			toDisposable(() => {
+				this.server.close();
+				this.server.closeAllConnections();
+			}),
+		);
+	}
+
+	/** Opens the port and gives the address in use; rejects where the port cannot be had. */
+	async start(listen: ListenAddress): Promise<ListenAddress> {
+		this.server.listen(listen.port, listen.host);
+		await once(this.server, 'listening');
+		const { address, port } = this.server.address() as AddressInfo;
+		return { host: address, port };
+	}
+
+	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		request.resume();
+		const answer = await this.answerSafely(request);
+		const body = Buffer.from(answer.body);
+		response.writeHead(answer.status, {
+			'content-type': answer.contentType,
+			'content-length': body.length,
+			'cache-control': 'no-store',
+		});
+		response.end(request.method === 'HEAD' ? undefined : body);
+	}
+
+	/** A fault in a status page must not end the process that serves callers. */
+	private async answerSafely(request: IncomingMessage): Promise<OperatorsAnswer> {
+		try {
+			return await this.router.answer(request.method ?? 'GET', request.url ?? '/');
+		} catch (error) {
+			const message = error instanceof Error ? error.message : String(error);
+			return createFaultAnswer(OperatorsFault.Internal, message);
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/operators/test/operatorsFixtures.ts
@@ -0,0 +1,72 @@
+/**
+ * Makes the parts that tests of the operators' port need.
+ */
+
+import type { AuditRecord } from '../../audit/common/auditTrail';
+import { AuditKind } from '../../audit/common/auditTrail';
+import { JournalStep } from '../../explain/common/requestJournal';
+import type { RequestRecord } from '../../explain/common/requestJournal';
+import type { ManifestVersion, RequestId } from '../../ids/common/ids';
+import type { EntryStatus } from '../../status/common/entryStatus';
+import type { IMetricsPage, IOperatorsSource } from '../common/operatorsSource';
+
+export function createStatus(more: Partial<EntryStatus> = {}): EntryStatus {
+	return {
+		instance: 'entry-kingston-1',
+		boot: 'b7c1',
+		region: 'kingston',
+		zone: 'kingston-a',
+		version: '0.1.0',
+		uptimeMs: 61_000,
+		readiness: { isReady: true, reasons: [] },
+		isLeaving: false,
+		manifest: { version: 12, digest: 'ab12', ageMs: 3_000 },
+		platform: { lastReadAgeMs: 900 },
+		peers: [],
+		targets: [],
+		services: [],
+		ticketsOutstanding: 4,
+		heldBytes: 0,
+		mostHeldBytes: 268_435_456,
+		...more,
+	};
+}
+
+export function createRecord(sequence: number): AuditRecord {
+	return {
+		sequence,
+		at: new Date(sequence * 1_000),
+		kind: AuditKind.Target,
+		subject: 'bookings-1',
+		from: 'serving',
+		to: 'failed',
+		sign: 'connect refused',
+		manifestVersion: 12 as ManifestVersion,
+	};
+}
+
+export function createRequestRecord(id: RequestId): RequestRecord {
+	return {
+		id,
+		at: new Date(0),
+		service: 'bookings',
+		organisation: 'harbour-hotel',
+		requestClass: 'urgent',
+		entries: [{ sinceArrivalMs: 0, step: JournalStep.Received, detail: 'POST /visits' }],
+	};
+}
+
+export function createSource(more: Partial<IOperatorsSource> = {}): IOperatorsSource {
+	return {
+		getReadiness: () => ({ isReady: true, reasons: [] }),
+		getStatus: () => createStatus(),
+		findRecord: id => (id === 'known' ? createRequestRecord(id) : undefined),
+		listTrail: most => [1, 2, 3].slice(-most).map(createRecord),
+		getManifest: () => ({ version: 12 as ManifestVersion, digest: 'ab12', text: '{"regions": []}' }),
+		...more,
+	};
+}
+
+export function createMetricsPage(): IMetricsPage {
+	return { contentType: 'text/plain; version=0.0.4', render: () => Promise.resolve('anvilroad_ready 1\n') };
+}
--- a/src/platform/telemetry/node/entryMetrics.ts
+++ b/src/platform/telemetry/node/entryMetrics.ts
@@ -6,6 +6,7 @@
 import { Counter, Gauge, Histogram, Registry, collectDefaultMetrics } from 'prom-client';
 import type { AuditKind } from '../../audit/common/auditTrail';
 import type { ErrorKind } from '../../errors/common/errorKinds';
+import type { IMetricsPage } from '../../operators/common/operatorsSource';
 import type { Outcome } from '../../errors/common/outcome';
 import type { RequestClass } from '../../requests/common/requestClass';
 import type { HistogramDefinition, MetricDefinition } from '../common/entryMetricDefinitions';
@@ -44,8 +45,9 @@
 }
 
 /** Counts what happens at one entry; `render` gives the page for `/metrics`. */
-export class EntryMetrics {
+export class EntryMetrics implements IMetricsPage {
 	readonly registry = new Registry();
+	readonly contentType = this.registry.contentType;
 
 	private readonly requests = this.createCounter(counterDefinitions.requests);
 	private readonly attempts = this.createCounter(counterDefinitions.attempts);
