Add the stand-ins: platform, model engine, plain service, link

Cause: the system cannot be run without the services around it, and its failures cannot be brought about by hand. Ruled out: one process a stand-in as the only form, since a demo would need forty of them; a process hosts every section of its file instead, and a file with one section gives a process of its own. Change: anvilroad-standin with checked settings, an admin port with checked fault switches and counters, and one line of JSON when all ports listen.

--- /dev/null
+++ b/src/bin/commandLine.ts
@@ -0,0 +1,25 @@
+/**
+ * The command line of the programs that are told everything by a settings file.
+ */
+
+import { exitCodeBadUsage } from '../platform/settings/node/loadSettings';
+import { version } from '../../package.json';
+
+/** Parses `--settings FILE.ini`, `--help` and `--version`; bad usage ends the process with exit code 2. */
+export async function parseSettingsOption(programName: string, description: string): Promise<string> {
+	const { default: yargs } = await import('yargs');
+	const options = await yargs(process.argv.slice(2))
+		.scriptName(programName)
+		.usage(`$0 --settings FILE.ini\n\n${description}`)
+		.option('settings', { type: 'string', demandOption: true, describe: 'settings file' })
+		.version(version)
+		.strict()
+		.help()
+		.fail((message, error, parser) => {
+			parser.showHelp();
+			process.stderr.write(`\n${message || error.message}\n`);
+			process.exit(exitCodeBadUsage);
+		})
+		.parseAsync();
+	return options.settings;
+}
--- /dev/null
+++ b/src/standin/node/linkRelay.ts
@@ -0,0 +1,116 @@
+/**
+ * A link between two places: a TCP relay with delay, shared bandwidth, cuts and silent connections. The
+ * relay accepts a connection at once, so that setting one up costs no round trip here.
+ */
+
+import { once } from 'node:events';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import type { Result } from 'neverthrow';
+import type { ITimerService } from '../../base/common/timerService';
+import type { SwitchFault } from '../common/faultBoard';
+import { FaultBoard } from '../common/faultBoard';
+import type { LinkFaults } from '../common/linkFaults';
+import { createLinkFaults, LinkCut, linkFaultsSchema } from '../common/linkFaults';
+import { SharedRate } from '../common/sharedRate';
+import type { LinkSection } from '../common/standinSettings';
+import type { LinkPath } from './linkConnection';
+import { LinkConnection } from './linkConnection';
+import type { IStandin } from './standin';
+
+const bytesPerMegabit = 125_000;
+
+/** Relays the connections of one link. */
+export class LinkRelay implements IStandin {
+	private readonly faults: FaultBoard<LinkFaults>;
+	private readonly connections = new Set<LinkConnection>();
+	private readonly path: LinkPath;
+	private readonly server: Server;
+	private accepted = 0;
+	private refused = 0;
+	private silenced = 0;
+
+	constructor(
+		readonly name: string,
+		private readonly section: LinkSection,
+		timers: ITimerService,
+	) {
+		this.faults = new FaultBoard<LinkFaults>(
+			linkFaultsSchema.partial(),
+			createLinkFaults(section.one_way_ms),
+		);
+		const bytesPerSecond = section.megabits_per_second * bytesPerMegabit;
+		this.path = {
+			to: section.to,
+			forwardRate: new SharedRate(bytesPerSecond),
+			backwardRate: new SharedRate(bytesPerSecond),
+			timers,
+			getOneWayMs: () => this.faults.get().oneWayMs,
+		};
+		this.server = createServer({ allowHalfOpen: true, noDelay: true }, socket => {
+			this.acceptSocket(socket);
+		});
+	}
+
+	async open(): Promise<string> {
+		this.server.listen(this.section.listen.port, this.section.listen.host);
+		await once(this.server, 'listening');
+		const { address, port } = this.server.address() as AddressInfo;
+		return `${address}:${port}`;
+	}
+
+	applyFaults(patch: unknown): Result<LinkFaults, readonly SwitchFault[]> {
+		const applied = this.faults.apply(patch);
+		if (applied.isOk()) {
+			this.applyCut(applied.value.cut);
+			if (linkFaultsSchema.partial().parse(patch).silenceOpen === true) {
+				this.markOpenSilent();
+			}
+		}
+		return applied;
+	}
+
+	getCounters(): object {
+		const { accepted, refused, silenced } = this;
+		return { accepted, refused, silenced, open: this.connections.size };
+	}
+
+	dispose(): void {
+		this.server.close();
+		for (const connection of [...this.connections]) {
+			connection.dispose();
+		}
+	}
+
+	private acceptSocket(socket: Socket): void {
+		const { cut } = this.faults.get();
+		if (cut === LinkCut.Reset) {
+			this.refused++;
+			socket.on('error', () => undefined);
+			socket.resetAndDestroy();
+			return;
+		}
+		this.accepted++;
+		const connection = new LinkConnection(socket, this.path, () => {
+			this.connections.delete(connection);
+		});
+		connection.setCut(cut === LinkCut.BlackHole);
+		this.connections.add(connection);
+	}
+
+	private applyCut(cut: LinkCut): void {
+		for (const connection of [...this.connections]) {
+			connection.setCut(cut === LinkCut.BlackHole);
+			if (cut === LinkCut.Reset) {
+				connection.endByReset();
+			}
+		}
+	}
+
+	private markOpenSilent(): void {
+		for (const connection of this.connections) {
+			connection.markSilent();
+			this.silenced++;
+		}
+	}
+}
--- /dev/null
+++ b/src/standin/node/standinHost.ts
@@ -0,0 +1,56 @@
+/**
+ * Hosts every stand-in of a settings file in one process.
+ */
+
+import { Disposable } from '../../base/common/lifecycle';
+import { SeededRandom } from '../../base/common/random';
+import type { ITimerService } from '../../base/common/timerService';
+import type { StandinSettings } from '../common/standinSettings';
+import { AdminServer } from './adminServer';
+import { EngineServer } from './engineServer';
+import { LinkRelay } from './linkRelay';
+import { PlainServer } from './plainServer';
+import { PlatformServer } from './platformServer';
+import type { IStandin } from './standin';
+
+/** Cache events are lost at random from this seed, so that a run can be repeated. */
+const cacheEventSeed = 7;
+
+/** Where everything listens, once it does. */
+export interface StandinAddresses {
+	readonly ready: true;
+	readonly addresses: Readonly<Record<string, string>>;
+	readonly admin: string;
+}
+
+/** Owns the stand-ins and their admin port. */
+export class StandinHost extends Disposable {
+	private readonly standins: readonly IStandin[];
+	private readonly admin: AdminServer;
+
+	constructor(settings: StandinSettings, timers: ITimerService) {
+		super();
+		const random = new SeededRandom(cacheEventSeed);
+		this.standins = [
+			...(settings.platform === undefined ? [] : [new PlatformServer(settings.platform, timers)]),
+			...Object.entries(settings.engine).map(
+				([name, section]) => new EngineServer(name, section, timers, random),
+			),
+			...Object.entries(settings.plain).map(([name, section]) => new PlainServer(name, section, timers)),
+			...Object.entries(settings.link).map(([name, section]) => new LinkRelay(name, section, timers)),
+		];
+		for (const standin of this.standins) {
+			this.register(standin);
+		}
+		this.admin = this.register(new AdminServer(settings.admin.listen, this.standins));
+	}
+
+	/** Resolves when every port listens. */
+	async open(): Promise<StandinAddresses> {
+		const addresses: Record<string, string> = {};
+		for (const standin of this.standins) {
+			addresses[standin.name] = await standin.open();
+		}
+		return { ready: true, addresses, admin: await this.admin.open() };
+	}
+}
