Add the load tool: open-loop runs, a bare pass-through, comparisons in rounds

Cause: the added cost of an entry cannot be told without a tool that counts latency from the planned arrival, checks every answer and alternates the ways it compares. Ruled out: a closed generator alone (it hides the waits of a stalled service) and comparing figures of separate runs (the machine drifts by more than the difference sought). The change: anvilroad-load with run, compare and pass-through; loopback only, bounded. Conclusion: ready to be pointed at an entry.

--- /dev/null
+++ b/src/load/node/loadClient.ts
@@ -0,0 +1,86 @@
+/**
+ * Sends one request of a load run and reads its whole answer.
+ */
+
+import type { Dispatcher } from 'undici';
+import { Pool } from 'undici';
+import { headers } from '../../platform/headers/common/headers';
+import type { AnswerVerdict, ReceivedAnswer } from '../common/answerCheck';
+import { checkAnswer, ResultKind } from '../common/answerCheck';
+import type { LoadOptions } from '../common/loadOptions';
+
+const answerTimeoutMs = 130_000;
+
+/** The connections of one run, shared out over its base URLs in turn. */
+export class LoadClient {
+	private readonly pools: readonly Pool[];
+	private readonly requestHeaders: Readonly<Record<string, string>>;
+
+	constructor(private readonly options: LoadOptions) {
+		this.pools = options.targetUrls.map(
+			url =>
+				new Pool(url, {
+					connections: options.connections,
+					pipelining: 1,
+					headersTimeout: answerTimeoutMs,
+					bodyTimeout: answerTimeoutMs,
+				}),
+		);
+		this.requestHeaders = createHeaders(options);
+	}
+
+	/** Sends the request and judges its answer; a transport error is a verdict, too. */
+	async send(sequence: number, body: Buffer): Promise<AnswerVerdict> {
+		const pool = this.pools[sequence % this.pools.length];
+		if (pool === undefined) {
+			return { kind: ResultKind.Failed, reason: 'no base URL' };
+		}
+		try {
+			return checkAnswer(this.options, body, await this.exchange(pool, body));
+		} catch (error) {
+			return { kind: ResultKind.Failed, reason: describeError(error) };
+		}
+	}
+
+	async close(): Promise<void> {
+		await Promise.all(this.pools.map(pool => pool.destroy()));
+	}
+
+	private async exchange(pool: Pool, body: Buffer): Promise<ReceivedAnswer> {
+		const answer = await pool.request({
+			path: this.options.path,
+			method: this.options.method,
+			headers: this.requestHeaders,
+			body: body.length > 0 ? body : null,
+		});
+		return {
+			status: answer.statusCode,
+			outcome: findHeader(answer.headers, headers.outcome),
+			error: findHeader(answer.headers, headers.error),
+			body: new Uint8Array(await answer.body.arrayBuffer()),
+		};
+	}
+}
+
+function createHeaders(options: LoadOptions): Record<string, string> {
+	const fields: [string, string | undefined][] = [
+		[headers.organisation, options.organisation],
+		[headers.requestClass, options.requestClass],
+		[headers.deadlineMs, options.deadlineMs?.toString()],
+		['content-type', options.bodyBytes > 0 ? 'application/octet-stream' : undefined],
+	];
+	return Object.fromEntries(fields.flatMap(([name, value]) => (value === undefined ? [] : [[name, value]])));
+}
+
+function findHeader(answerHeaders: Dispatcher.ResponseData['headers'], name: string): string | undefined {
+	const value = answerHeaders[name];
+	return typeof value === 'string' ? value : undefined;
+}
+
+function describeError(error: unknown): string {
+	if (!(error instanceof Error)) {
+		return String(error);
+	}
+	const code = 'code' in error ? String(error.code) : error.name;
+	return code === '' ? error.message : code;
+}
--- /dev/null
+++ b/src/load/node/passThrough.ts
@@ -0,0 +1,78 @@
+/**
+ * The baseline: the least that a Node program can do between a caller and one target with `http` and
+ * `undici`. It reads no rule, checks nothing and keeps nothing; what an entry costs beyond it is the price
+ * of the entry's own work.
+ */
+
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { pipeline } from 'node:stream';
+import { Pool } from 'undici';
+import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
+
+/** Headers that belong to one connection (RFC 9110, section 7.6.1) and `host`, which the client sets. */
+const connectionHeaders = new Set([
+	'connection',
+	'keep-alive',
+	'proxy-connection',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
+	'host',
+]);
+
+/** A running pass-through. */
+export interface PassThrough {
+	readonly url: string;
+	close(): Promise<void>;
+}
+
+/** Starts a pass-through to one base URL. */
+export async function startPassThrough(
+	listen: ListenAddress,
+	toUrl: string,
+	connections: number,
+): Promise<PassThrough> {
+	const pool = new Pool(toUrl, { connections, pipelining: 1 });
+	const server = createServer((request, response) => {
+		void forwardRequest(pool, request, response);
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(listen.port, listen.host, resolve);
+	});
+	const { port } = server.address() as AddressInfo;
+	return {
+		url: `http://${listen.host}:${port}`,
+		close: async () => {
+			server.close();
+			server.closeIdleConnections();
+			await pool.close();
+		},
+	};
+}
+
+async function forwardRequest(pool: Pool, request: IncomingMessage, response: ServerResponse): Promise<void> {
+	try {
+		const answer = await pool.request({
+			path: request.url ?? '/',
+			method: request.method ?? 'GET',
+			headers: listEndToEndHeaders(request.headers),
+			body: hasBody(request.headers) ? request : null,
+		});
+		response.writeHead(answer.statusCode, listEndToEndHeaders(answer.headers));
+		pipeline(answer.body, response, () => undefined);
+	} catch {
+		response.destroy();
+	}
+}
+
+function hasBody(requestHeaders: IncomingHttpHeaders): boolean {
+	return 'content-length' in requestHeaders || 'transfer-encoding' in requestHeaders;
+}
+
+function listEndToEndHeaders(all: IncomingHttpHeaders): IncomingHttpHeaders {
+	return Object.fromEntries(Object.entries(all).filter(([name]) => !connectionHeaders.has(name)));
+}
