--- /dev/null
+++ b/src/platform/instances/common/instanceLife.ts
@@ -0,0 +1,103 @@
+/**
+ * The life of one start of one entry instance as another sees it. A start that has said that it is leaving
+ * never comes back: what could come back is another start, which has a life of its own. Silence alone
+ * never means that an instance is dead, since a partition looks the same from here; it is `suspect`, gets
+ * no new callers, and tickets that it issued are still forwarded to it.
+ */
+
+import chartFile from '../../../../charts/instance.json';
+import { TypedChart, TypedWalk } from '../../charts/common/typedChart';
+
+export enum InstanceState {
+	Live = 'live',
+	/** Nothing was heard of it lately. */
+	Suspect = 'suspect',
+	Leaving = 'leaving',
+	/** Nothing was heard of it for long. */
+	Gone = 'gone',
+}
+
+export enum InstanceEvent {
+	Hear = 'Hear',
+	Miss = 'Miss',
+	Leave = 'Leave',
+	Forget = 'Forget',
+}
+
+export const instanceChart = new TypedChart(chartFile, InstanceState, InstanceEvent);
+
+/** How long an instance may be silent, in milliseconds. */
+export interface SilenceLimits {
+	readonly suspectMs: number;
+	readonly forgetMs: number;
+}
+
+/** A change of state with what led to it. */
+export interface InstanceChange {
+	readonly from: InstanceState;
+	readonly to: InstanceState;
+	readonly sign: string;
+}
+
+/** One start's life; times are monotonic milliseconds of the process that keeps it. */
+export class InstanceLife {
+	private readonly walk = new TypedWalk(instanceChart);
+
+	constructor(
+		private heardMs: number,
+		private readonly limits: SilenceLimits,
+		private readonly onDidChange: (change: InstanceChange) => void,
+	) {}
+
+	getState(): InstanceState {
+		return this.walk.getState();
+	}
+
+	/** When it was last known to speak. */
+	getHeardMs(): number {
+		return this.heardMs;
+	}
+
+	/** It spoke at `spokeMs`, which lies back by the age of the view that tells it. */
+	noteHeard(spokeMs: number, isLeaving: boolean, sign: string): void {
+		if (spokeMs > this.heardMs) {
+			this.heardMs = spokeMs;
+			this.follow(InstanceEvent.Hear, sign);
+		}
+		if (isLeaving) {
+			this.noteLeaving(sign);
+		}
+	}
+
+	/** The instance list or its own word says that it is leaving. */
+	noteLeaving(sign: string): void {
+		this.follow(InstanceEvent.Leave, sign);
+	}
+
+	/** The process that keeps this life slept: what was not heard meanwhile does not count as silence. */
+	noteOwnSleep(sleptMs: number): void {
+		this.heardMs += sleptMs;
+	}
+
+	/** Judges its silence. */
+	expire(nowMs: number): void {
+		const silentMs = nowMs - this.heardMs;
+		if (silentMs >= this.limits.forgetMs) {
+			this.follow(InstanceEvent.Forget, `silent for ${Math.round(silentMs)} ms`);
+		} else if (silentMs >= this.limits.suspectMs) {
+			this.follow(InstanceEvent.Miss, `silent for ${Math.round(silentMs)} ms`);
+		}
+	}
+
+	/** Another start of the instance answers at its address, so this one has ended. */
+	end(sign: string): void {
+		this.follow(InstanceEvent.Forget, sign);
+	}
+
+	private follow(event: InstanceEvent, sign: string): void {
+		const from = this.walk.getState();
+		if (this.walk.accept(event)) {
+			this.onDidChange({ from, to: this.walk.getState(), sign });
+		}
+	}
+}
--- /dev/null
+++ b/src/platform/instances/test/instanceLives.test.ts
@@ -0,0 +1,92 @@
+import fc from 'fast-check';
+import type { IAuditTrail } from '../../audit/common/auditTrail';
+import type { BootId, InstanceId } from '../../ids/common/ids';
+import { InstanceState } from '../common/instanceLife';
+import type { HeardInstance } from '../common/instanceLives';
+import { InstanceLives } from '../common/instanceLives';
+
+const limits = { suspectMs: 3_000, forgetMs: 60_000 };
+const instance = 'entry-1' as InstanceId;
+
+function createLives(): InstanceLives {
+	return new InstanceLives({ record: () => undefined } as unknown as IAuditTrail, limits);
+}
+
+function createHeard(boot: string, more: Partial<HeardInstance> = {}): HeardInstance {
+	const peerUrl = 'http://127.0.0.1:7001';
+	return { instance, boot: boot as BootId, peerUrl, isLeaving: false, ageMs: 0, ...more };
+}
+
+function getState(lives: InstanceLives, boot: string): InstanceState | undefined {
+	return lives.findBoot(boot as BootId)?.life.getState();
+}
+
+describe('InstanceLives', () => {
+	// An entry that is stopping says so once, and views from before go round for a while. Believed, they
+	// would send callers to it until it is gone.
+	it('never takes a boot back that was leaving, whatever order its views arrive in', () => {
+		const view = fc.record({ ageMs: fc.nat(70_000), isLeaving: fc.boolean(), waitMs: fc.nat(10_000) });
+		fc.assert(
+			fc.property(fc.array(view), views => {
+				const lives = createLives();
+				let isLeaving = false;
+				let nowMs = 0;
+				for (const { waitMs, ...one } of views) {
+					nowMs += waitMs;
+					lives.noteHeard(createHeard('b1', one), 'peer', nowMs);
+					isLeaving ||= one.isLeaving && one.ageMs < limits.forgetMs;
+					expect(isLeaving && lives.listLive().length > 0).toBe(false);
+				}
+			}),
+			{ seed: 8 },
+		);
+	});
+
+	it('suspects a silent instance, hears it again, and forgets it at last', () => {
+		const lives = createLives();
+		lives.noteHeard(createHeard('b1'), 'peer', 0);
+		lives.expire(3_000);
+		expect(getState(lives, 'b1')).toBe(InstanceState.Suspect);
+		lives.noteHeard(createHeard('b1', { ageMs: 100 }), 'peer', 3_100);
+		expect(getState(lives, 'b1')).toBe(InstanceState.Live);
+		lives.expire(63_000);
+		expect(getState(lives, 'b1')).toBeUndefined();
+		lives.expire(63_100);
+		lives.noteHeard(createHeard('b1'), 'peer', 63_200);
+		expect(getState(lives, 'b1')).toBe(InstanceState.Live);
+	});
+
+	// An instance restarts at its address; a view of its earlier boot still goes round. Without boots of
+	// their own, the old word `leaving` would take the new one out.
+	it('ends the boot before at the same address and ignores its echoes', () => {
+		const lives = createLives();
+		lives.noteHeard(createHeard('b1'), 'peer', 0);
+		lives.noteHeard(createHeard('b2'), 'peer', 1_000);
+		lives.noteHeard(createHeard('b1', { ageMs: 1_500, isLeaving: true }), 'peer', 2_000);
+		expect([getState(lives, 'b1'), getState(lives, 'b2')]).toEqual([undefined, InstanceState.Live]);
+		expect(lives.findNewest(instance)?.boot).toBe('b2');
+	});
+
+	// A frozen process wakes under the name of its replacement, at an address of its own.
+	it('keeps a sleeper and its replacement apart', () => {
+		const lives = createLives();
+		lives.noteHeard(createHeard('b2'), 'peer', 1_000);
+		lives.noteHeard(createHeard('b1', { peerUrl: 'http://127.0.0.2:7001', isLeaving: true }), 'peer', 2_000);
+		expect([getState(lives, 'b1'), getState(lives, 'b2')]).toEqual([
+			InstanceState.Leaving,
+			InstanceState.Live,
+		]);
+		lives.noteListedLeaving(instance);
+		expect(lives.listLive()).toEqual([]);
+	});
+
+	// This process is frozen for two minutes. On waking, everyone seems to have been silent for so long,
+	// and it would refuse every forwarded ticket until it heard from them again.
+	it('does not take its own sleep for the silence of the others', () => {
+		const lives = createLives();
+		lives.noteHeard(createHeard('b1'), 'peer', 0);
+		lives.noteOwnSleep(120_000);
+		lives.expire(121_000);
+		expect(getState(lives, 'b1')).toBe(InstanceState.Live);
+	});
+});
