--- a/src/standin/common/continuousBatch.ts
+++ b/src/standin/common/continuousBatch.ts
@@ -134,27 +134,22 @@
 		this.startWaiting();
 	}
 
-	/** One step is under way while any running sequence can make a token. */
+	/** One step is under way while any running sequence can make a token; who joins meanwhile waits for its end. */
 	private scheduleStep(): void {
-		const canAdvance = [...this.running].some(sequence => !sequence.isPaused);
-		if (this.step !== undefined || !canAdvance) {
+		const members = [...this.running].filter(sequence => !sequence.isPaused);
+		if (this.step !== undefined || members.length === 0) {
 			return;
 		}
-		const stepMs =
-			(this.timing.tokenMs + this.timing.tokenMsPerRunning * (this.running.size - 1)) * this.slowFactor;
-		this.step = this.timers.schedule(stepMs, () => {
+		const stepMs = this.timing.tokenMs + this.timing.tokenMsPerRunning * (members.length - 1);
+		this.step = this.timers.schedule(stepMs * this.slowFactor, () => {
 			this.step = undefined;
-			this.finishStep(stepMs / this.slowFactor);
+			for (const sequence of members) {
+				this.advanceSequence(sequence, stepMs);
+			}
+			this.startWaiting();
 		});
 	}
 
-	private finishStep(stepMs: number): void {
-		for (const sequence of [...this.running]) {
-			this.advanceSequence(sequence, stepMs);
-		}
-		this.startWaiting();
-	}
-
 	private advanceSequence(sequence: Sequence, stepMs: number): void {
 		if (sequence.isPaused || !this.running.has(sequence)) {
 			return;
