--- a/scripts/functionVerbs.mjs
+++ b/scripts/functionVerbs.mjs
@@ -3,6 +3,7 @@
  * enforced by the naming rule in eslint.config.mjs; add a verb here only when none of these says it.
  */
 export const functionVerbs = [
+	'abandon',
 	'accept',
 	'add',
 	'admit',
@@ -13,6 +14,7 @@
 	'begin',
 	'build',
 	'cancel',
+	'carry',
 	'check',
 	'choose',
 	'clear',
@@ -34,6 +36,7 @@
 	'estimate',
 	'exchange',
 	'expire',
+	'fail',
 	'fetch',
 	'find',
 	'finish',
@@ -49,6 +52,7 @@
 	'join',
 	'keep',
 	'list',
+	'listen',
 	'load',
 	'mark',
 	'match',
@@ -63,8 +67,10 @@
 	'pick',
 	'plan',
 	'print',
+	'probe',
 	'push',
 	'put',
+	'rank',
 	'read',
 	'receive',
 	'record',
--- /dev/null
+++ b/src/bin/entry.ts
@@ -0,0 +1,31 @@
+#!/usr/bin/env node
+/**
+ * `anvilroad-entry`: the request path of one entry instance.
+ */
+
+import { Entry } from '../entry/node/entry';
+import { entrySettingsSchema } from '../platform/settings/common/entrySettings';
+import { loadSettingsOrExit } from '../platform/settings/node/loadSettings';
+import { createLogger } from '../platform/telemetry/node/logger';
+import { version } from '../../package.json';
+import { parseSettingsOption } from './commandLine';
+
+const description = 'Takes requests in, admits and routes them, and answers each once inside its region.';
+
+async function runEntry(): Promise<void> {
+	const file = await parseSettingsOption('anvilroad-entry', description);
+	const settings = loadSettingsOrExit(entrySettingsSchema, file);
+	const logger = createLogger(`anvilroad-entry ${settings.instance.id}`, settings.log.level);
+	const entry = new Entry(settings, logger, version);
+	const leave = (signal: NodeJS.Signals): void => {
+		void entry.stop(signal);
+	};
+	process.once('SIGTERM', leave);
+	process.once('SIGINT', leave);
+	await entry.start();
+}
+
+void runEntry().catch((error: unknown) => {
+	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+	process.exit(1);
+});
--- a/src/entry/common/callers/callHead.ts
+++ b/src/entry/common/callers/callHead.ts
@@ -9,7 +9,11 @@
 import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
 import { headers } from '../../../platform/headers/common/headers';
 import type { OrganisationName, ServiceName } from '../../../platform/ids/common/ids';
-import { RequestClass, requestClasses } from '../../../platform/requests/common/requestClass';
+import {
+	findRequestClass,
+	RequestClass,
+	requestClasses,
+} from '../../../platform/requests/common/requestClass';
 
 /** One header line; a name may stand more than once. */
 export interface HeaderLine {
@@ -132,7 +136,7 @@
 	if (text === undefined) {
 		return RequestClass.Normal;
 	}
-	return requestClasses.find(candidate => String(candidate) === text);
+	return findRequestClass(text);
 }
 
 function parseDeadline(text: string | undefined): number | undefined {
--- a/src/entry/common/scheduling/fifoScheduler.ts
+++ b/src/entry/common/scheduling/fifoScheduler.ts
@@ -11,6 +11,7 @@
 	SchedulableTarget,
 	ScheduleDecision,
 	ServiceRoom,
+	TargetRoom,
 } from './serviceScheduler';
 import { ScheduleDecisionKind } from './serviceScheduler';
 
@@ -91,6 +92,13 @@
 		return { waitMs: 0, freeSlots, running: this.runningOn.size, queued: this.waiting.length };
 	}
 
+	measureTarget(target: TargetId): TargetRoom {
+		const use = this.targets.get(target);
+		return use === undefined
+			? { running: 0, limit: 0 }
+			: { running: use.running, limit: use.target.slots * use.target.share };
+	}
+
 	private decideFor(request: SchedulableRequest, nowMs: number): ScheduleDecision | undefined {
 		if (request.deadlineMs <= nowMs) {
 			return this.createRefusal(request, ErrorKind.DeadlineUnreachable, 'the deadline passed in the queue');
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -26,6 +26,7 @@
 	SchedulableTarget,
 	ScheduleDecision,
 	ServiceRoom,
+	TargetRoom,
 } from './serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from './serviceScheduler';
 import type { TargetChoice } from './targetChoice';
@@ -152,6 +153,11 @@
 		}
 	}
 
+	measureTarget(target: TargetId): TargetRoom {
+		const use = this.pool.find(target);
+		return { running: use?.use.running ?? 0, limit: use?.use.limit ?? 0 };
+	}
+
 	measureRoom(): ServiceRoom {
 		const lane = this.lanes.getLane(RequestClass.Normal);
 		const aheadMs = lane.queue.queuedWorkMs;
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -96,6 +96,14 @@
 	readonly queued: number;
 }
 
+/** What this entry uses of one target. */
+export interface TargetRoom {
+	/** Attempts of this entry that run there. */
+	readonly running: number;
+	/** How many may run there at present. */
+	readonly limit: number;
+}
+
 /** Decides for one service; every method takes the present time and none blocks. */
 export interface IServiceScheduler {
 	/** Replaces the targets; requests running on a target that is gone keep running. */
@@ -117,4 +125,6 @@
 	/** Forgets a waiting request. A running one is ended by `noteEnd`. */
 	cancel(requestId: RequestId, nowMs: number): void;
 	measureRoom(nowMs: number): ServiceRoom;
+	/** A target that the scheduler does not know has no room. */
+	measureTarget(target: TargetId): TargetRoom;
 }
--- /dev/null
+++ b/src/entry/node/callGate.ts
@@ -0,0 +1,177 @@
+/**
+ * The gate of one entry: decides by the manifest in force which calls come in, from callers and from peers,
+ * and answers lookups.
+ */
+
+import { create } from '@bufbuild/protobuf';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { IRandom } from '../../base/common/random';
+import type { ITimerService } from '../../base/common/timerService';
+import type { NamedEntry, RequestError } from '../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind, getOutcomeOf } from '../../platform/errors/common/errorKinds';
+import type { BootId, RegionName, RequestId } from '../../platform/ids/common/ids';
+import type { ManifestService } from '../../platform/manifest/common/manifest';
+import { RepeatRule, ResidencyRule } from '../../platform/manifest/common/manifest';
+import { RequestClass } from '../../platform/requests/common/requestClass';
+import type { EntrySettings } from '../../platform/settings/common/entrySettings';
+import type { Readiness } from '../../platform/status/common/entryStatus';
+import { TicketResult } from '../../platform/telemetry/common/entryMetricLabels';
+import { otherService } from '../../platform/telemetry/common/entryMetricLabels';
+import type { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
+import type { EntryView, FetchManifestResponse } from '../../gen/anvilroad/peer/v1/peer_pb';
+import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
+import type { IAnswerSink } from '../common/callers/answerSink';
+import type { CallHead } from '../common/callers/callHead';
+import type { LookupAnswer, LookupQuestion } from '../common/callers/lookupAnswer';
+import type { CallPlan, ForwardedFrom } from '../common/placement/callPlan';
+import { checkForwarded, planCall } from '../common/placement/callPlan';
+import { sortEntries } from '../common/lookup/entryOrder';
+import type { ICallHandler } from './callers/callerServer';
+import type { EntryFleet } from './fleet/entryFleet';
+import type { OwnView } from './fleet/ownView';
+import type { IndexedManifest, ManifestKeeper } from './manifest/manifestKeeper';
+import type { IPeerHandler } from './peers/peerServer';
+import type { AcceptedCall } from './requests/requestRun';
+import type { RequestRouter } from './requests/requestRouter';
+import type { TicketDesk } from './tickets/ticketDesk';
+
+/** Who this entry is. */
+export type OwnInstance = EntrySettings['instance'] & { readonly boot: BootId };
+
+const lookupValidMs = 5_000;
+const numberBase = 36;
+const bootCharacters = 6;
+
+/** Lets calls in. */
+export class CallGate implements ICallHandler, IPeerHandler {
+	private requests = 0;
+
+	constructor(
+		private readonly own: OwnInstance,
+		private readonly manifests: ManifestKeeper,
+		private readonly fleet: EntryFleet,
+		private readonly ownView: OwnView,
+		private readonly tickets: TicketDesk,
+		private readonly router: RequestRouter,
+		private readonly metrics: EntryMetrics,
+		private readonly timers: ITimerService,
+		private readonly random: IRandom,
+	) {}
+
+	createRequestId(): RequestId {
+		this.requests++;
+		const boot = this.own.boot.slice(0, bootCharacters);
+		return `${this.own.id}-${boot}-${this.requests.toString(numberBase)}` as RequestId;
+	}
+
+	isLeaving(): boolean {
+		return this.ownView.isLeaving();
+	}
+
+	getReadiness(): Readiness {
+		const reasons = [
+			...(this.manifests.getCurrent() === undefined ? ['no manifest yet'] : []),
+			...(this.isLeaving() ? ['leaving'] : []),
+		];
+		return { isReady: reasons.length === 0, reasons };
+	}
+
+	plan(head: CallHead): Result<CallPlan, RequestError> {
+		const manifest = this.manifests.getCurrent();
+		if (manifest === undefined) {
+			return err(createRequestError(ErrorKind.NoManifest, 'neither the platform nor a peer has given one'));
+		}
+		if (this.isLeaving()) {
+			const entries = this.listEntriesOf(this.own.region, undefined);
+			return err(createRequestError(ErrorKind.Leaving, this.own.id, { entries }));
+		}
+		return planCall(manifest.index, this.own.region, head).mapErr(error =>
+			this.createHomeHint(error, head, manifest),
+		);
+	}
+
+	planForwarded(head: CallHead, from: ForwardedFrom): Result<CallPlan, RequestError> {
+		return this.plan(head).andThen(plan => checkForwarded(plan, from, this.own.region));
+	}
+
+	refuseTicketed(ticket: string, error: RequestError): RequestError {
+		this.metrics.noteTicket(TicketResult.Rejected);
+		return this.tickets.refuseUnread(ticket, error, this.timers.getNow());
+	}
+
+	noteRefused(head: CallHead | undefined, error: RequestError): void {
+		const service = head?.service ?? otherService;
+		const requestClass = head?.requestClass ?? RequestClass.Normal;
+		this.metrics.noteRequest(service, requestClass, getOutcomeOf(error), error.kind);
+	}
+
+	accept(call: AcceptedCall, sink: IAnswerSink): void {
+		this.router.take(call, sink);
+	}
+
+	findEntries(question: LookupQuestion): Result<LookupAnswer, RequestError> {
+		const manifest = this.manifests.getCurrent();
+		if (manifest === undefined) {
+			return err(createRequestError(ErrorKind.NoManifest, 'neither the platform nor a peer has given one'));
+		}
+		const service = manifest.index.findService(question.service);
+		if (service === undefined) {
+			return err(createRequestError(ErrorKind.UnknownService, `no service ${question.service}`));
+		}
+		const region = findHome(service, question, manifest) ?? this.own.region;
+		const isTicketed = hasAtMostOnceCalls(service) && region === this.own.region && !this.isLeaving();
+		const tickets = isTicketed ? this.tickets.issueBatch(question.tickets, this.timers.getNow()) : [];
+		if (tickets.length > 0) {
+			this.metrics.noteTicket(TicketResult.Issued);
+		}
+		const entries = this.listEntriesOf(region, question.previous);
+		return ok({ service: question.service, validForMs: lookupValidMs, entries, tickets });
+	}
+
+	exchangeViews(views: readonly EntryView[]): EntryView[] {
+		return this.fleet.receiveViews(views);
+	}
+
+	describeManifest(): FetchManifestResponse {
+		const accepted = this.manifests.getCurrent()?.accepted;
+		return create(FetchManifestResponseSchema, {
+			version: BigInt(accepted?.version ?? 0),
+			digest: accepted?.digest ?? '',
+			document: Buffer.from(accepted?.document ?? '', 'utf8'),
+		});
+	}
+
+	private createHomeHint(error: RequestError, head: CallHead, manifest: IndexedManifest): RequestError {
+		const home = manifest.index.findOrganisation(head.organisation)?.home;
+		if (error.kind !== ErrorKind.WrongRegion || home === undefined) {
+			return error;
+		}
+		return {
+			...error,
+			entries: this.listEntriesOf(home, undefined).filter(({ region }) => region === String(home)),
+		};
+	}
+
+	private listEntriesOf(region: RegionName, previous: string | undefined): readonly NamedEntry[] {
+		const own = this.isLeaving() ? [] : [this.ownView.getName()];
+		const zone = region === this.own.region ? this.own.zone : undefined;
+		return sortEntries([...own, ...this.fleet.listNamed()], { region, zone, previous }, this.random);
+	}
+}
+
+function hasAtMostOnceCalls(service: ManifestService): boolean {
+	return [service, ...service.rules].some(rule => rule.repeat === RepeatRule.AtMostOnce);
+}
+
+function findHome(
+	service: ManifestService,
+	question: LookupQuestion,
+	manifest: IndexedManifest,
+): RegionName | undefined {
+	const isBound = [service, ...service.rules].some(rule => rule.residency === ResidencyRule.Home);
+	if (!isBound || question.organisation === undefined) {
+		return undefined;
+	}
+	return manifest.index.findOrganisation(question.organisation)?.home;
+}
--- /dev/null
+++ b/src/entry/node/callers/callerServer.ts
@@ -0,0 +1,224 @@
+/**
+ * The callers' HTTP server: lookups and calls. It reads heads and bodies, refuses what can be refused by
+ * them, and hands the rest to the entry. Faults of the HTTP itself are answered from the closed list too.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Result } from 'neverthrow';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
+import { headers } from '../../../platform/headers/common/headers';
+import type { RequestId } from '../../../platform/ids/common/ids';
+import type { ListenAddress } from '../../../platform/settings/common/settingsTypes';
+import type { IAnswerSink } from '../../common/callers/answerSink';
+import type { CallHead, HeaderLine, RawHead } from '../../common/callers/callHead';
+import { findHeader, parseCallHead } from '../../common/callers/callHead';
+import type { LookupAnswer, LookupQuestion } from '../../common/callers/lookupAnswer';
+import { parseLookup } from '../../common/callers/lookupAnswer';
+import { createRefusal } from '../../common/callers/refusal';
+import type { CallPlan } from '../../common/placement/callPlan';
+import type { AcceptedCall } from '../requests/requestRun';
+import type { HeldBytes } from './bodyReader';
+import { readBody } from './bodyReader';
+import { CallerSink } from './callerSink';
+
+/** What the server asks of the entry. */
+export interface ICallHandler {
+	createRequestId(): RequestId;
+	/** Decides by the head alone whether the call may go on to its body. */
+	plan(head: CallHead): Result<CallPlan, RequestError>;
+	/** Weakens a refusal of a call that carries a ticket, whose earlier copy may have run. */
+	refuseTicketed(ticket: string, error: RequestError): RequestError;
+	/** Counts a call that ended before it was accepted. */
+	noteRefused(head: CallHead | undefined, error: RequestError): void;
+	accept(call: AcceptedCall, sink: IAnswerSink): void;
+	findEntries(question: LookupQuestion): Result<LookupAnswer, RequestError>;
+	isLeaving(): boolean;
+}
+
+/** Bounds of what a caller may send. */
+export interface CallerLimits {
+	readonly mostHeadBytes: number;
+	readonly mostBodyBytes: number;
+}
+
+const lookupPath = '/v1/entries';
+const headTimeoutMs = 10_000;
+/** A whole request, its body included, must arrive in this time. */
+const requestTimeoutMs = 120_000;
+/** Longer than callers usually keep idle connections, so that it is they who close them. */
+const keepAliveTimeoutMs = 75_000;
+const overflowCode = 'HPE_HEADER_OVERFLOW';
+
+/** Serves callers. */
+export class CallerServer {
+	private readonly server: Server;
+
+	constructor(
+		private readonly handler: ICallHandler,
+		private readonly held: HeldBytes,
+		private readonly limits: CallerLimits,
+		private readonly timers: ITimerService,
+	) {
+		this.server = createServer(
+			{
+				maxHeaderSize: limits.mostHeadBytes,
+				headersTimeout: headTimeoutMs,
+				requestTimeout: requestTimeoutMs,
+			},
+			(request, response) => {
+				this.serve(request, response);
+			},
+		);
+		this.server.keepAliveTimeout = keepAliveTimeoutMs;
+		this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+			this.serve(request, response);
+		});
+		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
+			this.answerParseError(error, socket);
+		});
+	}
+
+	async listen(address: ListenAddress): Promise<AddressInfo> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(address.port, address.host, () => {
+				resolve(this.server.address() as AddressInfo);
+			});
+		});
+	}
+
+	/** Stops listening, and ends once the answers in progress have ended. */
+	async close(): Promise<void> {
+		return new Promise(resolve => {
+			this.server.close(() => {
+				resolve();
+			});
+			this.server.closeIdleConnections();
+		});
+	}
+
+	private serve(request: IncomingMessage, response: ServerResponse): void {
+		const raw = readRawHead(request);
+		if (raw.method === 'GET' && raw.url.split('?', 1)[0] === lookupPath) {
+			this.serveLookup(raw.url, request, response);
+			return;
+		}
+		void this.serveCall(raw, request, response);
+	}
+
+	private serveLookup(url: string, request: IncomingMessage, response: ServerResponse): void {
+		const id = this.handler.createRequestId();
+		const answer = parseLookup(url).andThen(question => this.handler.findEntries(question));
+		if (answer.isErr()) {
+			this.createSink(id, request, response).refuse(answer.error);
+			return;
+		}
+		const text = `${JSON.stringify(answer.value)}\n`;
+		response.writeHead(200, {
+			'content-type': 'application/json',
+			'content-length': Buffer.byteLength(text),
+			'cache-control': 'no-store',
+			[headers.requestId]: id,
+		});
+		response.end(text);
+	}
+
+	private async serveCall(raw: RawHead, request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const arrivedMs = this.timers.getNow();
+		const id = this.handler.createRequestId();
+		const sink = this.createSink(id, request, response);
+		const head = parseCallHead(raw);
+		if (head.isErr()) {
+			this.refuse(sink, undefined, findHeader(raw.lines, headers.ticket), head.error);
+			return;
+		}
+		const plan = this.handler.plan(head.value);
+		if (plan.isErr()) {
+			this.refuse(sink, head.value, head.value.ticket, plan.error);
+			return;
+		}
+		if (request.headers.expect !== undefined) {
+			response.writeContinue();
+		}
+		const body = await readBody(request, this.limits.mostBodyBytes, this.held);
+		if (body.isErr()) {
+			this.refuseBody(sink, head.value, body.error);
+			return;
+		}
+		this.handler.accept(createCall(id, head.value, plan.value, body.value, arrivedMs), sink);
+	}
+
+	/** A body that broke off is told to nobody; its ticket stays unspent, so that the resend can run. */
+	private refuseBody(sink: CallerSink, head: CallHead, error: RequestError): void {
+		const ticket = error.kind === ErrorKind.BodyIncomplete ? undefined : head.ticket;
+		this.refuse(sink, head, ticket, error);
+	}
+
+	private refuse(
+		sink: CallerSink,
+		head: CallHead | undefined,
+		ticket: string | undefined,
+		error: RequestError,
+	): void {
+		const told = ticket === undefined ? error : this.handler.refuseTicketed(ticket, error);
+		this.handler.noteRefused(head, told);
+		sink.refuse(told);
+	}
+
+	private createSink(id: RequestId, request: IncomingMessage, response: ServerResponse): CallerSink {
+		return new CallerSink(id, request, response, () => this.handler.isLeaving());
+	}
+
+	private answerParseError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (!socket.writable || error.code === 'ECONNRESET') {
+			socket.destroy();
+			return;
+		}
+		const kind = error.code === overflowCode ? ErrorKind.HeadTooLarge : ErrorKind.MalformedHeader;
+		const fault = createRequestError(kind, error.code ?? error.message);
+		this.handler.noteRefused(undefined, fault);
+		const refusal = createRefusal(this.handler.createRequestId(), fault);
+		const lines = [
+			...refusal.lines,
+			{ name: 'connection', value: 'close' },
+			{ name: 'content-length', value: String(Buffer.byteLength(refusal.text)) },
+		];
+		const head = lines.map(line => `${line.name}: ${line.value}\r\n`).join('');
+		socket.end(`HTTP/1.1 ${refusal.status} ${kind}\r\n${head}\r\n${refusal.text}`);
+	}
+}
+
+function readRawHead(request: IncomingMessage): RawHead {
+	const lines: HeaderLine[] = [];
+	for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
+		lines.push({
+			name: (request.rawHeaders[index] ?? '').toLowerCase(),
+			value: request.rawHeaders[index + 1] ?? '',
+		});
+	}
+	return { method: request.method ?? 'GET', url: request.url ?? '/', lines };
+}
+
+function createCall(
+	id: RequestId,
+	head: CallHead,
+	plan: CallPlan,
+	body: Uint8Array,
+	arrivedMs: number,
+): AcceptedCall {
+	const lifetimeMs = head.deadlineMs ?? plan.classes[head.requestClass].defaultDeadlineMs;
+	return {
+		id,
+		head,
+		plan,
+		body,
+		arrivedMs,
+		deadlineMs: arrivedMs + lifetimeMs,
+		isDeadlineGiven: head.deadlineMs !== undefined,
+		origin: undefined,
+	};
+}
--- /dev/null
+++ b/src/entry/node/callers/callerSink.ts
@@ -0,0 +1,98 @@
+/**
+ * The sink of a caller's HTTP connection.
+ */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { Outcome } from '../../../platform/errors/common/outcome';
+import { headers } from '../../../platform/headers/common/headers';
+import type { RequestId } from '../../../platform/ids/common/ids';
+import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
+import type { HeaderLine } from '../../common/callers/callHead';
+import { createRefusal } from '../../common/callers/refusal';
+
+/** Whether connections should be given up after the answers in progress; asked at each answer's head. */
+export type IsClosing = () => boolean;
+
+/** How long a refused upload's connection stays open so that the caller can read the refusal. */
+const lingerMs = 1_000;
+
+/** Writes one answer to one caller. */
+export class CallerSink implements IAnswerSink {
+	private isEnded = false;
+
+	constructor(
+		private readonly requestId: RequestId,
+		private readonly request: IncomingMessage,
+		private readonly response: ServerResponse,
+		private readonly isClosing: IsClosing,
+	) {}
+
+	begin(head: AnswerHead): void {
+		this.writeHead(head.status, [
+			...head.lines,
+			{ name: headers.requestId, value: this.requestId },
+			{ name: headers.outcome, value: Outcome.Answered },
+		]);
+	}
+
+	write(chunk: Uint8Array): boolean {
+		return this.response.write(chunk);
+	}
+
+	waitForDrain(resume: () => void): void {
+		this.response.once('drain', resume);
+	}
+
+	end(): void {
+		this.isEnded = true;
+		this.response.end();
+	}
+
+	cut(): void {
+		this.isEnded = true;
+		this.response.destroy();
+	}
+
+	refuse(error: RequestError): void {
+		this.isEnded = true;
+		const refusal = createRefusal(this.requestId, error);
+		const length = { name: 'content-length', value: String(Buffer.byteLength(refusal.text)) };
+		this.writeHead(refusal.status, [...refusal.lines, length]);
+		this.response.end(refusal.text);
+		if (!this.request.complete) {
+			this.closeUnreadUpload();
+		}
+	}
+
+	watchAbandoned(notify: () => void): void {
+		this.response.once('close', () => {
+			if (!this.isEnded) {
+				this.isEnded = true;
+				notify();
+			}
+		});
+	}
+
+	private writeHead(status: number, lines: readonly HeaderLine[]): void {
+		const isLast = this.isClosing() || !this.request.complete;
+		const closing = isLast ? [{ name: 'connection', value: 'close' }] : [];
+		this.response.writeHead(
+			status,
+			[...lines, ...closing].flatMap(line => [line.name, line.value]),
+		);
+	}
+
+	/**
+	 * Closing a socket that still receives an upload resets it, and the reset can overtake the refusal: the
+	 * caller would see a broken connection and no outcome. So the connection lingers, unread, until the
+	 * caller has had time to read.
+	 */
+	private closeUnreadUpload(): void {
+		this.request.pause();
+		const timer = setTimeout(() => this.request.destroy(), lingerMs);
+		this.request.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/node/entry.ts
@@ -0,0 +1,324 @@
+/**
+ * One entry: puts the parts together, starts them and ends them. No part knows the entry; each is handed
+ * what it needs.
+ */
+
+import { randomBytes, randomInt } from 'node:crypto';
+import type { Logger } from 'pino';
+import { subscribeTo } from '../../base/common/channel';
+import { Disposable } from '../../base/common/lifecycle';
+import { SeededRandom } from '../../base/common/random';
+import { SystemTimerService } from '../../base/node/systemTimerService';
+import { AuditKind } from '../../platform/audit/common/auditTrail';
+import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
+import { RingRequestJournal } from '../../platform/explain/common/ringRequestJournal';
+import { PlatformFollower } from '../../platform/following/node/platformFollower';
+import type { BootId, InstanceId, TargetId } from '../../platform/ids/common/ids';
+import { OperatorsServer } from '../../platform/operators/node/operatorsServer';
+import { HttpPlatformClient } from '../../platform/platformClient/node/platformClient';
+import type { EntrySettings } from '../../platform/settings/common/entrySettings';
+import { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
+import { writeAuditLines } from '../../platform/telemetry/node/logger';
+import type { EntryView } from '../../gen/anvilroad/peer/v1/peer_pb';
+import { AtMostOnceLedger } from '../common/atMostOnce/atMostOnceLedger';
+import { TicketIssuer } from '../common/tickets/ticketIssuer';
+import { HeldBytes } from './callers/bodyReader';
+import { CallerServer } from './callers/callerServer';
+import { CallGate } from './callGate';
+import { EntryFleet } from './fleet/entryFleet';
+import { OwnView } from './fleet/ownView';
+import { ManifestKeeper } from './manifest/manifestKeeper';
+import { describeOfferState } from './manifest/offerMetrics';
+import { EntryOperatorsSource } from './operatorsSource';
+import { PeerClients } from './peers/peerClients';
+import { PeerServer } from './peers/peerServer';
+import { ActiveRuns } from './requests/activeRuns';
+import { RequestRouter } from './requests/requestRouter';
+import { RouterSurroundings } from './requests/routerSurroundings';
+import { ServiceRunners } from './requests/serviceRunners';
+import { TargetRegistry } from './targets/targetRegistry';
+import { HmacTicketSigner } from './tickets/hmacTicketSigner';
+import { TicketDesk } from './tickets/ticketDesk';
+
+const trailCapacity = 4_096;
+const journalCapacity = 10_000;
+const mostSpentTickets = 200_000;
+const mostKeptAnswerBytes = 33_554_432;
+const bootIdBytes = 6;
+const metricsTickMs = 1_000;
+const largestSeed = 0x7fff_ffff;
+
+/**
+ * How long a leaving entry goes on answering that it leaves. Callers go by a lookup for some seconds; one
+ * that finds the port closed in that time gets no outcome, while one that is told gets other entries named.
+ */
+const leaveGraceMs = 6_000;
+
+/** One running entry. */
+export class Entry extends Disposable {
+	private readonly boot = randomBytes(bootIdBytes).toString('hex') as BootId;
+	private readonly timers = this.register(new SystemTimerService());
+	private readonly random = new SeededRandom(randomInt(largestSeed));
+	private readonly trail = this.register(new RingAuditTrail(trailCapacity, () => new Date()));
+	private readonly journal = new RingRequestJournal(journalCapacity, () => new Date());
+	private readonly metrics: EntryMetrics;
+	private readonly held: HeldBytes;
+	private readonly platform: HttpPlatformClient;
+	private readonly manifests: ManifestKeeper;
+	private readonly targets: TargetRegistry;
+	private readonly peers: PeerClients;
+	private readonly fleet: EntryFleet;
+	private readonly runners: ServiceRunners;
+	private readonly ownView: OwnView;
+	private readonly runs: ActiveRuns;
+	private readonly tickets: TicketDesk;
+	private readonly gate: CallGate;
+	private readonly callers: CallerServer;
+	private readonly peerServer: PeerServer;
+	private readonly operators: OperatorsServer;
+	private readonly manifestFollower;
+	private readonly instanceFollower;
+
+	constructor(
+		private readonly settings: EntrySettings,
+		private readonly logger: Logger,
+		programVersion: string,
+	) {
+		super();
+		const { id, region, zone } = settings.instance;
+		this.metrics = new EntryMetrics({ version: programVersion, instance: id, region, zone });
+		this.held = new HeldBytes(settings.limits.max_held_bytes);
+		this.platform = new HttpPlatformClient(settings.platform.url);
+		this.manifests = this.register(
+			new ManifestKeeper(
+				this.trail,
+				state => {
+					this.metrics.noteManifest(describeOfferState(state));
+				},
+				this.timers,
+			),
+		);
+		this.targets = this.register(new TargetRegistry({ region, zone }, this.trail, this.timers));
+		this.peers = this.register(new PeerClients(settings.peer_routes));
+		this.fleet = this.register(
+			new EntryFleet(
+				id,
+				settings.peers.url,
+				() => this.ownView.describe(),
+				settings.peers.seeds,
+				this.peers,
+				this.timers,
+				this.random,
+				this.trail,
+			),
+		);
+		this.runners = this.register(
+			new ServiceRunners(
+				this.manifests,
+				this.targets,
+				() => this.fleet.countLive(region, region),
+				this.timers,
+				this.random,
+			),
+		);
+		this.ownView = new OwnView(settings, this.boot, this.manifests, this.targets, this.runners);
+		this.runs = new ActiveRuns(this.journal, this.metrics, this.held, this.timers);
+		this.tickets = this.createTicketDesk();
+		this.gate = this.createGate();
+		this.callers = new CallerServer(
+			this.gate,
+			this.held,
+			{ mostHeadBytes: settings.limits.max_head_bytes, mostBodyBytes: settings.limits.max_body_bytes },
+			this.timers,
+		);
+		this.peerServer = new PeerServer(this.gate, this.held, settings.limits.max_body_bytes, this.timers);
+		this.operators = this.register(this.createOperatorsServer(programVersion));
+		this.manifestFollower = this.register(
+			new PlatformFollower(
+				(after, waitMs, signal) => this.platform.readManifest(after, waitMs, signal),
+				this.timers,
+				this.random,
+			),
+		);
+		this.instanceFollower = this.register(
+			new PlatformFollower(
+				(after, waitMs, signal) => this.platform.readInstances(after, waitMs, signal),
+				this.timers,
+				this.random,
+			),
+		);
+		this.subscribeParts();
+	}
+
+	/** Opens the ports and starts to follow the platform. */
+	async start(): Promise<void> {
+		const { settings } = this;
+		const operators = await this.operators.start(settings.operators.listen);
+		const peers = await this.peerServer.listen(settings.peers.listen);
+		const callers = await this.callers.listen(settings.callers.listen);
+		void this.manifestFollower.follow();
+		void this.instanceFollower.follow();
+		void this.fleet.exchangeWithAll();
+		this.recordProcess('stopped', 'started', `boot ${this.boot}`);
+		this.logger.info({ callers: callers.port, peers: peers.port, operators: operators.port }, 'listening');
+	}
+
+	/**
+	 * Leaves without cutting off anybody: says so, refuses new work with other entries named, and ends when
+	 * the last request in progress has ended and the grace is over.
+	 */
+	async stop(sign: string): Promise<void> {
+		if (this.ownView.isLeaving()) {
+			return;
+		}
+		this.ownView.setLeaving();
+		this.metrics.setLeaving(true);
+		this.recordProcess('started', 'leaving', sign);
+		void this.fleet.exchangeWithAll();
+		await new Promise<void>(resolve => {
+			setTimeout(resolve, leaveGraceMs);
+		});
+		await this.runs.waitForNone();
+		await Promise.all([this.callers.close(), this.peerServer.close()]);
+		this.recordProcess('leaving', 'stopped', 'no request in progress');
+		this.dispose();
+		await this.platform.close();
+	}
+
+	private subscribeParts(): void {
+		this.register(writeAuditLines(this.logger, this.trail));
+		this.register(
+			subscribeTo(this.trail.onDidRecord, record => {
+				this.metrics.noteAuditRecord(record.kind);
+			}),
+		);
+		this.register(
+			subscribeTo(this.manifestFollower.onDidRead, document => {
+				this.manifests.takeFromPlatform(document);
+			}),
+		);
+		this.register(
+			subscribeTo(this.instanceFollower.onDidRead, list => {
+				this.fleet.setInstanceList(list);
+			}),
+		);
+		this.register(
+			subscribeTo(this.manifests.onDidAccept, () => {
+				this.noteManifest();
+			}),
+		);
+		this.register(
+			subscribeTo(this.fleet.onDidReceive, view => {
+				this.noteView(view);
+			}),
+		);
+		this.register(
+			subscribeTo(this.fleet.getLives().onDidChange, () => {
+				this.runners.updateAll();
+			}),
+		);
+		this.register(
+			subscribeTo(this.timers.watchTicks(metricsTickMs), () => {
+				this.setGauges();
+			}),
+		);
+	}
+
+	private noteManifest(): void {
+		const current = this.manifests.getCurrent();
+		if (current === undefined) {
+			return;
+		}
+		this.metrics.setManifestVersion(current.accepted.version);
+		this.metrics.setServices(current.accepted.manifest.services.map(service => service.name));
+		this.targets.setManifest(current);
+	}
+
+	private noteView(view: EntryView): void {
+		this.targets.notePeerWords(view.leavingTargets as TargetId[]);
+		const instance = view.instanceId as InstanceId;
+		const peer = this.fleet.findPeer(instance);
+		if (peer !== undefined) {
+			void this.manifests.takeFromPeer(instance, Number(view.manifestVersion), peer);
+		}
+	}
+
+	private setGauges(): void {
+		this.metrics.setHeldBytes(this.held.getHeld());
+		this.metrics.setTicketsOutstanding(this.tickets.countSpent());
+		this.metrics.setReady(this.gate.getReadiness().isReady);
+		for (const service of this.runners.listServices()) {
+			const room = this.runners.getRunner(service).measureRoom();
+			this.metrics.setService(service, { ...room, targetsByState: this.targets.countStates(service) });
+		}
+	}
+
+	private recordProcess(from: string, to: string, sign: string): void {
+		this.trail.record({
+			kind: AuditKind.Process,
+			subject: this.settings.instance.id,
+			from,
+			to,
+			sign,
+			manifestVersion: this.manifests.getCurrent()?.accepted.version,
+		});
+	}
+
+	private createTicketDesk(): TicketDesk {
+		const { instance, tickets } = this.settings;
+		const own = { instance: instance.id, boot: this.boot };
+		const signer = new HmacTicketSigner(tickets.key, tickets.previous_key);
+		const limits = { mostAnswerBytes: mostKeptAnswerBytes, mostTickets: mostSpentTickets };
+		return new TicketDesk(
+			{ own, region: instance.region },
+			signer,
+			new TicketIssuer(own, signer, tickets.lifetime_ms),
+			new AtMostOnceLedger(own, limits),
+			this.fleet,
+		);
+	}
+
+	private createGate(): CallGate {
+		const surroundings = new RouterSurroundings(
+			this.settings.instance,
+			this.manifests,
+			this.runners,
+			this.fleet,
+			this.runs,
+			this.metrics,
+		);
+		const router = new RequestRouter(surroundings, this.tickets, this.timers);
+		return new CallGate(
+			{ ...this.settings.instance, boot: this.boot },
+			this.manifests,
+			this.fleet,
+			this.ownView,
+			this.tickets,
+			router,
+			this.metrics,
+			this.timers,
+			this.random,
+		);
+	}
+
+	private createOperatorsServer(programVersion: string): OperatorsServer {
+		const source = new EntryOperatorsSource(
+			{ ...this.settings.instance, boot: this.boot, version: programVersion },
+			this.settings.limits.max_held_bytes,
+			{
+				manifests: this.manifests,
+				targets: this.targets,
+				fleet: this.fleet,
+				runners: this.runners,
+				gate: this.gate,
+				tickets: this.tickets,
+				held: this.held,
+				trail: this.trail,
+				journal: this.journal,
+				getPlatformSilenceMs: () => this.manifestFollower.getSilenceMs(),
+				timers: this.timers,
+			},
+		);
+		return new OperatorsServer(source, this.metrics);
+	}
+}
--- /dev/null
+++ b/src/entry/node/operatorsSource.ts
@@ -0,0 +1,145 @@
+/**
+ * What an entry tells its operators, gathered from its parts at the time of asking.
+ */
+
+import type { ITimerService } from '../../base/common/timerService';
+import type { AuditRecord, IAuditTrail } from '../../platform/audit/common/auditTrail';
+import type { IRequestJournal, RequestRecord } from '../../platform/explain/common/requestJournal';
+import type { BootId, RequestId } from '../../platform/ids/common/ids';
+import type { IOperatorsSource, ManifestInForce } from '../../platform/operators/common/operatorsSource';
+import type {
+	EntryStatus,
+	PeerStatus,
+	Readiness,
+	ServiceStatus,
+	TargetStatus,
+} from '../../platform/status/common/entryStatus';
+import type { OwnInstance } from './callGate';
+import type { CallGate } from './callGate';
+import type { HeldBytes } from './callers/bodyReader';
+import type { EntryFleet } from './fleet/entryFleet';
+import type { ManifestKeeper } from './manifest/manifestKeeper';
+import type { ServiceRunners } from './requests/serviceRunners';
+import type { TargetRegistry } from './targets/targetRegistry';
+import type { TicketDesk } from './tickets/ticketDesk';
+
+/** The entry and the version of its program. */
+export type DescribedInstance = OwnInstance & { readonly version: string };
+
+/** The parts that are asked. */
+export interface OperatorsParts {
+	readonly manifests: ManifestKeeper;
+	readonly targets: TargetRegistry;
+	readonly fleet: EntryFleet;
+	readonly runners: ServiceRunners;
+	readonly gate: CallGate;
+	readonly tickets: TicketDesk;
+	readonly held: HeldBytes;
+	readonly trail: IAuditTrail;
+	readonly journal: IRequestJournal;
+	/** Milliseconds since the platform last answered, or undefined where it never did. */
+	readonly getPlatformSilenceMs: () => number | undefined;
+	readonly timers: ITimerService;
+}
+
+/** Gathers the status of one entry. */
+export class EntryOperatorsSource implements IOperatorsSource {
+	private readonly startedMs: number;
+
+	constructor(
+		private readonly own: DescribedInstance,
+		private readonly mostHeldBytes: number,
+		private readonly parts: OperatorsParts,
+	) {
+		this.startedMs = parts.timers.getNow();
+	}
+
+	getReadiness(): Readiness {
+		return this.parts.gate.getReadiness();
+	}
+
+	getStatus(): EntryStatus {
+		const { id, boot, region, zone, version } = this.own;
+		const { parts } = this;
+		return {
+			instance: id,
+			boot,
+			region,
+			zone,
+			version,
+			uptimeMs: Math.round(parts.timers.getNow() - this.startedMs),
+			readiness: this.getReadiness(),
+			isLeaving: parts.gate.isLeaving(),
+			manifest: this.describeManifest(),
+			platform: { lastReadAgeMs: formatAge(parts.getPlatformSilenceMs()) },
+			peers: this.listPeers(),
+			targets: this.listTargets(),
+			services: this.listServices(),
+			ticketsOutstanding: parts.tickets.countSpent(),
+			heldBytes: parts.held.getHeld(),
+			mostHeldBytes: this.mostHeldBytes,
+		};
+	}
+
+	findRecord(id: RequestId): RequestRecord | undefined {
+		return this.parts.journal.find(id);
+	}
+
+	listTrail(most: number): readonly AuditRecord[] {
+		return this.parts.trail.list(most);
+	}
+
+	getManifest(): ManifestInForce | undefined {
+		const accepted = this.parts.manifests.getCurrent()?.accepted;
+		if (accepted === undefined) {
+			return undefined;
+		}
+		return { version: accepted.version, digest: accepted.digest, text: accepted.document };
+	}
+
+	private describeManifest(): EntryStatus['manifest'] {
+		const accepted = this.parts.manifests.getCurrent()?.accepted;
+		if (accepted === undefined) {
+			return null;
+		}
+		const ageMs = formatAge(this.parts.manifests.getAgeMs()) ?? 0;
+		return { version: accepted.version, digest: accepted.digest, ageMs };
+	}
+
+	private listPeers(): PeerStatus[] {
+		const lives = this.parts.fleet.getLives();
+		return this.parts.fleet.listViews().map(({ view, ageMs }) => ({
+			instance: view.instanceId,
+			region: view.region,
+			zone: view.zone,
+			state: lives.findBoot(view.bootId as BootId)?.life.getState() ?? 'gone',
+			viewAgeMs: Math.round(ageMs),
+			manifestVersion: Number(view.manifestVersion),
+		}));
+	}
+
+	private listTargets(): TargetStatus[] {
+		const { targets, runners } = this.parts;
+		return runners.listServices().flatMap(service =>
+			targets.listOf(service).map(({ id, zone }) => ({
+				id,
+				service,
+				zone,
+				state: targets.getLives().findLife(id)?.getState() ?? 'unknown',
+				...runners.getRunner(service).measureTarget(id),
+				lastSign: targets.getLastSign(id),
+			})),
+		);
+	}
+
+	private listServices(): ServiceStatus[] {
+		return this.parts.runners.listServices().map(service => {
+			const { queued, running, waitMs } = this.parts.runners.getRunner(service).measureRoom();
+			return { service, queued, running, waitMs: Math.round(waitMs) };
+		});
+	}
+}
+
+function formatAge(ageMs: number | undefined): number | null {
+	return ageMs === undefined ? null : Math.round(ageMs);
+}
--- /dev/null
+++ b/src/entry/node/peers/forwardRun.ts
@@ -0,0 +1,220 @@
+/**
+ * Carries one request to another entry and its answer back. The head counts as handed over only after the
+ * connection stands, so a peer that cannot be reached leaves the request as unrun as it was.
+ */
+
+import { create } from '@bufbuild/protobuf';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind, getOutcomeOf } from '../../../platform/errors/common/errorKinds';
+import { Outcome } from '../../../platform/errors/common/outcome';
+import { JournalStep } from '../../../platform/explain/common/requestJournal';
+import type { InstanceId, ManifestVersion, RegionName } from '../../../platform/ids/common/ids';
+import type {
+	ForwardAnswerHead,
+	ForwardFault,
+	ForwardRequestRequest,
+} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import { ForwardRequestRequestSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import { RequestEvent } from '../../common/requests/requestLife';
+import type { RequestRun } from '../requests/requestRun';
+import type { PeerConnection } from './peerClients';
+
+/** Who forwards, and by which manifest. */
+export interface ForwardSender {
+	readonly instance: InstanceId;
+	readonly region: RegionName;
+	readonly manifestVersion: ManifestVersion;
+}
+
+export enum ForwardEndKind {
+	/** The whole answer was handed on. */
+	Answered = 'answered',
+	/** No connection: the request is where it was before. */
+	NotConnected = 'not-connected',
+	/** The peer itself says that the request was not run. */
+	Refused = 'refused',
+	/** The peer, or the way to it, failed; the request may have run. */
+	Failed = 'failed',
+	/** The caller went away. */
+	Abandoned = 'abandoned',
+}
+
+/** How forwarding ended. Only `Answered` and `Abandoned` have ended the request as well. */
+export interface ForwardEnd {
+	readonly kind: ForwardEndKind;
+	readonly error: RequestError | undefined;
+	/** Bytes of the request's body that were sent. */
+	readonly sentBytes: number;
+	/** Bytes of the answer's body that came back. */
+	readonly receivedBytes: number;
+}
+
+const errorKindsByName: ReadonlyMap<string, ErrorKind> = new Map(
+	Object.values(ErrorKind).map(kind => [kind, kind]),
+);
+
+const allowedHops = 1;
+const partBytes = 65_536;
+const largestUint32 = 0xffff_ffff;
+
+/** One forwarded request. */
+export class ForwardRun {
+	private readonly abort = new AbortController();
+	private sentBytes = 0;
+	private receivedBytes = 0;
+	private isAbandoned = false;
+
+	constructor(
+		private readonly run: RequestRun,
+		private readonly to: InstanceId,
+		private readonly peer: PeerConnection,
+		private readonly sender: ForwardSender,
+	) {}
+
+	/** Forwards and hands the answer on; never rejects. */
+	async forward(): Promise<ForwardEnd> {
+		this.run.life.send(RequestEvent.SendAway);
+		this.run.note(JournalStep.SentAway, `to ${this.to}`);
+		const state = await this.peer.session.connect();
+		if (this.run.hasEnded()) {
+			return this.createEnd(ForwardEndKind.Abandoned, undefined);
+		}
+		if (state === 'error') {
+			this.run.life.send(RequestEvent.NotConnected);
+			return this.createEnd(
+				ForwardEndKind.NotConnected,
+				this.createFault(ErrorKind.PeerUnreachable, 'no connection'),
+			);
+		}
+		this.run.life.send(RequestEvent.HandOver);
+		return this.exchange();
+	}
+
+	/** The caller went away: the peer is told by the end of the stream. */
+	abandon(): void {
+		this.isAbandoned = true;
+		this.abort.abort();
+	}
+
+	private async exchange(): Promise<ForwardEnd> {
+		const deadline = setTimeout(() => {
+			this.abort.abort();
+		}, this.run.getRemainingMs());
+		try {
+			return await this.receive();
+		} catch (error) {
+			if (this.isAbandoned) {
+				return this.createEnd(ForwardEndKind.Abandoned, undefined);
+			}
+			const isLate = this.run.getRemainingMs() === 0;
+			const kind = isLate ? ErrorKind.DeadlineExceeded : ErrorKind.PeerFailed;
+			const detail = error instanceof Error ? error.message : String(error);
+			return this.createEnd(ForwardEndKind.Failed, this.createFault(kind, detail));
+		} finally {
+			clearTimeout(deadline);
+		}
+	}
+
+	private async receive(): Promise<ForwardEnd> {
+		const answers = this.peer.client.forwardRequest(this.sendParts(), { signal: this.abort.signal });
+		for await (const { part } of answers) {
+			switch (part.case) {
+				case 'head':
+					this.begin(part.value);
+					break;
+				case 'body':
+					await this.writePart(part.value);
+					break;
+				case 'fault':
+					return this.endWithFault(part.value);
+				case 'end':
+					this.run.finish();
+					return this.createEnd(ForwardEndKind.Answered, undefined);
+				case undefined:
+					break;
+			}
+		}
+		return this.createEnd(
+			ForwardEndKind.Failed,
+			this.createFault(ErrorKind.PeerFailed, 'the answer has no end'),
+		);
+	}
+
+	private begin(head: ForwardAnswerHead): void {
+		this.run.begin({
+			status: head.status,
+			lines: head.headers.map(({ name, value }) => ({ name, value })),
+		});
+	}
+
+	private async writePart(chunk: Uint8Array): Promise<void> {
+		this.receivedBytes += chunk.byteLength;
+		if (this.run.write(chunk)) {
+			return;
+		}
+		await new Promise<void>(resolve => {
+			this.abort.signal.addEventListener('abort', () => {
+				resolve();
+			});
+			this.run.waitForDrain(resolve);
+		});
+	}
+
+	private endWithFault(fault: ForwardFault): ForwardEnd {
+		const kind = errorKindsByName.get(fault.errorKind) ?? ErrorKind.PeerFailed;
+		const error = createRequestError(kind, `${this.to}: ${fault.detail}`, {
+			isOutcomeUnknown: fault.isOutcomeUnknown,
+			...(fault.retryAfterMs > 0 ? { retryAfterMs: fault.retryAfterMs } : {}),
+		});
+		if (getOutcomeOf(error) === Outcome.NotRun && !this.run.hasBegun()) {
+			this.run.life.send(RequestEvent.PeerRefused);
+			return this.createEnd(ForwardEndKind.Refused, error);
+		}
+		return this.createEnd(ForwardEndKind.Failed, error);
+	}
+
+	private async *sendParts(): AsyncGenerator<ForwardRequestRequest> {
+		yield this.createHead();
+		const { body } = this.run.call;
+		for (let start = 0; start < body.byteLength; start += partBytes) {
+			const value = body.subarray(start, start + partBytes);
+			this.sentBytes += value.byteLength;
+			yield create(ForwardRequestRequestSchema, { part: { case: 'body', value } });
+		}
+		await Promise.resolve();
+	}
+
+	private createHead(): ForwardRequestRequest {
+		const { id, head } = this.run.call;
+		return create(ForwardRequestRequestSchema, {
+			part: {
+				case: 'head',
+				value: {
+					requestId: id,
+					service: head.service,
+					organisation: head.organisation,
+					requestClass: head.requestClass,
+					method: head.method,
+					path: head.path,
+					headers: head.passedOn.map(({ name, value }) => ({ name, value })),
+					remainingMs: Math.min(largestUint32, Math.floor(this.run.getRemainingMs())),
+					isDeadlineGiven: this.run.call.isDeadlineGiven,
+					prefixKey: head.prefixKey ?? '',
+					ticket: head.ticket ?? '',
+					hops: allowedHops,
+					fromInstance: this.sender.instance,
+					fromRegion: this.sender.region,
+					manifestVersion: BigInt(this.sender.manifestVersion),
+				},
+			},
+		});
+	}
+
+	private createFault(kind: ErrorKind, detail: string): RequestError {
+		return createRequestError(kind, `${this.to}: ${detail}`);
+	}
+
+	private createEnd(kind: ForwardEndKind, error: RequestError | undefined): ForwardEnd {
+		return { kind, error, sentBytes: this.sentBytes, receivedBytes: this.receivedBytes };
+	}
+}
--- /dev/null
+++ b/src/entry/node/peers/peerServer.ts
@@ -0,0 +1,201 @@
+/**
+ * What other entries may ask of this one, over connect and HTTP/2: to swap views, to hand out the manifest
+ * in force, and to take over a request.
+ */
+
+import { create } from '@bufbuild/protobuf';
+import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import type { Http2Server, ServerHttp2Session } from 'node:http2';
+import { createServer } from 'node:http2';
+import type { AddressInfo } from 'node:net';
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
+import type {
+	InstanceId,
+	OrganisationName,
+	RegionName,
+	RequestId,
+	ServiceName,
+} from '../../../platform/ids/common/ids';
+import { findRequestClass } from '../../../platform/requests/common/requestClass';
+import type { ListenAddress } from '../../../platform/settings/common/settingsTypes';
+import type {
+	EntryView,
+	FetchManifestResponse,
+	ForwardHead,
+	ForwardRequestRequest,
+	ForwardRequestResponse,
+} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import { ExchangeViewsResponseSchema, PeerService } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { IAnswerSink } from '../../common/callers/answerSink';
+import type { CallHead } from '../../common/callers/callHead';
+import { listPassedOn } from '../../common/callers/callHead';
+import type { CallPlan, ForwardedFrom } from '../../common/placement/callPlan';
+import type { HeldBytes } from '../callers/bodyReader';
+import type { AcceptedCall } from '../requests/requestRun';
+import { createFaultPart, PeerSink } from './peerSink';
+
+/** What the server asks of the entry. */
+export interface IPeerHandler {
+	exchangeViews(views: readonly EntryView[]): EntryView[];
+	describeManifest(): FetchManifestResponse;
+	/** Checks a forwarded call by this entry's own manifest, before its body is read. */
+	planForwarded(head: CallHead, from: ForwardedFrom): Result<CallPlan, RequestError>;
+	refuseTicketed(ticket: string, error: RequestError): RequestError;
+	accept(call: AcceptedCall, sink: IAnswerSink): void;
+}
+
+/** Serves other entries. */
+export class PeerServer {
+	private readonly server: Http2Server;
+	private readonly sessions = new Set<ServerHttp2Session>();
+
+	constructor(
+		private readonly handler: IPeerHandler,
+		private readonly held: HeldBytes,
+		private readonly mostBodyBytes: number,
+		private readonly timers: ITimerService,
+	) {
+		const routes = (router: ConnectRouter): void => {
+			router.service(PeerService, {
+				exchangeViews: ({ views }) =>
+					create(ExchangeViewsResponseSchema, { views: this.handler.exchangeViews(views) }),
+				fetchManifest: () => this.handler.describeManifest(),
+				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
+			});
+		};
+		this.server = createServer(connectNodeAdapter({ routes }));
+		this.server.on('session', session => {
+			this.sessions.add(session);
+			session.once('close', () => this.sessions.delete(session));
+		});
+	}
+
+	async listen(address: ListenAddress): Promise<AddressInfo> {
+		return new Promise((resolve, reject) => {
+			this.server.once('error', reject);
+			this.server.listen(address.port, address.host, () => {
+				resolve(this.server.address() as AddressInfo);
+			});
+		});
+	}
+
+	/** Stops listening and ends each session after the streams that run on it. */
+	async close(): Promise<void> {
+		return new Promise(resolve => {
+			this.server.close(() => {
+				resolve();
+			});
+			for (const session of this.sessions) {
+				session.close();
+			}
+		});
+	}
+
+	private async *serveForwarded(
+		requests: AsyncIterable<ForwardRequestRequest>,
+		context: HandlerContext,
+	): AsyncGenerator<ForwardRequestResponse> {
+		const arrivedMs = this.timers.getNow();
+		const iterator = requests[Symbol.asyncIterator]();
+		const accepted = await this.readCall(iterator, arrivedMs);
+		if (accepted.isErr()) {
+			yield createFaultPart(accepted.error);
+			return;
+		}
+		const sink = new PeerSink();
+		context.signal.addEventListener('abort', () => {
+			sink.abandon();
+		});
+		this.handler.accept(accepted.value, sink);
+		yield* sink.takeParts();
+	}
+
+	private async readCall(
+		iterator: AsyncIterator<ForwardRequestRequest>,
+		arrivedMs: number,
+	): Promise<Result<AcceptedCall, RequestError>> {
+		const first = await iterator.next();
+		if (first.done === true || first.value.part.case !== 'head') {
+			return err(createRequestError(ErrorKind.PeerFailed, 'a forwarded request without a head'));
+		}
+		const message = first.value.part.value;
+		const head = readForwardHead(message);
+		const from = { hops: message.hops, region: message.fromRegion as RegionName };
+		const plan = head.andThen(known => this.handler.planForwarded(known, from));
+		if (head.isErr() || plan.isErr()) {
+			return err(this.createTold(message, plan._unsafeUnwrapErr()));
+		}
+		const body = await this.readParts(iterator);
+		return body
+			.map(bytes => createForwardedCall(message, head.value, plan.value, bytes, arrivedMs))
+			.mapErr(error => this.createTold(message, error));
+	}
+
+	private createTold(message: ForwardHead, error: RequestError): RequestError {
+		return message.ticket === '' ? error : this.handler.refuseTicketed(message.ticket, error);
+	}
+
+	private async readParts(
+		iterator: AsyncIterator<ForwardRequestRequest>,
+	): Promise<Result<Uint8Array, RequestError>> {
+		const chunks: Uint8Array[] = [];
+		let bytes = 0;
+		for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
+			if (next.value.part.case !== 'body') {
+				continue;
+			}
+			const chunk = next.value.part.value;
+			const isTooLarge = bytes + chunk.byteLength > this.mostBodyBytes;
+			if (isTooLarge || !this.held.reserve(chunk.byteLength)) {
+				this.held.release(bytes);
+				const kind = isTooLarge ? ErrorKind.BodyTooLarge : ErrorKind.EntryFull;
+				return err(createRequestError(kind, `after ${bytes} bytes`));
+			}
+			bytes += chunk.byteLength;
+			chunks.push(chunk);
+		}
+		return ok(Buffer.concat(chunks));
+	}
+}
+
+function readForwardHead(message: ForwardHead): Result<CallHead, RequestError> {
+	const requestClass = findRequestClass(message.requestClass);
+	if (requestClass === undefined) {
+		return err(createRequestError(ErrorKind.MalformedClass, message.requestClass));
+	}
+	return ok({
+		service: message.service as ServiceName,
+		organisation: message.organisation as OrganisationName,
+		requestClass,
+		method: message.method,
+		path: message.path,
+		deadlineMs: message.remainingMs,
+		prefixKey: message.prefixKey === '' ? undefined : message.prefixKey,
+		ticket: message.ticket === '' ? undefined : message.ticket,
+		passedOn: listPassedOn(message.headers),
+	});
+}
+
+function createForwardedCall(
+	message: ForwardHead,
+	head: CallHead,
+	plan: CallPlan,
+	body: Uint8Array,
+	arrivedMs: number,
+): AcceptedCall {
+	return {
+		id: message.requestId as RequestId,
+		head,
+		plan,
+		body,
+		arrivedMs,
+		deadlineMs: arrivedMs + message.remainingMs,
+		isDeadlineGiven: message.isDeadlineGiven,
+		origin: { instance: message.fromInstance as InstanceId, region: message.fromRegion as RegionName },
+	};
+}
--- /dev/null
+++ b/src/entry/node/requests/attemptRun.ts
@@ -0,0 +1,223 @@
+/**
+ * One attempt of a request at a target: watches its silence and its deadline, checks that the answer is
+ * this attempt's own, and streams it on.
+ */
+
+import type { IDisposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
+import { JournalStep } from '../../../platform/explain/common/requestJournal';
+import { headers } from '../../../platform/headers/common/headers';
+import type { AttemptId, TargetId } from '../../../platform/ids/common/ids';
+import { createAttemptId } from '../../../platform/ids/common/ids';
+import type { AnswerHead } from '../../common/callers/answerSink';
+import type { HeaderLine } from '../../common/callers/callHead';
+import { findHeader, listPassedOn } from '../../common/callers/callHead';
+import { RequestEvent } from '../../common/requests/requestLife';
+import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
+import type { IAttempt, IAttemptObserver, TargetClient } from '../targets/targetClient';
+import type { RequestRun } from './requestRun';
+
+/** Hears what an attempt learns of its target, and how it ended. */
+export interface IAttemptOwner {
+	noteFirstByte(attempt: AttemptRun): void;
+	/** The head of an answer or of a refusal: it may carry the target's load or its wish to leave. */
+	noteAnswerHead(attempt: AttemptRun, head: AnswerHead): void;
+	/** Called once. `error` says what the caller is told if no other attempt is made. */
+	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void;
+}
+
+const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
+
+/** An attempt under way. */
+export class AttemptRun implements IAttemptObserver {
+	readonly id: AttemptId;
+	private attempt: IAttempt | undefined;
+	private silenceTimer: IDisposable | undefined;
+	private deadlineTimer: IDisposable | undefined;
+	private heardMs = 0;
+	private isHandedOver = false;
+	private isPaused = false;
+	private isOver = false;
+
+	constructor(
+		readonly run: RequestRun,
+		readonly target: TargetId,
+		attemptNumber: number,
+		private readonly client: TargetClient,
+		private readonly timers: ITimerService,
+		private readonly owner: IAttemptOwner,
+	) {
+		this.id = createAttemptId(run.call.id, attemptNumber, run.call.origin !== undefined);
+	}
+
+	start(): void {
+		this.run.life.send(RequestEvent.Start);
+		this.heardMs = this.timers.getNow();
+		this.deadlineTimer = this.timers.schedule(this.run.getRemainingMs(), () => {
+			this.endAtDeadline();
+		});
+		const { head, body } = this.run.call;
+		this.attempt = this.client.send(
+			{ method: head.method, path: head.path, lines: this.createLines(), body },
+			this,
+		);
+	}
+
+	/** Ends the attempt from outside; the target's connection is closed. */
+	cancel(error: RequestError): void {
+		this.endEarly(AttemptEnd.Cancelled, error);
+	}
+
+	noteHandedOver(): void {
+		this.isHandedOver = true;
+		this.heardMs = this.timers.getNow();
+		this.run.life.send(RequestEvent.HandOver);
+		this.run.note(JournalStep.HandedOver, `${this.id} to ${this.target}`);
+		this.watchSilence(this.getLimits().firstByteMs);
+	}
+
+	receiveHead(head: AnswerHead): void {
+		if (this.isOver) {
+			return;
+		}
+		this.heardMs = this.timers.getNow();
+		const echoed = findHeader(head.lines, headers.attempt);
+		if (echoed !== undefined && echoed !== String(this.id)) {
+			const detail = `${this.target} answered ${echoed} to ${this.id}`;
+			this.endEarly(AttemptEnd.Failed, createRequestError(ErrorKind.AnswerCrossed, detail));
+			return;
+		}
+		this.owner.noteAnswerHead(this, head);
+		if (this.isRefusal(head)) {
+			const detail = `${this.target} answered ${head.status}`;
+			this.endEarly(AttemptEnd.TargetRefused, createRequestError(ErrorKind.TargetRefused, detail));
+			return;
+		}
+		this.beginAnswer(head);
+	}
+
+	receiveData(chunk: Uint8Array): boolean {
+		if (this.isOver) {
+			return true;
+		}
+		this.heardMs = this.timers.getNow();
+		const isReady = this.run.write(chunk);
+		if (!isReady) {
+			this.pauseForReader();
+		}
+		return isReady;
+	}
+
+	noteEnded(): void {
+		if (this.isOver) {
+			return;
+		}
+		this.close();
+		this.run.finish();
+		this.owner.noteEnd(this, AttemptEnd.Answered, undefined);
+	}
+
+	noteBroken(error: Error): void {
+		if (this.isOver) {
+			return;
+		}
+		this.close();
+		const detail = `${this.target}: ${error.message}`;
+		if (this.isHandedOver) {
+			this.owner.noteEnd(this, AttemptEnd.Failed, createRequestError(ErrorKind.TargetFailed, detail));
+			return;
+		}
+		this.owner.noteEnd(this, AttemptEnd.NotConnected, createRequestError(ErrorKind.NoTarget, detail));
+	}
+
+	private beginAnswer(head: AnswerHead): void {
+		this.owner.noteFirstByte(this);
+		this.run.begin({ status: head.status, lines: listAnswerLines(head) });
+		this.silenceTimer?.dispose();
+		this.watchSilence(this.getLimits().idleMs);
+		if (!this.run.call.isDeadlineGiven) {
+			this.deadlineTimer?.dispose();
+		}
+	}
+
+	/** While the caller is the slow one, the target's silence is no sign of anything. */
+	private pauseForReader(): void {
+		this.isPaused = true;
+		this.run.waitForDrain(() => {
+			this.isPaused = false;
+			this.heardMs = this.timers.getNow();
+			this.attempt?.resume();
+		});
+	}
+
+	/**
+	 * One timer a silence, moved on only when it fires: a stream of many chunks would otherwise make and
+	 * cancel a timer for each.
+	 */
+	private watchSilence(limitMs: number): void {
+		const quietMs = this.isPaused ? 0 : this.timers.getNow() - this.heardMs;
+		this.silenceTimer = this.timers.schedule(limitMs - quietMs, () => {
+			const isSilent = !this.isPaused && this.timers.getNow() - this.heardMs >= limitMs;
+			if (isSilent) {
+				this.endSilent(limitMs);
+				return;
+			}
+			this.watchSilence(limitMs);
+		});
+	}
+
+	private endSilent(limitMs: number): void {
+		this.client.renewConnections();
+		const detail = `${this.target} was silent for ${limitMs} ms`;
+		this.endEarly(AttemptEnd.Silent, createRequestError(ErrorKind.TargetSilent, detail));
+	}
+
+	private endAtDeadline(): void {
+		const detail = `${this.target} had not answered`;
+		const kind = this.isHandedOver ? ErrorKind.DeadlineExceeded : ErrorKind.DeadlineUnreachable;
+		this.endEarly(AttemptEnd.Cancelled, createRequestError(kind, detail));
+	}
+
+	private endEarly(end: AttemptEnd, error: RequestError): void {
+		if (this.isOver) {
+			return;
+		}
+		this.close();
+		this.attempt?.cancel(error.detail);
+		this.owner.noteEnd(this, end, error);
+	}
+
+	private close(): void {
+		this.isOver = true;
+		this.silenceTimer?.dispose();
+		this.deadlineTimer?.dispose();
+	}
+
+	private isRefusal(head: AnswerHead): boolean {
+		return refusalStatuses.has(head.status) && findHeader(head.lines, headers.targetNotRun) === '1';
+	}
+
+	private getLimits(): { firstByteMs: number; idleMs: number } {
+		return this.run.call.plan.classes[this.run.call.head.requestClass];
+	}
+
+	private createLines(): HeaderLine[] {
+		const { id, head } = this.run.call;
+		return [
+			...head.passedOn,
+			{ name: headers.requestId, value: id },
+			{ name: headers.attempt, value: this.id },
+			{ name: headers.priority, value: head.requestClass },
+			{ name: headers.organisation, value: head.organisation },
+			{ name: headers.deadlineMs, value: String(Math.ceil(this.run.getRemainingMs())) },
+			...(head.prefixKey === undefined ? [] : [{ name: headers.prefixKey, value: head.prefixKey }]),
+		];
+	}
+}
+
+function listAnswerLines(head: AnswerHead): HeaderLine[] {
+	const length = head.lines.filter(line => line.name === 'content-length');
+	return [...listPassedOn(head.lines), ...length];
+}
--- /dev/null
+++ b/src/entry/node/requests/requestRun.ts
@@ -0,0 +1,174 @@
+/**
+ * One request at one entry: its call, its life on the chart, and the sink its answer goes to. Whatever
+ * happens to a request goes through here, so that the chart, the journal and the metrics never disagree
+ * with what the caller was told.
+ */
+
+import type { ErrorKind, RequestError } from '../../../platform/errors/common/errorKinds';
+import {
+	createRequestError,
+	ErrorKind as Kind,
+	getOutcomeOf,
+} from '../../../platform/errors/common/errorKinds';
+import { Outcome } from '../../../platform/errors/common/outcome';
+import type { IRequestJournal } from '../../../platform/explain/common/requestJournal';
+import { JournalStep } from '../../../platform/explain/common/requestJournal';
+import type { InstanceId, RegionName, RequestId } from '../../../platform/ids/common/ids';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
+import type { CallHead } from '../../common/callers/callHead';
+import type { CallPlan } from '../../common/placement/callPlan';
+import { RequestEvent, RequestLife } from '../../common/requests/requestLife';
+
+/** Which entry forwarded a request here. */
+export interface ForwardOrigin {
+	readonly instance: InstanceId;
+	readonly region: RegionName;
+}
+
+/** A request whose head and body were accepted. Times are monotonic milliseconds. */
+export interface AcceptedCall {
+	readonly id: RequestId;
+	readonly head: CallHead;
+	readonly plan: CallPlan;
+	readonly body: Uint8Array;
+	readonly arrivedMs: number;
+	readonly deadlineMs: number;
+	/** Whether the caller named the deadline; one that it did not name never cuts an answer that flows. */
+	readonly isDeadlineGiven: boolean;
+	readonly origin: ForwardOrigin | undefined;
+}
+
+/** How a request ended, for those who count. */
+export interface RequestEnd {
+	readonly outcome: Outcome;
+	readonly errorKind: ErrorKind | undefined;
+	readonly firstByteMs: number | undefined;
+	readonly tookMs: number;
+}
+
+/** Hears of a request's end, once. */
+export type ObserveEnd = (run: RequestRun, end: RequestEnd) => void;
+
+/** A request under way. */
+export class RequestRun {
+	private firstByteMs: number | undefined;
+	private isOver = false;
+	private abandonHandler: (() => void) | undefined;
+
+	constructor(
+		readonly call: AcceptedCall,
+		readonly life: RequestLife,
+		private readonly sink: IAnswerSink,
+		private readonly journal: IRequestJournal,
+		private readonly timers: ITimerService,
+		private readonly observeEnd: ObserveEnd,
+	) {
+		sink.watchAbandoned(() => {
+			this.handleAbandoned();
+		});
+	}
+
+	hasBegun(): boolean {
+		return this.firstByteMs !== undefined;
+	}
+
+	hasEnded(): boolean {
+		return this.isOver;
+	}
+
+	getRemainingMs(): number {
+		return Math.max(0, this.call.deadlineMs - this.timers.getNow());
+	}
+
+	note(step: JournalStep, detail: string): void {
+		this.journal.note(this.call.id, step, detail, this.timers.getNow());
+	}
+
+	/** Hands the answer's head on. */
+	begin(head: AnswerHead): void {
+		this.life.send(RequestEvent.FirstByte);
+		this.noteBegun(head);
+	}
+
+	/** Hands on the head of a kept answer; the chart already stands at `answering`. */
+	beginKept(head: AnswerHead): void {
+		this.noteBegun(head);
+	}
+
+	/** Gives false where the caller is behind. */
+	write(chunk: Uint8Array): boolean {
+		return this.sink.write(chunk);
+	}
+
+	waitForDrain(resume: () => void): void {
+		this.sink.waitForDrain(resume);
+	}
+
+	/** What is done when the caller goes away; whoever holds the request last has the say. */
+	setAbandonHandler(handle: () => void): void {
+		this.abandonHandler = handle;
+	}
+
+	/** The answer is whole. */
+	finish(): void {
+		if (this.isOver) {
+			return;
+		}
+		this.life.send(RequestEvent.LastByte);
+		this.sink.end();
+		this.close(Outcome.Answered, undefined, 'the answer is whole');
+	}
+
+	/** Ends the request without its whole answer: a refusal before the first byte, a cut after it. */
+	fail(error: RequestError): void {
+		if (this.isOver) {
+			return;
+		}
+		const told = this.life.refuse(error);
+		if (this.hasBegun()) {
+			this.sink.cut();
+		} else {
+			this.sink.refuse(told);
+		}
+		this.close(getOutcomeOf(told), told.kind, `${told.kind}: ${told.detail}`);
+	}
+
+	/** The caller went away; nobody is left to be told. */
+	abandon(): void {
+		if (this.isOver) {
+			return;
+		}
+		this.life.send(RequestEvent.CallerGone);
+		const error = createRequestError(Kind.CallerGone, 'the caller closed its connection');
+		this.close(this.life.getOutcome(), error.kind, error.detail);
+	}
+
+	private handleAbandoned(): void {
+		if (this.isOver) {
+			return;
+		}
+		if (this.abandonHandler === undefined) {
+			this.abandon();
+			return;
+		}
+		this.abandonHandler();
+	}
+
+	private noteBegun(head: AnswerHead): void {
+		this.firstByteMs = this.timers.getNow() - this.call.arrivedMs;
+		this.note(JournalStep.FirstByte, `status ${head.status}`);
+		this.sink.begin(head);
+	}
+
+	private close(outcome: Outcome, errorKind: ErrorKind | undefined, detail: string): void {
+		this.isOver = true;
+		this.note(JournalStep.Ended, `${outcome}; ${detail}`);
+		this.observeEnd(this, {
+			outcome,
+			errorKind,
+			firstByteMs: this.firstByteMs,
+			tookMs: this.timers.getNow() - this.call.arrivedMs,
+		});
+	}
+}
--- /dev/null
+++ b/src/entry/node/requests/routerSurroundings.ts
@@ -0,0 +1,111 @@
+/**
+ * The router's view of the entry: runners, offers of other regions, peers.
+ */
+
+import type { InstanceId, ManifestVersion, RegionName, ServiceName } from '../../../platform/ids/common/ids';
+import type { EntrySettings } from '../../../platform/settings/common/entrySettings';
+import { ByteDirection, SentAwayResult } from '../../../platform/telemetry/common/entryMetricLabels';
+import type { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
+import type { ManifestLink } from '../../../platform/manifest/common/manifest';
+import type { IAnswerSink } from '../../common/callers/answerSink';
+import type { ISendAwayPolicy, RemoteOffer } from '../../common/sendAway/sendAwayPolicy';
+import type { AgedView, EntryFleet } from '../fleet/entryFleet';
+import { findRoom } from '../fleet/entryFleet';
+import type { ManifestKeeper } from '../manifest/manifestKeeper';
+import type { ForwardEnd, ForwardSender } from '../peers/forwardRun';
+import { ForwardEndKind } from '../peers/forwardRun';
+import type { PeerConnection } from '../peers/peerClients';
+import type { ActiveRuns } from './activeRuns';
+import type { IRouterSurroundings } from './requestRouter';
+import type { AcceptedCall, RequestRun } from './requestRun';
+import type { ServiceRunner } from './serviceRunner';
+import type { ServiceRunners } from './serviceRunners';
+
+/** A megabit a second in bytes a millisecond. */
+const bytesPerMsOfMegabit = 125;
+const wholePercent = 100;
+
+const resultsOfEnds: Readonly<Partial<Record<ForwardEndKind, SentAwayResult>>> = {
+	[ForwardEndKind.Answered]: SentAwayResult.Answered,
+	[ForwardEndKind.Refused]: SentAwayResult.Refused,
+	[ForwardEndKind.NotConnected]: SentAwayResult.Failed,
+	[ForwardEndKind.Failed]: SentAwayResult.Failed,
+};
+
+/** What one entry's router works with. */
+export class RouterSurroundings implements IRouterSurroundings {
+	constructor(
+		private readonly own: EntrySettings['instance'],
+		private readonly manifests: ManifestKeeper,
+		private readonly runners: ServiceRunners,
+		private readonly fleet: EntryFleet,
+		private readonly runs: ActiveRuns,
+		private readonly metrics: EntryMetrics,
+	) {}
+
+	getRunner(service: ServiceName): ServiceRunner {
+		return this.runners.getRunner(service);
+	}
+
+	getSendAwayPolicy(service: ServiceName): ISendAwayPolicy {
+		return this.runners.getSendAwayPolicy(service);
+	}
+
+	listOffers(service: ServiceName): readonly RemoteOffer[] {
+		const elsewhere = this.fleet.listLiveViews(view => view.region !== this.own.region);
+		return elsewhere.flatMap(aged => this.createOffer(service, aged));
+	}
+
+	findPeer(instance: InstanceId): PeerConnection | undefined {
+		return this.fleet.findPeer(instance);
+	}
+
+	findRegion(instance: InstanceId): RegionName | undefined {
+		return this.fleet.findEntry(instance)?.region;
+	}
+
+	describeSender(): ForwardSender {
+		return {
+			instance: this.own.id,
+			region: this.own.region,
+			manifestVersion: this.manifests.getVersion() as ManifestVersion,
+		};
+	}
+
+	openRun(call: AcceptedCall, sink: IAnswerSink): RequestRun {
+		return this.runs.open(call, sink);
+	}
+
+	noteForwardEnd(service: ServiceName, region: RegionName, end: ForwardEnd): void {
+		const result = resultsOfEnds[end.kind];
+		if (result !== undefined) {
+			this.metrics.noteSentAway(service, region, result);
+		}
+		this.metrics.noteLinkBytes(region, ByteDirection.Sent, end.sentBytes);
+		this.metrics.noteLinkBytes(region, ByteDirection.Received, end.receivedBytes);
+	}
+
+	private createOffer(service: ServiceName, { view, ageMs }: AgedView): RemoteOffer[] {
+		const room = findRoom(view, service);
+		const region = view.region as RegionName;
+		const link = this.findLink(region);
+		if (room === undefined || link === undefined) {
+			return [];
+		}
+		return [
+			{
+				instance: view.instanceId as InstanceId,
+				region,
+				room: { ...room },
+				ageMs,
+				oneWayMs: link.oneWayMs,
+				linkBytesPerMs: (link.megabitsPerSecond * bytesPerMsOfMegabit * link.sharePercent) / wholePercent,
+			},
+		];
+	}
+
+	private findLink(region: RegionName): ManifestLink | undefined {
+		const links = this.manifests.getCurrent()?.accepted.manifest.links ?? [];
+		return links.find(({ between }) => between.includes(region) && between.includes(this.own.region));
+	}
+}
--- /dev/null
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -0,0 +1,282 @@
+/**
+ * Carries out what a service's scheduler decides: starts attempts, hands their ends back, and answers the
+ * requests that the scheduler refuses. It decides nothing itself.
+ */
+
+import type { IDisposable } from '../../../base/common/lifecycle';
+import { Disposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
+import { JournalStep } from '../../../platform/explain/common/requestJournal';
+import { headers } from '../../../platform/headers/common/headers';
+import type { RequestId, TargetId } from '../../../platform/ids/common/ids';
+import { RepeatRule } from '../../../platform/manifest/common/manifest';
+import type { AnswerHead } from '../../common/callers/answerSink';
+import { findHeader } from '../../common/callers/callHead';
+import { RequestEvent } from '../../common/requests/requestLife';
+import { parseReportedLoad } from '../../common/scheduling/reportedLoad';
+import type {
+	IServiceScheduler,
+	SchedulableRequest,
+	SchedulableTarget,
+	ScheduleDecision,
+	ServiceRoom,
+	StartDecision,
+	TargetRoom,
+} from '../../common/scheduling/serviceScheduler';
+import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
+import type { TargetClient } from '../targets/targetClient';
+import type { IAttemptOwner } from './attemptRun';
+import { AttemptRun } from './attemptRun';
+import type { RequestRun } from './requestRun';
+
+/** What the runner needs of the targets' registry. */
+export interface ITargetDirectory {
+	findClient(target: TargetId): TargetClient | undefined;
+	/** An answer's head: it may say that the target is leaving. */
+	noteAnswerHead(target: TargetId, head: AnswerHead): void;
+	/** An attempt ended; connections that fail are a sign about the target. */
+	noteAttemptEnd(target: TargetId, end: AttemptEnd, run: RequestRun): void;
+}
+
+interface RunState {
+	readonly run: RequestRun;
+	attempts: number;
+	running: AttemptRun | undefined;
+}
+
+const eventsOfRetry: Readonly<Partial<Record<AttemptEnd, RequestEvent>>> = {
+	[AttemptEnd.TargetRefused]: RequestEvent.TargetRefused,
+	[AttemptEnd.NotConnected]: RequestEvent.NotConnected,
+	[AttemptEnd.Failed]: RequestEvent.Retry,
+	[AttemptEnd.Silent]: RequestEvent.Retry,
+};
+
+/** Makes the scheduler's view of a request. */
+export function createSchedulable(run: RequestRun): SchedulableRequest {
+	const { id, head, plan, body, arrivedMs, deadlineMs } = run.call;
+	return {
+		id,
+		organisation: head.organisation,
+		requestClass: head.requestClass,
+		arrivedMs,
+		deadlineMs,
+		prefixKey: head.prefixKey,
+		bodyBytes: body.byteLength,
+		isRepeatable: plan.repeat === RepeatRule.Idempotent,
+	};
+}
+
+/** Runs the requests of one service. */
+export class ServiceRunner extends Disposable implements IAttemptOwner {
+	private readonly states = new Map<RequestId, RunState>();
+	private dueTimer: IDisposable | undefined;
+	private isAdvancing = false;
+	private mustAdvanceAgain = false;
+
+	constructor(
+		private readonly scheduler: IServiceScheduler,
+		private readonly targets: ITargetDirectory,
+		private readonly timers: ITimerService,
+	) {
+		super();
+	}
+
+	override dispose(): void {
+		this.dueTimer?.dispose();
+		super.dispose();
+	}
+
+	setTargets(targets: readonly SchedulableTarget[]): void {
+		this.scheduler.setTargets(targets, this.timers.getNow());
+		this.advance();
+	}
+
+	/** Takes a request in; from here on it is answered, refused or abandoned by this runner. */
+	submit(run: RequestRun): void {
+		this.states.set(run.call.id, { run, attempts: 0, running: undefined });
+		run.life.send(RequestEvent.Enqueue);
+		this.submitToScheduler(run);
+	}
+
+	/** Takes in a request that another entry gave back without running it. */
+	submitReturned(run: RequestRun): void {
+		this.states.set(run.call.id, { run, attempts: 0, running: undefined });
+		this.submitToScheduler(run);
+	}
+
+	/** The caller went away: a waiting request is forgotten, a running one's target is told by its connection. */
+	abandon(run: RequestRun): void {
+		const state = this.states.get(run.call.id);
+		if (state === undefined) {
+			return;
+		}
+		if (state.running !== undefined) {
+			state.running.cancel(createRequestError(ErrorKind.CallerGone, 'the caller closed its connection'));
+			return;
+		}
+		this.scheduler.cancel(run.call.id, this.timers.getNow());
+		this.states.delete(run.call.id);
+		run.abandon();
+		this.advance();
+	}
+
+	measureRoom(): ServiceRoom {
+		return this.scheduler.measureRoom(this.timers.getNow());
+	}
+
+	measureTarget(target: TargetId): TargetRoom {
+		return this.scheduler.measureTarget(target);
+	}
+
+	noteFirstByte(attempt: AttemptRun): void {
+		this.scheduler.noteFirstByte(attempt.run.call.id, this.timers.getNow());
+	}
+
+	noteAnswerHead(attempt: AttemptRun, head: AnswerHead): void {
+		this.targets.noteAnswerHead(attempt.target, head);
+		const load = parseReportedLoad(findHeader(head.lines, headers.targetLoad));
+		if (load !== undefined) {
+			this.scheduler.noteLoad(attempt.target, load, this.timers.getNow());
+		}
+	}
+
+	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void {
+		const { run } = attempt;
+		const state = this.states.get(run.call.id);
+		if (state === undefined) {
+			return;
+		}
+		state.running = undefined;
+		run.note(
+			JournalStep.AttemptEnded,
+			`${attempt.id}: ${end}${error === undefined ? '' : `; ${error.detail}`}`,
+		);
+		this.targets.noteAttemptEnd(attempt.target, end, run);
+		const isTakenBack = this.scheduler.noteEnd(run.call.id, end, this.timers.getNow());
+		if (isTakenBack) {
+			this.takeBack(run, end);
+		} else {
+			this.states.delete(run.call.id);
+			this.endRun(run, error);
+		}
+		this.advance();
+	}
+
+	private takeBack(run: RequestRun, end: AttemptEnd): void {
+		const event = eventsOfRetry[end];
+		if (event !== undefined) {
+			run.life.send(event);
+		}
+		run.note(JournalStep.Retried, end);
+	}
+
+	private endRun(run: RequestRun, error: RequestError | undefined): void {
+		if (error === undefined || run.hasEnded()) {
+			return;
+		}
+		if (error.kind === ErrorKind.CallerGone) {
+			run.abandon();
+			return;
+		}
+		this.noteUnrun(run, error);
+		run.fail(error);
+	}
+
+	/** A refusal that was not taken back still clears the attempt: the caller may be told `not-run`. */
+	private noteUnrun(run: RequestRun, error: RequestError): void {
+		if (error.kind === ErrorKind.TargetRefused) {
+			run.life.send(RequestEvent.TargetRefused);
+		}
+		if (error.kind === ErrorKind.NoTarget) {
+			run.life.send(RequestEvent.NotConnected);
+		}
+	}
+
+	private submitToScheduler(run: RequestRun): void {
+		run.note(JournalStep.Queued, this.describeRoom());
+		this.scheduler.submit(createSchedulable(run), this.timers.getNow());
+		this.advance();
+	}
+
+	private describeRoom(): string {
+		const room = this.measureRoom();
+		return `${room.queued} waiting, ${room.running} running, ${Math.round(room.waitMs)} ms predicted wait`;
+	}
+
+	/** Carrying out a decision can bring about the next one at once, so one loop drains them all. */
+	private advance(): void {
+		if (this.isAdvancing) {
+			this.mustAdvanceAgain = true;
+			return;
+		}
+		this.isAdvancing = true;
+		let isUnfinished = true;
+		while (isUnfinished) {
+			this.mustAdvanceAgain = false;
+			this.carryOut(this.scheduler.advance(this.timers.getNow()));
+			isUnfinished = this.mustAdvanceAgain;
+		}
+		this.isAdvancing = false;
+		this.scheduleNext();
+	}
+
+	private carryOut(decisions: readonly ScheduleDecision[]): void {
+		for (const decision of decisions) {
+			if (decision.kind === ScheduleDecisionKind.Start) {
+				this.start(decision);
+			} else {
+				this.refuse(decision.requestId, decision.error);
+			}
+		}
+	}
+
+	private scheduleNext(): void {
+		this.dueTimer?.dispose();
+		this.dueTimer = undefined;
+		const dueMs = this.scheduler.getNextDueMs();
+		if (dueMs !== undefined) {
+			this.dueTimer = this.timers.schedule(Math.max(1, dueMs - this.timers.getNow()), () => {
+				this.advance();
+			});
+		}
+	}
+
+	private start(decision: StartDecision): void {
+		const state = this.states.get(decision.requestId);
+		if (state === undefined) {
+			return;
+		}
+		const client = this.targets.findClient(decision.target);
+		state.attempts++;
+		state.run.note(JournalStep.Started, `${decision.target}: ${decision.reason}`);
+		if (client === undefined) {
+			this.endVanished(state, decision.target);
+			return;
+		}
+		const attempt = new AttemptRun(state.run, decision.target, state.attempts, client, this.timers, this);
+		state.running = attempt;
+		attempt.start();
+	}
+
+	/** The target left the manifest between the decision and this line. */
+	private endVanished(state: RunState, target: TargetId): void {
+		const { run } = state;
+		run.life.send(RequestEvent.Start);
+		const isTakenBack = this.scheduler.noteEnd(run.call.id, AttemptEnd.NotConnected, this.timers.getNow());
+		run.life.send(RequestEvent.NotConnected);
+		this.mustAdvanceAgain = true;
+		if (!isTakenBack) {
+			this.states.delete(run.call.id);
+			run.fail(createRequestError(ErrorKind.NoTarget, `${target} is no longer in the manifest`));
+		}
+	}
+
+	private refuse(requestId: RequestId, error: RequestError): void {
+		const state = this.states.get(requestId);
+		this.states.delete(requestId);
+		state?.run.note(JournalStep.Refused, error.detail);
+		state?.run.fail(error);
+	}
+}
--- /dev/null
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -0,0 +1,85 @@
+/**
+ * One runner and one send-away policy for each service that the manifest names, kept supplied with the
+ * targets of the region.
+ */
+
+import { subscribeTo } from '../../../base/common/channel';
+import { Disposable, DisposableStore } from '../../../base/common/lifecycle';
+import type { IRandom } from '../../../base/common/random';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { ServiceName } from '../../../platform/ids/common/ids';
+import { ServiceScheduler } from '../../common/scheduling/scheduler';
+import type { ISendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
+import { StayHomePolicy } from '../../common/sendAway/sendAwayPolicy';
+import type { ManifestKeeper } from '../manifest/manifestKeeper';
+import type { TargetRegistry } from '../targets/targetRegistry';
+import { ServiceRunner } from './serviceRunner';
+
+/** How many live entries share the region's targets, this one included. */
+export type CountSharers = () => number;
+
+interface KnownService {
+	readonly runner: ServiceRunner;
+	readonly sendAway: ISendAwayPolicy;
+}
+
+/** Owns the runners. */
+export class ServiceRunners extends Disposable {
+	private readonly services = new Map<ServiceName, KnownService>();
+	private readonly owned = this.register(new DisposableStore());
+
+	constructor(
+		private readonly manifests: ManifestKeeper,
+		private readonly targets: TargetRegistry,
+		private readonly countSharers: CountSharers,
+		private readonly timers: ITimerService,
+		private readonly random: IRandom,
+	) {
+		super();
+		this.register(
+			subscribeTo(targets.onDidChange, service => {
+				this.update(service);
+			}),
+		);
+	}
+
+	getRunner(service: ServiceName): ServiceRunner {
+		return this.open(service).runner;
+	}
+
+	getSendAwayPolicy(service: ServiceName): ISendAwayPolicy {
+		return this.open(service).sendAway;
+	}
+
+	listServices(): ServiceName[] {
+		return [...this.services.keys()];
+	}
+
+	/** Entries came or went, so each one's share of the targets is another. */
+	updateAll(): void {
+		for (const service of this.services.keys()) {
+			this.update(service);
+		}
+	}
+
+	private open(service: ServiceName): KnownService {
+		const known = this.services.get(service);
+		if (known !== undefined) {
+			return known;
+		}
+		const runner = this.owned.add(
+			new ServiceRunner(new ServiceScheduler(this.random), this.targets, this.timers),
+		);
+		const opened = { runner, sendAway: new StayHomePolicy() };
+		this.services.set(service, opened);
+		this.update(service);
+		return opened;
+	}
+
+	private update(service: ServiceName): void {
+		const described = this.manifests.getCurrent()?.index.findService(service);
+		const share = 1 / Math.max(1, this.countSharers());
+		const list = described === undefined ? [] : this.targets.listSchedulable(described, share);
+		this.services.get(service)?.runner.setTargets(list);
+	}
+}
--- /dev/null
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -0,0 +1,225 @@
+/**
+ * The targets of this entry's region: their connections, their lives, and the probes that bring one back.
+ * Whoever schedules requests is told whenever a service's list may have changed.
+ */
+
+import type { Stream } from 'most';
+import { Client } from 'undici';
+import { Channel, subscribeTo } from '../../../base/common/channel';
+import { Disposable, toDisposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { IAuditTrail } from '../../../platform/audit/common/auditTrail';
+import { AuditKind } from '../../../platform/audit/common/auditTrail';
+import { headers } from '../../../platform/headers/common/headers';
+import type { RegionName, ServiceName, TargetId, ZoneName } from '../../../platform/ids/common/ids';
+import type { ManifestService, ManifestTarget } from '../../../platform/manifest/common/manifest';
+import { TargetRole } from '../../../platform/manifest/common/manifest';
+import { TargetLives } from '../../../platform/targets/common/targetLives';
+import type { AnswerHead } from '../../common/callers/answerSink';
+import { findHeader } from '../../common/callers/callHead';
+import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
+import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
+import type { IndexedManifest } from '../manifest/manifestKeeper';
+import type { ITargetDirectory } from '../requests/serviceRunner';
+import { TargetClient } from './targetClient';
+
+/** Where this entry stands. */
+export interface Place {
+	readonly region: RegionName;
+	readonly zone: ZoneName;
+}
+
+const trialTickMs = 250;
+const probeTimeoutMs = 2_000;
+
+interface KnownTarget {
+	readonly url: string;
+	readonly client: TargetClient;
+}
+
+/** Owns the connections and the lives of the region's targets. */
+export class TargetRegistry extends Disposable implements ITargetDirectory {
+	private readonly known = new Map<TargetId, KnownTarget>();
+	private readonly changes = this.register(new Channel<ServiceName>());
+	private readonly lives: TargetLives;
+	private readonly lastSigns = new Map<string, string>();
+	private manifest: IndexedManifest | undefined;
+
+	/** A service whose targets, or their usability, changed. */
+	readonly onDidChange: Stream<ServiceName> = this.changes.stream;
+
+	constructor(
+		private readonly place: Place,
+		auditTrail: IAuditTrail,
+		private readonly timers: ITimerService,
+	) {
+		super();
+		this.lives = this.register(new TargetLives(auditTrail));
+		this.register(
+			subscribeTo(auditTrail.onDidRecord, ({ kind, subject, sign }) => {
+				if (kind === AuditKind.Target) {
+					this.lastSigns.set(subject, sign);
+				}
+			}),
+		);
+		this.register(
+			subscribeTo(this.lives.onDidChange, target => {
+				this.emitChangeOf(target);
+			}),
+		);
+		this.register(
+			subscribeTo(timers.watchTicks(trialTickMs), ({ nowMs }) => {
+				this.startTrials(nowMs);
+			}),
+		);
+		this.register(
+			toDisposable(() => {
+				for (const { client } of this.known.values()) {
+					void client.close();
+				}
+			}),
+		);
+	}
+
+	setManifest(manifest: IndexedManifest): void {
+		this.manifest = manifest;
+		const { version, manifest: document } = manifest.accepted;
+		const own = document.targets.filter(target => target.region === this.place.region);
+		this.lives.setManifest(own, version, this.timers.getNow());
+		this.setClients(own);
+		for (const service of document.services) {
+			this.changes.emit(service.name);
+		}
+	}
+
+	notePeerWords(targets: readonly TargetId[]): void {
+		this.lives.notePeerWords(targets, this.timers.getNow());
+	}
+
+	listLeavingByOwnWord(): readonly TargetId[] {
+		return this.lives.listLeavingByOwnWord();
+	}
+
+	/** The service's targets in this region, as its scheduler sees them. */
+	listSchedulable(service: ManifestService, share: number): SchedulableTarget[] {
+		return this.listOf(service.name)
+			.filter(target => target.role === TargetRole.Serve)
+			.map(target => ({
+				id: target.id,
+				zone: target.zone,
+				isSameZone: target.zone === this.place.zone,
+				slots: target.slots ?? service.slotsPerTarget,
+				share,
+				isLeaving: !this.lives.isUsable(target.id),
+			}));
+	}
+
+	listOf(service: ServiceName): readonly ManifestTarget[] {
+		return this.manifest?.index.listTargets(service, this.place.region) ?? [];
+	}
+
+	/** Targets of a service by the state of their chart. */
+	countStates(service: ServiceName): Map<string, number> {
+		const counts = new Map<string, number>();
+		for (const { id } of this.listOf(service)) {
+			const state = this.lives.findLife(id)?.getState();
+			if (state !== undefined) {
+				counts.set(state, (counts.get(state) ?? 0) + 1);
+			}
+		}
+		return counts;
+	}
+
+	getLives(): TargetLives {
+		return this.lives;
+	}
+
+	/** The sign that led to a target's present state; empty where it never changed. */
+	getLastSign(target: TargetId): string {
+		return this.lastSigns.get(target) ?? '';
+	}
+
+	findClient(target: TargetId): TargetClient | undefined {
+		return this.known.get(target)?.client;
+	}
+
+	noteAnswerHead(target: TargetId, head: AnswerHead): void {
+		const life = this.lives.findLife(target);
+		if (findHeader(head.lines, headers.targetLeaving) === '1') {
+			life?.noteOwnWord(this.timers.getNow());
+			return;
+		}
+		life?.noteAnswer(isClosing(findHeader(head.lines, 'connection')), this.timers.getNow());
+	}
+
+	noteAttemptEnd(target: TargetId, end: AttemptEnd): void {
+		if (end === AttemptEnd.NotConnected || end === AttemptEnd.Failed) {
+			this.lives.findLife(target)?.noteFailure(this.timers.getNow());
+		}
+	}
+
+	private setClients(targets: readonly ManifestTarget[]): void {
+		const urls = new Map(targets.map(target => [target.id, target.url]));
+		for (const [id, { url, client }] of [...this.known]) {
+			if (urls.get(id) !== url) {
+				this.known.delete(id);
+				void client.close();
+			}
+		}
+		for (const { id, url } of targets) {
+			if (!this.known.has(id)) {
+				this.known.set(id, { url, client: new TargetClient(new URL(url).origin) });
+			}
+		}
+	}
+
+	private emitChangeOf(target: TargetId): void {
+		const service = this.manifest?.index.findTarget(target)?.service;
+		if (service !== undefined) {
+			this.changes.emit(service);
+		}
+	}
+
+	private startTrials(nowMs: number): void {
+		for (const target of this.lives.startTrials(nowMs)) {
+			void this.probe(target);
+		}
+	}
+
+	/** Always on a new connection: an idle one may be silent for good while new ones work. */
+	private async probe(target: TargetId): Promise<void> {
+		const url = this.known.get(target)?.url;
+		const life = this.lives.findLife(target);
+		if (url === undefined || life === undefined) {
+			return;
+		}
+		const client = new Client(new URL(url).origin);
+		try {
+			const answer = await client.request({
+				path: '/',
+				method: 'HEAD',
+				headersTimeout: probeTimeoutMs,
+				signal: AbortSignal.timeout(probeTimeoutMs),
+			});
+			await answer.body.dump();
+			if (answer.headers[headers.targetLeaving] === '1') {
+				life.noteOwnWord(this.timers.getNow());
+				return;
+			}
+			life.noteTrialAnswered(isClosing(String(answer.headers.connection ?? '')), this.timers.getNow());
+		} catch {
+			life.noteTrialFailed(this.timers.getNow());
+		} finally {
+			void client.destroy();
+		}
+	}
+}
+
+function isClosing(connection: string | undefined): boolean {
+	return (
+		connection
+			?.toLowerCase()
+			.split(',')
+			.some(option => option.trim() === 'close') ?? false
+	);
+}
--- a/src/platform/errors/common/errorKinds.ts
+++ b/src/platform/errors/common/errorKinds.ts
@@ -200,6 +200,15 @@
 	[ErrorKind.Internal]: createAnswer(500, Unknown, false, 'A fault of the entry itself.'),
 };
 
+/** An entry as lookups and refusals name it to callers. */
+export interface NamedEntry {
+	readonly instance: string;
+	readonly region: string;
+	readonly zone: string;
+	/** The base URL for callers. */
+	readonly url: string;
+}
+
 /** A fault with what an operator needs to understand it; the answer to the caller follows from the kind. */
 export interface RequestError {
 	readonly kind: ErrorKind;
@@ -209,13 +218,15 @@
 	readonly retryAfterMs?: number;
 	/** Overrides the table downwards only: an issuer's `not-run` becomes `unknown` at an entry that cannot know. */
 	readonly isOutcomeUnknown?: boolean;
+	/** Entries that the caller should send to instead. */
+	readonly entries?: readonly NamedEntry[];
 }
 
 /** Makes a fault; the optional parts come from the caller of this function. */
 export function createRequestError(
 	kind: ErrorKind,
 	detail: string,
-	more: Pick<RequestError, 'retryAfterMs' | 'isOutcomeUnknown'> = {},
+	more: Omit<RequestError, 'kind' | 'detail'> = {},
 ): RequestError {
 	return { kind, detail, ...more };
 }
--- a/src/platform/ids/common/ids.ts
+++ b/src/platform/ids/common/ids.ts
@@ -23,7 +23,14 @@
 /** Hex hash of a body, or of a service, an organisation and a body. */
 export type Fingerprint = Brand<string, 'Fingerprint'>;
 
-/** Names the n-th attempt of a request, counted from 1. */
-export function createAttemptId(requestId: RequestId, attemptNumber: number): AttemptId {
-	return `${requestId}.${attemptNumber}` as AttemptId;
+/**
+ * Names the n-th attempt of a request, counted from 1. Two entries can make attempts of one request, the
+ * one that took it in and the one it was forwarded to; their attempts must not share a name.
+ */
+export function createAttemptId(
+	requestId: RequestId,
+	attemptNumber: number,
+	isForwarded: boolean,
+): AttemptId {
+	return `${requestId}.${isForwarded ? 'f' : ''}${attemptNumber}` as AttemptId;
 }
--- a/src/platform/requests/common/requestClass.ts
+++ b/src/platform/requests/common/requestClass.ts
@@ -16,3 +16,10 @@
 	RequestClass.Normal,
 	RequestClass.Draft,
 ];
+
+const classesByName: ReadonlyMap<string, RequestClass> = new Map(requestClasses.map(name => [name, name]));
+
+/** The class of a name, or undefined where there is none. */
+export function findRequestClass(name: string): RequestClass | undefined {
+	return classesByName.get(name);
+}
