--- /dev/null
+++ b/src/demo/node/deploymentFiles.ts
@@ -0,0 +1,85 @@
+/**
+ * The files of an example deployment, moved to free ports and written to a temporary folder.
+ */
+
+import { mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { IDisposable } from '../../base/common/lifecycle';
+import type { Manifest } from '../../platform/manifest/common/manifest';
+import { parseManifest } from '../../platform/manifest/common/manifest';
+import type { EntrySettings } from '../../platform/settings/common/entrySettings';
+import { entrySettingsSchema } from '../../platform/settings/common/entrySettings';
+import { parseSettings } from '../../platform/settings/common/settings';
+import { applyPortMap, listPorts } from '../common/portMap';
+import { findFreePorts } from './freePorts';
+
+const settingsSuffix = '.ini';
+const entryPrefix = 'entry-';
+const standinPrefix = 'standin-';
+
+/** A deployment's files in use; disposing of them removes the folder. */
+export class DeploymentFiles implements IDisposable {
+	private constructor(
+		private readonly folder: string,
+		private readonly texts: ReadonlyMap<string, string>,
+	) {}
+
+	/** Reads an example and writes it anew with ports that are free here. */
+	static async open(exampleFolder: string): Promise<DeploymentFiles> {
+		const names = readdirSync(exampleFolder);
+		const originals = names.map(name => readFileSync(join(exampleFolder, name), 'utf8'));
+		const ports = listPorts(originals);
+		const free = await findFreePorts(ports.length);
+		const map = new Map(ports.map((port, index) => [port, free[index] ?? port]));
+		const folder = mkdtempSync(join(tmpdir(), 'anvilroad-'));
+		const texts = new Map(names.map((name, index) => [name, applyPortMap(originals[index] ?? '', map)]));
+		for (const [name, text] of texts) {
+			writeFileSync(join(folder, name), text);
+		}
+		return new DeploymentFiles(folder, texts);
+	}
+
+	dispose(): void {
+		rmSync(this.folder, { recursive: true, force: true });
+	}
+
+	/** Names of the entries, which are those of their settings files. */
+	listEntryNames(): string[] {
+		return this.listNames(entryPrefix);
+	}
+
+	listStandinNames(): string[] {
+		return this.listNames(standinPrefix);
+	}
+
+	getSettingsPath(name: string): string {
+		return join(this.folder, `${name}${settingsSuffix}`);
+	}
+
+	readManifest(): Manifest {
+		return parseManifest(this.readText('manifest.json'))._unsafeUnwrap();
+	}
+
+	readInstances(): string {
+		return this.readText('instances.json');
+	}
+
+	readEntrySettings(name: string): EntrySettings {
+		return parseSettings(entrySettingsSchema, this.readText(`${name}${settingsSuffix}`))._unsafeUnwrap();
+	}
+
+	private listNames(prefix: string): string[] {
+		return [...this.texts.keys()]
+			.filter(name => name.startsWith(prefix) && name.endsWith(settingsSuffix))
+			.map(name => name.slice(0, -settingsSuffix.length));
+	}
+
+	private readText(name: string): string {
+		const text = this.texts.get(name);
+		if (text === undefined) {
+			throw new Error(`the deployment has no file ${name}`);
+		}
+		return text;
+	}
+}
