--- a/src/demo/node/standinAdmin.ts
+++ b/src/demo/common/standinAdmin.ts
@@ -3,8 +3,8 @@
  */
 
 import { z } from 'zod';
-import type { CallAnswer, ICaller } from '../common/caller';
-import { getText, parseJson } from '../common/caller';
+import type { CallAnswer, ICaller } from './caller';
+import { getText, parseJson } from './caller';
 
 const runsSchema = z.object({
 	services: z.array(
--- a/src/demo/node/deployment.ts
+++ b/src/demo/node/deployment.ts
@@ -11,8 +11,8 @@
 import type { DeploymentAddresses, EntryAddresses, LinkAddresses } from '../common/deploymentAddresses';
 import type { DeploymentFiles } from './deploymentFiles';
 import type { Fleet, StopReport } from './fleet';
-import { waitUntil } from './poll';
-import type { StandinAdmin } from './standinAdmin';
+import { waitUntil } from '../common/poll';
+import type { StandinAdmin } from '../common/standinAdmin';
 
 const readyLineSchema = z.object({
 	ready: z.literal(true),
