--- a/src/demo/common/report.ts
+++ b/src/demo/common/report.ts
@@ -13,14 +13,16 @@
 /** Renders a head and rows as columns of text. */
 export type TableRenderer = (head: readonly string[], rows: readonly (readonly string[])[]) => string;
 
-/** The rows of the table, in the order of the scenes. */
+/** The table in the order of the scenes; below it, what those that went wrong had to receive. */
 export function renderResults(results: readonly SceneResult[], renderTable: TableRenderer): string {
 	const rows = results.map(({ scene, observation }) => [
 		observation.isRight ? 'right' : 'WRONG',
 		scene.who,
 		scene.asks,
-		scene.expects,
 		observation.received,
 	]);
-	return renderTable(['', 'caller', 'asks', 'must receive', 'received'], rows);
+	const wrong = results
+		.filter(({ observation }) => !observation.isRight)
+		.map(({ scene }) => `WRONG: ${scene.who}, ${scene.asks}: must receive ${scene.expects}`);
+	return [renderTable(['', 'caller', 'asks', 'received'], rows), ...wrong].join('\n');
 }
--- a/src/demo/node/deploymentFiles.ts
+++ b/src/demo/node/deploymentFiles.ts
@@ -27,7 +27,7 @@
 
 	/** Reads an example and writes it anew with ports that are free here. */
 	static async open(exampleFolder: string): Promise<DeploymentFiles> {
-		const names = readdirSync(exampleFolder);
+		const names = readdirSync(exampleFolder).filter(name => /\.(ini|json)$/.test(name));
 		const originals = names.map(name => readFileSync(join(exampleFolder, name), 'utf8'));
 		const ports = listPorts(originals);
 		const free = await findFreePorts(ports.length);
--- a/src/demo/test/scenes.test.ts
+++ b/src/demo/test/scenes.test.ts
@@ -140,11 +140,11 @@
 });
 
 describe('renderResults', () => {
-	it('marks what is wrong', () => {
+	it('marks what is wrong and tells what it had to be', () => {
 		const scene = { who: 'a', asks: 'b', expects: 'c' };
 		const results = [true, false].map(isRight => ({ scene, observation: { isRight, received: 'd' } }));
 		const renderTable = (_: readonly string[], rows: readonly (readonly string[])[]): string =>
 			rows.map(row => row.join(' ')).join('\n');
-		expect(renderResults(results, renderTable)).toBe('right a b c d\nWRONG a b c d');
+		expect(renderResults(results, renderTable)).toBe('right a b d\nWRONG a b d\nWRONG: a, b: must receive c');
 	});
 });
