Bound comparisons as a whole

Cause: each part of a comparison was bounded, the number of rounds times their length was not as tightly.

--- a/src/load/node/commandOptions.ts
+++ b/src/load/node/commandOptions.ts
@@ -42,7 +42,7 @@
 	'entry-url': { type: 'string', describe: 'base URL of an entry' },
 	'entry-pid': { type: 'number', describe: 'its process id, for processor time' },
 	service: { type: 'string', demandOption: true, describe: 'the service that the entry knows the target by' },
-	rounds: { type: 'number', default: 6, describe: 'at most 30' },
+	rounds: { type: 'number', default: 6 },
 	'round-ms': { type: 'number', default: 2_000, describe: 'length of each part of a round' },
 	'warm-up-ms': { type: 'number', default: 2_000 },
 } as const;
--- a/src/load/node/loadCommand.ts
+++ b/src/load/node/loadCommand.ts
@@ -11,7 +11,7 @@
 import { exitCodeBadUsage } from '../../platform/settings/node/loadSettings';
 import type { Round } from '../common/comparison';
 import { createReport, renderReport, Way } from '../common/comparison';
-import { LoadMode, loopbackUrl } from '../common/loadOptions';
+import { LoadMode, longestRunMs, loopbackUrl } from '../common/loadOptions';
 import { renderSummary } from '../common/loadReport';
 import type { CompareArguments, PassThroughArguments, RunArguments } from './commandOptions';
 import {
@@ -28,7 +28,8 @@
 
 /** Exit code of a run in which a request failed or was refused. */
 const exitCodeFailed = 1;
-const mostRounds = 30;
+/** The longest comparison without its warm-up, in milliseconds. */
+const longestComparisonMs = 600_000;
 const servicePrefix = '/v1/services/';
 
 /**
@@ -94,8 +95,9 @@
 }
 
 async function compareWays(args: CompareArguments): Promise<void> {
-	if (!(args.rounds >= 1 && args.rounds <= mostRounds)) {
-		refuseUsage([`rounds: from 1 to ${mostRounds}`]);
+	const faults = listComparisonFaults(args);
+	if (faults.length > 0) {
+		refuseUsage(faults);
 	}
 	const ways = listWays(args);
 	const timers = new SystemTimerService();
@@ -112,6 +114,23 @@
 	process.exitCode = report.figures.some(line => line.failed > 0) ? exitCodeFailed : 0;
 }
 
+/** Each round has an open and a closed part for each of three ways. */
+const partsOfRound = 6;
+
+function listComparisonFaults(args: CompareArguments): string[] {
+	const isWhole = Number.isInteger(args.rounds) && args.rounds >= 1;
+	const totalMs = args.rounds * args['round-ms'] * partsOfRound;
+	return [
+		...(isWhole ? [] : ['rounds: a whole number from 1']),
+		...(totalMs <= longestComparisonMs
+			? []
+			: [`rounds, round-ms: more than ${longestComparisonMs} ms in all`]),
+		...(args['warm-up-ms'] >= 0 && args['warm-up-ms'] <= longestRunMs
+			? []
+			: [`warm-up-ms: from 0 to ${longestRunMs}`]),
+	];
+}
+
 function listWays(args: CompareArguments): ComparedWay[] {
 	const createWay = (way: Way, url: string | undefined, pid: number | undefined): ComparedWay[] => {
 		const isEntry = way === Way.Entry;
