Add anvilroadctl: status, entries, explain, trail, check manifest, check settings

Cause: people on call need one command line over the operators' ports, and the build pipeline needs the entries' own check of a manifest before it is published. Ruled out: waiting without a bound (a frozen entry still accepts connections); printing details as they came (terminal escapes); following the trail by time (two records can share a millisecond, clocks step back), so records are followed by sequence and boot. Change: pure rendering and the manifest diff in ctl/common, one class a command, yargs loaded when the program starts. The program is tested as a process, since jest's loader cannot take yargs, an ECMAScript module. Conclusion: exit codes are 0 fine, 1 not right or unreachable, 2 bad usage.

--- /dev/null
+++ b/src/ctl/common/renderExplain.ts
@@ -0,0 +1,26 @@
+/**
+ * `anvilroadctl explain`: what one entry decided on one request, a line for each step.
+ */
+
+import type { ExplainAnswer } from '../../platform/status/common/operatorsAnswers';
+import { formatText } from './formatting';
+import type { Column } from './table';
+import { renderTable } from './table';
+
+type ExplainStep = ExplainAnswer['steps'][number];
+
+const columns: readonly Column<ExplainStep>[] = [
+	{ heading: 'AFTER', render: row => `${row.sinceArrivalMs.toFixed(1)}ms`, isNumber: true },
+	{ heading: 'STEP', render: row => row.step },
+	{ heading: 'WHY', render: row => row.detail },
+];
+
+export function renderExplain(answer: ExplainAnswer): string[] {
+	const { id, instance, at, service, organisation, requestClass, steps } = answer;
+	return [
+		formatText(`request ${id} at ${instance}, arrived ${at}`),
+		formatText(`${service} for ${organisation}, class ${requestClass}`),
+		'',
+		...renderTable(columns, steps),
+	];
+}
--- /dev/null
+++ b/src/ctl/node/checkManifestCommand.ts
@@ -0,0 +1,128 @@
+/**
+ * `anvilroadctl check manifest`: the same check that every entry makes, and what the document would change
+ * against another file or the manifest in force at an entry.
+ */
+
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { DocumentFault, Manifest } from '../../platform/manifest/common/manifest';
+import { checkManifest, parseManifest } from '../../platform/manifest/common/manifest';
+import { ExitCode } from '../common/exitCode';
+import type { ManifestChange } from '../common/manifestDiff';
+import { compareManifests, renderManifestChange } from '../common/manifestDiff';
+import type { ICommand, ICommandOutput } from './command';
+import { renderClientFault, writeAnswer } from './command';
+import type { OperatorsClient } from './operatorsClient';
+import { readTextFile } from './textFile';
+
+export interface CheckManifestOptions {
+	readonly file: string;
+	/** A file or the URL of an operators' port. */
+	readonly against: string | undefined;
+	readonly isJson: boolean;
+}
+
+/** The manifest compared with, and what to call it. */
+interface Baseline {
+	readonly name: string;
+	readonly manifest: Manifest;
+}
+
+function formatDocumentFault(file: string, { place, problem }: DocumentFault): string {
+	return place === '' ? `${file}: ${problem}` : `${file}: ${place}: ${problem}`;
+}
+
+function countThings(manifest: Manifest): string {
+	const { services, targets, organisations, regions } = manifest;
+	return [
+		`${regions.length} regions`,
+		`${organisations.length} organisations`,
+		`${services.length} services`,
+		`${targets.length} targets`,
+	].join(', ');
+}
+
+export class CheckManifestCommand implements ICommand {
+	constructor(
+		private readonly client: OperatorsClient,
+		private readonly output: ICommandOutput,
+		private readonly options: CheckManifestOptions,
+	) {}
+
+	/** Not right where the document has faults or there is nothing to compare with; bad usage where unreadable. */
+	async run(): Promise<ExitCode> {
+		const { file, against } = this.options;
+		const text = readTextFile(file);
+		if (text.isErr()) {
+			this.output.writeError(text.error);
+			return ExitCode.BadUsage;
+		}
+		const parsed = parseManifest(text.value);
+		if (parsed.isErr()) {
+			this.writeFaults(parsed.error);
+			return ExitCode.NotRight;
+		}
+		return against === undefined ? this.endRight(parsed.value) : this.compare(parsed.value, against);
+	}
+
+	private async compare(manifest: Manifest, against: string): Promise<ExitCode> {
+		const baseline = await this.fetchBaseline(against);
+		if (baseline.isErr()) {
+			this.endRight(manifest);
+			this.output.writeError(baseline.error);
+			return ExitCode.NotRight;
+		}
+		return this.endRight(manifest, baseline.value);
+	}
+
+	private fetchBaseline(against: string): Promise<Result<Baseline, string>> {
+		return /^https?:\/\//.test(against)
+			? this.fetchManifestInForce(against.replace(/\/+$/, ''))
+			: Promise.resolve(this.readBaseline(against));
+	}
+
+	private readBaseline(file: string): Result<Baseline, string> {
+		return readTextFile(file).andThen(text =>
+			parseManifest(text)
+				.map(manifest => ({ name: file, manifest }))
+				.mapErr(() => `${file}: is no valid manifest; nothing to compare with`),
+		);
+	}
+
+	private async fetchManifestInForce(entry: string): Promise<Result<Baseline, string>> {
+		const fetched = await this.client.fetchManifest(entry);
+		if (fetched.isErr()) {
+			return err(renderClientFault(entry, fetched.error));
+		}
+		const { version, document } = fetched.value.value;
+		const checked = checkManifest(document);
+		return checked.isOk()
+			? ok({ name: `manifest ${version} in force at ${entry}`, manifest: checked.value })
+			: err(`${entry}: the manifest in force is not one that this program knows; compare versions`);
+	}
+
+	private writeFaults(faults: readonly DocumentFault[]): void {
+		const { file, isJson } = this.options;
+		writeAnswer(this.output, isJson, { file, isRight: false, faults }, () =>
+			faults.map(fault => formatDocumentFault(file, fault)),
+		);
+	}
+
+	private endRight(manifest: Manifest, baseline?: Baseline): ExitCode {
+		const { file, isJson } = this.options;
+		const changes = baseline && compareManifests(baseline.manifest, manifest);
+		writeAnswer(this.output, isJson, { file, isRight: true, against: baseline?.name, changes }, () => [
+			`${file}: right (${countThings(manifest)})`,
+			...(baseline && changes ? this.renderChanges(baseline, changes) : []),
+		]);
+		return ExitCode.Fine;
+	}
+
+	private renderChanges(baseline: Baseline, changes: readonly ManifestChange[]): string[] {
+		const heading =
+			changes.length === 0
+				? `no change against ${baseline.name}`
+				: `${changes.length} changes against ${baseline.name}:`;
+		return [heading, ...changes.map(renderManifestChange)];
+	}
+}
--- /dev/null
+++ b/src/ctl/node/checkSettingsCommand.ts
@@ -0,0 +1,57 @@
+/**
+ * `anvilroadctl check settings`: the same check that the program makes when it starts.
+ */
+
+import type { z } from 'zod';
+import { entrySettingsSchema } from '../../platform/settings/common/entrySettings';
+import { formatSettingsFault, parseSettings } from '../../platform/settings/common/settings';
+import { ExitCode } from '../common/exitCode';
+import type { ICommand, ICommandOutput } from './command';
+import { writeAnswer } from './command';
+import { readTextFile } from './textFile';
+
+/** Programs whose settings can be checked. */
+export enum SettingsProgram {
+	Entry = 'entry',
+}
+
+const schemas: Readonly<Record<SettingsProgram, z.ZodType>> = {
+	[SettingsProgram.Entry]: entrySettingsSchema,
+};
+
+export interface CheckSettingsOptions {
+	readonly file: string;
+	readonly program: SettingsProgram;
+	readonly isJson: boolean;
+}
+
+export class CheckSettingsCommand implements ICommand {
+	constructor(
+		private readonly output: ICommandOutput,
+		private readonly options: CheckSettingsOptions,
+	) {}
+
+	/** Not right where the file has faults; bad usage where it cannot be read. */
+	run(): Promise<ExitCode> {
+		return Promise.resolve(this.check());
+	}
+
+	private check(): ExitCode {
+		const { file, program, isJson } = this.options;
+		const text = readTextFile(file);
+		if (text.isErr()) {
+			this.output.writeError(text.error);
+			return ExitCode.BadUsage;
+		}
+		const faults = parseSettings(schemas[program], text.value).match(
+			() => [],
+			found => found.map(formatSettingsFault),
+		);
+		writeAnswer(this.output, isJson, { file, program, isRight: faults.length === 0, faults }, () =>
+			faults.length === 0
+				? [`${file}: right for anvilroad-${program}`]
+				: faults.map(fault => `${file}: ${fault}`),
+		);
+		return faults.length === 0 ? ExitCode.Fine : ExitCode.NotRight;
+	}
+}
--- /dev/null
+++ b/src/ctl/node/entriesCommand.ts
@@ -0,0 +1,47 @@
+/**
+ * `anvilroadctl entries`: the fleet, a line for each entry.
+ */
+
+import { ExitCode } from '../common/exitCode';
+import { findManifestDifferences, renderEntries } from '../common/renderEntries';
+import type { EntryStatus } from '../../platform/status/common/entryStatus';
+import type { CommonOptions, ICommand, ICommandOutput } from './command';
+import { renderClientFault, writeAnswer } from './command';
+import type { Fetched, OperatorsClient } from './operatorsClient';
+
+export class EntriesCommand implements ICommand {
+	constructor(
+		private readonly client: OperatorsClient,
+		private readonly output: ICommandOutput,
+		private readonly options: CommonOptions,
+	) {}
+
+	/** Not right where an asked entry cannot be reached or is not ready, or manifests differ. */
+	async run(): Promise<ExitCode> {
+		const fetched = await Promise.all(this.options.entries.map(entry => this.fetchFrom(entry)));
+		const found = fetched.filter(one => one !== undefined);
+		const statuses = found.map(one => one.value);
+		if (found.length > 0) {
+			writeAnswer(
+				this.output,
+				this.options.isJson,
+				{ entries: found.map(one => one.raw), differences: findManifestDifferences(statuses) },
+				() => renderEntries(statuses),
+			);
+		}
+		const isRight =
+			found.length === fetched.length &&
+			statuses.every(status => status.readiness.isReady) &&
+			findManifestDifferences(statuses).length === 0;
+		return isRight ? ExitCode.Fine : ExitCode.NotRight;
+	}
+
+	private async fetchFrom(entry: string): Promise<Fetched<EntryStatus> | undefined> {
+		const fetched = await this.client.fetchStatus(entry);
+		if (fetched.isErr()) {
+			this.output.writeError(renderClientFault(entry, fetched.error));
+			return undefined;
+		}
+		return fetched.value;
+	}
+}
--- /dev/null
+++ b/src/ctl/node/program.ts
@@ -0,0 +1,237 @@
+/**
+ * The command line of `anvilroadctl`: options, help and which command runs. yargs is an ECMAScript module
+ * and therefore loaded when the program starts rather than required.
+ */
+
+import type { Argv } from 'yargs';
+import type { ITimerService } from '../../base/common/timerService';
+import { ExitCode } from '../common/exitCode';
+import { CheckManifestCommand } from './checkManifestCommand';
+import { CheckSettingsCommand, SettingsProgram } from './checkSettingsCommand';
+import type { CommonOptions, ICommand, ICommandOutput } from './command';
+import { EntriesCommand } from './entriesCommand';
+import { ExplainCommand } from './explainCommand';
+import { OperatorsClient } from './operatorsClient';
+import { StatusCommand } from './statusCommand';
+import { TrailCommand } from './trailCommand';
+
+/** What the program needs of the process that it runs in. */
+export interface ProgramHost {
+	readonly timerService: ITimerService;
+	readonly output: ICommandOutput;
+	/** The environment; `ANVILROAD_ENTRY` is read. */
+	readonly environment: Readonly<Record<string, string | undefined>>;
+	readonly version: string;
+	/** Aborted at SIGINT. */
+	readonly stop: AbortSignal;
+}
+
+const defaultTimeoutMs = 3_000;
+const mostTimeoutMs = 600_000;
+const defaultTrailRecords = 50;
+const mostTrailRecords = 10_000;
+
+/** A command line that cannot be run; its message is for the person who wrote it. */
+class UsageError extends Error {}
+
+/** The same option as yargs names it in camel case. */
+interface ClientArguments {
+	readonly timeoutMs: number;
+}
+
+interface CommonArguments {
+	readonly entry: readonly string[] | undefined;
+	readonly json: boolean;
+	readonly 'timeout-ms': number;
+}
+
+/** Runs one command line. */
+export class Program {
+	constructor(private readonly host: ProgramHost) {}
+
+	/** Parses, runs the command and gives the exit code; never throws for a fault of the command line. */
+	async run(args: readonly string[]): Promise<ExitCode> {
+		try {
+			return await this.runCommand(args);
+		} catch (error) {
+			if (!(error instanceof UsageError)) {
+				throw error;
+			}
+			this.host.output.writeError(`anvilroadctl: ${error.message}`);
+			this.host.output.writeError("Try 'anvilroadctl --help'.");
+			return ExitCode.BadUsage;
+		}
+	}
+
+	private async runCommand(args: readonly string[]): Promise<ExitCode> {
+		const { default: createParser } = await import('yargs');
+		let exitCode = ExitCode.Fine;
+		const parser = this.addCommands(this.addCommonOptions(createParser([])), async (common, create) => {
+			exitCode = await this.runWithClient(common, create);
+		});
+		let help = '';
+		await parser.parseAsync([...args], {}, (_error, _arguments, output) => {
+			help = output;
+		});
+		if (help !== '') {
+			this.host.output.write(help);
+		}
+		return exitCode;
+	}
+
+	private async runWithClient(
+		{ timeoutMs }: ClientArguments,
+		create: (client: OperatorsClient) => ICommand,
+	): Promise<ExitCode> {
+		const longestMs = checkCount('--timeout-ms', timeoutMs, mostTimeoutMs);
+		const client = new OperatorsClient(this.host.timerService, longestMs);
+		try {
+			return await create(client).run();
+		} finally {
+			client.dispose();
+		}
+	}
+
+	private addCommonOptions(parser: Argv): Argv<CommonArguments> {
+		return parser
+			.scriptName('anvilroadctl')
+			.usage('$0 <command>\n\nReads entries and checks manifests and settings; it changes nothing.')
+			.option('entry', {
+				type: 'string',
+				array: true,
+				nargs: 1,
+				requiresArg: true,
+				describe: "URL of an entry's operators' port; repeatable [ANVILROAD_ENTRY, separated by commas]",
+			})
+			.option('json', { type: 'boolean', default: false, describe: 'Print JSON, one document a line' })
+			.option('timeout-ms', {
+				type: 'number',
+				default: defaultTimeoutMs,
+				describe: 'Longest wait for one answer',
+			})
+			.version(this.host.version)
+			.help()
+			.strict()
+			.demandCommand(1, 'name a command')
+			.recommendCommands()
+			.epilogue('Exit codes: 0 fine; 1 not right or not reachable; 2 bad usage.')
+			.exitProcess(false)
+			.fail((message: string | null, error: Error | undefined) => {
+				throw error instanceof UsageError ? error : new UsageError(message ?? String(error));
+			});
+	}
+
+	private addCommands(parser: Argv<CommonArguments>, run: RunCommand): Argv<CommonArguments> {
+		const { output, timerService, stop } = this.host;
+		return parser
+			.command(
+				'status',
+				"An entry's view of itself, its targets and its peers",
+				command =>
+					command.option('all', { type: 'boolean', default: false, describe: 'Show long tables whole' }),
+				args =>
+					run(args, client => {
+						return new StatusCommand(client, output, { ...this.readCommon(args), isWhole: args.all });
+					}),
+			)
+			.command(
+				'entries',
+				'The fleet, a line for each entry',
+				command => command,
+				args => run(args, client => new EntriesCommand(client, output, this.readCommon(args))),
+			)
+			.command(
+				'explain <request-id>',
+				'What became of a request, step by step',
+				command => command.positional('request-id', { type: 'string', demandOption: true }),
+				args =>
+					run(args, client => {
+						const options = { ...this.readCommon(args), requestId: args.requestId };
+						return new ExplainCommand(client, output, options);
+					}),
+			)
+			.command(
+				'trail',
+				'The audit trail of changes',
+				command =>
+					command
+						.option('most', {
+							type: 'number',
+							default: defaultTrailRecords,
+							describe: 'Newest records shown',
+						})
+						.option('follow', { type: 'boolean', default: false, describe: 'Go on until interrupted' }),
+				args =>
+					run(args, client => {
+						const options = {
+							...this.readCommon(args),
+							most: checkCount('--most', args.most, mostTrailRecords),
+							isFollowing: args.follow,
+						};
+						return new TrailCommand(client, timerService, output, options, stop);
+					}),
+			)
+			.command('check', 'Check a manifest or settings', command => this.addChecks(command, run));
+	}
+
+	private addChecks(parser: Argv<CommonArguments>, run: RunCommand): Argv<CommonArguments> {
+		const { output } = this.host;
+		return parser
+			.demandCommand(1, 'name what to check: manifest or settings')
+			.command(
+				'manifest <file>',
+				'Check a manifest as entries do (- reads standard input)',
+				command =>
+					command.positional('file', { type: 'string', demandOption: true }).option('against', {
+						type: 'string',
+						requiresArg: true,
+						describe: "Show the changes against a file or an operators' port's URL",
+					}),
+				args =>
+					run(args, client => {
+						const { file, against, json } = args;
+						return new CheckManifestCommand(client, output, { file, against, isJson: json });
+					}),
+			)
+			.command(
+				'settings <file>',
+				'Check a settings file as the program does (- reads standard input)',
+				command =>
+					command.positional('file', { type: 'string', demandOption: true }).option('program', {
+						choices: Object.values(SettingsProgram),
+						default: SettingsProgram.Entry,
+						describe: 'The program that the file is for',
+					}),
+				args =>
+					run(args, () => {
+						const { file, program, json } = args;
+						return new CheckSettingsCommand(output, { file, program, isJson: json });
+					}),
+			);
+	}
+
+	private readCommon(args: CommonArguments): CommonOptions {
+		const fromEnvironment = (this.host.environment.ANVILROAD_ENTRY ?? '').split(',');
+		const named = (args.entry ?? fromEnvironment).map(entry => entry.trim()).filter(entry => entry !== '');
+		if (named.length === 0) {
+			throw new UsageError("name an entry's operators' port with --entry URL or ANVILROAD_ENTRY");
+		}
+		return { entries: [...new Set(named.map(checkEntryUrl))], isJson: args.json };
+	}
+}
+
+type RunCommand = (common: ClientArguments, create: (client: OperatorsClient) => ICommand) => Promise<void>;
+
+function checkCount(option: string, value: number, most: number): number {
+	if (!Number.isInteger(value) || value < 1 || value > most) {
+		throw new UsageError(`${option} is a whole number from 1 to ${most}`);
+	}
+	return value;
+}
+
+function checkEntryUrl(text: string): string {
+	if (!URL.canParse(text) || !/^https?:$/.test(new URL(text).protocol)) {
+		throw new UsageError(`--entry ${text} is not a URL such as http://127.0.0.1:7201`);
+	}
+	return text.replace(/\/+$/, '');
+}
--- /dev/null
+++ b/src/ctl/test/compiledSources.ts
@@ -0,0 +1,37 @@
+/**
+ * Compiles the sources for tests that run a program as a process. yargs is an ECMAScript module, which
+ * jest's own loader cannot take; a process of its own loads it as an operator's shell would.
+ */
+
+import { transformFileSync } from '@swc/core';
+import { copyFileSync, mkdirSync, mkdtempSync, readdirSync, writeFileSync } from 'node:fs';
+import { dirname, join, relative, resolve } from 'node:path';
+
+const root = resolve(__dirname, '../../..');
+const cache = join(root, 'node_modules/.cache');
+const options = {
+	jsc: { parser: { syntax: 'typescript' }, target: 'es2023' },
+	module: { type: 'commonjs', ignoreDynamic: true },
+	swcrc: false,
+} as const;
+
+/** Compiles all sources of the given folders below `src`, and gives the folder that `src` came to. */
+export function buildSources(folders: readonly string[]): string {
+	mkdirSync(cache, { recursive: true });
+	const output = mkdtempSync(join(cache, 'anvilroad-test-'));
+	copyFileSync(join(root, 'package.json'), join(output, 'package.json'));
+	for (const folder of folders) {
+		for (const file of readdirSync(join(root, 'src', folder), { recursive: true, encoding: 'utf8' })) {
+			const source = join(root, 'src', folder, file);
+			if (file.endsWith('.ts') && !file.split('/').includes('test')) {
+				buildSource(source, join(output, relative(root, source)).replace(/\.ts$/, '.js'));
+			}
+		}
+	}
+	return output;
+}
+
+function buildSource(source: string, target: string): void {
+	mkdirSync(dirname(target), { recursive: true });
+	writeFileSync(target, transformFileSync(source, options).code);
+}
