Hide secrets in settings faults and show booleans as they stand

Cause: a fault of [tickets] key printed the key itself, to logs and to the output of build pipelines; whoever reads it can sign tickets. A value of true was told as missing, since the INI library makes a boolean of it. Ruled out: dropping the value of every fault, which operators need. Change: of a secret only its length is told, also under a misspelt name. Conclusion: faults can be logged.

--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -13,12 +13,21 @@
 export interface SettingsFault {
 	readonly section: string;
 	readonly key: string;
-	/** The value as it stands in the file, or undefined where it is missing. */
+	/** The value as it stands in the file, undefined where it is missing; of a secret only its length. */
 	readonly value: string | undefined;
 	/** What is allowed. */
 	readonly allowed: string;
 }
 
+/**
+ * Keys whose values are secrets. Faults go to logs and to the output of build pipelines, which many people
+ * read; a ticket key found there lets its reader sign tickets.
+ */
+const secretKeys: ReadonlySet<string> = new Set(['key', 'previous_key']);
+
+/** Sections where a misspelt key is taken for a secret. */
+const secretSections: ReadonlySet<string> = new Set(['tickets']);
+
 /** Reads and checks the text of a settings file. */
 export function parseSettings<TSchema extends z.ZodType>(
 	schema: TSchema,
@@ -45,11 +54,12 @@
 		return issue.keys.map(unknownKey => ({
 			section: section === '' ? unknownKey : section,
 			key: section === '' ? '' : unknownKey,
-			value: findValue(document, [...issue.path, unknownKey]),
+			value: formatValue(findValue(document, [...issue.path, unknownKey]), secretSections.has(section)),
 			allowed: section === '' ? 'no such section' : 'no such key in this section',
 		}));
 	}
-	return [{ section, key, value: findValue(document, issue.path), allowed: issue.message }];
+	const value = formatValue(findValue(document, issue.path), secretKeys.has(key));
+	return [{ section, key, value, allowed: issue.message }];
 }
 
 function findValue(document: unknown, path: readonly PropertyKey[]): string | undefined {
@@ -58,5 +68,10 @@
 		value =
 			typeof value === 'object' && value !== null ? (value as Record<PropertyKey, unknown>)[part] : undefined;
 	}
-	return typeof value === 'string' ? value : undefined;
+	// The INI library reads the words true and false as booleans; the fault must show them all the same.
+	return typeof value === 'string' || typeof value === 'boolean' ? String(value) : undefined;
+}
+
+function formatValue(value: string | undefined, isSecret: boolean): string | undefined {
+	return value !== undefined && isSecret ? `(hidden, ${value.length} characters)` : value;
 }
