--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -52,7 +52,9 @@
 	// An operator mistypes the ticket key's name or cuts its value short, and the fault goes to a log that
 	// many can read. With the value in it, each of them could sign tickets.
 	it('never shows the value of a secret', () => {
-		const text = createText({ 'key = a-key-that-is-long-enough': 'key = short-secret\npreviuos_key = pst-the-old-secret' });
+		const text = createText({
+			'key = a-key-that-is-long-enough': 'key = short-secret\npreviuos_key = pst-the-old-secret',
+		});
 		const faults = parseSettings(entrySettingsSchema, text)._unsafeUnwrapErr();
 		expect(faults.map(fault => fault.key)).toEqual(['key', 'previuos_key']);
 		expect(JSON.stringify(faults)).not.toMatch(/secret/);
