--- a/src/bench/common/scenarios/scenarios.ts
+++ b/src/bench/common/scenarios/scenarios.ts
@@ -3,6 +3,20 @@
  */
 
 import type { Scenario } from '../scenario';
+import { herdingScenarios } from './herding';
+import { hotCaller } from './hotCaller';
+import { longAmongShort } from './longAmongShort';
+import { outageScenarios } from './outage';
 import { overloadScenarios } from './overload';
+import { prefixScenarios } from './prefixes';
+import { slowTargetScenarios } from './slowTarget';
 
-export const scenarios: readonly Scenario[] = [...overloadScenarios];
+export const scenarios: readonly Scenario[] = [
+	...overloadScenarios,
+	longAmongShort,
+	hotCaller,
+	...prefixScenarios,
+	...slowTargetScenarios,
+	...herdingScenarios,
+	...outageScenarios,
+];
--- a/src/entry/common/scheduling/attemptObserver.ts
+++ b/src/entry/common/scheduling/attemptObserver.ts
@@ -28,7 +28,7 @@
 		lane.running++;
 		use.running++;
 		use.runningReserved += lane.policy.reservedShare > 0 ? 1 : 0;
-		this.pool.noteStart(use, nowMs);
+		this.pool.noteStart(use, attempt.expectedMs, nowMs);
 		if (attempt.isTrial) {
 			this.pool.speed.beginTrial(id, nowMs);
 		}
--- a/src/entry/common/scheduling/classLanes.ts
+++ b/src/entry/common/scheduling/classLanes.ts
@@ -15,6 +15,8 @@
 /** Times in which the means of running requests follow 63% of a change, in milliseconds. */
 const shortMs = 1_000;
 const longMs = 20_000;
+/** Square roots of the mean demand of the more urgent classes that are kept free beside it. */
+const demandDeviations = 2;
 
 /** The queue of one class and what of the class runs. */
 export class ClassLane {
@@ -22,8 +24,11 @@
 	/** Attempts that run now. */
 	running = 0;
 	/** Means of `running` over the last second and the last twenty. */
-	shortMean = 0;
-	longMean = 0;
+	private shortRunning = 0;
+	private longRunning = 0;
+	/** The same of all that runs or waits. */
+	private shortDemand = 0;
+	private longDemand = 0;
 	/** Work served, divided by the weight of the class. */
 	tag = 0;
 
@@ -34,7 +39,21 @@
 
 	/** Requests of the class that run at a time; the greater mean, so that a lull is not taken for the rule. */
 	get meanRunning(): number {
-		return Math.max(this.shortMean, this.longMean);
+		return Math.max(this.shortRunning, this.longRunning);
+	}
+
+	/** Requests that run or wait, likewise. */
+	get meanDemand(): number {
+		return Math.max(this.shortDemand, this.longDemand);
+	}
+
+	/** Follows the means. */
+	updateMeans(shortWeight: number, longWeight: number): void {
+		const demand = this.running + this.queue.size;
+		this.shortRunning += shortWeight * (this.running - this.shortRunning);
+		this.longRunning += longWeight * (this.running - this.longRunning);
+		this.shortDemand += shortWeight * (demand - this.shortDemand);
+		this.longDemand += longWeight * (demand - this.longDemand);
 	}
 }
 
@@ -86,6 +105,28 @@
 		return best;
 	}
 
+	/**
+	 * Slots of `totalSlots` that a lane may hold at a time. A lane with a reserve leaves free what the more
+	 * urgent ones need: their mean demand and twice its square root, which a demand of independent callers
+	 * exceeds one time in forty; no less than the reserve, and no more than the weights leave over.
+	 */
+	computeOpenSlots(lane: ClassLane, totalSlots: number): number {
+		const { weight, reservedShare } = lane.policy;
+		if (reservedShare === 0) {
+			return totalSlots;
+		}
+		let needed = 0;
+		let weights = weight;
+		for (const other of this.lanes) {
+			if (other.policy.weight > weight) {
+				needed += other.meanDemand;
+				weights += other.policy.weight;
+			}
+		}
+		const reserve = Math.max(totalSlots * reservedShare, needed + demandDeviations * Math.sqrt(needed));
+		return Math.max(1, (totalSlots * weight) / weights, totalSlots - reserve);
+	}
+
 	/** Charges a lane for work that it has been served. */
 	noteServed(lane: ClassLane, workMs: number): void {
 		this.virtualTime = Math.max(this.virtualTime, lane.tag);
@@ -104,8 +145,7 @@
 		const shortWeight = 1 - Math.exp(-elapsedMs / shortMs);
 		const longWeight = 1 - Math.exp(-elapsedMs / longMs);
 		for (const lane of this.lanes) {
-			lane.shortMean += shortWeight * (lane.running - lane.shortMean);
-			lane.longMean += longWeight * (lane.running - lane.longMean);
+			lane.updateMeans(shortWeight, longWeight);
 		}
 	}
 }
--- a/src/entry/common/scheduling/comeBackPlan.ts
+++ b/src/entry/common/scheduling/comeBackPlan.ts
@@ -12,6 +12,16 @@
 import type { OrganisationName } from '../../../platform/ids/common/ids';
 import type { ComeBackPolicy } from './policy';
 
+/** Time between two counts of the organisations whose callers are to return, in milliseconds. */
+const recountMs = 100;
+
+/** The callers of one organisation that are to return. */
+interface ReturnLine {
+	readonly weight: number;
+	/** Up to when they fill the organisation's part, in monotonic milliseconds. */
+	filledUntilMs: number;
+}
+
 /** What a refusal is planned by. */
 export interface ComeBackQuestion {
 	readonly organisation: OrganisationName;
@@ -19,14 +29,16 @@
 	readonly waitMs: number;
 	/** Its estimated work, in milliseconds of a slot. */
 	readonly workMs: number;
-	/** Slots that serve the organisation when it takes its fair part. */
-	readonly fairSlots: number;
+	readonly weight: number;
+	/** Slots that serve the class. */
+	readonly slots: number;
 }
 
 /** Plans the return of one service's refused callers. */
 export class ComeBackPlan {
-	/** Up to when the returning callers of an organisation fill their part, in monotonic milliseconds. */
-	private readonly filledUntilMs = new Map<OrganisationName, number>();
+	private readonly lines = new Map<OrganisationName, ReturnLine>();
+	private returningWeight = 0;
+	private countedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		private readonly policy: ComeBackPolicy,
@@ -37,13 +49,39 @@
 	plan(question: ComeBackQuestion, nowMs: number): number {
 		const { leastMs, mostMs, capacityShare } = this.policy;
 		const earliestMs = nowMs + Math.max(leastMs, question.waitMs);
-		const takesMs = question.workMs / Math.max(Number.EPSILON, question.fairSlots * capacityShare);
-		const placeMs = Math.max(earliestMs, this.filledUntilMs.get(question.organisation) ?? 0);
-		const latestMs = nowMs + mostMs;
-		this.filledUntilMs.set(question.organisation, Math.min(latestMs, placeMs + takesMs));
+		const line = this.getLine(question, nowMs);
+		const fairShare = question.weight / Math.max(question.weight, this.returningWeight);
+		const takesMs = question.workMs / (question.slots * capacityShare * fairShare);
+		const placeMs = Math.max(earliestMs, line.filledUntilMs);
+		line.filledUntilMs = Math.min(nowMs + mostMs, placeMs + takesMs);
 		return this.addJitter(Math.min(mostMs, placeMs - nowMs));
 	}
 
+	private getLine({ organisation, weight }: ComeBackQuestion, nowMs: number): ReturnLine {
+		let line = this.lines.get(organisation);
+		if (line === undefined || line.filledUntilMs <= nowMs) {
+			line = { weight, filledUntilMs: nowMs };
+			this.lines.set(organisation, line);
+			this.returningWeight += weight;
+		}
+		if (nowMs - this.countedMs >= recountMs) {
+			this.clearEmptyLines(nowMs);
+		}
+		return line;
+	}
+
+	private clearEmptyLines(nowMs: number): void {
+		this.countedMs = nowMs;
+		this.returningWeight = 0;
+		for (const [organisation, line] of this.lines) {
+			if (line.filledUntilMs < nowMs) {
+				this.lines.delete(organisation);
+			} else {
+				this.returningWeight += line.weight;
+			}
+		}
+	}
+
 	/** Adds to a short time and takes from the longest one, so that the bound holds and still spreads. */
 	private addJitter(delayMs: number): number {
 		const { mostMs, jitterShare } = this.policy;
--- /dev/null
+++ b/src/entry/common/scheduling/fadingSum.ts
@@ -0,0 +1,22 @@
+/**
+ * A sum whose parts lose weight as they age, so that it tells the load of late without keeping a history.
+ */
+
+export class FadingSum {
+	private sum = 0;
+	private atMs = 0;
+
+	constructor(
+		/** Time in which a part loses 63% of its weight, in milliseconds. */
+		private readonly fadeMs: number,
+	) {}
+
+	add(amount: number, nowMs: number): void {
+		this.sum = this.getValue(nowMs) + amount;
+		this.atMs = nowMs;
+	}
+
+	getValue(nowMs: number): number {
+		return this.sum * Math.exp((this.atMs - nowMs) / this.fadeMs);
+	}
+}
--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -52,22 +52,34 @@
 	readonly decreasePauseMs: number;
 	/** Share of the nominal limit given back a second. */
 	readonly increasePerSecond: number;
+	/** Square roots of this entry's share of a target that short requests may use beyond it. */
+	readonly borrowDeviations: number;
+	/** Part of the borrowing given back a second. */
+	readonly borrowingPerSecond: number;
 	/** Part of a target's slots that wait in its own queue before this is taken as overload. */
 	readonly waitingShare: number;
 }
 
 /** Figures of the choice between targets. */
 export interface ChoicePolicy {
-	/** A target takes requests for their prefix up to this multiple of the mean load. */
+	/**
+	 * A target takes requests for their prefix up to this multiple of the mean load. Below the 1.25 that no
+	 * target should exceed, since work is counted as estimated and each entry sees only its own.
+	 */
 	readonly boundedLoad: number;
 	/** How many targets of a prefix's ranking are asked before load alone decides. */
 	readonly affinityDepth: number;
-	/** Load, as a part of a target's limit, up to which the bound does not count: nobody waits there. */
-	readonly freeLoad: number;
+	/** Time in which work that was sent to a target loses 63% of its weight in that load, in milliseconds. */
+	readonly loadFadeMs: number;
+	/** Requests beyond the bound that a target takes: the first ones after a lull are no load. */
+	readonly freeRequests: number;
 	/** Cost of another availability zone, as a share of a full target. */
 	readonly otherZoneCost: number;
-	/** Time in which a report of load loses 63% of its weight, in milliseconds. */
-	readonly reportFadeMs: number;
+	/**
+	 * Mean runs in which a report of load loses 63% of its weight. What ran when the report was made has
+	 * ended after about one: for independent callers the correlation of the two loads is e^(-age / run).
+	 */
+	readonly reportFadeRuns: number;
 }
 
 /** Figures of the comparison of targets with their peers. */
@@ -136,14 +148,17 @@
 		decrease: 0.8,
 		decreasePauseMs: 1_000,
 		increasePerSecond: 0.05,
-		waitingShare: 0.25,
+		borrowDeviations: 2,
+		borrowingPerSecond: 0.2,
+		waitingShare: 0.5,
 	},
 	choice: {
-		boundedLoad: 1.25,
+		boundedLoad: 1.15,
 		affinityDepth: 3,
-		freeLoad: 0.25,
+		loadFadeMs: 10_000,
+		freeRequests: 2,
 		otherZoneCost: 0.1,
-		reportFadeMs: 2_000,
+		reportFadeRuns: 1,
 	},
 	speed: {
 		observationWeight: 0.1,
@@ -156,6 +171,6 @@
 		trialPauseMs: 2_000,
 		overdueFactor: 4,
 	},
-	pause: { firstMs: 250, longestMs: 8_000, downAfter: 3 },
+	pause: { firstMs: 250, longestMs: 2_000, downAfter: 3 },
 	retry: { budgetShare: 0.1, budgetMost: 10, mostAttempts: 3 },
 };
--- a/src/entry/common/scheduling/refusals.ts
+++ b/src/entry/common/scheduling/refusals.ts
@@ -48,7 +48,8 @@
 				organisation,
 				waitMs: this.predictor.estimateWait(lane, organisation, weight, patienceMs),
 				workMs: this.estimator.estimate(organisation, requestClass),
-				fairSlots: (slots * weight) / Math.max(weight, lane.queue.waitingWeight),
+				weight,
+				slots,
 			},
 			nowMs,
 		);
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -205,7 +205,7 @@
 
 	private startWaiting(nowMs: number): void {
 		for (;;) {
-			const lane = this.lanes.pickLane(candidate => this.chooser.hasFree(candidate.policy, nowMs));
+			const lane = this.lanes.pickLane(candidate => this.isServable(candidate, nowMs));
 			const held = lane === undefined ? undefined : this.takeFrom(lane);
 			if (lane === undefined || held === undefined) {
 				return;
@@ -223,6 +223,11 @@
 		}
 	}
 
+	private isServable(lane: ClassLane, nowMs: number): boolean {
+		const openSlots = this.lanes.computeOpenSlots(lane, this.pool.totalSlots);
+		return lane.running < openSlots && this.chooser.hasFree(lane.policy, nowMs);
+	}
+
 	private takeFrom(lane: ClassLane): HeldRequest | undefined {
 		const queued = lane.queue.take();
 		const held = queued === undefined ? undefined : this.held.get(queued.request.id);
@@ -269,7 +274,7 @@
 				this.observer.noteOverdue(held.running, nowMs);
 			}
 		}
-		this.pool.update(elapsedMs);
+		this.pool.update(elapsedMs, this.predictor.estimateMeanRun());
 		this.checkWaiting(nowMs);
 	}
 
--- a/src/entry/common/scheduling/targetChoice.ts
+++ b/src/entry/common/scheduling/targetChoice.ts
@@ -65,8 +65,7 @@
 		if (use.isPaused(nowMs) || this.pool.speed.isAvoided(target.id)) {
 			return false;
 		}
-		const slowedLimit = use.limit / this.pool.speed.getSlowness(target.id);
-		return use.hasRoom(classPolicy.reservedShare) && use.running < slowedLimit;
+		return use.hasRoom(classPolicy.reservedShare, this.pool.speed.getSlowness(target.id));
 	}
 
 	private isUsable(target: PooledTarget, question: ChoiceQuestion, nowMs: number): boolean {
@@ -96,25 +95,19 @@
 		}
 		const near = this.pool.nearTargets;
 		const ranked = findBestRanked(near, prefixKey, this.policy.affinityDepth);
-		const boundedLoad = this.computeLoadBound(near);
 		for (const [place, target] of ranked.entries()) {
-			const isWithin = (target.use.running + 1) / target.use.limit <= boundedLoad;
-			if (isWithin && this.isUsable(target, question, nowMs)) {
+			if (this.isWithinBound(target, question, nowMs) && this.isUsable(target, question, nowMs)) {
 				return { target, reason: `place ${place + 1} for its prefix`, isTrial: false };
 			}
 		}
 		return undefined;
 	}
 
-	/** Most load, as a part of the limit, at which a target takes requests for their prefix. */
-	private computeLoadBound(targets: readonly PooledTarget[]): number {
-		let running = 1;
-		let limit = 0;
-		for (const { use } of targets) {
-			running += use.running;
-			limit += use.limit;
-		}
-		return Math.max(this.policy.freeLoad, (running / limit) * this.policy.boundedLoad);
+	/** Whether the work sent to a target of late is within a multiple of its part of all work sent. */
+	private isWithinBound({ use }: PooledTarget, { expectedMs }: ChoiceQuestion, nowMs: number): boolean {
+		const { boundedLoad, freeRequests } = this.policy;
+		const part = this.pool.recentWork.getValue(nowMs) * (use.limit / this.pool.totalSlots);
+		return use.recentWork.getValue(nowMs) <= boundedLoad * part + freeRequests * expectedMs;
 	}
 
 	private chooseByLoad(question: ChoiceQuestion, nowMs: number): TargetChoice | undefined {
--- a/src/entry/common/scheduling/targetPool.ts
+++ b/src/entry/common/scheduling/targetPool.ts
@@ -9,6 +9,7 @@
 
 import type { IRandom } from '../../../base/common/random';
 import type { TargetId } from '../../../platform/ids/common/ids';
+import { FadingSum } from './fadingSum';
 import type { SchedulingPolicy } from './policy';
 import type { RankedTarget } from './prefixRanking';
 import { computeTextHash } from './prefixRanking';
@@ -24,16 +25,20 @@
 /** Holds the targets of one service at one entry. */
 export class TargetPool {
 	readonly speed: TargetSpeed;
+	/** Work sent to all targets of late. */
+	readonly recentWork: FadingSum;
 	private readonly byId = new Map<TargetId, PooledTarget>();
 	private inUse: readonly PooledTarget[] = [];
 	private near: readonly PooledTarget[] = [];
 	private slots = 0;
+	private reportFadeMs = 1;
 	private neutralOthers: number | undefined;
 
 	constructor(
 		private readonly policy: SchedulingPolicy,
 		private readonly random: IRandom,
 	) {
+		this.recentWork = new FadingSum(policy.choice.loadFadeMs);
 		this.speed = new TargetSpeed(policy.speed);
 	}
 
@@ -80,7 +85,7 @@
 	/** Work of others on a target, in requests; without any report the others are taken to use it as we do. */
 	estimateOthers(use: TargetUse, nowMs: number): number {
 		const asWeDo = use.running * (1 / use.target.share - 1);
-		return use.estimateOthers(this.neutralOthers ?? asWeDo, this.policy.choice.reportFadeMs, nowMs);
+		return use.estimateOthers(this.neutralOthers ?? asWeDo, this.reportFadeMs, nowMs);
 	}
 
 	/** An attempt was refused or found no connection. */
@@ -97,8 +102,10 @@
 		use.pausedUntilMs = 0;
 	}
 
-	/** A target that failed before is tried by one attempt: others stay away until that one's end. */
-	noteStart(use: TargetUse, nowMs: number): void {
+	/** Work was sent to a target. One that failed before is tried by one attempt: others stay away until that one's end. */
+	noteStart(use: TargetUse, workMs: number, nowMs: number): void {
+		this.recentWork.add(workMs, nowMs);
+		use.recentWork.add(workMs, nowMs);
 		if (use.failuresInRow > 0) {
 			use.pausedUntilMs = nowMs + this.policy.pause.longestMs;
 		}
@@ -110,8 +117,9 @@
 		return this.inUse.every(({ use }) => use.failuresInRow >= downAfter && use.isPaused(nowMs));
 	}
 
-	/** Compares speeds and gives back limits; called at each recheck. */
-	update(elapsedMs: number): void {
+	/** Compares speeds and gives back limits; called at each check. `runMs` is the mean run of what runs. */
+	update(elapsedMs: number, runMs: number): void {
+		this.reportFadeMs = Math.max(1, runMs * this.policy.choice.reportFadeRuns);
 		this.speed.compare();
 		for (const { use } of this.inUse) {
 			use.noteQuiet(elapsedMs);
@@ -139,7 +147,12 @@
 			known.use.setTarget(target);
 			return;
 		}
-		const use = new TargetUse(target, this.policy.limit, this.random.pickFraction());
+		const use = new TargetUse(
+			target,
+			this.policy.limit,
+			this.random.pickFraction(),
+			this.policy.choice.loadFadeMs,
+		);
 		this.byId.set(target.id, { id: target.id, idHash: computeTextHash(target.id), use });
 	}
 }
--- a/src/entry/common/scheduling/targetUse.ts
+++ b/src/entry/common/scheduling/targetUse.ts
@@ -5,9 +5,15 @@
  * reserve that they cannot take keeps questions out of their queue. And several entries share a target
  * whose real capacity is lower than stated, because they count each other wrongly or other work runs there:
  * without a correction requests wait in the target's own queue, where neither class nor deadline counts.
- * The limit falls by a factor on a sign of that (a refusal, a queue in its report) and is given back slowly.
+ * The limit falls by a factor on a sign of that and is given back slowly.
+ *
+ * A share that is kept strictly has a cost of its own: six entries with a slot or two each queue while the
+ * target has slots free, and at 0.8 of the capacity the slowest hundredth waits twice as long as without
+ * any limit. So short requests may go beyond the share by what independent callers need, two square roots
+ * of it; a queue in the target's report takes this back, a refusal cuts the share itself.
  */
 
+import { FadingSum } from './fadingSum';
 import type { LimitPolicy } from './policy';
 import type { ReportedLoad, SchedulableTarget } from './serviceScheduler';
 
@@ -24,11 +30,16 @@
 	running = 0;
 	/** Of these, the ones whose class leaves a reserve. */
 	runningReserved = 0;
+	/** Work sent there of late. */
+	readonly recentWork: FadingSum;
 	/** No attempt before this time: the last ones could not be made or were refused. */
 	pausedUntilMs = 0;
 	/** Refused or unconnected attempts in a row. */
 	failuresInRow = 0;
+	/** Factor on the share, in (0, 1]. */
 	private correction = 1;
+	/** Factor on what may be borrowed, in [0, 1]. */
+	private borrowing = 1;
 	private correctedMs = Number.NEGATIVE_INFINITY;
 	private limitNow = 1;
 	private load: LoadNote | undefined;
@@ -38,7 +49,9 @@
 		private readonly policy: LimitPolicy,
 		/** In [0, 1): rounds a fractional limit up or down, differently at each entry, so that the sum is right. */
 		private readonly rounding: number,
+		loadFadeMs: number,
 	) {
+		this.recentWork = new FadingSum(loadFadeMs);
 		this.updateLimit();
 	}
 
@@ -56,19 +69,29 @@
 		return nowMs < this.pausedUntilMs;
 	}
 
-	/** Whether a further attempt may run, of a class that leaves `reservedShare` of the limit to others. */
-	hasRoom(reservedShare: number): boolean {
-		if (this.running >= this.limitNow) {
-			return false;
+	/**
+	 * Whether a further attempt may run, of a class that leaves `reservedShare` of the limit to others. Such
+	 * a class keeps to the share: a draft would hold a borrowed slot when the others want it back.
+	 */
+	hasRoom(reservedShare: number, slowness: number): boolean {
+		if (reservedShare === 0) {
+			return this.running < this.openLimit / slowness;
 		}
-		return reservedShare === 0 || this.runningReserved < Math.ceil(this.limitNow * (1 - reservedShare));
+		const open = Math.ceil(this.limitNow * (1 - reservedShare));
+		return this.running < this.limitNow / slowness && this.runningReserved < open;
+	}
+
+	/** The share and what short requests may borrow beyond it; `slots` at most. */
+	get openLimit(): number {
+		const borrowed = this.borrowing * this.policy.borrowDeviations * Math.sqrt(this.limitNow);
+		return Math.min(this.target.slots, this.limitNow + borrowed);
 	}
 
 	noteLoad(load: ReportedLoad, nowMs: number): void {
 		const others = Math.max(0, load.running + load.waiting - this.running);
 		this.load = { spokenMs: nowMs - load.ageMs, others };
 		if (load.waiting > load.slots * this.policy.waitingShare) {
-			this.noteOverload(nowMs);
+			this.borrowing *= this.policy.decrease;
 		}
 	}
 
@@ -86,7 +109,7 @@
 		return this.load?.others;
 	}
 
-	/** The target refused for want of room, or its own queue grew. */
+	/** The target refused for want of room. */
 	noteOverload(nowMs: number): void {
 		if (nowMs - this.correctedMs < this.policy.decreasePauseMs) {
 			return;
@@ -98,11 +121,12 @@
 
 	/** Gives back a part of the limit for time that passed without a sign of overload. */
 	noteQuiet(elapsedMs: number): void {
-		if (this.correction >= 1) {
-			return;
+		const increase = (this.policy.increasePerSecond * elapsedMs) / 1_000;
+		this.borrowing = Math.min(1, this.borrowing + (this.policy.borrowingPerSecond * elapsedMs) / 1_000);
+		if (this.correction < 1) {
+			this.correction = Math.min(1, this.correction + increase);
+			this.updateLimit();
 		}
-		this.correction = Math.min(1, this.correction + (this.policy.increasePerSecond * elapsedMs) / 1_000);
-		this.updateLimit();
 	}
 
 	private updateLimit(): void {
--- a/src/entry/common/scheduling/waitPredictor.ts
+++ b/src/entry/common/scheduling/waitPredictor.ts
@@ -45,8 +45,17 @@
 			}
 		}
 		const guaranteed = (free * lane.policy.weight) / weights;
-		const unreserved = this.pool.totalSlots * (1 - lane.policy.reservedShare);
-		return Math.max(1, Math.min(unreserved, Math.max(guaranteed, free - heldByMoreUrgent)));
+		const open = this.lanes.computeOpenSlots(lane, this.pool.totalSlots);
+		return Math.max(1, Math.min(open, Math.max(guaranteed, free - heldByMoreUrgent)));
+	}
+
+	/** Mean run of what runs now, in milliseconds; 0 where nothing does. */
+	estimateMeanRun(): number {
+		let runMs = 0;
+		for (const lane of this.lanes.lanes) {
+			runMs += lane.running * this.estimator.estimateClass(lane.requestClass);
+		}
+		return runMs / Math.max(1, this.lanes.running);
 	}
 
 	/** Mean time until some slot is free, in milliseconds; 0 while one is. */
