--- /dev/null
+++ b/src/bench/common/scenarios/scenarios.ts
@@ -0,0 +1,22 @@
+/**
+ * All load patterns, in the order of their tables.
+ */
+
+import type { Scenario } from '../scenario';
+import { herdingScenarios } from './herding';
+import { hotCaller } from './hotCaller';
+import { longAmongShort } from './longAmongShort';
+import { outageScenarios } from './outage';
+import { overloadScenarios } from './overload';
+import { prefixScenarios } from './prefixes';
+import { slowTargetScenarios } from './slowTarget';
+
+export const scenarios: readonly Scenario[] = [
+	...overloadScenarios,
+	longAmongShort,
+	hotCaller,
+	...prefixScenarios,
+	...slowTargetScenarios,
+	...herdingScenarios,
+	...outageScenarios,
+];
