Find out whether a broken connection was a death before trying again

Cause: a request that crashes its target was retried at once; the first death was not noted before the second target had the request. Ruled out: noting every broken connection (a cut link would put every request in flight under suspicion). Change: a broken attempt is settled only after a new connection to its target was tried; a refused one puts the calls in flight under suspicion, and calls seen at two deaths are refused here and, by the views, at the region's entries. Conclusion: bystanders are not yet kept apart at one target.

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -13,7 +13,7 @@
 import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
 import { RingRequestJournal } from '../../platform/explain/common/ringRequestJournal';
 import { PlatformFollower } from '../../platform/following/node/platformFollower';
-import type { BootId, InstanceId, TargetId } from '../../platform/ids/common/ids';
+import type { BootId, Fingerprint, InstanceId, TargetId } from '../../platform/ids/common/ids';
 import { OperatorsServer } from '../../platform/operators/node/operatorsServer';
 import { HttpPlatformClient } from '../../platform/platformClient/node/platformClient';
 import type { EntrySettings } from '../../platform/settings/common/entrySettings';
@@ -21,6 +21,7 @@
 import { writeAuditLines } from '../../platform/telemetry/node/logger';
 import type { EntryView } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { AtMostOnceLedger } from '../common/atMostOnce/atMostOnceLedger';
+import { Quarantine } from '../common/quarantine/quarantine';
 import { TicketIssuer } from '../common/tickets/ticketIssuer';
 import { HeldBytes } from './callers/bodyReader';
 import { CallerServer } from './callers/callerServer';
@@ -33,6 +34,7 @@
 import { PeerClients } from './peers/peerClients';
 import { PeerServer } from './peers/peerServer';
 import { ActiveRuns } from './requests/activeRuns';
+import { CrashWatch } from './requests/crashWatch';
 import { RequestRouter } from './requests/requestRouter';
 import { RouterSurroundings } from './requests/routerSurroundings';
 import { ServiceRunners } from './requests/serviceRunners';
@@ -61,6 +63,7 @@
 	private readonly random = new SeededRandom(randomInt(largestSeed));
 	private readonly trail = this.register(new RingAuditTrail(trailCapacity, () => new Date()));
 	private readonly journal = new RingRequestJournal(journalCapacity, () => new Date());
+	private readonly quarantine = new Quarantine();
 	private readonly metrics: EntryMetrics;
 	private readonly held: HeldBytes;
 	private readonly platform: HttpPlatformClient;
@@ -117,11 +120,18 @@
 				this.manifests,
 				this.targets,
 				() => this.fleet.countLive(region, region),
+				new CrashWatch(this.quarantine, target => this.targets.probeDeath(target), this.timers),
 				this.timers,
 				this.random,
 			),
 		);
-		this.ownView = new OwnView(settings, this.boot, this.manifests, this.targets, this.runners);
+		this.ownView = new OwnView(settings, this.boot, {
+			manifests: this.manifests,
+			targets: this.targets,
+			runners: this.runners,
+			quarantine: this.quarantine,
+			timers: this.timers,
+		});
 		this.runs = new ActiveRuns(this.journal, this.metrics, this.held, this.timers);
 		this.tickets = this.createTicketDesk();
 		this.gate = this.createGate();
@@ -236,6 +246,7 @@
 
 	private noteView(view: EntryView): void {
 		this.targets.notePeerWords(view.leavingTargets as TargetId[]);
+		this.noteSightings(view);
 		const instance = view.instanceId as InstanceId;
 		const peer = this.fleet.findPeer(instance);
 		if (peer !== undefined) {
@@ -243,7 +254,21 @@
 		}
 	}
 
+	/** Targets belong to one region, so only its own entries' sightings concern this one. */
+	private noteSightings(view: EntryView): void {
+		if (view.region !== String(this.settings.instance.region)) {
+			return;
+		}
+		for (const { fingerprint, target, ageMs } of view.crashSightings) {
+			this.quarantine.noteSighting(
+				{ fingerprint: fingerprint as Fingerprint, target: target as TargetId, ageMs: ageMs + view.ageMs },
+				this.timers.getNow(),
+			);
+		}
+	}
+
 	private setGauges(): void {
+		this.quarantine.expire(this.timers.getNow());
 		this.metrics.setHeldBytes(this.held.getHeld());
 		this.metrics.setTicketsOutstanding(this.tickets.countSpent());
 		this.metrics.setReady(this.gate.getReadiness().isReady);
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -3,11 +3,17 @@
  */
 
 import { create } from '@bufbuild/protobuf';
+import type { ITimerService } from '../../../base/common/timerService';
 import type { NamedEntry } from '../../../platform/errors/common/errorKinds';
 import type { BootId } from '../../../platform/ids/common/ids';
 import type { EntrySettings } from '../../../platform/settings/common/entrySettings';
 import type { EntryView, ServiceRoom } from '../../../gen/anvilroad/peer/v1/peer_pb';
-import { EntryViewSchema, ServiceRoomSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import {
+	CrashSightingSchema,
+	EntryViewSchema,
+	ServiceRoomSchema,
+} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { Quarantine } from '../../common/quarantine/quarantine';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { ServiceRunners } from '../requests/serviceRunners';
 import type { TargetRegistry } from '../targets/targetRegistry';
@@ -15,6 +21,15 @@
 /** Enough of a digest to tell two documents of one version apart in a view. */
 const digestCharacters = 16;
 
+/** The parts that a view tells of. */
+export interface OwnViewParts {
+	readonly manifests: ManifestKeeper;
+	readonly targets: TargetRegistry;
+	readonly runners: ServiceRunners;
+	readonly quarantine: Quarantine;
+	readonly timers: ITimerService;
+}
+
 /** Makes this entry's view; each one made counts the sequence up. */
 export class OwnView {
 	private sequence = 0n;
@@ -23,9 +38,7 @@
 	constructor(
 		private readonly settings: EntrySettings,
 		private readonly boot: BootId,
-		private readonly manifests: ManifestKeeper,
-		private readonly targets: TargetRegistry,
-		private readonly runners: ServiceRunners,
+		private readonly parts: OwnViewParts,
 	) {}
 
 	isLeaving(): boolean {
@@ -44,7 +57,7 @@
 
 	describe(): EntryView {
 		const { instance, callers, peers } = this.settings;
-		const accepted = this.manifests.getCurrent()?.accepted;
+		const accepted = this.parts.manifests.getCurrent()?.accepted;
 		this.sequence++;
 		return create(EntryViewSchema, {
 			instanceId: instance.id,
@@ -57,13 +70,16 @@
 			isLeaving: this.hasLeft,
 			manifestVersion: BigInt(accepted?.version ?? 0),
 			manifestDigest: accepted?.digest.slice(0, digestCharacters) ?? '',
-			services: this.runners.listServices().map(service => this.describeRoom(service)),
-			leavingTargets: [...this.targets.listLeavingByOwnWord()],
+			services: this.parts.runners.listServices().map(service => this.describeRoom(service)),
+			leavingTargets: [...this.parts.targets.listLeavingByOwnWord()],
+			crashSightings: this.parts.quarantine
+				.listSightings(this.parts.timers.getNow())
+				.map(sighting => create(CrashSightingSchema, { ...sighting, ageMs: Math.round(sighting.ageMs) })),
 		});
 	}
 
 	private describeRoom(service: Parameters<ServiceRunners['getRunner']>[0]): ServiceRoom {
-		const room = this.runners.getRunner(service).measureRoom();
+		const room = this.parts.runners.getRunner(service).measureRoom();
 		return create(ServiceRoomSchema, {
 			service,
 			waitMs: Math.min(0xffff_ffff, Math.ceil(room.waitMs)),
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -16,7 +16,7 @@
 import { findHeader, listPassedOn } from '../../common/callers/callHead';
 import { RequestEvent } from '../../common/requests/requestLife';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
-import type { IAttempt, IAttemptObserver, TargetClient } from '../targets/targetClient';
+import type { IAttempt, IAttemptObserver, ITargetClient } from '../targets/targetClient';
 import type { RequestRun } from './requestRun';
 
 /** Hears what an attempt learns of its target, and how it ended. */
@@ -45,7 +45,7 @@
 		readonly run: RequestRun,
 		readonly target: TargetId,
 		attemptNumber: number,
-		private readonly client: TargetClient,
+		private readonly client: ITargetClient,
 		private readonly timers: ITimerService,
 		private readonly owner: IAttemptOwner,
 	) {
@@ -65,6 +65,11 @@
 		);
 	}
 
+	/** False once its end was told to its owner, who may still be finding out why it ended. */
+	isUnderWay(): boolean {
+		return !this.isOver;
+	}
+
 	/** Ends the attempt from outside; the target's connection is closed. */
 	cancel(error: RequestError): void {
 		this.endEarly(AttemptEnd.Cancelled, error);
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -26,14 +26,15 @@
 	TargetRoom,
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
-import type { TargetClient } from '../targets/targetClient';
+import type { ITargetClient } from '../targets/targetClient';
 import type { IAttemptOwner } from './attemptRun';
 import { AttemptRun } from './attemptRun';
-import type { RequestRun } from './requestRun';
+import type { CrashWatch } from './crashWatch';
+import type { AcceptedCall, RequestRun } from './requestRun';
 
 /** What the runner needs of the targets' registry. */
 export interface ITargetDirectory {
-	findClient(target: TargetId): TargetClient | undefined;
+	findClient(target: TargetId): ITargetClient | undefined;
 	/** An answer's head: it may say that the target is leaving. */
 	noteAnswerHead(target: TargetId, head: AnswerHead): void;
 	/** An attempt ended; connections that fail are a sign about the target. */
@@ -78,6 +79,7 @@
 	constructor(
 		private readonly scheduler: IServiceScheduler,
 		private readonly targets: ITargetDirectory,
+		private readonly crashes: CrashWatch,
 		private readonly timers: ITimerService,
 	) {
 		super();
@@ -113,7 +115,7 @@
 			return;
 		}
 		if (state.running !== undefined) {
-			state.running.cancel(createRequestError(ErrorKind.CallerGone, 'the caller closed its connection'));
+			this.abandonRunning(state.run, state.running);
 			return;
 		}
 		this.scheduler.cancel(run.call.id, this.timers.getNow());
@@ -122,6 +124,15 @@
 		this.advance();
 	}
 
+	/** An attempt that has ended but whose end is still being looked into is settled when that is done. */
+	private abandonRunning(run: RequestRun, attempt: AttemptRun): void {
+		if (attempt.isUnderWay()) {
+			attempt.cancel(createRequestError(ErrorKind.CallerGone, 'the caller closed its connection'));
+			return;
+		}
+		run.abandon();
+	}
+
 	measureRoom(): ServiceRoom {
 		return this.scheduler.measureRoom(this.timers.getNow());
 	}
@@ -143,23 +154,47 @@
 	}
 
 	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void {
-		const { run } = attempt;
-		const state = this.states.get(run.call.id);
-		if (state === undefined) {
+		const { run, target } = attempt;
+		if (!this.states.has(run.call.id)) {
 			return;
 		}
-		state.running = undefined;
 		run.note(
 			JournalStep.AttemptEnded,
 			`${attempt.id}: ${end}${error === undefined ? '' : `; ${error.detail}`}`,
 		);
-		this.targets.noteAttemptEnd(attempt.target, end, run);
-		const isTakenBack = this.scheduler.noteEnd(run.call.id, end, this.timers.getNow());
+		this.targets.noteAttemptEnd(target, end, run);
+		if (error?.kind !== ErrorKind.TargetFailed) {
+			this.finishAttempt(attempt, end, error);
+			return;
+		}
+		void this.crashes.checkDeath(target, this.listInFlight(target)).then(() => {
+			this.finishAttempt(attempt, end, error);
+		});
+	}
+
+	/** Calls in flight at a target, those whose connection just broke included. */
+	private listInFlight(target: TargetId): AcceptedCall[] {
+		return [...this.states.values()]
+			.filter(({ running }) => running?.target === target)
+			.map(({ run }) => run.call);
+	}
+
+	private finishAttempt(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void {
+		const { run } = attempt;
+		const state = this.states.get(run.call.id);
+		if (state === undefined) {
+			return;
+		}
+		state.running = undefined;
+		const refusal = run.hasEnded() ? undefined : this.crashes.findRefusal(run.call);
+		const isStopped = refusal !== undefined || (run.hasEnded() && end !== AttemptEnd.Answered);
+		const schedulerEnd = isStopped ? AttemptEnd.Cancelled : end;
+		const isTakenBack = this.scheduler.noteEnd(run.call.id, schedulerEnd, this.timers.getNow());
 		if (isTakenBack) {
 			this.takeBack(run, end);
 		} else {
 			this.states.delete(run.call.id);
-			this.endRun(run, error);
+			this.endRun(run, refusal ?? error);
 		}
 		this.advance();
 	}
@@ -195,6 +230,13 @@
 	}
 
 	private submitToScheduler(run: RequestRun): void {
+		const refusal = this.crashes.findRefusal(run.call);
+		if (refusal !== undefined) {
+			this.states.delete(run.call.id);
+			run.note(JournalStep.Refused, refusal.detail);
+			run.fail(refusal);
+			return;
+		}
 		run.note(JournalStep.Queued, this.describeRoom());
 		this.scheduler.submit(createSchedulable(run), this.timers.getNow());
 		this.advance();
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -13,6 +13,7 @@
 import { StayHomePolicy } from '../../common/sendAway/sendAwayPolicy';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { TargetRegistry } from '../targets/targetRegistry';
+import type { CrashWatch } from './crashWatch';
 import { ServiceRunner } from './serviceRunner';
 
 /** How many live entries share the region's targets, this one included. */
@@ -32,6 +33,7 @@
 		private readonly manifests: ManifestKeeper,
 		private readonly targets: TargetRegistry,
 		private readonly countSharers: CountSharers,
+		private readonly crashes: CrashWatch,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
 	) {
@@ -51,8 +53,9 @@
 		return this.open(service).sendAway;
 	}
 
+	/** Every service that the manifest in force names. */
 	listServices(): ServiceName[] {
-		return [...this.services.keys()];
+		return this.manifests.getCurrent()?.accepted.manifest.services.map(({ name }) => name) ?? [];
 	}
 
 	/** Entries came or went, so each one's share of the targets is another. */
@@ -68,7 +71,7 @@
 			return known;
 		}
 		const runner = this.owned.add(
-			new ServiceRunner(new ServiceScheduler(this.random), this.targets, this.timers),
+			new ServiceRunner(new ServiceScheduler(this.random), this.targets, this.crashes, this.timers),
 		);
 		const opened = { runner, sendAway: new StayHomePolicy() };
 		this.services.set(service, opened);
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -42,15 +42,22 @@
 /** Silence is timed by class in the request's own run, so the library's timers stay out of it. */
 const noTimeout = 0;
 
+/** Sends attempts to one target. */
+export interface ITargetClient {
+	/** Starts an attempt; the observer hears of it from the next turn of the loop on. */
+	send(request: AttemptRequest, observer: IAttemptObserver): IAttempt;
+	/** Leaves every present connection behind; attempts that run on one end there. */
+	renewConnections(): void;
+}
+
 /** The connections to one target. */
-export class TargetClient {
+export class TargetClient implements ITargetClient {
 	private pool: Pool;
 
 	constructor(private readonly origin: string) {
 		this.pool = this.createPool();
 	}
 
-	/** Starts an attempt; the observer hears of it from the next turn of the loop on. */
 	send(request: AttemptRequest, observer: IAttemptObserver): IAttempt {
 		const attempt = new Attempt(observer);
 		this.pool.dispatch(
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -4,7 +4,6 @@
  */
 
 import type { Stream } from 'most';
-import { Client } from 'undici';
 import { Channel, subscribeTo } from '../../../base/common/channel';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
@@ -22,6 +21,7 @@
 import type { IndexedManifest } from '../manifest/manifestKeeper';
 import type { ITargetDirectory } from '../requests/serviceRunner';
 import { TargetClient } from './targetClient';
+import { isClosing, isPortRefused, probeTarget } from './targetProbe';
 
 /** Where this entry stands. */
 export interface Place {
@@ -30,7 +30,6 @@
 }
 
 const trialTickMs = 250;
-const probeTimeoutMs = 2_000;
 
 interface KnownTarget {
 	readonly url: string;
@@ -152,6 +151,12 @@
 		life?.noteAnswer(isClosing(findHeader(head.lines, 'connection')), this.timers.getNow());
 	}
 
+	/** Whether the target died: its port refuses a new connection. */
+	async probeDeath(target: TargetId): Promise<boolean> {
+		const url = this.known.get(target)?.url;
+		return url !== undefined && (await isPortRefused(url));
+	}
+
 	noteAttemptEnd(target: TargetId, end: AttemptEnd): void {
 		if (end === AttemptEnd.NotConnected || end === AttemptEnd.Failed) {
 			this.lives.findLife(target)?.noteFailure(this.timers.getNow());
@@ -186,40 +191,21 @@
 		}
 	}
 
-	/** Always on a new connection: an idle one may be silent for good while new ones work. */
 	private async probe(target: TargetId): Promise<void> {
 		const url = this.known.get(target)?.url;
 		const life = this.lives.findLife(target);
 		if (url === undefined || life === undefined) {
 			return;
 		}
-		const client = new Client(new URL(url).origin);
-		try {
-			const answer = await client.request({
-				path: '/',
-				method: 'HEAD',
-				headersTimeout: probeTimeoutMs,
-				signal: AbortSignal.timeout(probeTimeoutMs),
-			});
-			await answer.body.dump();
-			if (answer.headers[headers.targetLeaving] === '1') {
-				life.noteOwnWord(this.timers.getNow());
-				return;
-			}
-			life.noteTrialAnswered(isClosing(String(answer.headers.connection ?? '')), this.timers.getNow());
-		} catch {
+		const answer = await probeTarget(url);
+		if (answer === undefined) {
 			life.noteTrialFailed(this.timers.getNow());
-		} finally {
-			void client.destroy();
+			return;
 		}
+		if (answer.isLeaving) {
+			life.noteOwnWord(this.timers.getNow());
+			return;
+		}
+		life.noteTrialAnswered(answer.isClosing, this.timers.getNow());
 	}
 }
-
-function isClosing(connection: string | undefined): boolean {
-	return (
-		connection
-			?.toLowerCase()
-			.split(',')
-			.some(option => option.trim() === 'close') ?? false
-	);
-}
