--- a/src/entry/common/tickets/test/ticketRoute.test.ts
+++ b/src/entry/common/tickets/test/ticketRoute.test.ts
@@ -13,9 +13,9 @@
 }
 
 const own = createEntry('entry-1');
-const others = [createEntry('entry-2'), createEntry('entry-3', ocho)];
+const inView = [own, createEntry('entry-2'), createEntry('entry-3', ocho)];
 const directory = {
-	findEntry: (instance: InstanceId) => others.find(other => other.own.instance === instance),
+	findEntry: (instance: InstanceId) => inView.find(other => other.own.instance === instance),
 };
 
 describe('decideTicketRoute', () => {
--- a/src/entry/node/tickets/test/hmacTicketSigner.test.ts
+++ b/src/entry/node/tickets/test/hmacTicketSigner.test.ts
@@ -1,4 +1,6 @@
 import fc from 'fast-check';
+import { getOutcomeOf } from '../../../../platform/errors/common/errorKinds';
+import { Outcome } from '../../../../platform/errors/common/outcome';
 import type { BootId, InstanceId } from '../../../../platform/ids/common/ids';
 import { formatTicket, parseTicket } from '../../../common/tickets/ticket';
 import { TicketIssuer } from '../../../common/tickets/ticketIssuer';
@@ -39,9 +41,12 @@
 		}
 	});
 
-	it('outlive one change of the key', () => {
+	// Entries take a new key over one after the other, and one that has not yet got it cannot read a good
+	// ticket. Told not-run, its caller would pay again though the issuer may have run the call.
+	it('outlive one change of the key, and are unknown to an entry that lacks it', () => {
 		const text = new TicketIssuer(own, signer, 120_000).issue(0);
 		expect(parseTicket(text, new HmacTicketSigner('of tomorrow', 'a key of today')).isOk()).toBe(true);
-		expect(parseTicket(text, new HmacTicketSigner('of later', 'of tomorrow')).isErr()).toBe(true);
+		const error = parseTicket(text, new HmacTicketSigner('of later', 'of tomorrow'))._unsafeUnwrapErr();
+		expect(getOutcomeOf(error)).toBe(Outcome.Unknown);
 	});
 });
--- a/src/platform/manifest/test/manifestHolder.test.ts
+++ b/src/platform/manifest/test/manifestHolder.test.ts
@@ -101,12 +101,12 @@
 		expect(records.filter(record => record.subject === 'manifest v3 refused')).toHaveLength(1);
 	});
 
-	it('names the faults of a refused document once', () => {
+	it('checks a refused document once and names its faults once', () => {
 		const { holder, records } = createHolder();
-		expect([holder.submit(createOffer(1, 'Bad')), holder.submit(createOffer(1, 'Bad'))]).toEqual([
-			ManifestState.Invalid,
-			ManifestState.Invalid,
-		]);
+		const parse = jest.spyOn(JSON, 'parse');
+		const states = [1, 2].map(() => holder.submit(createOffer(1, 'Bad')));
+		expect(parse).toHaveBeenCalledTimes(1);
+		expect(states).toEqual([ManifestState.Invalid, ManifestState.Invalid]);
 		expect(holder.submit(createOffer(1.5))).toBe(ManifestState.Invalid);
 		expect(records.map(record => record.sign)).toEqual([
 			expect.stringContaining('organisations[0].name'),
