--- a/src/ctl/common/renderStatus.ts
+++ b/src/ctl/common/renderStatus.ts
@@ -102,7 +102,7 @@
 		),
 		renderReadiness(status),
 		renderManifest(status),
-		`bodies held: ${held}; tickets outstanding: ${status.ticketsOutstanding}`,
+		`bodies held: ${held}; spent tickets remembered: ${status.ticketsOutstanding}`,
 		...renderBounded(serviceColumns, status.services, most),
 		...renderBounded(targetColumns, sortByRarity(status.targets), most),
 		...renderBounded(peerColumns, sortByRarity(status.peers), most),
--- a/src/platform/status/common/entryStatus.ts
+++ b/src/platform/status/common/entryStatus.ts
@@ -79,7 +79,7 @@
 	peers: z.array(peerStatusSchema),
 	targets: z.array(targetStatusSchema),
 	services: z.array(serviceStatusSchema),
-	/** Tickets issued here and not yet expired. */
+	/** Tickets spent here and remembered until they expire. */
 	ticketsOutstanding: z.number(),
 	/** Bytes of request bodies in memory. */
 	heldBytes: z.number(),
--- a/src/platform/telemetry/common/entryMetricDefinitions.ts
+++ b/src/platform/telemetry/common/entryMetricDefinitions.ts
@@ -111,7 +111,10 @@
 		'kind',
 	),
 	heldBytes: createDefinition('held_body_bytes', 'Bytes of request bodies held in memory.'),
-	ticketsOutstanding: createDefinition('tickets_outstanding', 'Tickets issued here and not yet expired.'),
+	ticketsOutstanding: createDefinition(
+		'tickets_outstanding',
+		'Tickets spent here and remembered until they expire.',
+	),
 };
 
 export const histogramDefinitions = {
