--- a/src/ctl/common/formatting.ts
+++ b/src/ctl/common/formatting.ts
@@ -40,6 +40,11 @@
 	return `${Math.floor(durationMs / largeMs)}${large} ${String(rest).padStart(2, '0')}${small}`;
 }
 
+/** `1 target`, `2 targets`. */
+export function formatCount(count: number, noun: string): string {
+	return `${count} ${noun}${count === 1 ? '' : 's'}`;
+}
+
 /** `0 B`, `1.5 KiB`, `256.0 MiB`. */
 export function formatBytes(bytes: number): string {
 	let value = bytes;
--- a/src/ctl/common/renderTrail.ts
+++ b/src/ctl/common/renderTrail.ts
@@ -26,6 +26,7 @@
 /** `2026-01-01T08:00:00.000Z  entry-1  target bookings-1: serving -> failed  (connect refused; manifest 12)`. */
 export function renderTrailLine({ instance, record }: TrailLine): string {
 	const { at, kind, subject, from, to, sign, manifestVersion } = record;
+	const changed = subject === kind ? kind : `${kind} ${subject}`;
 	const version = manifestVersion === null ? '' : `; manifest ${manifestVersion}`;
-	return formatText(`${at}  ${instance}  ${kind} ${subject}: ${from} -> ${to}  (${sign}${version})`);
+	return formatText(`${at}  ${instance}  ${changed}: ${from} -> ${to}  (${sign}${version})`);
 }
--- a/src/ctl/node/checkManifestCommand.ts
+++ b/src/ctl/node/checkManifestCommand.ts
@@ -8,6 +8,7 @@
 import type { DocumentFault, Manifest } from '../../platform/manifest/common/manifest';
 import { checkManifest, parseManifest } from '../../platform/manifest/common/manifest';
 import { ExitCode } from '../common/exitCode';
+import { formatCount } from '../common/formatting';
 import type { ManifestChange } from '../common/manifestDiff';
 import { compareManifests, renderManifestChange } from '../common/manifestDiff';
 import type { ICommand, ICommandOutput } from './command';
@@ -35,10 +36,10 @@
 function countThings(manifest: Manifest): string {
 	const { services, targets, organisations, regions } = manifest;
 	return [
-		`${regions.length} regions`,
-		`${organisations.length} organisations`,
-		`${services.length} services`,
-		`${targets.length} targets`,
+		formatCount(regions.length, 'region'),
+		formatCount(organisations.length, 'organisation'),
+		formatCount(services.length, 'service'),
+		formatCount(targets.length, 'target'),
 	].join(', ');
 }
 
@@ -122,7 +123,7 @@
 		const heading =
 			changes.length === 0
 				? `no change against ${baseline.name}`
-				: `${changes.length} changes against ${baseline.name}:`;
+				: `${formatCount(changes.length, 'change')} against ${baseline.name}:`;
 		return [heading, ...changes.map(renderManifestChange)];
 	}
 }
