--- a/src/bench/common/baselines.ts
+++ b/src/bench/common/baselines.ts
@@ -11,6 +11,7 @@
 	SchedulableTarget,
 	ScheduleDecision,
 	ServiceRoom,
+	TargetRoom,
 } from '../../entry/common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../entry/common/scheduling/serviceScheduler';
 import { createRequestError, ErrorKind } from '../../platform/errors/common/errorKinds';
@@ -111,6 +112,11 @@
 		return { waitMs: 0, freeSlots: 0, running: this.held.size, queued: 0 };
 	}
 
+	measureTarget(id: TargetId): TargetRoom {
+		const target = this.targets.find(known => known.id === id);
+		return { running: target?.inFlight ?? 0, limit: Number.POSITIVE_INFINITY };
+	}
+
 	private decideFor(held: PlainRequest): ScheduleDecision {
 		const requestId = held.request.id;
 		const target = this.pickTarget();
