Prove a request's flow and a target's connection against scripted failures

Cause: crossed answers, cuts, silence, slow readers and crashing requests had no test above the pure parts. Ruled out: real processes for these; scripted targets on a virtual clock show each case alone.

--- /dev/null
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -0,0 +1,200 @@
+/**
+ * A service runner between scripted targets and a sink that remembers what its caller received.
+ */
+
+import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import { SeededRandom } from '../../../../base/common/random';
+import type { RequestError } from '../../../../platform/errors/common/errorKinds';
+import { RingRequestJournal } from '../../../../platform/explain/common/ringRequestJournal';
+import type {
+	OrganisationName,
+	RequestId,
+	ServiceName,
+	TargetId,
+	ZoneName,
+} from '../../../../platform/ids/common/ids';
+import { checkManifest, RepeatRule } from '../../../../platform/manifest/common/manifest';
+import { RequestClass } from '../../../../platform/requests/common/requestClass';
+import type { AnswerHead, IAnswerSink } from '../../../common/callers/answerSink';
+import { planCall } from '../../../common/placement/callPlan';
+import { ManifestIndex } from '../../../common/placement/manifestIndex';
+import { Quarantine } from '../../../common/quarantine/quarantine';
+import { RequestEvent, RequestLife } from '../../../common/requests/requestLife';
+import { ServiceScheduler } from '../../../common/scheduling/scheduler';
+import type { AttemptRequest, IAttempt, IAttemptObserver, ITargetClient } from '../../targets/targetClient';
+import { CrashWatch } from '../crashWatch';
+import type { AcceptedCall, RequestEnd } from '../requestRun';
+import { RequestRun } from '../requestRun';
+import { ServiceRunner } from '../serviceRunner';
+
+/** One attempt as a scripted target sees it. */
+export interface SeenAttempt {
+	readonly target: TargetId;
+	readonly request: AttemptRequest;
+	readonly observer: IAttemptObserver;
+	cancelled: string | undefined;
+	resumed: number;
+}
+
+/** What a caller received. */
+export class RememberingSink implements IAnswerSink {
+	head: AnswerHead | undefined;
+	text = '';
+	hasEnded = false;
+	isCut = false;
+	refusal: RequestError | undefined;
+	isReading = true;
+	drain: (() => void) | undefined;
+	abandon: (() => void) | undefined;
+
+	begin(head: AnswerHead): void {
+		this.head = head;
+	}
+
+	write(chunk: Uint8Array): boolean {
+		this.text += Buffer.from(chunk).toString();
+		return this.isReading;
+	}
+
+	waitForDrain(resume: () => void): void {
+		this.drain = resume;
+	}
+
+	end(): void {
+		this.hasEnded = true;
+	}
+
+	cut(): void {
+		this.isCut = true;
+	}
+
+	refuse(error: RequestError): void {
+		this.refusal = error;
+	}
+
+	watchAbandoned(notify: () => void): void {
+		this.abandon = notify;
+	}
+}
+
+/** The whole arrangement. */
+export interface Flow {
+	readonly timers: ManualTimerService;
+	readonly runner: ServiceRunner;
+	readonly attempts: SeenAttempt[];
+	readonly renewed: TargetId[];
+	readonly dead: Set<TargetId>;
+	readonly ends: RequestEnd[];
+	submit(body?: string): RememberingSink;
+	/** Lets promises that are due waitForPromises. */
+	waitForPromises(): Promise<void>;
+}
+
+function createPlan(repeat: RepeatRule): AcceptedCall['plan'] {
+	const manifest = checkManifest({
+		regions: [{ name: 'kingston', zones: ['kingston-a'] }],
+		organisations: [{ name: 'harbour-hotel', home: 'kingston' }],
+		services: [{ name: 'bookings', kind: 'plain', residency: 'home', repeat }],
+	})._unsafeUnwrap();
+	const call = {
+		service: 'bookings' as ServiceName,
+		organisation: 'harbour-hotel' as OrganisationName,
+		method: 'POST',
+		path: '/run',
+	};
+	return planCall(new ManifestIndex(manifest), manifest.regions[0]!.name, call)._unsafeUnwrap();
+}
+
+function createClient(target: TargetId, attempts: SeenAttempt[], renewed: TargetId[]): ITargetClient {
+	return {
+		send(request, observer): IAttempt {
+			const seen: SeenAttempt = { target, request, observer, cancelled: undefined, resumed: 0 };
+			attempts.push(seen);
+			return {
+				resume: () => seen.resumed++,
+				cancel: reason => {
+					seen.cancelled = reason;
+				},
+			};
+		},
+		renewConnections: () => renewed.push(target),
+	};
+}
+
+/** Builds a runner before `targets` scripted targets. */
+export function createFlow(targets: number, repeat = RepeatRule.Idempotent): Flow {
+	const timers = new ManualTimerService();
+	const attempts: SeenAttempt[] = [];
+	const renewed: TargetId[] = [];
+	const dead = new Set<TargetId>();
+	const ends: RequestEnd[] = [];
+	const ids = Array.from({ length: targets }, (_, index) => `bookings-${index + 1}` as TargetId);
+	const clients = new Map(ids.map(id => [id, createClient(id, attempts, renewed)]));
+	const crashes = new CrashWatch(new Quarantine(), target => Promise.resolve(dead.has(target)), timers);
+	const directory = {
+		findClient: (id: TargetId) => clients.get(id),
+		noteAnswerHead: () => undefined,
+		noteAttemptEnd: () => undefined,
+	};
+	const runner = new ServiceRunner(new ServiceScheduler(new SeededRandom(7)), directory, crashes, timers);
+	const zone = 'kingston-a' as ZoneName;
+	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
+	const journal = new RingRequestJournal(100, () => new Date(0));
+	const plan = createPlan(repeat);
+	let submitted = 0;
+	const submit = (body = 'work'): RememberingSink => {
+		submitted++;
+		const sink = new RememberingSink();
+		const call = createCall(`request-${submitted}` as RequestId, plan, body, timers.getNow());
+		journal.open(call.id, { service: 'bookings', organisation: 'harbour-hotel', requestClass: 'normal' }, 0);
+		const run = new RequestRun(call, new RequestLife(), sink, journal, timers, (_, end) => ends.push(end));
+		run.life.send(RequestEvent.AcceptHead);
+		run.setAbandonHandler(() => {
+			runner.abandon(run);
+		});
+		runner.submit(run);
+		return sink;
+	};
+	const waitForPromises = async (): Promise<void> => {
+		await new Promise(resolve => setImmediate(resolve));
+	};
+	return { timers, runner, attempts, renewed, dead, ends, submit, waitForPromises };
+}
+
+function createCall(id: RequestId, plan: AcceptedCall['plan'], body: string, nowMs: number): AcceptedCall {
+	return {
+		id,
+		head: {
+			service: 'bookings' as ServiceName,
+			organisation: 'harbour-hotel' as OrganisationName,
+			requestClass: RequestClass.Normal,
+			method: 'POST',
+			path: '/run',
+			deadlineMs: 30_000,
+			prefixKey: undefined,
+			ticket: undefined,
+			passedOn: [],
+		},
+		plan,
+		body: Buffer.from(body),
+		arrivedMs: nowMs,
+		deadlineMs: nowMs + 30_000,
+		isDeadlineGiven: true,
+		origin: undefined,
+	};
+}
+
+/** The attempt's own id, as it was sent to the target. */
+export function getAttemptId(attempt: SeenAttempt): string {
+	return attempt.request.lines.find(line => line.name === 'anvilroad-attempt')?.value ?? '';
+}
+
+/** Answers an attempt with one chunk; `status` and headers as given. */
+export function beginAnswer(
+	attempt: SeenAttempt,
+	text: string,
+	more: { status?: number; lines?: AnswerHead['lines'] } = {},
+): void {
+	attempt.observer.receiveHead({ status: more.status ?? 200, lines: more.lines ?? [] });
+	attempt.observer.receiveData(Buffer.from(text));
+}
