Let the list's word on an instance hold only while the list says it

Cause: the instance list names no starts and lags. `leaving` said of the start before stuck to an instance restarted in place, which then got no callers until its next restart. Found on reading how the lives are fed.

Ruled out: ignoring the list's `leaving` (an instance that hangs never says it itself); a time after which the word falls (the list's lag has no bound).

Change: the state `listedLeaving`, entered and left by the list, and InstanceLives.noteListedLive for entries named as live.

Conclusion: whoever feeds the list has to call noteListedLive too; without the call all is as before.

--- a/src/platform/instances/common/instanceLife.ts
+++ b/src/platform/instances/common/instanceLife.ts
@@ -3,6 +3,10 @@
  * never comes back: what could come back is another start, which has a life of its own. Silence alone
  * never means that an instance is dead, since a partition looks the same from here; it is `suspect`, gets
  * no new callers, and tickets that it issued are still forwarded to it.
+ *
+ * The instance list names instances, not their starts, and it lags: `leaving` on it may mean the start
+ * before this one. If that stuck, an instance restarted in place would stay out until its next restart. So
+ * the list's word holds only for as long as the list says it, and its own word for good.
  */
 
 import chartFile from '../../../../charts/instance.json';
@@ -12,6 +16,9 @@
 	Live = 'live',
 	/** Nothing was heard of it lately. */
 	Suspect = 'suspect',
+	/** The list alone says that it is leaving. */
+	ListedLeaving = 'listedLeaving',
+	/** It said itself that it is leaving. */
 	Leaving = 'leaving',
 	/** Nothing was heard of it for long. */
 	Gone = 'gone',
@@ -20,6 +27,8 @@
 export enum InstanceEvent {
 	Hear = 'Hear',
 	Miss = 'Miss',
+	ListLeaving = 'ListLeaving',
+	ListLive = 'ListLive',
 	Leave = 'Leave',
 	Forget = 'Forget',
 }
@@ -65,13 +74,13 @@
 			this.follow(InstanceEvent.Hear, sign);
 		}
 		if (isLeaving) {
-			this.noteLeaving(sign);
+			this.follow(InstanceEvent.Leave, sign);
 		}
 	}
 
-	/** The instance list or its own word says that it is leaving. */
-	noteLeaving(sign: string): void {
-		this.follow(InstanceEvent.Leave, sign);
+	/** The instance list arrived. Live again on it is `suspect` until the next word of its own. */
+	noteListed(isLeaving: boolean): void {
+		this.follow(isLeaving ? InstanceEvent.ListLeaving : InstanceEvent.ListLive, 'instance list');
 	}
 
 	/** The process that keeps this life slept: what was not heard meanwhile does not count as silence. */
--- a/src/platform/instances/common/instanceLives.ts
+++ b/src/platform/instances/common/instanceLives.ts
@@ -65,11 +65,14 @@
 		known.life.noteHeard(spokeMs, heard.isLeaving, sign);
 	}
 
-	/** The instance list arrived: it names instances, not boots, so it speaks of those already known. */
+	/** The instance list names an instance as leaving; it speaks of the boots already known. */
 	noteListedLeaving(instance: InstanceId): void {
-		for (const known of this.listBoots(instance)) {
-			known.life.noteLeaving('instance list');
-		}
+		this.noteListed(instance, true);
+	}
+
+	/** The instance list names an instance as live. */
+	noteListedLive(instance: InstanceId): void {
+		this.noteListed(instance, false);
 	}
 
 	/** This process slept for `sleptMs` beyond a tick's period; call before `expire`. */
@@ -109,6 +112,12 @@
 		return [...this.known.values()].filter(known => known.life.getState() === InstanceState.Live);
 	}
 
+	private noteListed(instance: InstanceId, isLeaving: boolean): void {
+		for (const known of this.listBoots(instance)) {
+			known.life.noteListed(isLeaving);
+		}
+	}
+
 	private listBoots(instance: InstanceId): readonly KnownInstance[] {
 		return [...this.known.values()].filter(known => known.instance === instance);
 	}
