Ask a target again sooner after its word of leaving, and tell peers its word alone

Cause: a word of leaving stood for 30 s here and at each peer again for 30 s, so that targets restarted in place one after the other could all be out at a time. A connection closed for its age alone was told to peers as a word of leaving and took the target out everywhere. Found on reading how the lives are fed.

Ruled out: no quiet time at all (a target that refuses requests and accepts probes would be tried at each tick).

Conclusion: LeavingSign is now imported from leavingSigns.ts.

--- a/src/platform/targets/common/targetLife.ts
+++ b/src/platform/targets/common/targetLife.ts
@@ -11,15 +11,16 @@
  * - any sign: a manifest newer than the one in force when the sign came says `live`, and the list does not
  *   say `leaving` at that time;
  * - the list's, the target's and a peer's: the list shows another boot, or the target again after a gap;
- * - the target's and a peer's: a time without the sign, doubled whenever the target leaves again after it.
- *   Without this way back, a target restarted in place under a manifest that does not change would stay
- *   out for good, and a rolling restart would end the service.
+ * - the target's and a peer's: a time without the sign, see `LeavingSigns`. Without this way back, a target
+ *   restarted in place under a manifest that does not change would stay out for good, and a rolling restart
+ *   would end the service.
  */
 
 import chartFile from '../../../../charts/target.json';
 import { TypedChart, TypedWalk } from '../../charts/common/typedChart';
 import type { BootId, ManifestVersion } from '../../ids/common/ids';
 import { TargetIntent } from '../../manifest/common/manifest';
+import { LeavingSign, LeavingSigns } from './leavingSigns';
 
 export enum TargetState {
 	Live = 'live',
@@ -45,17 +46,6 @@
 
 export const targetChart = new TypedChart(chartFile, TargetState, TargetEvent);
 
-/** Why a target is leaving. */
-export enum LeavingSign {
-	InstanceList = 'instance list',
-	Manifest = 'manifest',
-	/** The leaving header, on an answer or a refusal. */
-	OwnWord = 'own word',
-	/** `Connection: close` from a target that has kept connections open before. */
-	ConnectionClose = 'connection close',
-	PeerWord = 'peer word',
-}
-
 /** What the instance list says of a target; undefined in its place means that the list does not name it. */
 export interface ListedTarget {
 	readonly isLeaving: boolean;
@@ -75,36 +65,22 @@
 const firstTrialMs = 500;
 const longestTrialMs = 5_000;
 
-/** How long a word of leaving stands. A stop takes some ten seconds and a restart not much longer. */
-const wordMs = 30_000;
-
-/** Servers also close a connection after many requests; such a target is asked again soon. */
-const closeMs = 1_000;
-
-const longestQuietMs = 300_000;
-
 /**
  * A server that answers probes for so long and closes every connection does so by habit: a stop does not
  * take longer, and without this end a server whose settings changed would stay out for good.
  */
 const closeByHabitMs = 600_000;
 
-/** A target that leaves again within this time after it came back waits twice as long. */
-const steadyMs = 60_000;
-
 /**
  * One target's life. Every method takes the present time in monotonic milliseconds; those that note
  * something give the state that it led to.
  */
 export class TargetLife {
 	private readonly walk = new TypedWalk(targetChart);
-	/** The standing signs, each with the time when it falls by itself, if it does. */
-	private readonly signs = new Map<LeavingSign, number | undefined>();
+	private readonly signs = new LeavingSigns();
 	private failures = 0;
 	private trialMs = firstTrialMs;
 	private trialDueMs = 0;
-	private relapses = 0;
-	private liveSinceMs = Number.NEGATIVE_INFINITY;
 	private boot: BootId | undefined;
 	private wasUnlisted = false;
 	private hasKeptAlive = false;
@@ -123,9 +99,12 @@
 		return this.walk.getState() === TargetState.Live;
 	}
 
-	/** Whether this entry has it from the target itself, and should tell its peers. */
+	/**
+	 * Whether this entry has it from the target itself, and should tell its peers. A closed connection is
+	 * not told: each entry sees its own, and one of them may be closed for its age alone.
+	 */
 	isLeavingByOwnWord(): boolean {
-		return this.signs.has(LeavingSign.OwnWord) || this.signs.has(LeavingSign.ConnectionClose);
+		return this.signs.has(LeavingSign.OwnWord);
 	}
 
 	/** The manifest in force names the target; call for each accepted version. */
@@ -133,9 +112,9 @@
 		const isNewer = this.version === undefined || version > this.version;
 		this.version = version;
 		if (intent === TargetIntent.Leaving) {
-			this.addSign(LeavingSign.Manifest, undefined, nowMs);
+			this.addSign(LeavingSign.Manifest, nowMs);
 		} else if (isNewer) {
-			this.clearSigns(sign => sign !== LeavingSign.InstanceList || !this.isListedLeaving);
+			this.signs.clear(sign => sign !== LeavingSign.InstanceList || !this.isListedLeaving);
 			this.clearIfNoneStands(`manifest v${version}`, nowMs);
 		}
 		return this.walk.getState();
@@ -157,9 +136,9 @@
 		this.boot = listed.boot ?? this.boot;
 		this.isListedLeaving = listed.isLeaving;
 		if (listed.isLeaving) {
-			this.addSign(LeavingSign.InstanceList, undefined, nowMs);
+			this.addSign(LeavingSign.InstanceList, nowMs);
 		} else if (isOtherBoot) {
-			this.clearSigns(sign => sign !== LeavingSign.Manifest);
+			this.signs.clear(sign => sign !== LeavingSign.Manifest);
 			this.clearIfNoneStands(LeavingSign.InstanceList, nowMs);
 		}
 		return this.walk.getState();
@@ -167,12 +146,12 @@
 
 	/** The target said on an answer that it is leaving. */
 	noteOwnWord(nowMs: number): TargetState {
-		return this.addSign(LeavingSign.OwnWord, wordMs, nowMs);
+		return this.addSign(LeavingSign.OwnWord, nowMs);
 	}
 
 	/** A peer had it from the target that it is leaving; call for each of the peer's views that says so. */
 	notePeerWord(nowMs: number): TargetState {
-		return this.addSign(LeavingSign.PeerWord, wordMs, nowMs);
+		return this.addSign(LeavingSign.PeerWord, nowMs);
 	}
 
 	/**
@@ -186,7 +165,7 @@
 			this.closingSinceMs = undefined;
 		} else if (this.hasKeptAlive) {
 			this.closingSinceMs ??= nowMs;
-			this.addSign(LeavingSign.ConnectionClose, closeMs, nowMs);
+			this.addSign(LeavingSign.ConnectionClose, nowMs);
 		}
 		return this.walk.getState();
 	}
@@ -209,7 +188,7 @@
 			case TargetState.Suspect:
 				return this.trialDueMs;
 			case TargetState.Leaving:
-				return this.findQuietEndMs();
+				return this.signs.findEndMs();
 			default:
 				return undefined;
 		}
@@ -217,7 +196,8 @@
 
 	/** Whether a probe must be sent now; its end is told by `noteTrialAnswered` or `noteTrialFailed`. */
 	startTrial(nowMs: number): boolean {
-		this.expireWords(nowMs);
+		this.signs.expire(nowMs);
+		this.clearIfNoneStands('time without a sign', nowMs);
 		if (this.walk.getState() !== TargetState.Suspect || nowMs < this.trialDueMs) {
 			return false;
 		}
@@ -235,7 +215,7 @@
 		if (this.walk.getState() !== TargetState.Trial) {
 			return this.walk.getState();
 		}
-		this.liveSinceMs = nowMs;
+		this.signs.noteBack(nowMs);
 		return this.follow(TargetEvent.Accept, 'trial accepted');
 	}
 
@@ -248,17 +228,14 @@
 		return this.follow(TargetEvent.Fail, 'trial failed');
 	}
 
-	private addSign(sign: LeavingSign, standsMs: number | undefined, nowMs: number): TargetState {
+	private addSign(sign: LeavingSign, nowMs: number): TargetState {
 		if (this.walk.isEnded()) {
 			return this.walk.getState();
 		}
 		if (this.walk.getState() !== TargetState.Leaving) {
-			this.relapses = nowMs - this.liveSinceMs < steadyMs ? this.relapses + 1 : 0;
-			this.liveSinceMs = Number.POSITIVE_INFINITY;
+			this.signs.noteLeft(nowMs);
 		}
-		const quietMs =
-			standsMs === undefined ? undefined : Math.min(longestQuietMs, standsMs * 2 ** this.relapses);
-		this.signs.set(sign, quietMs === undefined ? undefined : nowMs + quietMs);
+		this.signs.add(sign, nowMs);
 		return this.follow(TargetEvent.Leave, sign);
 	}
 
@@ -266,23 +243,8 @@
 		return boot !== undefined && this.boot !== undefined && boot !== this.boot;
 	}
 
-	private clearSigns(isCleared: (sign: LeavingSign) => boolean): void {
-		for (const sign of [...this.signs.keys()].filter(isCleared)) {
-			this.signs.delete(sign);
-		}
-	}
-
-	private expireWords(nowMs: number): void {
-		for (const [sign, untilMs] of [...this.signs]) {
-			if (untilMs !== undefined && untilMs <= nowMs) {
-				this.signs.delete(sign);
-			}
-		}
-		this.clearIfNoneStands('time without a sign', nowMs);
-	}
-
 	private clearIfNoneStands(sign: string, nowMs: number): void {
-		if (this.signs.size > 0 || this.walk.getState() !== TargetState.Leaving) {
+		if (!this.signs.isEmpty() || this.walk.getState() !== TargetState.Leaving) {
 			return;
 		}
 		this.scheduleTrial(0, nowMs);
@@ -296,12 +258,6 @@
 		}
 	}
 
-	private findQuietEndMs(): number | undefined {
-		const ends = [...this.signs.values()];
-		const timed = ends.filter(end => end !== undefined);
-		return timed.length === ends.length ? Math.max(...timed) : undefined;
-	}
-
 	private scheduleTrial(delayMs: number, nowMs: number): void {
 		this.trialMs = Math.max(firstTrialMs, delayMs);
 		this.trialDueMs = nowMs + delayMs;
