Let the entries of the quarantine's model know their own requests alone

Cause: the model let an entry see what the others run on a target, which no entry can, so it said less about several entries than it seemed to.

Ruled out: demanding that no bystander is refused there; the promise of two deaths comes first, and the entries would have to agree before a retry.

Conclusion: bystanders are spared for certain with one entry only.

--- a/src/entry/common/quarantine/test/quarantine.test.ts
+++ b/src/entry/common/quarantine/test/quarantine.test.ts
@@ -39,9 +39,7 @@
 			return;
 		}
 		const order = [...targets.slice(preferred), ...targets.slice(0, preferred)];
-		const target = order.find(id =>
-			quarantine.isAllowedBeside(fingerprint, this.running.get(id)?.keys() ?? []),
-		);
+		const target = order.find(id => quarantine.isAllowedBeside(fingerprint, this.listOwn(id, entry)));
 		if (target === undefined) {
 			return;
 		}
@@ -55,11 +53,10 @@
 	/** Each entry notes its own requests, all hear of all, and the requests are retried. */
 	private endTarget(target: TargetId, inFlight: ReadonlyMap<Fingerprint, number>): void {
 		this.killerDeaths++;
-		this.running.delete(target);
 		this.entries.forEach((quarantine, entry) => {
-			const own = [...inFlight].filter(([, from]) => from === entry).map(([fingerprint]) => fingerprint);
-			quarantine.noteDeath(target, own, this.nowMs);
+			quarantine.noteDeath(target, this.listOwn(target, entry), this.nowMs);
 		});
+		this.running.delete(target);
 		this.exchange();
 		this.nowMs += defaultQuarantineLimits.sameDeathMs;
 		for (const [fingerprint, entry] of inFlight) {
@@ -67,6 +64,12 @@
 		}
 	}
 
+	/** An entry knows of its own requests alone. */
+	private listOwn(target: TargetId, entry: number): Fingerprint[] {
+		const running = [...(this.running.get(target) ?? [])];
+		return running.filter(([, from]) => from === entry).map(([fingerprint]) => fingerprint);
+	}
+
 	private exchange(): void {
 		for (const from of this.entries) {
 			for (const sighting of from.listSightings(this.nowMs)) {
