--- a/src/load/node/passThrough.ts
+++ b/src/load/node/passThrough.ts
@@ -7,7 +7,6 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
-import { pipeline } from 'node:stream';
 import { Pool } from 'undici';
 import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
 
@@ -54,16 +53,21 @@
 	};
 }
 
+/** `stream` writes the answer straight to the caller; `request` costs about twice the processor time. */
 async function forwardRequest(pool: Pool, request: IncomingMessage, response: ServerResponse): Promise<void> {
 	try {
-		const answer = await pool.request({
-			path: request.url ?? '/',
-			method: request.method ?? 'GET',
-			headers: listEndToEndHeaders(request.headers),
-			body: hasBody(request.headers) ? request : null,
-		});
-		response.writeHead(answer.statusCode, listEndToEndHeaders(answer.headers));
-		pipeline(answer.body, response, () => undefined);
+		await pool.stream(
+			{
+				path: request.url ?? '/',
+				method: request.method ?? 'GET',
+				headers: listEndToEndHeaders(request.headers),
+				body: hasBody(request.headers) ? request : null,
+			},
+			answer => {
+				response.writeHead(answer.statusCode, listEndToEndHeaders(answer.headers));
+				return response;
+			},
+		);
 	} catch {
 		response.destroy();
 	}
@@ -74,5 +78,11 @@
 }
 
 function listEndToEndHeaders(all: IncomingHttpHeaders): IncomingHttpHeaders {
-	return Object.fromEntries(Object.entries(all).filter(([name]) => !connectionHeaders.has(name)));
+	const passedOn: IncomingHttpHeaders = {};
+	for (const name in all) {
+		if (!connectionHeaders.has(name)) {
+			passedOn[name] = all[name];
+		}
+	}
+	return passedOn;
 }
