--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -15,12 +15,15 @@
 	readonly initialRunMs: number;
 	/** Part of all slots, in [0, 1), that requests of this class leave free for more urgent ones. */
 	readonly reservedShare: number;
+	/**
+	 * The part of the time left beside the predicted run that may be spent waiting. Smaller for the less
+	 * urgent: work that comes in later goes before them, so that their prediction errs further.
+	 */
+	readonly waitShare: number;
 }
 
 /** Figures of the queue and of what is let into it. */
 export interface AdmissionPolicy {
-	/** The part of the time left after the predicted run that may be spent waiting. */
-	readonly waitShare: number;
 	/** Deviations above the mean that a run is taken to last when it is held against a deadline. */
 	readonly runDeviations: number;
 	/** Most requests that wait at one entry for one service; bounds memory, the predicted wait comes first. */
@@ -49,22 +52,34 @@
 	readonly decreasePauseMs: number;
 	/** Share of the nominal limit given back a second. */
 	readonly increasePerSecond: number;
+	/** Square roots of this entry's share of a target that short requests may use beyond it. */
+	readonly borrowDeviations: number;
+	/** Part of the borrowing given back a second. */
+	readonly borrowingPerSecond: number;
 	/** Part of a target's slots that wait in its own queue before this is taken as overload. */
 	readonly waitingShare: number;
 }
 
 /** Figures of the choice between targets. */
 export interface ChoicePolicy {
-	/** A target takes requests for their prefix up to this multiple of the mean load. */
+	/**
+	 * A target takes requests for their prefix up to this multiple of the mean load. Below the 1.25 that no
+	 * target should exceed, since work is counted as estimated and each entry sees only its own.
+	 */
 	readonly boundedLoad: number;
 	/** How many targets of a prefix's ranking are asked before load alone decides. */
 	readonly affinityDepth: number;
-	/** Load, as a part of a target's limit, up to which the bound does not count: nobody waits there. */
-	readonly freeLoad: number;
+	/** Time in which work that was sent to a target loses 63% of its weight in that load, in milliseconds. */
+	readonly loadFadeMs: number;
+	/** Requests beyond the bound that a target takes: the first ones after a lull are no load. */
+	readonly freeRequests: number;
 	/** Cost of another availability zone, as a share of a full target. */
 	readonly otherZoneCost: number;
-	/** Time in which a report of load loses 63% of its weight, in milliseconds. */
-	readonly reportFadeMs: number;
+	/**
+	 * Mean runs in which a report of load loses 63% of its weight. What ran when the report was made has
+	 * ended after about one: for independent callers the correlation of the two loads is e^(-age / run).
+	 */
+	readonly reportFadeRuns: number;
 }
 
 /** Figures of the comparison of targets with their peers. */
@@ -122,25 +137,28 @@
 
 export const defaultSchedulingPolicy: SchedulingPolicy = {
 	classes: {
-		[RequestClass.Urgent]: { weight: 16, initialRunMs: 500, reservedShare: 0 },
-		[RequestClass.Normal]: { weight: 4, initialRunMs: 2_000, reservedShare: 0 },
-		[RequestClass.Draft]: { weight: 1, initialRunMs: 30_000, reservedShare: 0.25 },
+		[RequestClass.Urgent]: { weight: 32, initialRunMs: 500, reservedShare: 0, waitShare: 0.3 },
+		[RequestClass.Normal]: { weight: 4, initialRunMs: 2_000, reservedShare: 0, waitShare: 0.2 },
+		[RequestClass.Draft]: { weight: 1, initialRunMs: 30_000, reservedShare: 0.25, waitShare: 0.15 },
 	},
-	admission: { waitShare: 0.5, runDeviations: 1.3, maxQueued: 10_000, recheckMs: 100 },
+	admission: { runDeviations: 1.3, maxQueued: 10_000, recheckMs: 100 },
 	comeBack: { leastMs: 500, mostMs: 60_000, jitterShare: 0.5, capacityShare: 0.5 },
 	limit: {
 		leastShare: 0.25,
 		decrease: 0.8,
 		decreasePauseMs: 1_000,
 		increasePerSecond: 0.05,
-		waitingShare: 0.25,
+		borrowDeviations: 2,
+		borrowingPerSecond: 0.2,
+		waitingShare: 0.5,
 	},
 	choice: {
-		boundedLoad: 1.25,
+		boundedLoad: 1.15,
 		affinityDepth: 3,
-		freeLoad: 0.25,
+		loadFadeMs: 10_000,
+		freeRequests: 2,
 		otherZoneCost: 0.1,
-		reportFadeMs: 2_000,
+		reportFadeRuns: 1,
 	},
 	speed: {
 		observationWeight: 0.1,
@@ -153,6 +171,6 @@
 		trialPauseMs: 2_000,
 		overdueFactor: 4,
 	},
-	pause: { firstMs: 250, longestMs: 8_000, downAfter: 3 },
+	pause: { firstMs: 250, longestMs: 2_000, downAfter: 3 },
 	retry: { budgetShare: 0.1, budgetMost: 10, mostAttempts: 3 },
 };
