Show forged tickets, sends at once, cut uploads and oversized requests in the demo

Cause: the demo left out bad input that callers do send, and the two ways in which a payment is most easily run twice: sent at several entries at once, and cut off in its body. The change: five more callers, 25 in all.

--- a/src/demo/common/caller.ts
+++ b/src/demo/common/caller.ts
@@ -28,6 +28,8 @@
 	send(question: CallQuestion): Promise<CallAnswer>;
 	/** Reads so many bytes of an answer and goes away; gives the number of bytes read. */
 	cancelAfter(question: CallQuestion, bytes: number): Promise<number>;
+	/** Sends half of the body and breaks the connection. */
+	cancelUpload(question: CallQuestion): Promise<void>;
 }
 
 /** The outcome that an answer tells, or an empty text. */
--- a/src/demo/common/scenes/paymentScenes.ts
+++ b/src/demo/common/scenes/paymentScenes.ts
@@ -3,7 +3,7 @@
  * is the judge.
  */
 
-import type { CallAnswer } from '../caller';
+import type { CallAnswer, CallQuestion } from '../caller';
 import { describeAnswer, getErrorKind, getOutcome, isSameBody } from '../caller';
 import { listTargetsOf } from '../deploymentAddresses';
 import { fetchLookup } from '../lookup';
@@ -25,17 +25,24 @@
 	readonly amount: number;
 }
 
+function createPayment(stage: Stage, send: PaymentSend): CallQuestion {
+	return createServiceCall(getEntry(stage, regions.kingston, send.entryIndex).callers, {
+		service: services.bookings,
+		path: '/run/payments/window-cleaning',
+		organisation: organisations.kingston,
+		headers: { [callIdHeader]: send.callId, 'content-type': 'application/json' },
+		body: JSON.stringify({ amount: send.amount }),
+		...(send.ticket === undefined ? {} : { ticket: send.ticket }),
+	});
+}
+
 function sendPayment(stage: Stage, send: PaymentSend): Promise<CallAnswer> {
-	return stage.caller.send(
-		createServiceCall(getEntry(stage, regions.kingston, send.entryIndex).callers, {
-			service: services.bookings,
-			path: '/run/payments/window-cleaning',
-			organisation: organisations.kingston,
-			headers: { [callIdHeader]: send.callId, 'content-type': 'application/json' },
-			body: JSON.stringify({ amount: send.amount }),
-			...(send.ticket === undefined ? {} : { ticket: send.ticket }),
-		}),
-	);
+	return stage.caller.send(createPayment(stage, send));
+}
+
+async function fetchTicket(stage: Stage): Promise<string | undefined> {
+	const lookup = await fetchLookup(stage, getEntry(stage, regions.kingston).callers, services.bookings);
+	return lookup?.tickets[0];
 }
 
 async function countRuns(stage: Stage, callId: string): Promise<number> {
@@ -54,8 +61,7 @@
 	constructor(private readonly payment: Payment) {}
 
 	async run(stage: Stage): Promise<Observation> {
-		const lookup = await fetchLookup(stage, getEntry(stage, regions.kingston).callers, services.bookings);
-		this.payment.ticket = lookup?.tickets[0];
+		this.payment.ticket = await fetchTicket(stage);
 		const { callId, ticket } = this.payment;
 		const answer = await sendPayment(stage, { callId, ticket, entryIndex: 0, amount });
 		this.payment.firstAnswer = answer;
@@ -125,6 +131,66 @@
 	}
 }
 
+class ForgedTicketScene implements IScene {
+	readonly who = 'forger';
+	readonly asks = 'a payment with a ticket of its own making';
+	readonly expects = '400 ticket-forged, not run';
+
+	async run(stage: Stage): Promise<Observation> {
+		const callId = 'payment-with-forged-ticket';
+		const ticket = (await fetchTicket(stage))?.replace(/.{4}$/, 'AAAA');
+		const answer = await sendPayment(stage, { callId, ticket, entryIndex: 0, amount });
+		const runs = await countRuns(stage, callId);
+		return {
+			isRight: getErrorKind(answer) === 'ticket-forged' && runs === 0,
+			received: `${describeAnswer(answer)}, ${runs} run(s)`,
+		};
+	}
+}
+
+class ImpatientPayerScene implements IScene {
+	readonly who = 'impatient payer, kingston';
+	readonly asks = 'one payment six times at once, at three entries';
+	readonly expects = 'the same answer six times, run once';
+
+	async run(stage: Stage): Promise<Observation> {
+		const callId = 'payment-at-once';
+		const ticket = await fetchTicket(stage);
+		const answers = await Promise.all(
+			[0, 1, 2, 0, 1, 2].map(entryIndex => sendPayment(stage, { callId, ticket, entryIndex, amount })),
+		);
+		const runs = await countRuns(stage, callId);
+		const first = answers[0]?.body ?? new Uint8Array();
+		const same = answers.filter(
+			answer => getOutcome(answer) === 'answered' && isSameBody(answer.body, first),
+		);
+		return {
+			isRight: same.length === answers.length && runs === 1,
+			received: `${same.length} the same answer, ${runs} run(s)`,
+		};
+	}
+}
+
+class BrokenUploadScene implements IScene {
+	readonly who = 'payer on a bad line, kingston';
+	readonly asks = 'a payment cut off in its body, then the same one whole';
+	readonly expects = 'run by the whole one only';
+
+	async run(stage: Stage): Promise<Observation> {
+		const callId = 'payment-cut-off';
+		const ticket = await fetchTicket(stage);
+		const send = { callId, ticket, entryIndex: 0, amount };
+		await stage.caller.cancelUpload(createPayment(stage, send));
+		const runsBefore = await countRuns(stage, callId);
+		const answer = await sendPayment(stage, send);
+		const runs = await countRuns(stage, callId);
+		return {
+			isRight: runsBefore === 0 && getOutcome(answer) === 'answered' && runs === 1,
+			received: `${runsBefore} run(s), then ${describeAnswer(answer)}, ${runs} run(s)`,
+		};
+	}
+}
+
 /** The scenes, in their order: the later ones resend what the first one sent. */
 export function createPaymentScenes(): IScene[] {
 	const payment: Payment = { callId: 'payment-1', ticket: undefined, firstAnswer: undefined };
@@ -134,5 +200,8 @@
 		new ResentPaymentScene(payment, 1),
 		new ChangedPaymentScene(payment),
 		new UnticketedPaymentScene(),
+		new ForgedTicketScene(),
+		new ImpatientPayerScene(),
+		new BrokenUploadScene(),
 	];
 }
--- a/src/demo/common/scenes/refusedScenes.ts
+++ b/src/demo/common/scenes/refusedScenes.ts
@@ -56,6 +56,10 @@
 	}
 }
 
+/** One byte more than an entry takes where its settings say nothing else. */
+const oversizedBodyBytes = 8 * 1_048_576 + 1;
+const oversizedHeader = 'x'.repeat(20_000);
+
 /** The scenes, in their order. */
 export function createRefusedScenes(): IScene[] {
 	const read = { service: services.bookings, path: '/bytes?n=1', organisation: organisations.kingston };
@@ -85,5 +89,17 @@
 			403,
 			'organisation-unknown',
 		),
+		new RefusedScene(
+			'a head of 20 kB',
+			{ ...read, headers: { 'x-oversized': oversizedHeader } },
+			431,
+			'head-too-large',
+		),
+		new RefusedScene(
+			'a body of more than 8 MiB',
+			{ ...read, path: '/echo', body: new Uint8Array(oversizedBodyBytes) },
+			413,
+			'body-too-large',
+		),
 	];
 }
--- a/src/demo/node/httpCaller.ts
+++ b/src/demo/node/httpCaller.ts
@@ -3,6 +3,8 @@
  * and none.
  */
 
+import { Readable } from 'node:stream';
+import { setTimeout as waitFor } from 'node:timers/promises';
 import type { Dispatcher } from 'undici';
 import { Agent } from 'undici';
 import type { ITimerService } from '../../base/common/timerService';
@@ -10,6 +12,8 @@
 
 const connectionsPerOrigin = 256;
 const answerTimeoutMs = 60_000;
+/** Lets the first half of a body arrive before the connection breaks. */
+const uploadPauseMs = 50;
 
 /** Calls over HTTP/1.1 with connections of its own. */
 export class HttpCaller implements ICaller {
@@ -55,22 +59,46 @@
 		return read;
 	}
 
+	async cancelUpload(question: CallQuestion): Promise<void> {
+		const whole = Buffer.from(question.body ?? '');
+		const half = Readable.from(streamAndFail(whole.subarray(0, whole.length / 2)));
+		try {
+			await this.dispatch(question, half, { 'content-length': String(whole.length) });
+		} catch {
+			return;
+		}
+	}
+
 	async close(): Promise<void> {
 		await this.agent.destroy();
 	}
 
-	private dispatch(question: CallQuestion): Promise<Dispatcher.ResponseData> {
+	private dispatch(
+		question: CallQuestion,
+		body: Buffer | Readable | null = toBody(question),
+		moreHeaders: Readonly<Record<string, string>> = {},
+	): Promise<Dispatcher.ResponseData> {
 		const { origin, pathname, search } = new URL(question.url);
 		return this.agent.request({
 			origin,
 			path: `${pathname}${search}`,
 			method: question.method,
-			headers: question.headers ?? {},
-			body: question.body === undefined ? null : Buffer.from(question.body),
+			headers: { ...question.headers, ...moreHeaders },
+			body,
 		});
 	}
 }
 
+function toBody(question: CallQuestion): Buffer | null {
+	return question.body === undefined ? null : Buffer.from(question.body);
+}
+
+async function* streamAndFail(piece: Buffer): AsyncGenerator<Buffer> {
+	yield piece;
+	await waitFor(uploadPauseMs);
+	throw new Error('the caller leaves');
+}
+
 function listHeaders(raw: Dispatcher.ResponseData['headers']): Record<string, string> {
 	return Object.fromEntries(
 		Object.entries(raw).flatMap(([name, value]) => (typeof value === 'string' ? [[name, value]] : [])),
--- a/src/demo/test/scenes.test.ts
+++ b/src/demo/test/scenes.test.ts
@@ -47,6 +47,7 @@
 	const caller: ICaller = {
 		send: question => Promise.resolve({ ...createAnswer(''), ...reply(question) }),
 		cancelAfter: () => Promise.resolve(0),
+		cancelUpload: () => Promise.resolve(),
 	};
 	const addresses: DeploymentAddresses = {
 		ready: true,
--- a/src/load/node/commandOptions.ts
+++ b/src/load/node/commandOptions.ts
@@ -20,7 +20,11 @@
 	class: { choices: requestClasses },
 	'deadline-ms': { type: 'number' },
 	seed: { type: 'number', default: 1, describe: 'the same seed plans the same arrivals and bodies' },
-	connections: { type: 'number', default: 16, describe: 'connections to each base URL' },
+	connections: {
+		type: 'number',
+		default: 16,
+		describe: 'to each base URL; an open run that needs more than these waits for them',
+	},
 	json: { type: 'string', describe: 'file that takes the result as JSON' },
 } as const;
 
