--- a/src/ctl/node/operatorsClient.ts
+++ b/src/ctl/node/operatorsClient.ts
@@ -63,14 +63,20 @@
 
 /** Asks entries by the URL of their operators' port. */
 export class OperatorsClient extends Disposable {
-	private readonly agent = new Agent({ maxResponseSize: mostAnswerBytes });
+	private readonly agent: Agent;
 
-	/** @param timeoutMs The longest wait for one whole answer. */
+	/**
+	 * @param timeoutMs The longest wait for one whole answer.
+	 * @param authorities PEM text of whose certificates to trust, in place of those that Node trusts.
+	 */
 	constructor(
 		private readonly timerService: ITimerService,
 		private readonly timeoutMs: number,
+		authorities?: string,
 	) {
 		super();
+		const trust = authorities === undefined ? {} : { connect: { ca: authorities } };
+		this.agent = new Agent({ maxResponseSize: mostAnswerBytes, ...trust });
 		this.register(
 			toDisposable(() => {
 				void this.agent.destroy();
--- a/src/ctl/node/program.ts
+++ b/src/ctl/node/program.ts
@@ -13,6 +13,7 @@
 import { ExplainCommand } from './explainCommand';
 import { OperatorsClient } from './operatorsClient';
 import { StatusCommand } from './statusCommand';
+import { readTextFile } from './textFile';
 import { TrailCommand } from './trailCommand';
 
 /** What the program needs of the process that it runs in. */
@@ -34,15 +35,17 @@
 /** A command line that cannot be run; its message is for the person who wrote it. */
 class UsageError extends Error {}
 
-/** The same option as yargs names it in camel case. */
+/** Options of the client, as yargs names them in camel case. */
 interface ClientArguments {
 	readonly timeoutMs: number;
+	readonly caFile: string | undefined;
 }
 
 interface CommonArguments {
 	readonly entry: readonly string[] | undefined;
 	readonly json: boolean;
 	readonly 'timeout-ms': number;
+	readonly 'ca-file': string | undefined;
 }
 
 /** Runs one command line. */
@@ -80,11 +83,11 @@
 	}
 
 	private async runWithClient(
-		{ timeoutMs }: ClientArguments,
+		{ timeoutMs, caFile }: ClientArguments,
 		create: (client: OperatorsClient) => ICommand,
 	): Promise<ExitCode> {
 		const longestMs = checkCount('--timeout-ms', timeoutMs, mostTimeoutMs);
-		const client = new OperatorsClient(this.host.timerService, longestMs);
+		const client = new OperatorsClient(this.host.timerService, longestMs, readAuthorities(caFile));
 		try {
 			return await create(client).run();
 		} finally {
@@ -109,6 +112,11 @@
 				default: defaultTimeoutMs,
 				describe: 'Longest wait for one answer',
 			})
+			.option('ca-file', {
+				type: 'string',
+				requiresArg: true,
+				describe: 'PEM file of the authorities to trust for https entries',
+			})
 			.version(this.host.version)
 			.help()
 			.strict()
@@ -229,6 +237,17 @@
 	return value;
 }
 
+function readAuthorities(file: string | undefined): string | undefined {
+	if (file === undefined) {
+		return undefined;
+	}
+	const text = readTextFile(file);
+	if (text.isErr()) {
+		throw new UsageError(`--ca-file ${text.error}`);
+	}
+	return text.value;
+}
+
 function checkEntryUrl(text: string): string {
 	if (!URL.canParse(text) || !/^https?:$/.test(new URL(text).protocol)) {
 		throw new UsageError(`--entry ${text} is not a URL such as http://127.0.0.1:7201`);
--- a/src/ctl/test/commands.test.ts
+++ b/src/ctl/test/commands.test.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { createServer } from 'node:net';
 import type { AddressInfo } from 'node:net';
 import { tmpdir } from 'node:os';
@@ -14,6 +14,7 @@
 	createSource,
 	createStatus,
 } from '../../platform/operators/test/operatorsFixtures';
+import { CertificateFolder, FixtureName, openStore } from '../../platform/tls/test/tlsFixtures';
 import { ExitCode } from '../common/exitCode';
 import { CheckManifestCommand } from '../node/checkManifestCommand';
 import { CheckSettingsCommand, SettingsProgram } from '../node/checkSettingsCommand';
@@ -145,6 +146,21 @@
 	});
 });
 
+describe('an entry with certificates', () => {
+	it('is read by whoever trusts its authority, and by nobody else', async () => {
+		const folder = owned.add(new CertificateFolder(FixtureName.First));
+		const server = owned.add(new OperatorsServer(createSource(), createMetricsPage(), openStore(folder)));
+		const { host, port } = await server.start({ host: '127.0.0.1', port: 0 });
+		const options = { entries: [`https://${host}:${port}`], isJson: false, isWhole: false };
+		const trial = createTrial();
+		const authorities = readFileSync(folder.settings.authorities, 'utf8');
+		const trusting = owned.add(new OperatorsClient(trial.timerService, 3_000, authorities));
+		expect(await new StatusCommand(trusting, trial, options).run()).toBe(ExitCode.Fine);
+		expect(await new StatusCommand(trial.client, trial, options).run()).toBe(ExitCode.NotRight);
+		expect(trial.errors[0]).toContain('unreachable');
+	});
+});
+
 describe('explain', () => {
 	it('asks every entry and shows the one that keeps the request', async () => {
 		const trial = createTrial();
--- a/src/ctl/test/program.test.ts
+++ b/src/ctl/test/program.test.ts
@@ -39,6 +39,7 @@
 		[['status', '--entry', 'entry-1'], 'is not a URL'],
 		[['status', '--entry', nowhere, '--bogus'], 'Unknown argument: bogus'],
 		[['status', '--entry', nowhere, '--timeout-ms', 'soon'], '--timeout-ms is a whole number'],
+		[['status', '--entry', nowhere, '--ca-file', 'no-such-file'], '--ca-file no-such-file: '],
 		[['trail', '--entry', nowhere, '--most', '0'], '--most is a whole number'],
 		[['check'], 'name what to check'],
 		[['check', 'manifest', 'no-such-file'], 'no such file'],
--- a/src/platform/operators/node/operatorsServer.ts
+++ b/src/platform/operators/node/operatorsServer.ts
@@ -4,11 +4,15 @@
  */
 
 import { createServer } from 'node:http';
+import { createServer as createSecureServer } from 'node:https';
+import type { Server as SecureServer } from 'node:https';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import type { AddressInfo } from 'node:net';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { ListenAddress } from '../../settings/common/settingsTypes';
+import type { CertificateStore } from '../../tls/node/certificateStore';
+import { createServerOptions, followCertificates } from '../../tls/node/secureOptions';
 import { OperatorsFault } from '../../status/common/operatorsAnswers';
 import type { OperatorsAnswer } from '../common/operatorsRouter';
 import { createFaultAnswer, OperatorsRouter } from '../common/operatorsRouter';
@@ -20,20 +24,19 @@
  */
 const mostConnections = 64;
 
-/** Milliseconds in which a request must have arrived whole. */
+/** Milliseconds in which a request must have arrived whole, and in which a TLS handshake must end. */
 const requestTimeoutMs = 5_000;
 
 /** Serves operators until disposed of. */
 export class OperatorsServer extends Disposable {
 	private readonly router: OperatorsRouter;
-	private readonly server: Server;
+	private readonly server: Server | SecureServer;
 
-	constructor(source: IOperatorsSource, metrics: IMetricsPage) {
+	/** @param certificates Shown by the port; without them it is plain. */
+	constructor(source: IOperatorsSource, metrics: IMetricsPage, certificates?: CertificateStore) {
 		super();
 		this.router = new OperatorsRouter(source, metrics);
-		this.server = createServer({ requestTimeout: requestTimeoutMs }, (request, response) => {
-			void this.serve(request, response);
-		});
+		this.server = this.createServer(certificates);
 		this.server.maxConnections = mostConnections;
 		this.register(
 			toDisposable(() => {
@@ -51,6 +54,23 @@
 		return { host: address, port };
 	}
 
+	private createServer(certificates: CertificateStore | undefined): Server | SecureServer {
+		const answer = (request: IncomingMessage, response: ServerResponse): void => {
+			void this.serve(request, response);
+		};
+		if (certificates === undefined) {
+			return createServer({ requestTimeout: requestTimeoutMs }, answer);
+		}
+		const options = {
+			...createServerOptions(certificates.getCurrent()),
+			requestTimeout: requestTimeoutMs,
+			handshakeTimeout: requestTimeoutMs,
+		};
+		const server = createSecureServer(options, answer);
+		this.register(followCertificates(server, certificates));
+		return server;
+	}
+
 	private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
 		request.resume();
 		const answer = await this.answerSafely(request);
--- a/src/platform/telemetry/common/entryMetricDefinitions.ts
+++ b/src/platform/telemetry/common/entryMetricDefinitions.ts
@@ -110,6 +110,10 @@
 		'Unix time of the last good read of the platform.',
 		'kind',
 	),
+	certificateExpiry: createDefinition(
+		'certificate_expiry_timestamp_seconds',
+		'Unix time at which the certificate in use expires; absent without TLS.',
+	),
 	heldBytes: createDefinition('held_body_bytes', 'Bytes of request bodies held in memory.'),
 	ticketsOutstanding: createDefinition(
 		'tickets_outstanding',
--- a/src/platform/telemetry/node/entryMetrics.ts
+++ b/src/platform/telemetry/node/entryMetrics.ts
@@ -75,6 +75,7 @@
 	}));
 	private readonly manifestVersion = this.createGauge(gaugeDefinitions.manifestVersion);
 	private readonly platformLastRead = this.createGauge(gaugeDefinitions.platformLastRead);
+	private readonly certificateExpiry = this.createGauge(gaugeDefinitions.certificateExpiry);
 	private readonly heldBytes = this.createGauge(gaugeDefinitions.heldBytes);
 	private readonly ticketsOutstanding = this.createGauge(gaugeDefinitions.ticketsOutstanding);
 
@@ -87,6 +88,8 @@
 
 	constructor(about: ProcessAbout) {
 		this.info.set({ ...about }, 1);
+		// A gauge without labels begins at 0, which would read as a certificate that expired in 1970.
+		this.certificateExpiry.remove({});
 		collectDefaultMetrics({ register: this.registry });
 	}
 
@@ -190,6 +193,10 @@
 		this.manifestVersion.set(version);
 	}
 
+	setCertificateExpiry(validTo: Date): void {
+		this.certificateExpiry.set(validTo.getTime() / millisecondsPerSecond);
+	}
+
 	setHeldBytes(bytes: number): void {
 		this.heldBytes.set(bytes);
 	}
--- a/src/platform/telemetry/test/entryMetrics.test.ts
+++ b/src/platform/telemetry/test/entryMetrics.test.ts
@@ -51,6 +51,16 @@
 		expect(await metrics.render()).not.toContain('service="bookings"');
 	});
 
+	// An entry without TLS has no certificate. If its expiry were shown as 0, the alert for certificates that
+	// expire soon would ring for every such entry from its start.
+	it('shows the expiry of a certificate only where there is one', async () => {
+		const metrics = createMetrics();
+		const name = 'anvilroad_certificate_expiry_timestamp_seconds';
+		expect(await metrics.render()).not.toMatch(new RegExp(`^${name} `, 'm'));
+		metrics.setCertificateExpiry(new Date(2_000));
+		expect(await metrics.render()).toMatch(new RegExp(`^${name} 2$`, 'm'));
+	});
+
 	it('registers each metric of the definitions and names them by the conventions', async () => {
 		const names = listEntryMetrics().map(metric => metric.name);
 		const page = await createMetrics().render();
