--- a/src/ctl/test/compiledSources.ts
+++ b/src/ctl/test/compiledSources.ts
@@ -4,7 +4,7 @@
  */
 
 import { transformFileSync } from '@swc/core';
-import { copyFileSync, mkdirSync, mkdtempSync, readdirSync, writeFileSync } from 'node:fs';
+import { copyFileSync, cpSync, mkdirSync, mkdtempSync, readdirSync, writeFileSync } from 'node:fs';
 import { dirname, join, relative, resolve } from 'node:path';
 
 const root = resolve(__dirname, '../../..');
@@ -20,6 +20,7 @@
 	mkdirSync(cache, { recursive: true });
 	const output = mkdtempSync(join(cache, 'anvilroad-test-'));
 	copyFileSync(join(root, 'package.json'), join(output, 'package.json'));
+	cpSync(join(root, 'charts'), join(output, 'charts'), { recursive: true });
 	for (const folder of folders) {
 		for (const file of readdirSync(join(root, 'src', folder), { recursive: true, encoding: 'utf8' })) {
 			const source = join(root, 'src', folder, file);
