--- a/src/platform/telemetry/node/entryMetrics.ts
+++ b/src/platform/telemetry/node/entryMetrics.ts
@@ -154,8 +154,9 @@
 		this.linkBytes.inc({ region, direction }, bytes);
 	}
 
-	noteTicket(result: TicketResult): void {
-		this.tickets.inc({ result });
+	/** @param count Tickets of a lookup are issued several at a time. */
+	noteTicket(result: TicketResult, count = 1): void {
+		this.tickets.inc({ result }, count);
 	}
 
 	noteManifest(result: ManifestResult): void {
--- a/src/platform/telemetry/test/entryMetrics.test.ts
+++ b/src/platform/telemetry/test/entryMetrics.test.ts
@@ -2,6 +2,7 @@
 import { Outcome } from '../../errors/common/outcome';
 import { RequestClass } from '../../requests/common/requestClass';
 import { listEntryMetrics } from '../common/entryMetricDefinitions';
+import { TicketResult } from '../common/entryMetricLabels';
 import { EntryMetrics } from '../node/entryMetrics';
 
 function createMetrics(): EntryMetrics {
@@ -15,7 +16,9 @@
 		const metrics = createMetrics();
 		metrics.noteRequest('bookings', RequestClass.Urgent, Outcome.NotRun, ErrorKind.Overloaded);
 		metrics.noteFirstByte('bookings', RequestClass.Urgent, 600);
+		metrics.noteTicket(TicketResult.Issued, 4);
 		const page = await metrics.render();
+		expect(page).toContain('anvilroad_tickets_total{result="issued"} 4');
 		expect(page).toContain(
 			'anvilroad_requests_total{service="bookings",class="urgent",outcome="not-run",error="overloaded"} 1',
 		);
