--- a/src/platform/telemetry/node/entryMetrics.ts
+++ b/src/platform/telemetry/node/entryMetrics.ts
@@ -75,6 +75,7 @@
 	}));
 	private readonly manifestVersion = this.createGauge(gaugeDefinitions.manifestVersion);
 	private readonly platformLastRead = this.createGauge(gaugeDefinitions.platformLastRead);
+	private readonly certificateExpiry = this.createGauge(gaugeDefinitions.certificateExpiry);
 	private readonly heldBytes = this.createGauge(gaugeDefinitions.heldBytes);
 	private readonly ticketsOutstanding = this.createGauge(gaugeDefinitions.ticketsOutstanding);
 
@@ -87,6 +88,8 @@
 
 	constructor(about: ProcessAbout) {
 		this.info.set({ ...about }, 1);
+		// A gauge without labels begins at 0, which would read as a certificate that expired in 1970.
+		this.certificateExpiry.remove({});
 		collectDefaultMetrics({ register: this.registry });
 	}
 
@@ -151,8 +154,9 @@
 		this.linkBytes.inc({ region, direction }, bytes);
 	}
 
-	noteTicket(result: TicketResult): void {
-		this.tickets.inc({ result });
+	/** @param count Tickets of a lookup are issued several at a time. */
+	noteTicket(result: TicketResult, count = 1): void {
+		this.tickets.inc({ result }, count);
 	}
 
 	noteManifest(result: ManifestResult): void {
@@ -190,6 +194,10 @@
 		this.manifestVersion.set(version);
 	}
 
+	setCertificateExpiry(validTo: Date): void {
+		this.certificateExpiry.set(validTo.getTime() / millisecondsPerSecond);
+	}
+
 	setHeldBytes(bytes: number): void {
 		this.heldBytes.set(bytes);
 	}
--- a/src/platform/telemetry/test/entryMetrics.test.ts
+++ b/src/platform/telemetry/test/entryMetrics.test.ts
@@ -2,6 +2,7 @@
 import { Outcome } from '../../errors/common/outcome';
 import { RequestClass } from '../../requests/common/requestClass';
 import { listEntryMetrics } from '../common/entryMetricDefinitions';
+import { TicketResult } from '../common/entryMetricLabels';
 import { EntryMetrics } from '../node/entryMetrics';
 
 function createMetrics(): EntryMetrics {
@@ -15,7 +16,9 @@
 		const metrics = createMetrics();
 		metrics.noteRequest('bookings', RequestClass.Urgent, Outcome.NotRun, ErrorKind.Overloaded);
 		metrics.noteFirstByte('bookings', RequestClass.Urgent, 600);
+		metrics.noteTicket(TicketResult.Issued, 4);
 		const page = await metrics.render();
+		expect(page).toContain('anvilroad_tickets_total{result="issued"} 4');
 		expect(page).toContain(
 			'anvilroad_requests_total{service="bookings",class="urgent",outcome="not-run",error="overloaded"} 1',
 		);
@@ -51,6 +54,16 @@
 		expect(await metrics.render()).not.toContain('service="bookings"');
 	});
 
+	// An entry without TLS has no certificate. If its expiry were shown as 0, the alert for certificates that
+	// expire soon would ring for every such entry from its start.
+	it('shows the expiry of a certificate only where there is one', async () => {
+		const metrics = createMetrics();
+		const name = 'anvilroad_certificate_expiry_timestamp_seconds';
+		expect(await metrics.render()).not.toMatch(new RegExp(`^${name} `, 'm'));
+		metrics.setCertificateExpiry(new Date(2_000));
+		expect(await metrics.render()).toMatch(new RegExp(`^${name} 2$`, 'm'));
+	});
+
 	it('registers each metric of the definitions and names them by the conventions', async () => {
 		const names = listEntryMetrics().map(metric => metric.name);
 		const page = await createMetrics().render();
