--- a/src/steward/common/lifeStep.ts
+++ b/src/steward/common/lifeStep.ts
@@ -27,3 +27,24 @@
 	/** A load that takes longer is reported as slow and no longer keeps others from loading. */
 	readonly slowLoadMs: number;
 }
+
+/** What the chart's states ask for; in the others the life waits. */
+const stepKinds: ReadonlyMap<string, LifeStepKind> = new Map([
+	['reading', LifeStepKind.ReadState],
+	['rereading', LifeStepKind.ReadState],
+	['readingBack', LifeStepKind.ReadState],
+	['confirming', LifeStepKind.Confirm],
+	['ordering', LifeStepKind.SendOrder],
+]);
+
+const granted: ReadonlySet<string> = new Set(['confirming', 'rereading', 'ordering', 'readingBack']);
+
+/** What a state of charts/stewardOrder.json asks for. */
+export function getStepKind(chartState: string): LifeStepKind {
+	return stepKinds.get(chartState) ?? LifeStepKind.Wait;
+}
+
+/** Whether the engine has leave to load in a state, and may not show it yet. */
+export function hasLeaveIn(chartState: string): boolean {
+	return granted.has(chartState);
+}
--- a/src/steward/common/loadGate.ts
+++ b/src/steward/common/loadGate.ts
@@ -21,7 +21,7 @@
 	readonly service: ServiceName;
 	/** It holds no model, so nobody misses it while it loads. */
 	readonly isEmpty: boolean;
-	/** It loads, or has been allowed to. */
+	/** It loads, or has been allowed to; also if what it loads is not what it should hold. */
 	readonly isLoading: boolean;
 	/** It waits for leave to load. */
 	readonly isWaiting: boolean;
@@ -45,7 +45,12 @@
 		.sort((left, right) => Number(right.isEmpty) - Number(left.isEmpty) || (left.id < right.id ? -1 : 1));
 	const loading = engines.filter(engine => engine.isLoading).length;
 	for (const engine of waiting) {
-		if (loading + picked.size >= mostLoads) {
+		// It loads what it should not hold: another load takes that one's place.
+		if (engine.isLoading) {
+			picked.add(engine.id);
+			continue;
+		}
+		if (loading + countNew(picked, engines) >= mostLoads) {
 			break;
 		}
 		if (engine.isEmpty || isSpare(engine, engines, picked)) {
@@ -66,12 +71,21 @@
 	if (serving.length === members.length && staying.length === serving.length - 1) {
 		return true;
 	}
+	// Without this a service that nobody uses just now would be away as a whole, and its next caller refused.
+	if (staying.length === 0) {
+		return false;
+	}
 	const slots = staying.reduce((sum, engine) => sum + (engine.load?.slots ?? 0), 0);
 	// The requests of those that were picked before go to the rest too.
 	const requests = serving.reduce((sum, engine) => sum + countRequests(engine), 0);
 	return requests <= slots * usableShare;
 }
 
+/** Picked engines that did not load before. */
+function countNew(picked: ReadonlySet<TargetId>, engines: readonly GateEngine[]): number {
+	return engines.filter(engine => picked.has(engine.id) && !engine.isLoading).length;
+}
+
 function countRequests({ load }: GateEngine): number {
 	return load === undefined ? Number.POSITIVE_INFINITY : load.running + load.waiting;
 }
--- a/src/steward/common/orderLife.ts
+++ b/src/steward/common/orderLife.ts
@@ -21,7 +21,7 @@
 import { OrderBackoff } from './orderBackoff';
 import { decideOrder, OrderDecision } from './orderDecision';
 import type { LifeStep, LifeTimes } from './lifeStep';
-import { LifeStepKind } from './lifeStep';
+import { getStepKind, hasLeaveIn } from './lifeStep';
 import type { OrderObserver } from './orderEvents';
 import { OrderEventKind } from './orderEvents';
 import { OrderReporter } from './orderReporter';
@@ -32,18 +32,6 @@
 
 const chart = new Chart(chartFile);
 
-/** What the states ask for; in the others the life waits. */
-const stepKinds: ReadonlyMap<string, LifeStepKind> = new Map([
-	['reading', LifeStepKind.ReadState],
-	['rereading', LifeStepKind.ReadState],
-	['readingBack', LifeStepKind.ReadState],
-	['confirming', LifeStepKind.Confirm],
-	['ordering', LifeStepKind.SendOrder],
-]);
-
-/** The states in which the engine has leave to load but may not show it yet. */
-const grantedStates = new Set(['confirming', 'rereading', 'ordering', 'readingBack']);
-
 /** The life of one engine's order. */
 export class OrderLife {
 	private readonly walk = new ChartWalk(chart);
@@ -101,7 +89,7 @@
 		if (this.reporter.getLast() === OrderEventKind.Slow) {
 			return false;
 		}
-		const hasLeave = grantedStates.has(this.walk.getState()) && this.isLoadNeeded();
+		const hasLeave = hasLeaveIn(this.walk.getState()) && this.isLoadNeeded();
 		return hasLeave || this.state?.isLoading === true;
 	}
 
@@ -136,7 +124,7 @@
 		if (this.walk.getState() === 'ordering') {
 			this.checkConfirmation(nowMs);
 		}
-		return { kind: stepKinds.get(this.walk.getState()) ?? LifeStepKind.Wait, round: this.round };
+		return { kind: getStepKind(this.walk.getState()), round: this.round };
 	}
 
 	noteGranted(): void {
@@ -160,12 +148,15 @@
 		this.applyDecision(decideOrder(this.target, read.value, this.watermark.get()), nowMs);
 	}
 
-	/** Takes the newest version that the platform serves, or the fault that there was instead. */
+	/**
+	 * Takes the newest version that the platform serves, or the fault that there was instead. A platform that
+	 * serves an older one than the order's own has fallen back, and cannot say whether there is a newer one.
+	 */
 	noteNewest(round: number, read: Result<number, GatewayFault>, nowMs: number): void {
 		if (round !== this.round) {
 			return;
 		}
-		if (read.isOk()) {
+		if (read.isOk() && read.value >= this.target.order.fence) {
 			// A newer one shows when the state is read again, and then ends this round without an order.
 			this.watermark.note(read.value);
 			this.mustConfirm = false;
@@ -177,7 +168,11 @@
 			this.walk.send('Confirmed');
 			return;
 		}
-		this.applyFailure(OrderEventKind.Unconfirmed, read.error.detail, nowMs);
+		const detail = read.match(
+			version => `the platform has fallen back to version ${version}`,
+			({ detail }) => detail,
+		);
+		this.applyFailure(OrderEventKind.Unconfirmed, detail, nowMs);
 	}
 
 	/** Takes the engine's answer to the order, or the fault that there was instead. */
@@ -191,14 +186,14 @@
 		}
 		switch (answer.value) {
 			case OrderAnswer.Accepted:
-				this.reporter.emit(OrderEventKind.Accepted, 'accepted', this.target, this.state);
+				this.reporter.emit(OrderEventKind.Accepted, 'order sent', this.target, this.state);
 				this.walk.send('Accepted');
 				return;
 			case OrderAnswer.Superseded:
 				this.applySuperseded(nowMs);
 				return;
 			case OrderAnswer.Refused:
-				this.applyFailure(OrderEventKind.Refused, 'refused', nowMs);
+				this.applyFailure(OrderEventKind.Refused, 'order sent', nowMs);
 		}
 	}
 
--- a/src/steward/common/orderReporter.ts
+++ b/src/steward/common/orderReporter.ts
@@ -3,7 +3,6 @@
  */
 
 import type { EngineState, EngineTarget } from './engineOrder';
-import { describeHolding } from './engineOrder';
 import type { OrderObserver } from './orderEvents';
 import { OrderEventKind } from './orderEvents';
 
@@ -24,8 +23,7 @@
 
 	emit(kind: OrderEventKind, detail: string, target: EngineTarget, state: EngineState | undefined): void {
 		this.last = kind;
-		const held = state === undefined ? '' : `; holds ${describeHolding(state)}`;
-		this.observe({ kind, target, state, detail: `${detail}${held}` });
+		this.observe({ kind, target, state, detail });
 	}
 
 	/** Tells of a condition when it begins. */
--- a/src/steward/common/steward.ts
+++ b/src/steward/common/steward.ts
@@ -11,7 +11,7 @@
 import type { ManifestVersion, ServiceName, TargetId, ZoneName } from '../../platform/ids/common/ids';
 import type { Manifest } from '../../platform/manifest/common/manifest';
 import type { IEngineGateway, IVersionSource } from './engineGateway';
-import type { EngineTarget } from './engineOrder';
+import type { EngineState, EngineTarget } from './engineOrder';
 import { listEngineTargets } from './engineOrder';
 import type { GateEngine } from './loadGate';
 import { computeLoadShare, pickLoads } from './loadGate';
@@ -35,6 +35,8 @@
 export interface EngineStatus {
 	readonly target: EngineTarget;
 	readonly chartState: string;
+	/** As it was read last; undefined where it could not be read. */
+	readonly state: EngineState | undefined;
 }
 
 const tickMs = 250;
@@ -99,6 +101,7 @@
 		return [...this.lives.values()].map(life => ({
 			target: life.getTarget(),
 			chartState: life.getChartState(),
+			state: life.getEngineState(),
 		}));
 	}
 
--- /dev/null
+++ b/src/steward/node/stewardOperators.ts
@@ -0,0 +1,80 @@
+/**
+ * The steward's port for operators: health, readiness, metrics, and the state of every order.
+ */
+
+import { once } from 'node:events';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { IDisposable } from '../../base/common/lifecycle';
+import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
+import type { EngineStatus, Steward } from '../common/steward';
+import { describeHolding } from '../common/engineOrder';
+import type { StewardMetrics } from './stewardMetrics';
+
+/** Serves operators. */
+export class StewardOperators implements IDisposable {
+	private readonly server = createServer((request, response) => {
+		void this.answerRequest(request, response);
+	});
+
+	constructor(
+		private readonly listen: ListenAddress,
+		private readonly steward: Steward,
+		private readonly metrics: StewardMetrics,
+	) {}
+
+	/** Listens and gives the base URL. */
+	async open(): Promise<string> {
+		this.server.listen(this.listen.port, this.listen.host);
+		await once(this.server, 'listening');
+		const { address, port, family } = this.server.address() as AddressInfo;
+		return `http://${family === 'IPv6' ? `[${address}]` : address}:${port}`;
+	}
+
+	dispose(): void {
+		this.server.close();
+		this.server.closeAllConnections();
+	}
+
+	private async answerRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		switch (`${request.method ?? ''} ${request.url ?? ''}`) {
+			case 'GET /healthz':
+				sendText(response, 200, 'text/plain', 'ok\n');
+				return;
+			case 'GET /readyz':
+				this.sendReadiness(response);
+				return;
+			case 'GET /metrics':
+				sendText(response, 200, this.metrics.getContentType(), await this.metrics.render());
+				return;
+			case 'GET /v1/orders':
+				sendText(response, 200, 'application/json', JSON.stringify(this.listOrders()));
+				return;
+			default:
+				sendText(response, 404, 'text/plain', 'no such path\n');
+		}
+	}
+
+	private sendReadiness(response: ServerResponse): void {
+		const isReady = this.steward.getVersion() > 0;
+		sendText(response, isReady ? 200 : 503, 'text/plain', isReady ? 'ready\n' : 'no manifest yet\n');
+	}
+
+	private listOrders(): object {
+		const orders = this.steward.listStatus().map(({ target, chartState, state }: EngineStatus) => ({
+			target: target.id,
+			service: target.service,
+			state: chartState,
+			wants: describeHolding(target.order),
+			holds: state === undefined ? null : describeHolding(state),
+			fence: state?.fence ?? null,
+		}));
+		return { manifestVersion: this.steward.getVersion(), orders };
+	}
+}
+
+function sendText(response: ServerResponse, status: number, contentType: string, text: string): void {
+	response.writeHead(status, { 'content-type': contentType, 'content-length': Buffer.byteLength(text) });
+	response.end(text);
+}
--- a/src/steward/test/loadGate.test.ts
+++ b/src/steward/test/loadGate.test.ts
@@ -28,6 +28,20 @@
 		expect(pickLoads(createEngines(8, { load: busy }), 8)).toEqual(['engine-1']);
 	});
 
+	it('leaves one engine of a service that nobody uses just now', () => {
+		const idle = { running: 0, waiting: 0, slots: 8 };
+		expect(pickLoads(createEngines(3, { load: idle }), 8)).toEqual(['engine-1', 'engine-2']);
+	});
+
+	it('lets an engine that loads the wrong weights load others at once', () => {
+		// Somebody has given an engine an order by hand while all engines are busy. It serves nobody until it has
+		// loaded what it was told, and nobody would miss it if it loaded the right weights instead.
+		const busy = { running: 8, waiting: 0, slots: 8 };
+		const engines = createEngines(3, { load: busy, isWaiting: false });
+		const wrong = createEngine('wrong', { isLoading: true, load: busy });
+		expect(pickLoads([...engines, wrong], 1)).toEqual(['wrong']);
+	});
+
 	it('takes an engine whose load is not known for full', () => {
 		expect(pickLoads(createEngines(8, { load: undefined }), 8)).toEqual(['engine-1']);
 	});
@@ -65,6 +79,9 @@
 					);
 					const picked = pickLoads(engines, most);
 					const loading = list.filter(({ isLoading }) => isLoading).length;
+					const serving = engines.filter(each => !each.isLoading && !each.isEmpty);
+					const staying = serving.filter(each => !picked.includes(each.id));
+					expect(staying.length > 0 || serving.length <= 1).toBe(true);
 					expect(picked.length).toBeLessThanOrEqual(Math.max(0, most - loading));
 					expect(picked.length > 0 || loading > 0).toBe(true);
 				},
--- a/src/steward/test/orderLife.test.ts
+++ b/src/steward/test/orderLife.test.ts
@@ -279,6 +279,18 @@
 		expect(scene.engine.state.fence).toBe(5);
 	});
 
+	it('does not take a platform that has fallen back for a confirmation', () => {
+		// A replica of the configuration service serves what was replaced long ago. It cannot say whether there
+		// is something newer than what the steward holds, so an engine that obeys anything is left as it is.
+		const scene = new Scene(new FakeEngine(false), 1);
+		scene.newest = 3;
+		scene.runOn();
+		scene.newest = 2;
+		scene.engine.state = { ...scene.engine.state, version: 'by-hand' };
+		scene.runOn();
+		expect(scene.engine.orders).toBe(1);
+	});
+
 	it('drops what it is told on a question from before it slept', () => {
 		// The process wakes, and the answer to a question of ten minutes ago lies in its socket. The engine has
 		// changed since, in whatever way.
