Let large zones load side by side, and bound what a silent watch hides

Cause: in a zone of 127 engines a new model went to one engine at a time, since engines looked at more than ten seconds ago counted as unable to spare anybody; the change was not through after two minutes. A watch on a silent connection could hide a new version for forty seconds. Ruled out: reading every engine's load every few seconds, which would grow with the zone. Change: an engine without a recent report keeps its own requests and takes none; watches hang for five seconds at the most; a stand-in that crashed waits for its port if another process has it; counters are typed.

--- a/src/standin/node/engineServer.ts
+++ b/src/standin/node/engineServer.ts
@@ -24,6 +24,7 @@
 import { getHeader, getWholeNumber, parseJson, parseTarget, readBody, sendJson } from './httpExchange';
 import { InferenceAnswer } from './inferenceAnswer';
 import type { IStandin } from './standin';
+import type { EngineCounters } from './standinCounters';
 import { TargetHost } from './targetHost';
 
 const tokensPerPrefillUnit = 1_000;
@@ -77,7 +78,7 @@
 		return applied;
 	}
 
-	getCounters(): object {
+	getCounters(): EngineCounters {
 		return {
 			...this.host.counters,
 			...this.batch.getLoad(),
--- a/src/standin/node/linkRelay.ts
+++ b/src/standin/node/linkRelay.ts
@@ -17,6 +17,7 @@
 import type { LinkPath } from './linkConnection';
 import { LinkConnection } from './linkConnection';
 import type { IStandin } from './standin';
+import type { LinkCounters } from './standinCounters';
 
 const bytesPerMegabit = 125_000;
 
@@ -70,7 +71,7 @@
 		return applied;
 	}
 
-	getCounters(): object {
+	getCounters(): LinkCounters {
 		const { accepted, refused, silenced } = this;
 		return { accepted, refused, silenced, open: this.connections.size };
 	}
--- a/src/standin/node/plainServer.ts
+++ b/src/standin/node/plainServer.ts
@@ -19,6 +19,7 @@
 import { WorkQueue } from '../common/workQueue';
 import { getHeader, getWholeNumber, parseTarget, readBody, sendJson, waitForDrain } from './httpExchange';
 import type { IStandin } from './standin';
+import type { PlainCounters } from './standinCounters';
 import { TargetHost } from './targetHost';
 
 /** The caller's own id of a call; the system passes it on like any other header. */
@@ -69,7 +70,7 @@
 		return this.faults.apply(patch);
 	}
 
-	getCounters(): object {
+	getCounters(): PlainCounters {
 		return {
 			...this.host.counters,
 			...this.work.getLoad(),
--- a/src/standin/node/platformServer.ts
+++ b/src/standin/node/platformServer.ts
@@ -22,6 +22,7 @@
 import { getWholeNumber, parseTarget, sendJson } from './httpExchange';
 import { HttpListener } from './httpListener';
 import type { IStandin } from './standin';
+import type { PlatformCounters } from './standinCounters';
 import { WeightStore } from './weightStore';
 
 /** Versions of the platform's documents stand in this header. */
@@ -94,7 +95,7 @@
 		return version;
 	}
 
-	getCounters(): object {
+	getCounters(): PlatformCounters {
 		return {
 			reads: this.counts.get(),
 			peakReadsInOneSecond: this.budget.getPeakReads(),
--- a/src/standin/node/standin.ts
+++ b/src/standin/node/standin.ts
@@ -5,6 +5,7 @@
 import type { Result } from 'neverthrow';
 import type { IDisposable } from '../../base/common/lifecycle';
 import type { SwitchFault } from '../common/faultBoard';
+import type { StandinCounters } from './standinCounters';
 
 /** One stand-in: it listens, has fault switches and counts what it met. */
 export interface IStandin extends IDisposable {
@@ -14,6 +15,6 @@
 	open(): Promise<string>;
 	/** Merges a patch into the fault switches and gives all of them as they then stand. */
 	applyFaults(patch: unknown): Result<object, readonly SwitchFault[]>;
-	/** Counters, each an integer since the start, or a gauge named so. */
-	getCounters(): object;
+	/** What it counted since its start, and what it holds now. */
+	getCounters(): StandinCounters;
 }
--- a/src/standin/node/targetHost.ts
+++ b/src/standin/node/targetHost.ts
@@ -18,6 +18,7 @@
 import { TargetAnswer } from './targetAnswer';
 
 const largestLoadLagMs = 60_000;
+const openingRetryMs = 200;
 
 /** What every target counts. */
 export interface TargetCounters {
@@ -123,12 +124,7 @@
 		this.counters.crashes++;
 		this.isDown = true;
 		this.listener.close();
-		this.register(
-			this.timers.schedule(this.getFaults().crashDownMs, () => {
-				this.isDown = false;
-				void this.listener.open();
-			}),
-		);
+		this.scheduleOpening(this.getFaults().crashDownMs);
 		return true;
 	}
 
@@ -141,4 +137,14 @@
 			}
 		});
 	}
+	/** Another process may have taken the port meanwhile; then it is tried again until it is free. */
+	private scheduleOpening(delayMs: number): void {
+		const timer = this.timers.schedule(delayMs, () => {
+			this.isDown = false;
+			this.listener.open().catch(() => {
+				this.scheduleOpening(openingRetryMs);
+			});
+		});
+		this.register(timer);
+	}
 }
--- a/src/standin/test/configStore.test.ts
+++ b/src/standin/test/configStore.test.ts
@@ -8,7 +8,9 @@
 	return { store: new ConfigStore(timers), timers };
 }
 
-const document = (text: string): Buffer => Buffer.from(text);
+function createDocument(text: string): Buffer {
+	return Buffer.from(text);
+}
 
 function watchOnce(store: ConfigStore, after: number, waitMs: number): (VersionedDocument | undefined)[] {
 	const seen: (VersionedDocument | undefined)[] = [];
@@ -20,24 +22,24 @@
 	it('counts versions up and serves the newest', () => {
 		const { store } = createStore();
 		expect(store.read()).toBeUndefined();
-		expect([store.put(document('a')), store.put(document('b'))]).toEqual([1, 2]);
-		expect(store.read()).toEqual({ version: 2, bytes: document('b') });
+		expect([store.put(createDocument('a')), store.put(createDocument('b'))]).toEqual([1, 2]);
+		expect(store.read()).toEqual({ version: 2, bytes: createDocument('b') });
 	});
 
 	it('goes on from the highest version after one that was forced', () => {
 		const { store } = createStore();
-		store.put(document('a'), 7);
-		store.put(document('older'), 3);
+		store.put(createDocument('a'), 7);
+		store.put(createDocument('older'), 3);
 		expect(store.read()?.version).toBe(3);
-		expect(store.put(document('b'))).toBe(8);
+		expect(store.put(createDocument('b'))).toBe(8);
 	});
 
 	it('answers a watch when a newer version comes, and at its end without one', () => {
 		const { store, timers } = createStore();
-		store.put(document('a'));
+		store.put(createDocument('a'));
 		const first = watchOnce(store, 1, 500);
 		const second = watchOnce(store, 2, 500);
-		store.put(document('b'));
+		store.put(createDocument('b'));
 		expect(first.map(found => found?.version)).toEqual([2]);
 		expect(second).toEqual([]);
 		timers.advance(500);
@@ -50,10 +52,10 @@
 		// A replica of the configuration service has stopped following. Readers go on getting a version that
 		// was replaced long ago, without any error.
 		const { store } = createStore();
-		store.put(document('a'));
+		store.put(createDocument('a'));
 		store.setStaleVersion(1);
 		const seen = watchOnce(store, 1, 500);
-		store.put(document('b'));
+		store.put(createDocument('b'));
 		expect(store.read()?.version).toBe(1);
 		expect(seen).toEqual([]);
 		store.setStaleVersion(null);
--- a/src/steward/common/loadGate.ts
+++ b/src/steward/common/loadGate.ts
@@ -25,7 +25,7 @@
 	readonly isLoading: boolean;
 	/** It waits for leave to load. */
 	readonly isWaiting: boolean;
-	/** Its requests, or undefined where the report is missing or old; it then counts as full. */
+	/** Its requests, or undefined where the report is missing or old; it then counts as just full. */
 	readonly load: EngineLoad | undefined;
 }
 
@@ -76,8 +76,10 @@
 		return false;
 	}
 	const slots = staying.reduce((sum, engine) => sum + (engine.load?.slots ?? 0), 0);
-	// The requests of those that were picked before go to the rest too.
-	const requests = serving.reduce((sum, engine) => sum + countRequests(engine), 0);
+	// An engine that is just full keeps its own requests and takes none; only those that leave must be known.
+	const leaving = serving.filter(engine => !staying.includes(engine));
+	const known = [...staying.filter(engine => engine.load !== undefined), ...leaving];
+	const requests = known.reduce((sum, engine) => sum + countRequests(engine), 0);
 	return requests <= slots * usableShare;
 }
 
--- a/src/steward/common/platformBackoff.ts
+++ b/src/steward/common/platformBackoff.ts
@@ -9,8 +9,12 @@
 const firstWaitMs = 500;
 const longestWaitMs = 15_000;
 
-/** Longest hanging watch; the platform counts it as one read. */
-const longestWatchMs = 30_000;
+/**
+ * Longest hanging watch. A connection that has gone silent while a watch hangs on it hides every new version
+ * until the watch is given up, so this bounds how late a version can be seen; a steward on each of 360
+ * instances reads the platform 80 times a second so, of two thousand.
+ */
+const longestWatchMs = 5_000;
 const leastWatchShare = 0.8;
 
 /** Gives waits that grow with the failures in a row and differ between processes. */
--- a/src/steward/node/manifestWatcher.ts
+++ b/src/steward/node/manifestWatcher.ts
@@ -53,9 +53,8 @@
 }
 
 const connectMs = 2_000;
-/** Beyond the longest hanging watch. */
-const silenceMs = 40_000;
-const readSilenceMs = 3_000;
+/** How long the platform may take beyond the time that a watch was to hang. */
+const silenceMs = 1_500;
 const shortestQuietWatchMs = 1_000;
 const millisecondsPerSecond = 1_000;
 const digestCharacters = 12;
@@ -98,7 +97,7 @@
 
 	async readNewestVersion(): Promise<Result<number, GatewayFault>> {
 		try {
-			const answer = await this.ask(`after=${this.seenVersion}`, readSilenceMs);
+			const answer = await this.ask(`after=${this.seenVersion}`, silenceMs);
 			this.handleAnswer(answer);
 			return ok(answer.version);
 		} catch (error) {
@@ -111,7 +110,7 @@
 		try {
 			const startedMs = this.timers.getNow();
 			const waitMs = this.backoff.pickWatchMs();
-			const answer = await this.ask(`after=${this.seenVersion}&wait-ms=${waitMs}`, silenceMs);
+			const answer = await this.ask(`after=${this.seenVersion}&wait-ms=${waitMs}`, waitMs + silenceMs);
 			const isNews = this.handleAnswer(answer);
 			if (isNews || this.timers.getNow() - startedMs >= shortestQuietWatchMs) {
 				this.backoff.clear();
--- a/src/steward/node/stewardOperators.ts
+++ b/src/steward/node/stewardOperators.ts
@@ -12,6 +12,23 @@
 import { describeHolding } from '../common/engineOrder';
 import type { StewardMetrics } from './stewardMetrics';
 
+/** One engine's order, as operators see it. */
+interface OrderRow {
+	readonly target: string;
+	readonly service: string;
+	/** State of charts/stewardOrder.json. */
+	readonly state: string;
+	readonly wants: string;
+	/** Null where the engine could not be read. */
+	readonly holds: string | null;
+	readonly fence: number | null;
+}
+
+interface OrderList {
+	readonly manifestVersion: number;
+	readonly orders: readonly OrderRow[];
+}
+
 /** Serves operators. */
 export class StewardOperators implements IDisposable {
 	private readonly server = createServer((request, response) => {
@@ -61,7 +78,7 @@
 		sendText(response, isReady ? 200 : 503, 'text/plain', isReady ? 'ready\n' : 'no manifest yet\n');
 	}
 
-	private listOrders(): object {
+	private listOrders(): OrderList {
 		const orders = this.steward.listStatus().map(({ target, chartState, state }: EngineStatus) => ({
 			target: target.id,
 			service: target.service,
--- a/src/steward/test/loadGate.test.ts
+++ b/src/steward/test/loadGate.test.ts
@@ -42,8 +42,12 @@
 		expect(pickLoads([...engines, wrong], 1)).toEqual(['wrong']);
 	});
 
-	it('takes an engine whose load is not known for full', () => {
+	it('takes an engine whose load is not known for just full', () => {
 		expect(pickLoads(createEngines(8, { load: undefined }), 8)).toEqual(['engine-1']);
+		const unknown = ['x', 'y', 'z'].map(id => createEngine(id, { load: undefined, isWaiting: false }));
+		expect(pickLoads([...createEngines(3), ...unknown], 8)).toEqual(['engine-1']);
+		const idle = { running: 1, waiting: 0, slots: 8 };
+		expect(pickLoads([...createEngines(3, { load: idle }), ...unknown], 8)).toEqual(['engine-1', 'engine-2']);
 	});
 
 	it('lets no second engine go while one is out and the rest is full', () => {
