Do not count an engine whose load hangs as one that serves

Cause: a load that takes too long was no longer counted as a load, and its engine then counted as serving with all its slots free, though it refuses every request; a second engine could be taken out on the strength of it. Ruled out: counting it as loading, which keeps every other engine waiting. Change: the gate knows slow loads of their own; a test of the whole process over HTTP; a silent platform no longer answers watches that hung before. Conclusion: the gate's three kinds of absent engines are told apart.

--- a/src/standin/node/platformServer.ts
+++ b/src/standin/node/platformServer.ts
@@ -187,6 +187,9 @@
 		document: VersionedDocument | undefined,
 		response: ServerResponse,
 	): void {
+		if (this.faults.get().silent) {
+			return;
+		}
 		if (document !== undefined) {
 			response.writeHead(200, {
 				'content-type': 'application/json',
--- a/src/steward/common/loadGate.ts
+++ b/src/steward/common/loadGate.ts
@@ -23,6 +23,8 @@
 	readonly isEmpty: boolean;
 	/** It loads, or has been allowed to; also if what it loads is not what it should hold. */
 	readonly isLoading: boolean;
+	/** Its load takes too long: it serves nobody, and others no longer wait for it. */
+	readonly isSlow: boolean;
 	/** It waits for leave to load. */
 	readonly isWaiting: boolean;
 	/** Its requests, or undefined where the report is missing or old; it then counts as just full. */
@@ -43,7 +45,7 @@
 	const waiting = engines
 		.filter(engine => engine.isWaiting)
 		.sort((left, right) => Number(right.isEmpty) - Number(left.isEmpty) || (left.id < right.id ? -1 : 1));
-	const loading = engines.filter(engine => engine.isLoading).length;
+	const loading = engines.filter(engine => engine.isLoading && !engine.isSlow).length;
 	for (const engine of waiting) {
 		// It loads what it should not hold: another load takes that one's place.
 		if (engine.isLoading) {
@@ -65,7 +67,9 @@
 	engines: readonly GateEngine[],
 	picked: ReadonlySet<TargetId>,
 ): boolean {
-	const members = engines.filter(engine => engine.service === candidate.service && !engine.isEmpty);
+	const members = engines.filter(
+		engine => engine.service === candidate.service && !engine.isEmpty && !engine.isSlow,
+	);
 	const serving = members.filter(engine => !engine.isLoading);
 	const staying = serving.filter(engine => !picked.has(engine.id) && engine.id !== candidate.id);
 	if (serving.length === members.length && staying.length === serving.length - 1) {
--- a/src/steward/common/orderLife.ts
+++ b/src/steward/common/orderLife.ts
@@ -84,15 +84,17 @@
 		return this.state === undefined || hasOtherWeights(this.state, this.target.order);
 	}
 
-	/** Whether it loads or has leave to; a slow load does not count, or one stuck engine would stop all. */
+	/** Whether it loads or has leave to. */
 	isLoading(): boolean {
-		if (this.reporter.getLast() === OrderEventKind.Slow) {
-			return false;
-		}
 		const hasLeave = hasLeaveIn(this.walk.getState()) && this.isLoadNeeded();
 		return hasLeave || this.state?.isLoading === true;
 	}
 
+	/** Whether its load takes so long that others should not wait for it: one stuck engine would stop all. */
+	isSlow(): boolean {
+		return this.reporter.getLast() === OrderEventKind.Slow;
+	}
+
 	/** Takes what a newer manifest wants of the engine. */
 	setTarget(target: EngineTarget): void {
 		this.target = target;
@@ -186,14 +188,14 @@
 		}
 		switch (answer.value) {
 			case OrderAnswer.Accepted:
-				this.reporter.emit(OrderEventKind.Accepted, 'order sent', this.target, this.state);
+				this.reporter.emit(OrderEventKind.Accepted, 'by the engine', this.target, this.state);
 				this.walk.send('Accepted');
 				return;
 			case OrderAnswer.Superseded:
 				this.applySuperseded(nowMs);
 				return;
 			case OrderAnswer.Refused:
-				this.applyFailure(OrderEventKind.Refused, 'order sent', nowMs);
+				this.applyFailure(OrderEventKind.Refused, 'by the engine', nowMs);
 		}
 	}
 
--- a/src/steward/common/steward.ts
+++ b/src/steward/common/steward.ts
@@ -224,6 +224,7 @@
 			service,
 			isEmpty: life.isEmpty(),
 			isLoading: life.isLoading(),
+			isSlow: life.isSlow(),
 			isWaiting: life.isQueued() && life.isLoadNeeded(),
 			load: this.loads.find(id, nowMs),
 		};
--- a/src/steward/test/loadGate.test.ts
+++ b/src/steward/test/loadGate.test.ts
@@ -9,6 +9,7 @@
 		service: 'round-assistant' as ServiceName,
 		isEmpty: false,
 		isLoading: false,
+		isSlow: false,
 		isWaiting: true,
 		load: { running: 4, waiting: 0, slots: 8 },
 		...more,
@@ -42,6 +43,18 @@
 		expect(pickLoads([...engines, wrong], 1)).toEqual(['wrong']);
 	});
 
+	it('goes on past an engine whose load hangs, without taking it for one that serves', () => {
+		const hanging = createEngine('hanging', {
+			isLoading: true,
+			isSlow: true,
+			isWaiting: false,
+			load: { running: 0, waiting: 0, slots: 8 },
+		});
+		const busy = createEngines(2, { load: { running: 5, waiting: 0, slots: 8 } });
+		expect(pickLoads([hanging, ...busy], 1)).toEqual(['engine-1']);
+		expect(pickLoads([hanging, ...busy], 3)).toEqual(['engine-1']);
+	});
+
 	it('takes an engine whose load is not known for just full', () => {
 		expect(pickLoads(createEngines(8, { load: undefined }), 8)).toEqual(['engine-1']);
 		const unknown = ['x', 'y', 'z'].map(id => createEngine(id, { load: undefined, isWaiting: false }));
--- /dev/null
+++ b/src/steward/test/stewardProcess.test.ts
@@ -0,0 +1,117 @@
+import { once } from 'node:events';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import pino from 'pino';
+import { request } from 'undici';
+import { SeededRandom } from '../../base/common/random';
+import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
+import { SystemTimerService } from '../../base/node/systemTimerService';
+import { parseSettings } from '../../platform/settings/common/settings';
+import type { EngineOrder } from '../common/engineOrder';
+import { stewardSettingsSchema } from '../common/stewardSettings';
+import { StewardProcess } from '../node/stewardProcess';
+import { createManifest, createOrder, FakeEngine } from './stewardFixtures';
+
+const owned = new DisposableStore();
+
+afterAll(() => {
+	owned.dispose();
+});
+
+async function openServer(
+	answer: (request: IncomingMessage, response: ServerResponse) => void,
+): Promise<string> {
+	const server: Server = createServer(answer);
+	owned.add(
+		toDisposable(() => {
+			server.close();
+			server.closeAllConnections();
+		}),
+	);
+	server.listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+async function openEngine(engine: FakeEngine): Promise<string> {
+	return openServer((incoming, response) => {
+		if (incoming.method === 'GET') {
+			const { isLoading, ...state } = engine.state;
+			response.end(JSON.stringify({ ...state, loading: isLoading, ...engine.load }));
+			return;
+		}
+		incoming.on('data', (body: Buffer) => {
+			engine.answerOrder(JSON.parse(body.toString()) as EngineOrder);
+			response.end('{}');
+		});
+	});
+}
+
+/** A platform that serves one manifest, as version 1, and lets watches for more hang. */
+async function openPlatform(engineUrl: string): Promise<string> {
+	const manifest = createManifest(1, ['engine-1']);
+	const targets = manifest.targets.map(target => ({ ...target, url: engineUrl }));
+	return openServer((incoming, response) => {
+		if (incoming.url?.includes('after=0') === true) {
+			response.setHeader('platform-version', '1');
+			response.end(JSON.stringify({ ...manifest, targets }));
+		} else if (incoming.url?.includes('wait-ms') !== true) {
+			response.writeHead(304, { 'platform-version': '1' }).end();
+		}
+	});
+}
+
+function createSettingsText(platformUrl: string): string {
+	const instance = '[instance]\nid = steward-1\nregion = kingston\nzone = kingston-a';
+	return `${instance}\n[platform]\nurl = ${platformUrl}\n[operators]\nlisten = 127.0.0.1:0`;
+}
+
+async function fetchText(url: string): Promise<string> {
+	const { body } = await request(url);
+	return body.text();
+}
+
+describe('StewardProcess', () => {
+	it('orders an engine over HTTP and shows operators what it did', async () => {
+		const engine = new FakeEngine(false);
+		const settings = parseSettings(
+			stewardSettingsSchema,
+			createSettingsText(await openPlatform(await openEngine(engine))),
+		)._unsafeUnwrap();
+		const signs: string[] = [];
+		const steward = owned.add(
+			new StewardProcess(
+				settings,
+				owned.add(new SystemTimerService()),
+				new SeededRandom(1),
+				{ record: ({ subject, sign }) => signs.push(`${subject} ${sign}`) },
+				pino({ level: 'silent' }),
+			),
+		);
+		const url = await steward.open();
+		let orders = '';
+		while (!orders.includes('settled')) {
+			orders = await fetchText(`${url}/v1/orders`);
+		}
+		expect(JSON.parse(orders)).toEqual({
+			manifestVersion: 1,
+			orders: [
+				{
+					target: 'engine-1',
+					service: 'round-assistant',
+					state: 'settled',
+					wants: 'rounds r1, serve',
+					holds: 'rounds r1, serve',
+					fence: 1,
+				},
+			],
+		});
+		expect(engine.state).toMatchObject(createOrder(1));
+		expect(signs.slice(1)).toEqual(['engine-1 accepted: by the engine', 'engine-1 in-force: read back']);
+		expect(await fetchText(`${url}/readyz`)).toBe('ready\n');
+		expect(await fetchText(`${url}/metrics`)).toContain(
+			'anvilroad_steward_order_events_total{kind="accepted"} 1',
+		);
+	});
+});
