--- a/src/standin/node/platformServer.ts
+++ b/src/standin/node/platformServer.ts
@@ -22,6 +22,7 @@
 import { getWholeNumber, parseTarget, sendJson } from './httpExchange';
 import { HttpListener } from './httpListener';
 import type { IStandin } from './standin';
+import type { PlatformCounters } from './standinCounters';
 import { WeightStore } from './weightStore';
 
 /** Versions of the platform's documents stand in this header. */
@@ -94,7 +95,7 @@
 		return version;
 	}
 
-	getCounters(): object {
+	getCounters(): PlatformCounters {
 		return {
 			reads: this.counts.get(),
 			peakReadsInOneSecond: this.budget.getPeakReads(),
@@ -186,6 +187,9 @@
 		document: VersionedDocument | undefined,
 		response: ServerResponse,
 	): void {
+		if (this.faults.get().silent) {
+			return;
+		}
 		if (document !== undefined) {
 			response.writeHead(200, {
 				'content-type': 'application/json',
--- a/src/steward/common/loadGate.ts
+++ b/src/steward/common/loadGate.ts
@@ -21,11 +21,13 @@
 	readonly service: ServiceName;
 	/** It holds no model, so nobody misses it while it loads. */
 	readonly isEmpty: boolean;
-	/** It loads, or has been allowed to. */
+	/** It loads, or has been allowed to; also if what it loads is not what it should hold. */
 	readonly isLoading: boolean;
+	/** Its load takes too long: it serves nobody, and others no longer wait for it. */
+	readonly isSlow: boolean;
 	/** It waits for leave to load. */
 	readonly isWaiting: boolean;
-	/** Its requests, or undefined where the report is missing or old; it then counts as full. */
+	/** Its requests, or undefined where the report is missing or old; it then counts as just full. */
 	readonly load: EngineLoad | undefined;
 }
 
@@ -43,9 +45,14 @@
 	const waiting = engines
 		.filter(engine => engine.isWaiting)
 		.sort((left, right) => Number(right.isEmpty) - Number(left.isEmpty) || (left.id < right.id ? -1 : 1));
-	const loading = engines.filter(engine => engine.isLoading).length;
+	const loading = engines.filter(engine => engine.isLoading && !engine.isSlow).length;
 	for (const engine of waiting) {
-		if (loading + picked.size >= mostLoads) {
+		// It loads what it should not hold: another load takes that one's place.
+		if (engine.isLoading) {
+			picked.add(engine.id);
+			continue;
+		}
+		if (loading + countNew(picked, engines) >= mostLoads) {
 			break;
 		}
 		if (engine.isEmpty || isSpare(engine, engines, picked)) {
@@ -60,18 +67,31 @@
 	engines: readonly GateEngine[],
 	picked: ReadonlySet<TargetId>,
 ): boolean {
-	const members = engines.filter(engine => engine.service === candidate.service && !engine.isEmpty);
+	const members = engines.filter(
+		engine => engine.service === candidate.service && !engine.isEmpty && !engine.isSlow,
+	);
 	const serving = members.filter(engine => !engine.isLoading);
 	const staying = serving.filter(engine => !picked.has(engine.id) && engine.id !== candidate.id);
 	if (serving.length === members.length && staying.length === serving.length - 1) {
 		return true;
 	}
+	// Without this a service that nobody uses just now would be away as a whole, and its next caller refused.
+	if (staying.length === 0) {
+		return false;
+	}
 	const slots = staying.reduce((sum, engine) => sum + (engine.load?.slots ?? 0), 0);
-	// The requests of those that were picked before go to the rest too.
-	const requests = serving.reduce((sum, engine) => sum + countRequests(engine), 0);
+	// An engine that is just full keeps its own requests and takes none; only those that leave must be known.
+	const leaving = serving.filter(engine => !staying.includes(engine));
+	const known = [...staying.filter(engine => engine.load !== undefined), ...leaving];
+	const requests = known.reduce((sum, engine) => sum + countRequests(engine), 0);
 	return requests <= slots * usableShare;
 }
 
+/** Picked engines that did not load before. */
+function countNew(picked: ReadonlySet<TargetId>, engines: readonly GateEngine[]): number {
+	return engines.filter(engine => picked.has(engine.id) && !engine.isLoading).length;
+}
+
 function countRequests({ load }: GateEngine): number {
 	return load === undefined ? Number.POSITIVE_INFINITY : load.running + load.waiting;
 }
--- a/src/steward/test/loadGate.test.ts
+++ b/src/steward/test/loadGate.test.ts
@@ -9,6 +9,7 @@
 		service: 'round-assistant' as ServiceName,
 		isEmpty: false,
 		isLoading: false,
+		isSlow: false,
 		isWaiting: true,
 		load: { running: 4, waiting: 0, slots: 8 },
 		...more,
@@ -28,8 +29,38 @@
 		expect(pickLoads(createEngines(8, { load: busy }), 8)).toEqual(['engine-1']);
 	});
 
-	it('takes an engine whose load is not known for full', () => {
+	it('leaves one engine of a service that nobody uses just now', () => {
+		const idle = { running: 0, waiting: 0, slots: 8 };
+		expect(pickLoads(createEngines(3, { load: idle }), 8)).toEqual(['engine-1', 'engine-2']);
+	});
+
+	it('lets an engine that loads the wrong weights load others at once', () => {
+		// Somebody has given an engine an order by hand while all engines are busy. It serves nobody until it has
+		// loaded what it was told, and nobody would miss it if it loaded the right weights instead.
+		const busy = { running: 8, waiting: 0, slots: 8 };
+		const engines = createEngines(3, { load: busy, isWaiting: false });
+		const wrong = createEngine('wrong', { isLoading: true, load: busy });
+		expect(pickLoads([...engines, wrong], 1)).toEqual(['wrong']);
+	});
+
+	it('goes on past an engine whose load hangs, without taking it for one that serves', () => {
+		const hanging = createEngine('hanging', {
+			isLoading: true,
+			isSlow: true,
+			isWaiting: false,
+			load: { running: 0, waiting: 0, slots: 8 },
+		});
+		const busy = createEngines(2, { load: { running: 5, waiting: 0, slots: 8 } });
+		expect(pickLoads([hanging, ...busy], 1)).toEqual(['engine-1']);
+		expect(pickLoads([hanging, ...busy], 3)).toEqual(['engine-1']);
+	});
+
+	it('takes an engine whose load is not known for just full', () => {
 		expect(pickLoads(createEngines(8, { load: undefined }), 8)).toEqual(['engine-1']);
+		const unknown = ['x', 'y', 'z'].map(id => createEngine(id, { load: undefined, isWaiting: false }));
+		expect(pickLoads([...createEngines(3), ...unknown], 8)).toEqual(['engine-1']);
+		const idle = { running: 1, waiting: 0, slots: 8 };
+		expect(pickLoads([...createEngines(3, { load: idle }), ...unknown], 8)).toEqual(['engine-1', 'engine-2']);
 	});
 
 	it('lets no second engine go while one is out and the rest is full', () => {
@@ -65,6 +96,9 @@
 					);
 					const picked = pickLoads(engines, most);
 					const loading = list.filter(({ isLoading }) => isLoading).length;
+					const serving = engines.filter(each => !each.isLoading && !each.isEmpty);
+					const staying = serving.filter(each => !picked.includes(each.id));
+					expect(staying.length > 0 || serving.length <= 1).toBe(true);
 					expect(picked.length).toBeLessThanOrEqual(Math.max(0, most - loading));
 					expect(picked.length > 0 || loading > 0).toBe(true);
 				},
