Say in the settings which ports are secured by which certificates

Cause: certificates come from the settings, and a port may be plain only where the settings say so. Ruled out: deciding contradictions one way or the other; an https URL without certificates, or certificates beside http URLs, would leave an operator believing what is not so.

--- a/src/platform/settings/common/entrySettings.ts
+++ b/src/platform/settings/common/entrySettings.ts
@@ -4,7 +4,9 @@
 
 import { z } from 'zod';
 import type { InstanceId, RegionName, ZoneName } from '../../ids/common/ids';
-import { createName, createWholeNumber, listenAddress, originUrl } from './settingsTypes';
+import { createName, createWholeNumber, listenAddress, originUrl, yesOrNo } from './settingsTypes';
+import { tlsSettingsSchema } from './tlsSettings';
+import { checkTransport } from './transportRules';
 
 const mebibyte = 1_048_576;
 const smallestTicketKey = 16;
@@ -16,7 +18,7 @@
 
 export const logLevels = ['fatal', 'error', 'warn', 'info', 'debug', 'trace', 'silent'] as const;
 
-export const entrySettingsSchema = z.strictObject({
+const sectionsSchema = z.strictObject({
 	instance: z.strictObject({
 		id: createName<InstanceId>(),
 		region: createName<RegionName>(),
@@ -34,10 +36,14 @@
 		url: originUrl,
 		/** Peers to ask before the instance list is known; it may be away when this entry starts. */
 		seeds: urlList.default([]),
+		/** Without certificates, though there is a section `[tls]`. */
+		plain: yesOrNo.optional(),
 	}),
 	/** Peers whose advertised URL is reached by another one, as through an address translation. */
 	peer_routes: z.record(originUrl, originUrl).default({}),
-	operators: z.strictObject({ listen: listenAddress }),
+	operators: z.strictObject({ listen: listenAddress, plain: yesOrNo.optional() }),
+	/** Certificates for peers and operators; without it both are plain. */
+	tls: tlsSettingsSchema.optional(),
 	platform: z.strictObject({ url: originUrl }),
 	limits: z
 		.strictObject({
@@ -57,4 +63,7 @@
 	log: z.strictObject({ level: z.enum(logLevels, logLevels.join(', ')).default('info') }).prefault({}),
 });
 
+/** The settings of an entry, contradictions included. */
+export const entrySettingsSchema = sectionsSchema.superRefine(checkTransport);
+
 export type EntrySettings = z.output<typeof entrySettingsSchema>;
--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -1,5 +1,6 @@
 import { entrySettingsSchema } from '../common/entrySettings';
 import { formatSettingsFault, parseSettings } from '../common/settings';
+import { isSecured } from '../common/transportRules';
 
 function createText(replacements: Record<string, string> = {}): string {
 	const lines = [
@@ -66,3 +67,48 @@
 		expect(lines[0]).toMatch(/^\[instance\] zone = true: /);
 	});
 });
+
+describe('transport', () => {
+	const tls = '\n[tls]\ncertificate = /run/entry.crt\nprivate_key = env:ENTRY_KEY\nauthorities = /run/ca.crt';
+	const secured = {
+		'url = http://127.0.0.1:7101': 'url = https://127.0.0.1:7101',
+		'seeds = http://127.0.0.1:7102, http://127.0.0.1:7103': 'seeds = https://127.0.0.1:7102',
+	};
+
+	function listFaults(text: string): string[] {
+		return parseSettings(entrySettingsSchema, text).match(
+			() => [],
+			faults => faults.map(formatSettingsFault),
+		);
+	}
+
+	it('is secured by certificates, port by port, unless a port is said to be plain', () => {
+		const plainOperators = { 'listen = 127.0.0.1:7201': 'listen = 127.0.0.1:7201\nplain = yes' };
+		const text = createText({ ...secured, ...plainOperators }) + tls;
+		const settings = parseSettings(entrySettingsSchema, text)._unsafeUnwrap();
+		expect([isSecured(settings, 'peers'), isSecured(settings, 'operators')]).toEqual([true, false]);
+		const plain = parseSettings(entrySettingsSchema, createText())._unsafeUnwrap();
+		expect([isSecured(plain, 'peers'), isSecured(plain, 'operators')]).toEqual([false, false]);
+	});
+
+	// An operator adds certificates and forgets the URLs, or writes URLs with https and forgets the
+	// certificates. Decided one way or the other, peers would either not reach each other or talk in the
+	// clear while everybody believes that they do not.
+	it('refuses settings that contradict each other', () => {
+		expect(listFaults(createText() + tls)).toEqual([
+			expect.stringMatching(/^\[peers\] url = .*: a URL that begins with https:/),
+			expect.stringMatching(/^\[peers\] seeds = .*: a URL that begins with https:/),
+		]);
+		expect(listFaults(createText(secured))).toHaveLength(2);
+		const demanded = { 'listen = 127.0.0.1:7201': 'listen = 127.0.0.1:7201\nplain = no' };
+		expect(listFaults(createText(demanded))).toEqual([
+			'[operators] plain = no: yes, or a section [tls] with certificates',
+		]);
+	});
+
+	it('names a section [tls] that is not whole', () => {
+		expect(listFaults(createText(secured) + tls.replace(/\nprivate_key.*/, '\nprivate_key = env:'))).toEqual([
+			"[tls] private_key = env:: a file's path, or env: and a variable's name",
+		]);
+	});
+});
