Secure the entry's peers' and operators' ports as the settings say

Cause: settings with certificates must not leave a port plain. Ruled out: a second set of ports for the secured protocol; passing certificates through every part (one class gives each port its own). Change: EntryCertificates opens the store, renews it at SIGHUP and tells the expiry; PeerServer, PeerClients and OperatorsServer take it. SIGHUP no longer ends an entry that has no certificates. Conclusion: peers' traffic is mutual TLS where [tls] stands.

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -26,6 +26,7 @@
 import { HeldBytes } from './callers/bodyReader';
 import { CallerServer } from './callers/callerServer';
 import { CallGate } from './callGate';
+import { EntryCertificates } from './entryCertificates';
 import { EntryFleet } from './fleet/entryFleet';
 import { OwnView } from './fleet/ownView';
 import { ManifestKeeper } from './manifest/manifestKeeper';
@@ -65,6 +66,7 @@
 	private readonly journal = new RingRequestJournal(journalCapacity, () => new Date());
 	private readonly quarantine = new Quarantine();
 	private readonly metrics: EntryMetrics;
+	private readonly certificates: EntryCertificates;
 	private readonly held: HeldBytes;
 	private readonly platform: HttpPlatformClient;
 	private readonly manifests: ManifestKeeper;
@@ -90,6 +92,7 @@
 		super();
 		const { id, region, zone } = settings.instance;
 		this.metrics = new EntryMetrics({ version: programVersion, instance: id, region, zone });
+		this.certificates = this.register(new EntryCertificates(settings, this.trail, this.metrics));
 		this.held = new HeldBytes(settings.limits.max_held_bytes);
 		this.platform = new HttpPlatformClient(settings.platform.url);
 		this.manifests = this.register(
@@ -102,7 +105,7 @@
 			),
 		);
 		this.targets = this.register(new TargetRegistry({ region, zone }, this.trail, this.timers));
-		this.peers = this.register(new PeerClients(settings.peer_routes));
+		this.peers = this.register(new PeerClients(settings.peer_routes, this.certificates.peers));
 		this.fleet = this.register(
 			new EntryFleet(
 				id,
@@ -141,7 +144,13 @@
 			{ mostHeadBytes: settings.limits.max_head_bytes, mostBodyBytes: settings.limits.max_body_bytes },
 			this.timers,
 		);
-		this.peerServer = new PeerServer(this.gate, this.held, settings.limits.max_body_bytes, this.timers);
+		this.peerServer = new PeerServer(
+			this.gate,
+			this.held,
+			settings.limits.max_body_bytes,
+			this.timers,
+			this.certificates.peers,
+		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
 		this.manifestFollower = this.register(
 			new PlatformFollower(
@@ -344,6 +353,6 @@
 				timers: this.timers,
 			},
 		);
-		return new OperatorsServer(source, this.metrics);
+		return new OperatorsServer(source, this.metrics, this.certificates.operators);
 	}
 }
--- /dev/null
+++ b/src/entry/node/entryCertificates.ts
@@ -0,0 +1,47 @@
+/**
+ * The certificates of an entry's ports, as its settings say: which port uses them, and their renewal at
+ * SIGHUP.
+ */
+
+import { subscribeTo } from '../../base/common/channel';
+import { Disposable } from '../../base/common/lifecycle';
+import type { IAuditTrail } from '../../platform/audit/common/auditTrail';
+import type { EntrySettings } from '../../platform/settings/common/entrySettings';
+import { isSecured } from '../../platform/settings/common/transportRules';
+import type { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
+import { formatCertificateFault } from '../../platform/tls/common/certificates';
+import { CertificateStore, watchHangup } from '../../platform/tls/node/certificateStore';
+
+/** Certificates by port; undefined where a port is plain. */
+export class EntryCertificates extends Disposable {
+	readonly peers: CertificateStore | undefined;
+	readonly operators: CertificateStore | undefined;
+
+	/** Throws where the settings name certificates that cannot be used. */
+	constructor(settings: EntrySettings, trail: IAuditTrail, metrics: EntryMetrics) {
+		super();
+		const store = this.openStore(settings, trail);
+		this.peers = isSecured(settings, 'peers') ? store : undefined;
+		this.operators = isSecured(settings, 'operators') ? store : undefined;
+		this.register(watchHangup(store));
+		if (store !== undefined) {
+			metrics.setCertificateExpiry(store.getCurrent().validTo);
+			this.register(
+				subscribeTo(store.onDidReload, ({ validTo }) => {
+					metrics.setCertificateExpiry(validTo);
+				}),
+			);
+		}
+	}
+
+	private openStore(settings: EntrySettings, trail: IAuditTrail): CertificateStore | undefined {
+		if (settings.tls === undefined) {
+			return undefined;
+		}
+		const opened = CertificateStore.open(settings.tls, process.env, trail);
+		if (opened.isErr()) {
+			throw new Error(formatCertificateFault(opened.error));
+		}
+		return this.register(opened.value);
+	}
+}
--- a/src/entry/node/peers/peerClients.ts
+++ b/src/entry/node/peers/peerClients.ts
@@ -8,6 +8,8 @@
 import { createClient } from '@connectrpc/connect';
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
+import type { CertificateStore } from '../../../platform/tls/node/certificateStore';
+import { createPeerSessionOptions } from '../../../platform/tls/node/secureOptions';
 import { PeerService } from '../../../gen/anvilroad/peer/v1/peer_pb';
 
 const pingIntervalMs = 2_000;
@@ -24,8 +26,14 @@
 export class PeerClients extends Disposable {
 	private readonly connections = new Map<string, PeerConnection>();
 
-	/** `routes` maps an advertised URL to the one to dial. */
-	constructor(private readonly routes: Readonly<Record<string, string>>) {
+	/**
+	 * `routes` maps an advertised URL to the one to dial; `certificates` are shown to peers and theirs are
+	 * checked, or connections are plain.
+	 */
+	constructor(
+		private readonly routes: Readonly<Record<string, string>>,
+		private readonly certificates: CertificateStore | undefined,
+	) {
 		super();
 		this.register(
 			toDisposable(() => {
@@ -43,11 +51,9 @@
 			return existing;
 		}
 		const baseUrl = this.routes[peerUrl] ?? peerUrl;
-		const session = new Http2SessionManager(baseUrl, {
-			pingIntervalMs,
-			pingTimeoutMs,
-			idleConnectionTimeoutMs: idleConnectionMs,
-		});
+		const pings = { pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleConnectionMs };
+		const secure = this.certificates && createPeerSessionOptions(this.certificates, peerUrl);
+		const session = new Http2SessionManager(baseUrl, pings, secure);
 		const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager: session });
 		const connection = { client: createClient(PeerService, transport), session };
 		this.connections.set(peerUrl, connection);
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -6,11 +6,12 @@
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import type { Http2Server, ServerHttp2Session } from 'node:http2';
-import { createServer } from 'node:http2';
+import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
+import { createSecureServer, createServer } from 'node:http2';
 import type { AddressInfo } from 'node:net';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import { Disposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../platform/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
@@ -23,6 +24,8 @@
 } from '../../../platform/ids/common/ids';
 import { findRequestClass } from '../../../platform/requests/common/requestClass';
 import type { ListenAddress } from '../../../platform/settings/common/settingsTypes';
+import type { CertificateStore } from '../../../platform/tls/node/certificateStore';
+import { createPeerServerOptions, followCertificates } from '../../../platform/tls/node/secureOptions';
 import type {
 	EntryView,
 	FetchManifestResponse,
@@ -50,8 +53,8 @@
 }
 
 /** Serves other entries. */
-export class PeerServer {
-	private readonly server: Http2Server;
+export class PeerServer extends Disposable {
+	private readonly server: Http2Server | Http2SecureServer;
 	private readonly sessions = new Set<ServerHttp2Session>();
 
 	constructor(
@@ -59,7 +62,9 @@
 		private readonly held: HeldBytes,
 		private readonly mostBodyBytes: number,
 		private readonly timers: ITimerService,
+		certificates: CertificateStore | undefined,
 	) {
+		super();
 		const routes = (router: ConnectRouter): void => {
 			router.service(PeerService, {
 				exchangeViews: ({ views }) =>
@@ -68,7 +73,7 @@
 				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
 			});
 		};
-		this.server = createServer(connectNodeAdapter({ routes }));
+		this.server = this.createServer(connectNodeAdapter({ routes }), certificates);
 		this.server.on('session', session => {
 			this.sessions.add(session);
 			session.once('close', () => this.sessions.delete(session));
@@ -87,6 +92,7 @@
 	/** Stops listening and ends each session after the streams that run on it. */
 	async close(): Promise<void> {
 		return new Promise(resolve => {
+			this.dispose();
 			this.server.close(() => {
 				resolve();
 			});
@@ -96,6 +102,18 @@
 		});
 	}
 
+	private createServer(
+		handler: ReturnType<typeof connectNodeAdapter>,
+		certificates: CertificateStore | undefined,
+	): Http2Server | Http2SecureServer {
+		if (certificates === undefined) {
+			return createServer(handler);
+		}
+		const server = createSecureServer(createPeerServerOptions(certificates.getCurrent()), handler);
+		this.register(followCertificates(server, certificates));
+		return server;
+	}
+
 	private async *serveForwarded(
 		requests: AsyncIterable<ForwardRequestRequest>,
 		context: HandlerContext,
