Leave a port plain only where its settings say so

Cause: an entry without [tls] was plain without a word, so a forgotten section was found by whoever listens on the network. Ruled out: a default by the URL's scheme, which says nothing of the operators' port. The test of contradictions expected a silent plain port to be right; it now expects the fault. Conclusion: every settings file of an entry without certificates needs the two lines.

--- a/src/platform/settings/common/entrySettings.ts
+++ b/src/platform/settings/common/entrySettings.ts
@@ -36,13 +36,13 @@
 		url: originUrl,
 		/** Peers to ask before the instance list is known; it may be away when this entry starts. */
 		seeds: urlList.default([]),
-		/** Without certificates, though there is a section `[tls]`. */
+		/** Without certificates; must be said where there is no section `[tls]`. */
 		plain: yesOrNo.optional(),
 	}),
 	/** Peers whose advertised URL is reached by another one, as through an address translation. */
 	peer_routes: z.record(originUrl, originUrl).default({}),
 	operators: z.strictObject({ listen: listenAddress, plain: yesOrNo.optional() }),
-	/** Certificates for peers and operators; without it both are plain. */
+	/** Certificates for peers and operators. */
 	tls: tlsSettingsSchema.optional(),
 	platform: z.strictObject({ url: originUrl }),
 	limits: z
--- a/src/platform/settings/common/transportRules.ts
+++ b/src/platform/settings/common/transportRules.ts
@@ -1,7 +1,8 @@
 /**
  * Which of an entry's ports are secured, and the settings that contradict each other about it. A port that an
  * operator believes to be secured and that is plain is found by whoever listens on the network, not by the
- * operator; so contradictions are faults instead of being decided one way or the other.
+ * operator; so a port is plain only where the settings say so, and contradictions are faults instead of being
+ * decided one way or the other.
  */
 
 import type { z } from 'zod';
@@ -31,7 +32,7 @@
 /** Tells each contradiction as a fault of the settings. */
 export function checkTransport(settings: TransportSettings, context: z.RefinementCtx): void {
 	for (const section of securableSections) {
-		if (settings.tls === undefined && settings[section].plain === false) {
+		if (settings.tls === undefined && settings[section].plain !== true) {
 			addFault(context, [section, 'plain'], 'yes, or a section [tls] with certificates');
 		}
 	}
--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -2,6 +2,9 @@
 import { formatSettingsFault, parseSettings } from '../common/settings';
 import { isSecured } from '../common/transportRules';
 
+const plainSeeds = 'seeds = http://127.0.0.1:7102, http://127.0.0.1:7103\nplain = yes';
+const plainOperators = 'listen = 127.0.0.1:7201\nplain = yes';
+
 function createText(replacements: Record<string, string> = {}): string {
 	const lines = [
 		'[instance]',
@@ -14,9 +17,9 @@
 		'[peers]',
 		'listen = 127.0.0.1:7101',
 		'url = http://127.0.0.1:7101',
-		'seeds = http://127.0.0.1:7102, http://127.0.0.1:7103',
+		plainSeeds,
 		'[operators]',
-		'listen = 127.0.0.1:7201',
+		plainOperators,
 		'[platform]',
 		'url = http://127.0.0.1:7300',
 		'[tickets]',
@@ -70,9 +73,9 @@
 
 describe('transport', () => {
 	const tls = '\n[tls]\ncertificate = /run/entry.crt\nprivate_key = env:ENTRY_KEY\nauthorities = /run/ca.crt';
-	const secured = {
+	const securedPeers = {
 		'url = http://127.0.0.1:7101': 'url = https://127.0.0.1:7101',
-		'seeds = http://127.0.0.1:7102, http://127.0.0.1:7103': 'seeds = https://127.0.0.1:7102',
+		[plainSeeds]: 'seeds = https://127.0.0.1:7102',
 	};
 
 	function listFaults(text: string): string[] {
@@ -83,31 +86,45 @@
 	}
 
 	it('is secured by certificates, port by port, unless a port is said to be plain', () => {
-		const plainOperators = { 'listen = 127.0.0.1:7201': 'listen = 127.0.0.1:7201\nplain = yes' };
-		const text = createText({ ...secured, ...plainOperators }) + tls;
+		const text = createText(securedPeers) + tls;
 		const settings = parseSettings(entrySettingsSchema, text)._unsafeUnwrap();
 		expect([isSecured(settings, 'peers'), isSecured(settings, 'operators')]).toEqual([true, false]);
 		const plain = parseSettings(entrySettingsSchema, createText())._unsafeUnwrap();
 		expect([isSecured(plain, 'peers'), isSecured(plain, 'operators')]).toEqual([false, false]);
 	});
 
-	// An operator adds certificates and forgets the URLs, or writes URLs with https and forgets the
-	// certificates. Decided one way or the other, peers would either not reach each other or talk in the
-	// clear while everybody believes that they do not.
+	// An operator forgets the certificates of a new instance. If it started all the same, its peers' and
+	// operators' traffic would cross the network in the clear, and nothing would show it.
+	it('is never plain without being said so', () => {
+		const silent = createText({
+			[plainSeeds]: 'seeds = http://127.0.0.1:7102',
+			[plainOperators]: 'listen = 127.0.0.1:7201\nplain = no',
+		});
+		expect(listFaults(silent)).toEqual([
+			'[peers] plain is missing: yes, or a section [tls] with certificates',
+			'[operators] plain = no: yes, or a section [tls] with certificates',
+		]);
+	});
+
+	// An operator adds certificates and forgets the URLs, or writes URLs with https and says plain. Decided
+	// one way or the other, peers would either not reach each other or talk in the clear while everybody
+	// believes that they do not.
 	it('refuses settings that contradict each other', () => {
-		expect(listFaults(createText() + tls)).toEqual([
+		const forgotten = createText({ [plainSeeds]: 'seeds = http://127.0.0.1:7102' }) + tls;
+		expect(listFaults(forgotten)).toEqual([
 			expect.stringMatching(/^\[peers\] url = .*: a URL that begins with https:/),
 			expect.stringMatching(/^\[peers\] seeds = .*: a URL that begins with https:/),
 		]);
-		expect(listFaults(createText(secured))).toHaveLength(2);
-		const demanded = { 'listen = 127.0.0.1:7201': 'listen = 127.0.0.1:7201\nplain = no' };
-		expect(listFaults(createText(demanded))).toEqual([
-			'[operators] plain = no: yes, or a section [tls] with certificates',
+		const plain = { ...securedPeers, [plainSeeds]: 'seeds = https://127.0.0.1:7102\nplain = yes' };
+		expect(listFaults(createText(plain) + tls)).toEqual([
+			expect.stringMatching(/^\[peers\] url = .*: a URL that begins with http:.*is plain$/),
+			expect.stringMatching(/^\[peers\] seeds = .*: a URL that begins with http:.*is plain$/),
 		]);
 	});
 
 	it('names a section [tls] that is not whole', () => {
-		expect(listFaults(createText(secured) + tls.replace(/\nprivate_key.*/, '\nprivate_key = env:'))).toEqual([
+		const text = createText(securedPeers) + tls.replace(/\nprivate_key.*/, '\nprivate_key = env:');
+		expect(listFaults(text)).toEqual([
 			"[tls] private_key = env:: a file's path, or env: and a variable's name",
 		]);
 	});
