--- a/src/bin/test/calling.test.ts
+++ b/src/bin/test/calling.test.ts
@@ -94,8 +94,8 @@
 	return [
 		'[instance]\nid = entry-kingston-1\nregion = kingston\nzone = kingston-a',
 		'[callers]\nlisten = 127.0.0.1:0\nurl = http://127.0.0.1:7001',
-		'[peers]\nlisten = 127.0.0.1:0\nurl = http://127.0.0.1:7101',
-		'[operators]\nlisten = 127.0.0.1:0',
+		'[peers]\nlisten = 127.0.0.1:0\nurl = http://127.0.0.1:7101\nplain = yes',
+		'[operators]\nlisten = 127.0.0.1:0\nplain = yes',
 		`[platform]\nurl = ${platformUrl ?? ''}`,
 		'[tickets]\nkey = a-key-that-is-long-enough',
 	].join('\n');
