--- a/scripts/functionVerbs.mjs
+++ b/scripts/functionVerbs.mjs
@@ -61,6 +61,7 @@
 	'print',
 	'push',
 	'put',
+	'rank',
 	'read',
 	'receive',
 	'record',
--- /dev/null
+++ b/src/entry/common/lookup/rankEntries.ts
@@ -0,0 +1,116 @@
+/**
+ * Which entries a caller is told to use. No balancer stands before the entries, so this ranking is what
+ * spreads callers over them. Load patterns: an entry comes or goes, and callers that ask again and again.
+ * A fixed order sends all callers of a zone to one entry; a fresh draw at each lookup throws away their
+ * connections; the entry with the most room, told to all, is overrun at once.
+ *
+ * The caller's own zone goes first, its region next. Within these the order is drawn at random, weighted by
+ * room. A caller stays with its entry while that one is good; when it is not, only a part of the callers
+ * moves at each lookup.
+ */
+
+import type { IRandom } from '../../../base/common/random';
+import type { InstanceId, RegionName, ZoneName } from '../../../platform/ids/common/ids';
+import type { LookupFigures } from '../scheduling/policy';
+import { defaultLookupFigures } from '../scheduling/policy';
+import type { ServiceRoom } from '../scheduling/serviceScheduler';
+
+/** An entry that a caller could be sent to. */
+export interface KnownEntry {
+	readonly instance: InstanceId;
+	readonly region: RegionName;
+	readonly zone: ZoneName;
+	readonly isLeaving: boolean;
+	/** Not heard of for too long; named only after all others. */
+	readonly isSuspect: boolean;
+	/** What it last said of the service, if anything, and how old that is in milliseconds. */
+	readonly room: ServiceRoom | undefined;
+	readonly ageMs: number;
+}
+
+/** What is known of the caller. */
+export interface LookupQuestion {
+	readonly region: RegionName;
+	readonly zone: ZoneName;
+	/** The entry that it uses already, if it said so. */
+	readonly previous: InstanceId | undefined;
+}
+
+interface WeighedEntry {
+	readonly entry: KnownEntry;
+	/** 0 for the caller's zone, 1 for its region, 2 elsewhere; suspected ones follow in the same order. */
+	readonly tier: number;
+	weight: number;
+	/** Smaller goes first within a tier. */
+	key: number;
+}
+
+const tierCount = 3;
+
+/** The entries to name to the caller, the best first. */
+export function rankEntries(
+	question: LookupQuestion,
+	entries: readonly KnownEntry[],
+	random: IRandom,
+	figures: LookupFigures = defaultLookupFigures,
+): readonly InstanceId[] {
+	const weighed = entries
+		.filter(entry => !entry.isLeaving)
+		.map(entry => ({ entry, tier: computeTier(entry, question), weight: 1, key: 0 }));
+	weighEntries(weighed, figures);
+	for (const item of weighed) {
+		// An exponential draw divided by the weight: the smallest is each one's with a chance equal to its weight.
+		item.key = -Math.log(1 - random.pickFraction()) / item.weight;
+	}
+	const ranked = weighed.sort((left, right) => left.tier - right.tier || left.key - right.key);
+	const kept = findKept(question, ranked, random, figures);
+	const ordered = kept === undefined ? ranked : [kept, ...ranked.filter(item => item !== kept)];
+	return ordered.slice(0, figures.mostNamed).map(item => item.entry.instance);
+}
+
+function computeTier(entry: KnownEntry, { region, zone }: LookupQuestion): number {
+	const suspected = entry.isSuspect ? tierCount : 0;
+	if (entry.region !== region) {
+		return suspected + 2;
+	}
+	return suspected + (entry.zone === zone ? 0 : 1);
+}
+
+/** Weighs by room; what is not known, or known from long ago, counts as the mean. */
+function weighEntries(weighed: readonly WeighedEntry[], figures: LookupFigures): void {
+	const told = weighed.filter(item => item.entry.room !== undefined);
+	for (const item of told) {
+		item.weight = computeWeight(item.entry.room, figures);
+	}
+	const mean = computeMean(told);
+	for (const item of weighed) {
+		const belief = item.entry.room === undefined ? 0 : Math.exp(-item.entry.ageMs / figures.roomFadeMs);
+		item.weight = mean + (item.weight - mean) * belief;
+	}
+}
+
+function computeMean(items: readonly WeighedEntry[]): number {
+	return items.length === 0 ? 1 : items.reduce((sum, item) => sum + item.weight, 0) / items.length;
+}
+
+/** Free slots and one, so that a full entry keeps a little weight, less the longer its wait. */
+function computeWeight(room: ServiceRoom | undefined, { halvingWaitMs }: LookupFigures): number {
+	return room === undefined ? 1 : (room.freeSlots + 1) / (1 + room.waitMs / halvingWaitMs);
+}
+
+/** The caller's present entry where it should stay first. */
+function findKept(
+	{ previous }: LookupQuestion,
+	ranked: readonly WeighedEntry[],
+	random: IRandom,
+	figures: LookupFigures,
+): WeighedEntry | undefined {
+	const present = ranked.find(item => item.entry.instance === previous);
+	const [best] = ranked;
+	if (present === undefined || best === undefined || present.entry.isSuspect) {
+		return undefined;
+	}
+	const mean = computeMean(ranked.filter(item => item.tier === best.tier));
+	const isGood = present.tier === best.tier && present.weight >= mean * figures.poorShare;
+	return isGood || random.pickFraction() >= figures.moveShare ? present : undefined;
+}
--- a/src/entry/common/scheduling/classLanes.ts
+++ b/src/entry/common/scheduling/classLanes.ts
@@ -108,12 +108,13 @@
 	/**
 	 * Slots of `totalSlots` that a lane may hold at a time. A lane with a reserve leaves free what the more
 	 * urgent ones need: their mean demand and twice its square root, which a demand of independent callers
-	 * exceeds one time in forty; no less than the reserve, and no more than the weights leave over.
+	 * exceeds one time in forty; no less than the reserve, and no more than the weights leave over. A lane
+	 * without one is bounded by the targets alone.
 	 */
 	computeOpenSlots(lane: ClassLane, totalSlots: number): number {
 		const { weight, reservedShare } = lane.policy;
 		if (reservedShare === 0) {
-			return totalSlots;
+			return Number.POSITIVE_INFINITY;
 		}
 		let needed = 0;
 		let weights = weight;
--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -174,3 +174,103 @@
 	pause: { firstMs: 250, longestMs: 2_000, downAfter: 3 },
 	retry: { budgetShare: 0.1, budgetMost: 10, mostAttempts: 3 },
 };
+
+/** Figures of sending requests to other regions. */
+export interface SendAwayFigures {
+	/** Offers older than this are not used, in milliseconds. */
+	readonly longestOfferAgeMs: number;
+	/** The local wait must exceed the whole cost of sending by this factor and by this time. */
+	readonly marginFactor: number;
+	readonly marginMs: number;
+	/** Saving beyond the margin at which the share changes at its full rate, in milliseconds. */
+	readonly fullRateSavingMs: number;
+	/** Largest change of the share sent away, a second: a cycle of lagging offers then moves little. */
+	readonly shareChangePerSecond: number;
+	/** Cost of a region whose caches are cold, in milliseconds. */
+	readonly coldStartMs: number;
+	/** Answered requests after which 63% of that cost is gone, and the time in which it returns. */
+	readonly warmAfterAnswers: number;
+	readonly warmthFadeMs: number;
+	/** Part of the room that an entry has offered which one sender uses: others see the same offer. */
+	readonly claimShare: number;
+	/** Requests in flight to a region at the first step after it was away; each step doubles them. */
+	readonly firstStep: number;
+	readonly stepMs: number;
+	/** A region that has sent no offer for so long starts at the first step again, in milliseconds. */
+	readonly absenceMs: number;
+	/** Bytes that may be sent at once beyond the link's rate, as a time at that rate in milliseconds. */
+	readonly linkBurstMs: number;
+	/** Bytes of an answer before the first one has been seen. */
+	readonly initialAnswerBytes: number;
+}
+
+export const defaultSendAwayFigures: SendAwayFigures = {
+	longestOfferAgeMs: 5_000,
+	marginFactor: 1.25,
+	marginMs: 100,
+	fullRateSavingMs: 1_000,
+	shareChangePerSecond: 0.1,
+	coldStartMs: 500,
+	warmAfterAnswers: 20,
+	warmthFadeMs: 120_000,
+	claimShare: 0.5,
+	firstStep: 4,
+	stepMs: 2_000,
+	absenceMs: 15_000,
+	linkBurstMs: 500,
+	initialAnswerBytes: 4_000,
+};
+
+/** Figures of the ranking that callers are given. */
+export interface LookupFigures {
+	/** Time in which an entry's room loses 63% of its weight against the mean, in milliseconds. */
+	readonly roomFadeMs: number;
+	/** Wait that halves an entry's weight, in milliseconds. */
+	readonly halvingWaitMs: number;
+	/** A caller may leave its entry once the weight of that one is below this part of the mean. */
+	readonly poorShare: number;
+	/** Part of the callers that move at one lookup: all at once would overrun the entry they move to. */
+	readonly moveShare: number;
+	/** Entries named in an answer. */
+	readonly mostNamed: number;
+}
+
+export const defaultLookupFigures: LookupFigures = {
+	roomFadeMs: 10_000,
+	halvingWaitMs: 500,
+	poorShare: 0.5,
+	moveShare: 0.25,
+	mostNamed: 8,
+};
+
+/** Figures of what entries tell each other. */
+export interface FleetViewFigures {
+	/** Bytes a second that a node may spend on views, both directions and both roles together. */
+	readonly bytesPerSecond: number;
+	/** Time between two exchanges that a node begins, in milliseconds. */
+	readonly periodMs: number;
+	/** Parts of the exchanges that go to the own zone and to other zones of the own region. */
+	readonly zoneShare: number;
+	readonly regionShare: number;
+	/** An instance is suspected after this silence, and no sooner than so many of its expected renewals. */
+	readonly suspectAfterMs: number;
+	readonly suspectAfterRenewals: number;
+	/** Failed exchanges in a row after which an instance is suspected whatever others say. */
+	readonly suspectAfterFailures: number;
+	/** Multiple of the suspicion time after which an instance is forgotten. */
+	readonly forgetFactor: number;
+	/** Time in which a room loses 63% of its weight against the mean, in milliseconds. */
+	readonly roomFadeMs: number;
+}
+
+export const defaultFleetViewFigures: FleetViewFigures = {
+	bytesPerSecond: 1_600,
+	periodMs: 1_000,
+	zoneShare: 0.75,
+	regionShare: 0.15,
+	suspectAfterMs: 5_000,
+	suspectAfterRenewals: 4,
+	suspectAfterFailures: 2,
+	forgetFactor: 6,
+	roomFadeMs: 10_000,
+};
--- a/src/entry/common/scheduling/targetChoice.ts
+++ b/src/entry/common/scheduling/targetChoice.ts
@@ -106,7 +106,7 @@
 	/** Whether the work sent to a target of late is within a multiple of its part of all work sent. */
 	private isWithinBound({ use }: PooledTarget, { expectedMs }: ChoiceQuestion, nowMs: number): boolean {
 		const { boundedLoad, freeRequests } = this.policy;
-		const part = this.pool.recentWork.getValue(nowMs) * (use.limit / this.pool.totalSlots);
+		const part = this.pool.recentWork.getValue(nowMs) * this.pool.computePart(use);
 		return use.recentWork.getValue(nowMs) <= boundedLoad * part + freeRequests * expectedMs;
 	}
 
--- a/src/entry/common/scheduling/targetPool.ts
+++ b/src/entry/common/scheduling/targetPool.ts
@@ -29,6 +29,7 @@
 	readonly recentWork: FadingSum;
 	private readonly byId = new Map<TargetId, PooledTarget>();
 	private inUse: readonly PooledTarget[] = [];
+	private nominalSlots = 0;
 	private near: readonly PooledTarget[] = [];
 	private slots = 0;
 	private reportFadeMs = 1;
@@ -57,6 +58,11 @@
 		return this.slots;
 	}
 
+	/** A target's part of all slots, before limits and shares. */
+	computePart({ target }: TargetUse): number {
+		return target.slots / this.nominalSlots;
+	}
+
 	setTargets(targets: readonly SchedulableTarget[]): void {
 		const present = new Set(targets.map(target => target.id));
 		for (const id of [...this.byId.keys()]) {
@@ -129,15 +135,18 @@
 
 	private updateTotals(): void {
 		let slots = 0;
+		let nominalSlots = 0;
 		let others = 0;
 		let reports = 0;
 		for (const { use } of this.inUse) {
 			slots += this.speed.isAvoided(use.target.id) ? 0 : use.limit;
+			nominalSlots += use.target.slots;
 			const reported = use.getReportedOthers();
 			others += reported ?? 0;
 			reports += reported === undefined ? 0 : 1;
 		}
 		this.slots = slots;
+		this.nominalSlots = nominalSlots;
 		this.neutralOthers = reports === 0 ? undefined : others / reports;
 	}
 
--- a/src/entry/common/sendAway/sendAwayPolicy.ts
+++ b/src/entry/common/sendAway/sendAwayPolicy.ts
@@ -15,7 +15,7 @@
 	readonly ageMs: number;
 	/** One way over the link, in milliseconds. */
 	readonly oneWayMs: number;
-	/** What the link carries for requests sent away, in bytes a millisecond. */
+	/** What the link carries for requests that this entry sends away, in bytes a millisecond. */
 	readonly linkBytesPerMs: number;
 }
 
