Measure sending away between regions; claim by what offers reflect

Ruled out: a wider link burst (callers wait on the link). Change: region experiment with links, offers that lag and three rules for sending; claims count what an offer reflects, the bucket uses 0.9 of the rate with a burst of 0.1 s, room is asked for the request itself.

--- a/src/bench/common/entryModel.ts
+++ b/src/bench/common/entryModel.ts
@@ -20,6 +20,8 @@
 	readonly request: SchedulableRequest;
 	readonly workMs: number;
 	readonly coldMs: number;
+	/** May be answered in its home region only. */
+	readonly isBound: boolean;
 }
 
 /** How a request ended for its caller. */
--- a/src/bench/common/scenarios/scenarios.ts
+++ b/src/bench/common/scenarios/scenarios.ts
@@ -9,6 +9,7 @@
 import { outageScenarios } from './outage';
 import { overloadScenarios } from './overload';
 import { prefixScenarios } from './prefixes';
+import { regionScenarios } from './regions';
 import { slowTargetScenarios } from './slowTarget';
 
 export const scenarios: readonly Scenario[] = [
@@ -19,4 +20,5 @@
 	...slowTargetScenarios,
 	...herdingScenarios,
 	...outageScenarios,
+	...regionScenarios,
 ];
--- a/src/bench/common/targetModel.ts
+++ b/src/bench/common/targetModel.ts
@@ -48,6 +48,9 @@
 /** Below this much work a request has ended: sums of floating-point steps do not reach zero. */
 const endedMs = 1e-6;
 
+/** A failing target breaks a request off after this time. */
+const failsAfterMs = 20;
+
 /** What a target has done so far. */
 export interface TargetTotals {
 	startedJobs: number;
@@ -67,6 +70,7 @@
 	private readonly cache = new Set<string>();
 	private speed = 1;
 	private isDown = false;
+	private isFailing = false;
 	private steppedMs: number;
 	private timer: IDisposable | undefined;
 
@@ -81,6 +85,11 @@
 		return this.running.size;
 	}
 
+	/** Whether it serves nothing at present. */
+	get isOut(): boolean {
+		return this.isDown || this.isFailing;
+	}
+
 	get waitingCount(): number {
 		return this.waiting.length;
 	}
@@ -91,6 +100,13 @@
 			job.noteEnd(AttemptEnd.NotConnected);
 			return;
 		}
+		if (this.isFailing) {
+			this.totals.startedJobs++;
+			this.timers.schedule(failsAfterMs, () => {
+				job.noteEnd(AttemptEnd.Failed);
+			});
+			return;
+		}
 		this.advance();
 		const rank = requestClasses.indexOf(job.requestClass);
 		const place = this.waiting.findIndex(other => requestClasses.indexOf(other.requestClass) > rank);
@@ -115,6 +131,11 @@
 		this.scheduleNext();
 	}
 
+	/** A failing target takes every request and breaks it off. */
+	setFailing(isFailing: boolean): void {
+		this.isFailing = isFailing;
+	}
+
 	/** Going down breaks what runs and forgets the cache. */
 	setDown(isDown: boolean): void {
 		this.advance();
--- a/src/bench/common/workload.ts
+++ b/src/bench/common/workload.ts
@@ -20,6 +20,9 @@
 	readonly pickOrganisation: (random: IRandom) => string;
 	readonly pickPrefix?: (random: IRandom) => string;
 	readonly coldMs?: number;
+	readonly bodyBytes?: number;
+	/** Part of the requests that may be answered in their home region only. */
+	readonly boundShare?: number;
 	readonly isRepeatable?: boolean;
 }
 
@@ -66,11 +69,12 @@
 			arrivedMs: nowMs,
 			deadlineMs: nowMs + kind.deadlineMs,
 			prefixKey: kind.pickPrefix?.(random),
-			bodyBytes: 2_000,
+			bodyBytes: kind.bodyBytes ?? 2_000,
 			isRepeatable: kind.isRepeatable ?? true,
 		},
 		workMs: kind.pickWorkMs(random),
 		coldMs: kind.coldMs ?? 0,
+		isBound: random.pickFraction() < (kind.boundShare ?? 0),
 	};
 }
 
@@ -79,6 +83,7 @@
 	kinds: readonly RequestKind[],
 	durationMs: number,
 	random: IRandom,
+	idStart = '',
 ): PlannedRequest[] {
 	const planned: PlannedRequest[] = [];
 	for (const [index, kind] of kinds.entries()) {
@@ -91,7 +96,7 @@
 			if (random.pickFraction() * kind.mostRate < kind.computeRate(atMs)) {
 				planned.push({
 					atMs,
-					model: createModelRequest(kind, `${index}-${planned.length}`, atMs, random),
+					model: createModelRequest(kind, `${idStart}${index}-${planned.length}`, atMs, random),
 				});
 			}
 		}
--- a/src/entry/common/scheduling/admission.ts
+++ b/src/entry/common/scheduling/admission.ts
@@ -52,6 +52,16 @@
 		return this.findTimeFault(lane, request, nowMs);
 	}
 
+	/** Predicted wait of a request that arrives now; all the time it has where it would be refused. */
+	estimateWait(request: SchedulableRequest, nowMs: number): number {
+		const leftMs = Math.max(0, request.deadlineMs - nowMs);
+		if (this.findFault(request, nowMs) !== undefined) {
+			return leftMs;
+		}
+		const { organisation, requestClass, organisationWeight: weight = 1 } = request;
+		return this.predictor.estimateWait(this.lanes.getLane(requestClass), organisation, weight, leftMs);
+	}
+
 	/** Whether a waiting request, served after `aheadMs` of work, can still be answered in time. */
 	isReachable(lane: ClassLane, request: SchedulableRequest, aheadMs: number, nowMs: number): boolean {
 		const leftMs = request.deadlineMs - nowMs;
--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -171,7 +171,7 @@
 		trialPauseMs: 2_000,
 		overdueFactor: 4,
 	},
-	pause: { firstMs: 250, longestMs: 2_000, downAfter: 3 },
+	pause: { firstMs: 250, longestMs: 2_000, downAfter: 2 },
 	retry: { budgetShare: 0.1, budgetMost: 10, mostAttempts: 3 },
 };
 
@@ -191,14 +191,19 @@
 	/** Answered requests after which 63% of that cost is gone, and the time in which it returns. */
 	readonly warmAfterAnswers: number;
 	readonly warmthFadeMs: number;
-	/** Part of the room that an entry has offered which one sender uses: others see the same offer. */
+	/**
+	 * Part of the room at an entry, what this sender uses there included, that one sender may use: others
+	 * see the same offer, and it is a second old.
+	 */
 	readonly claimShare: number;
 	/** Requests in flight to a region at the first step after it was away; each step doubles them. */
 	readonly firstStep: number;
 	readonly stepMs: number;
 	/** A region that has sent no offer for so long starts at the first step again, in milliseconds. */
 	readonly absenceMs: number;
-	/** Bytes that may be sent at once beyond the link's rate, as a time at that rate in milliseconds. */
+	/** Part of the link's rate that is used; with the burst below no second exceeds the rate. */
+	readonly linkUse: number;
+	/** Bytes that may be sent at once beyond that, as a time at the link's rate in milliseconds. */
 	readonly linkBurstMs: number;
 	/** Bytes of an answer before the first one has been seen. */
 	readonly initialAnswerBytes: number;
@@ -208,16 +213,17 @@
 	longestOfferAgeMs: 5_000,
 	marginFactor: 1.25,
 	marginMs: 100,
-	fullRateSavingMs: 1_000,
+	fullRateSavingMs: 2_000,
 	shareChangePerSecond: 0.1,
 	coldStartMs: 500,
 	warmAfterAnswers: 20,
 	warmthFadeMs: 120_000,
-	claimShare: 0.5,
+	claimShare: 0.85,
 	firstStep: 4,
 	stepMs: 2_000,
 	absenceMs: 15_000,
-	linkBurstMs: 500,
+	linkUse: 0.9,
+	linkBurstMs: 100,
 	initialAnswerBytes: 4_000,
 };
 
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -152,18 +152,21 @@
 		}
 	}
 
-	measureRoom(): ServiceRoom {
-		const lane = this.lanes.getLane(RequestClass.Normal);
-		const aheadMs = lane.queue.queuedWorkMs;
+	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom {
 		const { running, size } = this.lanes;
 		return {
-			waitMs: this.predictor.estimateAfter(lane, aheadMs, roomPatienceMs),
+			waitMs: request === undefined ? this.estimateNormalWait() : this.admission.estimateWait(request, nowMs),
 			freeSlots: Math.max(0, this.pool.totalSlots - running - size),
 			running,
 			queued: size + this.retries.length,
 		};
 	}
 
+	private estimateNormalWait(): number {
+		const lane = this.lanes.getLane(RequestClass.Normal);
+		return this.predictor.estimateAfter(lane, lane.queue.queuedWorkMs, roomPatienceMs);
+	}
+
 	private isRetried(held: HeldRequest, attempt: RunningAttempt, end: AttemptEnd, nowMs: number): boolean {
 		if (end === AttemptEnd.Answered || end === AttemptEnd.Cancelled || attempt.hasFirstByte) {
 			return false;
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -89,7 +89,10 @@
 
 /** What this entry could do for a further request of the service. */
 export interface ServiceRoom {
-	/** Predicted wait of a normal request that arrives now. */
+	/**
+	 * Predicted wait of a normal request that arrives now, or of the request that was asked for. One that
+	 * would be refused waits for all the time it has: it is never served here.
+	 */
 	readonly waitMs: number;
 	readonly freeSlots: number;
 	readonly running: number;
@@ -116,5 +119,6 @@
 	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void;
 	/** Forgets a waiting request. A running one is ended by `noteEnd`. */
 	cancel(requestId: RequestId, nowMs: number): void;
-	measureRoom(nowMs: number): ServiceRoom;
+	/** Room for a normal request, or for the one given. */
+	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom;
 }
--- a/src/entry/common/sendAway/costedSendAway.ts
+++ b/src/entry/common/sendAway/costedSendAway.ts
@@ -13,6 +13,7 @@
 import type { InstanceId, RegionName } from '../../../platform/ids/common/ids';
 import type { SendAwayFigures } from '../scheduling/policy';
 import { defaultSendAwayFigures } from '../scheduling/policy';
+import { RemotePeer } from './remotePeer';
 import { RemoteRegion } from './remoteRegion';
 import type { ISendAwayPolicy, RemoteOffer, SendAwayAnswer, SendAwayQuestion } from './sendAwayPolicy';
 import { SendAwayShare } from './sendAwayShare';
@@ -29,8 +30,7 @@
 export class SendAwayPolicy implements ISendAwayPolicy {
 	private readonly share: SendAwayShare;
 	private readonly regions = new Map<RegionName, RemoteRegion>();
-	private readonly regionOf = new Map<InstanceId, RegionName>();
-	private readonly inFlight = new Map<InstanceId, number>();
+	private readonly peers = new Map<InstanceId, RemotePeer>();
 	private answerBytes: number;
 
 	constructor(
@@ -42,12 +42,10 @@
 	}
 
 	decide(question: SendAwayQuestion, nowMs: number): SendAwayAnswer {
-		const best = this.findCheapest(question, nowMs);
+		const priced = this.listPriced(question, nowMs);
+		const [best] = priced;
 		const localMs = question.localRoom.waitMs;
-		const savingMs =
-			best === undefined
-				? -this.figures.fullRateSavingMs
-				: localMs - best.costMs * this.figures.marginFactor - this.figures.marginMs;
+		const savingMs = best === undefined ? -this.figures.fullRateSavingMs : this.computeSaving(localMs, best);
 		const share = this.share.update(savingMs, nowMs);
 		if (best === undefined) {
 			return { sendTo: undefined, reason: 'no other region offers room' };
@@ -56,16 +54,21 @@
 		if (savingMs <= 0 || this.random.pickFraction() >= share) {
 			return { sendTo: undefined, reason: `${costs}, share ${share.toFixed(2)}` };
 		}
-		return this.send(question, best.offer, costs, nowMs);
+		const usable = priced.find(
+			item => this.computeSaving(localMs, item) > 0 && this.isUsable(item.offer, question, nowMs),
+		);
+		return usable === undefined
+			? { sendTo: undefined, reason: `${costs}, but room, step or link is at its cap` }
+			: this.send(question, usable.offer, costs, nowMs);
 	}
 
 	noteEnd(instance: InstanceId, isAnswered: boolean, tookMs: number, bytes: number, nowMs: number): void {
-		this.inFlight.set(instance, Math.max(0, (this.inFlight.get(instance) ?? 0) - 1));
-		const name = this.regionOf.get(instance);
-		const region = name === undefined ? undefined : this.regions.get(name);
-		if (region === undefined) {
+		const peer = this.peers.get(instance);
+		if (peer === undefined) {
 			return;
 		}
+		peer.noteEnd();
+		const region = this.getRegion(peer.region);
 		region.noteEnd(isAnswered, tookMs, nowMs);
 		region.link.addBytes(bytes - this.answerBytes);
 		if (isAnswered) {
@@ -75,43 +78,50 @@
 
 	private send(
 		{ request }: SendAwayQuestion,
-		{ instance, region: name, linkBytesPerMs }: RemoteOffer,
+		{ instance, region: name }: RemoteOffer,
 		costs: string,
 		nowMs: number,
 	): SendAwayAnswer {
 		const region = this.getRegion(name);
-		if (!region.link.take(request.bodyBytes + this.answerBytes, linkBytesPerMs, nowMs)) {
-			return { sendTo: undefined, reason: `${costs}, but the link is at its cap` };
-		}
+		region.link.addBytes(request.bodyBytes + this.answerBytes);
 		region.noteSent();
-		this.regionOf.set(instance, name);
-		this.inFlight.set(instance, (this.inFlight.get(instance) ?? 0) + 1);
+		this.getPeer(instance, name).noteSent(nowMs);
 		return { sendTo: instance, reason: costs };
 	}
 
-	private findCheapest(question: SendAwayQuestion, nowMs: number): PricedOffer | undefined {
-		let best: PricedOffer | undefined;
+	/** What sending saves beyond the margin, in milliseconds. */
+	private computeSaving(localMs: number, { costMs }: PricedOffer): number {
+		return localMs - costMs * this.figures.marginFactor - this.figures.marginMs;
+	}
+
+	/** Offers of room that would be answered in time, the cheapest first. */
+	private listPriced(question: SendAwayQuestion, nowMs: number): PricedOffer[] {
+		const priced: PricedOffer[] = [];
 		for (const offer of question.offers) {
-			if (offer.ageMs <= this.figures.longestOfferAgeMs) {
-				this.getRegion(offer.region).noteOffer(nowMs - offer.ageMs);
-			}
-			if (!this.isUsable(offer, question, nowMs)) {
+			if (offer.ageMs > this.figures.longestOfferAgeMs || offer.linkBytesPerMs <= 0) {
 				continue;
 			}
+			this.getRegion(offer.region).noteOffer(nowMs - offer.ageMs);
 			const costMs = this.computeCost(offer, question, nowMs);
-			if (nowMs + costMs < question.request.deadlineMs && (best === undefined || costMs < best.costMs)) {
-				best = { offer, costMs };
+			if (nowMs + costMs < question.request.deadlineMs && this.countClaimable(offer, nowMs) > 0) {
+				priced.push({ offer, costMs });
 			}
 		}
-		return best;
+		return priced.sort((left, right) => left.costMs - right.costMs);
+	}
+
+	/** Requests that may be in flight to the entry: a part of what it has free and of what it runs for us. */
+	private countClaimable(offer: RemoteOffer, nowMs: number): number {
+		const peer = this.peers.get(offer.instance);
+		const reflected = peer?.countReflected(nowMs - offer.ageMs - offer.oneWayMs) ?? 0;
+		return Math.ceil((offer.room.freeSlots + reflected) * this.figures.claimShare);
 	}
 
 	private isUsable(offer: RemoteOffer, { request }: SendAwayQuestion, nowMs: number): boolean {
 		const region = this.getRegion(offer.region);
-		const claimable = Math.ceil(offer.room.freeSlots * this.figures.claimShare);
+		const inFlight = this.peers.get(offer.instance)?.inFlight ?? 0;
 		return (
-			offer.ageMs <= this.figures.longestOfferAgeMs &&
-			(this.inFlight.get(offer.instance) ?? 0) < claimable &&
+			inFlight < this.countClaimable(offer, nowMs) &&
 			region.hasRoom() &&
 			region.link.hasRoomFor(request.bodyBytes + this.answerBytes, offer.linkBytesPerMs, nowMs)
 		);
@@ -124,6 +134,15 @@
 		return offer.room.waitMs + 2 * offer.oneWayMs + transferMs + coldMs;
 	}
 
+	private getPeer(instance: InstanceId, region: RegionName): RemotePeer {
+		let peer = this.peers.get(instance);
+		if (peer === undefined) {
+			peer = new RemotePeer(region);
+			this.peers.set(instance, peer);
+		}
+		return peer;
+	}
+
 	private getRegion(name: RegionName): RemoteRegion {
 		let region = this.regions.get(name);
 		if (region === undefined) {
--- a/src/entry/common/sendAway/linkBudget.ts
+++ b/src/entry/common/sendAway/linkBudget.ts
@@ -13,33 +13,21 @@
 	constructor(
 		/** Bytes that may go beyond the rate at once, as a time at that rate in milliseconds. */
 		private readonly burstMs: number,
+		/** Part of the rate that is used. */
+		private readonly use: number,
 	) {}
 
-	/** Takes the bytes where the link has room for them. */
-	take(bytes: number, bytesPerMs: number, nowMs: number): boolean {
-		this.update(bytesPerMs, nowMs);
-		if ((this.balance ?? 0) < bytes) {
-			return false;
-		}
-		this.balance = (this.balance ?? 0) - bytes;
-		return true;
-	}
-
-	/** Corrects for bytes that were estimated wrongly. */
+	/** Counts bytes that are sent, or corrects for bytes that were estimated wrongly. */
 	addBytes(bytes: number): void {
 		this.balance = (this.balance ?? 0) - bytes;
 	}
 
-	/** Whether the bytes could be taken now. */
+	/** Whether the bytes may be sent now. A request larger than the burst may go when the link has rested. */
 	hasRoomFor(bytes: number, bytesPerMs: number, nowMs: number): boolean {
-		this.update(bytesPerMs, nowMs);
-		return (this.balance ?? 0) >= bytes;
-	}
-
-	private update(bytesPerMs: number, nowMs: number): void {
 		const most = bytesPerMs * this.burstMs;
-		const earned = (nowMs - this.updatedMs) * bytesPerMs;
+		const earned = (nowMs - this.updatedMs) * bytesPerMs * this.use;
 		this.balance = Math.min(most, (this.balance ?? most) + earned);
 		this.updatedMs = nowMs;
+		return this.balance >= Math.min(bytes, most);
 	}
 }
--- a/src/entry/common/sendAway/remoteRegion.ts
+++ b/src/entry/common/sendAway/remoteRegion.ts
@@ -25,7 +25,7 @@
 	private offeredMs = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly figures: SendAwayFigures) {
-		this.link = new LinkBudget(figures.linkBurstMs);
+		this.link = new LinkBudget(figures.linkBurstMs, figures.linkUse);
 		this.answers = new FadingSum(figures.warmthFadeMs);
 		this.step = figures.firstStep;
 	}
