Hold offers against what was in flight when they were made

Cause: half of another region's free slots stayed unused, since an offer of a second ago was held against the requests in flight now; short ones that it had counted had ended by then. Ruled out: a larger part of the offered room (does not change the count).

--- a/src/entry/common/sendAway/costedSendAway.ts
+++ b/src/entry/common/sendAway/costedSendAway.ts
@@ -67,7 +67,7 @@
 		if (peer === undefined) {
 			return;
 		}
-		peer.noteEnd();
+		peer.noteEnd(nowMs);
 		const region = this.getRegion(peer.region);
 		region.noteEnd(isAnswered, tookMs, nowMs);
 		region.link.addBytes(bytes - this.answerBytes);
@@ -110,10 +110,10 @@
 		return priced.sort((left, right) => left.costMs - right.costMs);
 	}
 
-	/** Requests that may be in flight to the entry: a part of what it has free and of what it runs for us. */
+	/** Requests that may be in flight to the entry: a part of what it had free and of what it ran for us. */
 	private countClaimable(offer: RemoteOffer, nowMs: number): number {
 		const peer = this.peers.get(offer.instance);
-		const reflected = peer?.countReflected(nowMs - offer.ageMs - offer.oneWayMs) ?? 0;
+		const reflected = peer?.countAt(nowMs - offer.ageMs - offer.oneWayMs) ?? 0;
 		return Math.ceil((offer.room.freeSlots + reflected) * this.figures.claimShare);
 	}
 
@@ -137,7 +137,7 @@
 	private getPeer(instance: InstanceId, region: RegionName): RemotePeer {
 		let peer = this.peers.get(instance);
 		if (peer === undefined) {
-			peer = new RemotePeer(region);
+			peer = new RemotePeer(region, 2 * this.figures.longestOfferAgeMs);
 			this.peers.set(instance, peer);
 		}
 		return peer;
