--- a/src/entry/common/scheduling/admission.ts
+++ b/src/entry/common/scheduling/admission.ts
@@ -65,6 +65,9 @@
 	/** Whether a waiting request, served after `aheadMs` of work, can still be answered in time. */
 	isReachable(lane: ClassLane, request: SchedulableRequest, aheadMs: number, nowMs: number): boolean {
 		const leftMs = request.deadlineMs - nowMs;
+		if (lane.running === 0 && lane.queue.size === 1) {
+			return leftMs > 0;
+		}
 		const runMs = this.estimateRun(request);
 		return this.predictor.estimateAfter(lane, aheadMs, leftMs) + runMs <= leftMs;
 	}
--- a/src/entry/common/scheduling/fairQueue.ts
+++ b/src/entry/common/scheduling/fairQueue.ts
@@ -176,7 +176,8 @@
 			if (item.isRemoved) {
 				continue;
 			}
-			const aheadMs = Math.min(this.workMs, (lag + ownMs / flow.weight) * this.activeWeight);
+			const othersMs = this.workMs - item.workMs;
+			const aheadMs = Math.min(othersMs, (lag + ownMs / flow.weight) * this.activeWeight);
 			if (isOut(item, aheadMs)) {
 				this.remove(item);
 				continue;
--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -140,7 +140,7 @@
 export const defaultSchedulingPolicy: SchedulingPolicy = {
 	classes: {
 		[RequestClass.Urgent]: { weight: 32, initialRunMs: 500, reservedShare: 0, waitShare: 0.3 },
-		[RequestClass.Normal]: { weight: 4, initialRunMs: 2_000, reservedShare: 0, waitShare: 0.2 },
+		[RequestClass.Normal]: { weight: 4, initialRunMs: 2_000, reservedShare: 0, waitShare: 0.15 },
 		[RequestClass.Draft]: { weight: 1, initialRunMs: 30_000, reservedShare: 0.25, waitShare: 0.15 },
 	},
 	admission: { runDeviations: 1.3, maxQueued: 10_000, recheckMs: 250 },
@@ -155,7 +155,7 @@
 		waitingShare: 0.5,
 	},
 	choice: {
-		boundedLoad: 1.15,
+		boundedLoad: 1.1,
 		affinityDepth: 3,
 		loadFadeMs: 10_000,
 		freeRequests: 2,
@@ -170,8 +170,8 @@
 		avoidedSlowness: 2.5,
 		returnedSlowness: 1.6,
 		mostAvoidedShare: 0.34,
-		trialPauseMs: 2_000,
-		compareMs: 1_000,
+		trialPauseMs: 4_000,
+		compareMs: 500,
 		overdueFactor: 4,
 	},
 	pause: { firstMs: 250, longestMs: 2_000, downAfter: 2 },
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -126,6 +126,9 @@
 		held.running = undefined;
 		this.observer.noteEnd(held, attempt, end, nowMs);
 		noteFailure(held, attempt.target.id, end);
+		if (end !== AttemptEnd.Answered && this.pool.isDown(nowMs)) {
+			this.checkWaiting(nowMs);
+		}
 		if (!this.isRetried(held, attempt, end, nowMs)) {
 			this.held.delete(requestId);
 			return false;
--- a/src/entry/common/scheduling/targetPool.ts
+++ b/src/entry/common/scheduling/targetPool.ts
@@ -42,6 +42,9 @@
 	private near: readonly PooledTarget[] = [];
 	/** Rankings by prefix, since a prefix comes again; forgotten when the targets change. */
 	private readonly rankings = new LRUCache<string, readonly PooledTarget[]>({ max: mostRankings });
+	private readonly paused = new Set<PooledTarget>();
+	/** When the first of the paused targets may be tried. */
+	private nextReturnMs = Number.POSITIVE_INFINITY;
 	private slots = 0;
 	private reportFadeMs = 1;
 	private neutralOthers: number | undefined;
@@ -102,6 +105,7 @@
 
 	/** Whether any target takes a request of the class now. */
 	hasFree(requestClass: RequestClass, nowMs: number): boolean {
+		this.checkPaused(nowMs);
 		const free = this.getFree(requestClass);
 		for (;;) {
 			const { first } = free;
@@ -127,6 +131,10 @@
 		if (this.byId.get(target.id) !== target) {
 			return;
 		}
+		if (target.use.isPaused(nowMs)) {
+			this.paused.add(target);
+			this.nextReturnMs = Math.min(this.nextReturnMs, target.use.pausedUntilMs);
+		}
 		for (const [requestClass, free] of this.free) {
 			free.set(target, this.isFree(target, requestClass, nowMs));
 		}
@@ -200,6 +208,22 @@
 		this.updateAllFree(nowMs);
 	}
 
+	/** Looks again at targets whose pause has ended. */
+	private checkPaused(nowMs: number): void {
+		if (nowMs < this.nextReturnMs) {
+			return;
+		}
+		this.nextReturnMs = Number.POSITIVE_INFINITY;
+		for (const target of this.paused) {
+			if (target.use.isPaused(nowMs)) {
+				this.nextReturnMs = Math.min(this.nextReturnMs, target.use.pausedUntilMs);
+			} else {
+				this.paused.delete(target);
+				this.updateFree(target, nowMs);
+			}
+		}
+	}
+
 	private updateAllFree(nowMs: number): void {
 		for (const free of this.free.values()) {
 			free.clear();
