--- a/src/bench/common/scenarios/slowTarget.ts
+++ b/src/bench/common/scenarios/slowTarget.ts
@@ -2,6 +2,11 @@
  * One target of eight is five times slower: all the time, and for half a minute.
  */
 
+import type { IRandom } from '../../../base/common/random';
+import { ServiceScheduler } from '../../../entry/common/scheduling/scheduler';
+import type { ScheduleDecision } from '../../../entry/common/scheduling/serviceScheduler';
+import { ScheduleDecisionKind } from '../../../entry/common/scheduling/serviceScheduler';
+import { trialReason } from '../../../entry/common/scheduling/targetChoice';
 import { RequestClass } from '../../../platform/requests/common/requestClass';
 import { allContenders, ours } from '../contenders';
 import type { ExperimentResult, ModelEvent } from '../experiment';
@@ -18,6 +23,9 @@
 const durationMs = 120_000;
 const countFromMs = 10_000;
 const recoveredMs = 50_000;
+const healthyRuns = 1_000;
+const healthyLoad = 0.7;
+const healthyMs = 10_000;
 
 function createSpeedEvent(atMs: number, speed: number): ModelEvent {
 	return {
@@ -94,6 +102,53 @@
 	};
 }
 
+/** Counts the trials that it starts: there is one only where a target is avoided. */
+class TrialCountingScheduler extends ServiceScheduler {
+	trials = 0;
+
+	override advance(nowMs: number): readonly ScheduleDecision[] {
+		const decisions = super.advance(nowMs);
+		for (const decision of decisions) {
+			const isTrial = decision.kind === ScheduleDecisionKind.Start && decision.reason === trialReason;
+			this.trials += isTrial ? 1 : 0;
+		}
+		return decisions;
+	}
+}
+
+/** Whether a healthy target was avoided at any time of a run. */
+function hasFalseEjection(seed: number): boolean {
+	let scheduler: TrialCountingScheduler | undefined;
+	const counting = {
+		name: 'anvilroad',
+		create: (random: IRandom) => {
+			scheduler = new TrialCountingScheduler(random);
+			return scheduler;
+		},
+	};
+	runLoad(counting, seed, [createQuestions(healthyLoad)], { durationMs: healthyMs });
+	return (scheduler?.trials ?? 0) > 0;
+}
+
+const allHealthy: Scenario = {
+	name: 'slow target: none',
+	run(seed: number): ScenarioReport {
+		let ejections = 0;
+		for (let run = 0; run < healthyRuns; run++) {
+			ejections += hasFalseEjection(seed * healthyRuns + run) ? 1 : 0;
+		}
+		return {
+			name: 'slow target: none',
+			pattern: `questions at ${healthyLoad}x on healthy targets, ${healthyRuns} runs of ${healthyMs / 1_000} s`,
+			seed,
+			rows: [
+				{ contender: 'anvilroad', figures: [createFigure('runs with a false ejection', ejections, '')] },
+			],
+			goals: [{ text: 'runs with a false ejection', value: ejections, bound: 0, isLeast: false }],
+		};
+	},
+};
+
 export const slowTargetScenarios: readonly Scenario[] = [
 	createSlowScenario(
 		'slow target',
@@ -107,4 +162,5 @@
 		[createSpeedEvent(20_000, slowSpeed), createSpeedEvent(recoveredMs, 1)],
 		true,
 	),
+	allHealthy,
 ];
--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -165,7 +165,7 @@
 	speed: {
 		observationWeight: 0.1,
 		trialWeight: 0.4,
-		leastObservations: 5,
+		leastObservations: 10,
 		toleratedSlowness: 1.3,
 		avoidedSlowness: 2.5,
 		returnedSlowness: 1.6,
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -9,7 +9,7 @@
 import { RequestClass } from '../../../platform/requests/common/requestClass';
 import { Admission } from './admission';
 import type { HeldRequest, RunningAttempt } from './attempt';
-import { isUnrun, noteFailure } from './attempt';
+import { noteFailure } from './attempt';
 import { AttemptObserver } from './attemptObserver';
 import type { ClassLane } from './classLanes';
 import { ClassLanes } from './classLanes';
@@ -19,6 +19,7 @@
 import { defaultSchedulingPolicy } from './policy';
 import { Refusals } from './refusals';
 import { RetryBudget } from './retryBudget';
+import { RetryQueue } from './retryQueue';
 import type {
 	IServiceScheduler,
 	ReportedLoad,
@@ -45,11 +46,10 @@
 	private readonly predictor: WaitPredictor;
 	private readonly admission: Admission;
 	private readonly chooser: TargetChooser;
-	private readonly budget: RetryBudget;
+	private readonly retries: RetryQueue;
 	private readonly observer: AttemptObserver;
 	private readonly refusals: Refusals;
 	private readonly held = new Map<RequestId, HeldRequest>();
-	private readonly retries: HeldRequest[] = [];
 	private decided: ScheduleDecision[] = [];
 	private checkedMs: number | undefined;
 	private comparedMs = Number.NEGATIVE_INFINITY;
@@ -64,8 +64,9 @@
 		this.predictor = new WaitPredictor(this.lanes, this.pool, this.estimator);
 		this.admission = new Admission(policy.admission, this.lanes, this.pool, this.estimator, this.predictor);
 		this.chooser = new TargetChooser(this.pool, policy.choice, random);
-		this.budget = new RetryBudget(policy.retry);
-		this.observer = new AttemptObserver(policy.speed, this.lanes, this.pool, this.estimator, this.budget);
+		const budget = new RetryBudget(policy.retry);
+		this.retries = new RetryQueue(policy.retry, this.lanes, this.pool, this.admission, budget);
+		this.observer = new AttemptObserver(policy.speed, this.lanes, this.pool, this.estimator, budget);
 		const plan = new ComeBackPlan(policy.comeBack, random);
 		this.refusals = new Refusals(this.lanes, this.estimator, this.predictor, plan);
 	}
@@ -129,12 +130,11 @@
 		if (end !== AttemptEnd.Answered && this.pool.isDown(nowMs)) {
 			this.checkWaiting(nowMs);
 		}
-		if (!this.isRetried(held, attempt, end, nowMs)) {
+		const isTakenBack = this.retries.accept(held, attempt, end, nowMs);
+		if (!isTakenBack) {
 			this.held.delete(requestId);
-			return false;
 		}
-		this.retries.push(held);
-		return true;
+		return isTakenBack;
 	}
 
 	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void {
@@ -150,10 +150,7 @@
 		if (held.queued !== undefined) {
 			this.lanes.getLane(held.request.requestClass).queue.remove(held.queued);
 		}
-		const place = this.retries.indexOf(held);
-		if (place >= 0) {
-			this.retries.splice(place, 1);
-		}
+		this.retries.remove(held);
 	}
 
 	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom {
@@ -162,7 +159,7 @@
 			waitMs: request === undefined ? this.estimateNormalWait() : this.admission.estimateWait(request, nowMs),
 			freeSlots: Math.max(0, this.pool.totalSlots - running - size),
 			running,
-			queued: size + this.retries.length,
+			queued: size + this.retries.size,
 		};
 	}
 
@@ -171,45 +168,23 @@
 		return this.predictor.estimateAfter(lane, lane.queue.queuedWorkMs, roomPatienceMs);
 	}
 
-	private isRetried(held: HeldRequest, attempt: RunningAttempt, end: AttemptEnd, nowMs: number): boolean {
-		if (end === AttemptEnd.Answered || end === AttemptEnd.Cancelled || attempt.hasFirstByte) {
-			return false;
-		}
-		const { request, tried } = held;
-		if (!isUnrun(end) && !request.isRepeatable) {
-			return false;
-		}
-		if (tried.length >= this.policy.retry.mostAttempts || !this.hasUntried(held, nowMs)) {
-			return false;
-		}
-		return this.admission.isStartable(this.getLane(held), request, nowMs) && this.budget.take();
-	}
-
-	private hasUntried(held: HeldRequest, nowMs: number): boolean {
-		return this.pool.targets.some(({ id, use }) => !held.tried.includes(id) && !use.isPaused(nowMs));
-	}
-
 	private startRetries(nowMs: number): void {
-		for (const held of [...this.retries]) {
-			const lane = this.getLane(held);
-			if (!this.admission.isStartable(lane, held.request, nowMs) || !this.hasUntried(held, nowMs)) {
-				this.endRetry(held);
+		for (const held of this.retries.list()) {
+			if (!this.retries.isPossible(held, nowMs)) {
+				this.retries.remove(held);
+				this.held.delete(held.request.id);
 				this.decided.push(this.refusals.createAfterAttempts(held, 'no time or target for another', nowMs));
 				continue;
 			}
 			const choice = this.chooseFor(held, nowMs);
 			if (choice !== undefined) {
-				this.retries.splice(this.retries.indexOf(held), 1);
-				this.start(held, choice, nowMs);
+				const { requestClass, organisation } = held.request;
+				this.retries.remove(held);
+				this.lanes.addCharge(requestClass, organisation, this.start(held, choice, nowMs).expectedMs);
 			}
 		}
 	}
 
-	private endRetry(held: HeldRequest): void {
-		this.retries.splice(this.retries.indexOf(held), 1);
-		this.held.delete(held.request.id);
-	}
-
 	private startWaiting(nowMs: number): void {
 		for (;;) {
 			const lane = this.lanes.pickLane(candidate => this.isServable(candidate, nowMs));
@@ -320,8 +295,4 @@
 		const detail = 'the time left is shorter than its run';
 		this.decided.push(this.refusals.createUnrun(held.request, ErrorKind.DeadlineUnreachable, detail, nowMs));
 	}
-
-	private getLane(held: HeldRequest): ClassLane {
-		return this.lanes.getLane(held.request.requestClass);
-	}
 }
--- a/src/entry/common/scheduling/targetChoice.ts
+++ b/src/entry/common/scheduling/targetChoice.ts
@@ -33,6 +33,9 @@
 	readonly isTrial: boolean;
 }
 
+/** Told of an attempt that tries whether a slow target has recovered. */
+export const trialReason = 'trial of a slow target';
+
 /** Random draws before the free targets are walked: one may have been tried, or be free no more. */
 const mostDraws = 6;
 
@@ -67,7 +70,7 @@
 			const lateMs = nowMs + question.expectedMs * speed.getSlowness(target.id);
 			const isPossible = !target.use.isPaused(nowMs) && !question.tried.includes(target.id);
 			if (isPossible && lateMs < question.request.deadlineMs && speed.isTrialDue(target.id, nowMs)) {
-				return { target, reason: 'trial of a slow target', isTrial: true };
+				return { target, reason: trialReason, isTrial: true };
 			}
 		}
 		return undefined;
