--- a/src/entry/common/scheduling/admission.ts
+++ b/src/entry/common/scheduling/admission.ts
@@ -52,9 +52,22 @@
 		return this.findTimeFault(lane, request, nowMs);
 	}
 
+	/** Predicted wait of a request that arrives now; all the time it has where it would be refused. */
+	estimateWait(request: SchedulableRequest, nowMs: number): number {
+		const leftMs = Math.max(0, request.deadlineMs - nowMs);
+		if (this.findFault(request, nowMs) !== undefined) {
+			return leftMs;
+		}
+		const { organisation, requestClass, organisationWeight: weight = 1 } = request;
+		return this.predictor.estimateWait(this.lanes.getLane(requestClass), organisation, weight, leftMs);
+	}
+
 	/** Whether a waiting request, served after `aheadMs` of work, can still be answered in time. */
 	isReachable(lane: ClassLane, request: SchedulableRequest, aheadMs: number, nowMs: number): boolean {
 		const leftMs = request.deadlineMs - nowMs;
+		if (lane.running === 0 && lane.queue.size === 1) {
+			return leftMs > 0;
+		}
 		const runMs = this.estimateRun(request);
 		return this.predictor.estimateAfter(lane, aheadMs, leftMs) + runMs <= leftMs;
 	}
--- a/src/entry/common/scheduling/policy.ts
+++ b/src/entry/common/scheduling/policy.ts
@@ -100,6 +100,8 @@
 	readonly mostAvoidedShare: number;
 	/** Time between two trial requests to an avoided target, in milliseconds. */
 	readonly trialPauseMs: number;
+	/** Time between two comparisons, in milliseconds. */
+	readonly compareMs: number;
 	/** A running request counts as slow once it has run this multiple of its expected time. */
 	readonly overdueFactor: number;
 }
@@ -138,10 +140,10 @@
 export const defaultSchedulingPolicy: SchedulingPolicy = {
 	classes: {
 		[RequestClass.Urgent]: { weight: 32, initialRunMs: 500, reservedShare: 0, waitShare: 0.3 },
-		[RequestClass.Normal]: { weight: 4, initialRunMs: 2_000, reservedShare: 0, waitShare: 0.2 },
+		[RequestClass.Normal]: { weight: 4, initialRunMs: 2_000, reservedShare: 0, waitShare: 0.15 },
 		[RequestClass.Draft]: { weight: 1, initialRunMs: 30_000, reservedShare: 0.25, waitShare: 0.15 },
 	},
-	admission: { runDeviations: 1.3, maxQueued: 10_000, recheckMs: 100 },
+	admission: { runDeviations: 1.3, maxQueued: 10_000, recheckMs: 250 },
 	comeBack: { leastMs: 500, mostMs: 60_000, jitterShare: 0.5, capacityShare: 0.5 },
 	limit: {
 		leastShare: 0.25,
@@ -153,7 +155,7 @@
 		waitingShare: 0.5,
 	},
 	choice: {
-		boundedLoad: 1.15,
+		boundedLoad: 1.1,
 		affinityDepth: 3,
 		loadFadeMs: 10_000,
 		freeRequests: 2,
@@ -163,14 +165,121 @@
 	speed: {
 		observationWeight: 0.1,
 		trialWeight: 0.4,
-		leastObservations: 5,
+		leastObservations: 10,
 		toleratedSlowness: 1.3,
 		avoidedSlowness: 2.5,
 		returnedSlowness: 1.6,
 		mostAvoidedShare: 0.34,
-		trialPauseMs: 2_000,
+		trialPauseMs: 4_000,
+		compareMs: 500,
 		overdueFactor: 4,
 	},
-	pause: { firstMs: 250, longestMs: 2_000, downAfter: 3 },
+	pause: { firstMs: 250, longestMs: 2_000, downAfter: 2 },
 	retry: { budgetShare: 0.1, budgetMost: 10, mostAttempts: 3 },
 };
+
+/** Figures of sending requests to other regions. */
+export interface SendAwayFigures {
+	/** Offers older than this are not used, in milliseconds. */
+	readonly longestOfferAgeMs: number;
+	/** The local wait must exceed the whole cost of sending by this factor and by this time. */
+	readonly marginFactor: number;
+	readonly marginMs: number;
+	/** Saving beyond the margin at which the share changes at its full rate, in milliseconds. */
+	readonly fullRateSavingMs: number;
+	/** Largest change of the share sent away, a second: a cycle of lagging offers then moves little. */
+	readonly shareChangePerSecond: number;
+	/** Cost of a region whose caches are cold, in milliseconds. */
+	readonly coldStartMs: number;
+	/** Answered requests after which 63% of that cost is gone, and the time in which it returns. */
+	readonly warmAfterAnswers: number;
+	readonly warmthFadeMs: number;
+	/**
+	 * Part of the room at an entry, what this sender uses there included, that one sender may use: others
+	 * see the same offer, and it is a second old.
+	 */
+	readonly claimShare: number;
+	/** Requests in flight to a region at the first step after it was away; each step doubles them. */
+	readonly firstStep: number;
+	readonly stepMs: number;
+	/** A region that has sent no offer for so long starts at the first step again, in milliseconds. */
+	readonly absenceMs: number;
+	/** Part of the link's rate that is used; with the burst below no second exceeds the rate. */
+	readonly linkUse: number;
+	/** Bytes that may be sent at once beyond that, as a time at the link's rate in milliseconds. */
+	readonly linkBurstMs: number;
+	/** Bytes of an answer before the first one has been seen. */
+	readonly initialAnswerBytes: number;
+}
+
+export const defaultSendAwayFigures: SendAwayFigures = {
+	longestOfferAgeMs: 5_000,
+	marginFactor: 1.25,
+	marginMs: 100,
+	fullRateSavingMs: 2_000,
+	shareChangePerSecond: 0.1,
+	coldStartMs: 500,
+	warmAfterAnswers: 20,
+	warmthFadeMs: 120_000,
+	claimShare: 0.85,
+	firstStep: 4,
+	stepMs: 2_000,
+	absenceMs: 15_000,
+	linkUse: 0.9,
+	linkBurstMs: 100,
+	initialAnswerBytes: 4_000,
+};
+
+/** Figures of the ranking that callers are given. */
+export interface LookupFigures {
+	/** Time in which an entry's room loses 63% of its weight against the mean, in milliseconds. */
+	readonly roomFadeMs: number;
+	/** Wait that halves an entry's weight, in milliseconds. */
+	readonly halvingWaitMs: number;
+	/** A caller may leave its entry once the weight of that one is below this part of the mean. */
+	readonly poorShare: number;
+	/** Part of the callers that move at one lookup: all at once would overrun the entry they move to. */
+	readonly moveShare: number;
+	/** Entries named in an answer. */
+	readonly mostNamed: number;
+}
+
+export const defaultLookupFigures: LookupFigures = {
+	roomFadeMs: 10_000,
+	halvingWaitMs: 500,
+	poorShare: 0.5,
+	moveShare: 0.25,
+	mostNamed: 8,
+};
+
+/** Figures of what entries tell each other. */
+export interface FleetViewFigures {
+	/** Bytes a second that a node may spend on views, both directions and both roles together. */
+	readonly bytesPerSecond: number;
+	/** Time between two exchanges that a node begins, in milliseconds. */
+	readonly periodMs: number;
+	/** Parts of the exchanges that go to the own zone and to other zones of the own region. */
+	readonly zoneShare: number;
+	readonly regionShare: number;
+	/** An instance is suspected after this silence, and no sooner than so many of its expected renewals. */
+	readonly suspectAfterMs: number;
+	readonly suspectAfterRenewals: number;
+	/** Failed exchanges in a row after which an instance is suspected whatever others say. */
+	readonly suspectAfterFailures: number;
+	/** Multiple of the suspicion time after which an instance is forgotten. */
+	readonly forgetFactor: number;
+	/** Time in which a room loses 63% of its weight against the mean, in milliseconds. */
+	readonly roomFadeMs: number;
+}
+
+export const defaultFleetViewFigures: FleetViewFigures = {
+	bytesPerSecond: 1_600,
+	periodMs: 1_000,
+	zoneShare: 0.75,
+	regionShare: 0.15,
+	suspectAfterMs: 5_000,
+	suspectAfterRenewals: 4,
+	suspectAfterFailures: 2,
+	forgetFactor: 6,
+	roomFadeMs: 10_000,
+};
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -9,7 +9,7 @@
 import { RequestClass } from '../../../platform/requests/common/requestClass';
 import { Admission } from './admission';
 import type { HeldRequest, RunningAttempt } from './attempt';
-import { isUnrun, noteFailure } from './attempt';
+import { noteFailure } from './attempt';
 import { AttemptObserver } from './attemptObserver';
 import type { ClassLane } from './classLanes';
 import { ClassLanes } from './classLanes';
@@ -19,6 +19,7 @@
 import { defaultSchedulingPolicy } from './policy';
 import { Refusals } from './refusals';
 import { RetryBudget } from './retryBudget';
+import { RetryQueue } from './retryQueue';
 import type {
 	IServiceScheduler,
 	ReportedLoad,
@@ -46,13 +47,13 @@
 	private readonly predictor: WaitPredictor;
 	private readonly admission: Admission;
 	private readonly chooser: TargetChooser;
-	private readonly budget: RetryBudget;
+	private readonly retries: RetryQueue;
 	private readonly observer: AttemptObserver;
 	private readonly refusals: Refusals;
 	private readonly held = new Map<RequestId, HeldRequest>();
-	private readonly retries: HeldRequest[] = [];
 	private decided: ScheduleDecision[] = [];
 	private checkedMs: number | undefined;
+	private comparedMs = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		random: IRandom,
@@ -64,14 +65,15 @@
 		this.predictor = new WaitPredictor(this.lanes, this.pool, this.estimator);
 		this.admission = new Admission(policy.admission, this.lanes, this.pool, this.estimator, this.predictor);
 		this.chooser = new TargetChooser(this.pool, policy.choice, random);
-		this.budget = new RetryBudget(policy.retry);
-		this.observer = new AttemptObserver(policy.speed, this.lanes, this.pool, this.estimator, this.budget);
+		const budget = new RetryBudget(policy.retry);
+		this.retries = new RetryQueue(policy.retry, this.lanes, this.pool, this.admission, budget);
+		this.observer = new AttemptObserver(policy.speed, this.lanes, this.pool, this.estimator, budget);
 		const plan = new ComeBackPlan(policy.comeBack, random);
 		this.refusals = new Refusals(this.lanes, this.estimator, this.predictor, plan);
 	}
 
 	setTargets(targets: readonly SchedulableTarget[], nowMs: number): void {
-		this.pool.setTargets(targets);
+		this.pool.setTargets(targets, nowMs);
 		this.checkWaiting(nowMs);
 	}
 
@@ -110,10 +112,10 @@
 		return this.held.size > 0 ? (this.checkedMs ?? 0) + this.policy.admission.recheckMs : undefined;
 	}
 
-	noteFirstByte(requestId: RequestId): void {
+	noteFirstByte(requestId: RequestId, nowMs: number): void {
 		const attempt = this.held.get(requestId)?.running;
 		if (attempt !== undefined) {
-			this.observer.noteFirstByte(attempt);
+			this.observer.noteFirstByte(attempt, nowMs);
 		}
 	}
 
@@ -126,12 +128,14 @@
 		held.running = undefined;
 		this.observer.noteEnd(held, attempt, end, nowMs);
 		noteFailure(held, attempt.target.id, end);
-		if (!this.isRetried(held, attempt, end, nowMs)) {
+		if (end !== AttemptEnd.Answered && this.pool.isDown(nowMs)) {
+			this.checkWaiting(nowMs);
+		}
+		const isTakenBack = this.retries.accept(held, attempt, end, nowMs);
+		if (!isTakenBack) {
 			this.held.delete(requestId);
-			return false;
 		}
-		this.retries.push(held);
-		return true;
+		return isTakenBack;
 	}
 
 	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void {
@@ -147,10 +151,7 @@
 		if (held.queued !== undefined) {
 			this.lanes.getLane(held.request.requestClass).queue.remove(held.queued);
 		}
-		const place = this.retries.indexOf(held);
-		if (place >= 0) {
-			this.retries.splice(place, 1);
-		}
+		this.retries.remove(held);
 	}
 
 	measureTarget(target: TargetId): TargetRoom {
@@ -158,57 +159,38 @@
 		return { running: use?.use.running ?? 0, limit: use?.use.limit ?? 0 };
 	}
 
-	measureRoom(): ServiceRoom {
-		const lane = this.lanes.getLane(RequestClass.Normal);
-		const aheadMs = lane.queue.queuedWorkMs;
+	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom {
 		const { running, size } = this.lanes;
 		return {
-			waitMs: this.predictor.estimateAfter(lane, aheadMs, roomPatienceMs),
+			waitMs: request === undefined ? this.estimateNormalWait() : this.admission.estimateWait(request, nowMs),
 			freeSlots: Math.max(0, this.pool.totalSlots - running - size),
 			running,
-			queued: size + this.retries.length,
+			queued: size + this.retries.size,
 		};
 	}
 
-	private isRetried(held: HeldRequest, attempt: RunningAttempt, end: AttemptEnd, nowMs: number): boolean {
-		if (end === AttemptEnd.Answered || end === AttemptEnd.Cancelled || attempt.hasFirstByte) {
-			return false;
-		}
-		const { request, tried } = held;
-		if (!isUnrun(end) && !request.isRepeatable) {
-			return false;
-		}
-		if (tried.length >= this.policy.retry.mostAttempts || !this.hasUntried(held, nowMs)) {
-			return false;
-		}
-		return this.admission.isStartable(this.getLane(held), request, nowMs) && this.budget.take();
-	}
-
-	private hasUntried(held: HeldRequest, nowMs: number): boolean {
-		return this.pool.targets.some(({ id, use }) => !held.tried.includes(id) && !use.isPaused(nowMs));
+	private estimateNormalWait(): number {
+		const lane = this.lanes.getLane(RequestClass.Normal);
+		return this.predictor.estimateAfter(lane, lane.queue.queuedWorkMs, roomPatienceMs);
 	}
 
 	private startRetries(nowMs: number): void {
-		for (const held of [...this.retries]) {
-			const lane = this.getLane(held);
-			if (!this.admission.isStartable(lane, held.request, nowMs) || !this.hasUntried(held, nowMs)) {
-				this.endRetry(held);
+		for (const held of this.retries.list()) {
+			if (!this.retries.isPossible(held, nowMs)) {
+				this.retries.remove(held);
+				this.held.delete(held.request.id);
 				this.decided.push(this.refusals.createAfterAttempts(held, 'no time or target for another', nowMs));
 				continue;
 			}
 			const choice = this.chooseFor(held, nowMs);
 			if (choice !== undefined) {
-				this.retries.splice(this.retries.indexOf(held), 1);
-				this.start(held, choice, nowMs);
+				const { requestClass, organisation } = held.request;
+				this.retries.remove(held);
+				this.lanes.addCharge(requestClass, organisation, this.start(held, choice, nowMs).expectedMs);
 			}
 		}
 	}
 
-	private endRetry(held: HeldRequest): void {
-		this.retries.splice(this.retries.indexOf(held), 1);
-		this.held.delete(held.request.id);
-	}
-
 	private startWaiting(nowMs: number): void {
 		for (;;) {
 			const lane = this.lanes.pickLane(candidate => this.isServable(candidate, nowMs));
@@ -231,7 +213,7 @@
 
 	private isServable(lane: ClassLane, nowMs: number): boolean {
 		const openSlots = this.lanes.computeOpenSlots(lane, this.pool.totalSlots);
-		return lane.running < openSlots && this.chooser.hasFree(lane.policy, nowMs);
+		return lane.running < openSlots && this.pool.hasFree(lane.requestClass, nowMs);
 	}
 
 	private takeFrom(lane: ClassLane): HeldRequest | undefined {
@@ -246,8 +228,7 @@
 	private chooseFor(held: HeldRequest, nowMs: number): TargetChoice | undefined {
 		const { request, tried } = held;
 		const expectedMs = this.estimator.estimate(request.organisation, request.requestClass);
-		const classPolicy = this.getLane(held).policy;
-		return this.chooser.choose({ request, classPolicy, expectedMs, tried }, nowMs);
+		return this.chooser.choose({ request, expectedMs, tried }, nowMs);
 	}
 
 	private start(held: HeldRequest, choice: TargetChoice, nowMs: number): RunningAttempt {
@@ -275,13 +256,23 @@
 		const elapsedMs = nowMs - (this.checkedMs ?? nowMs);
 		this.checkedMs = nowMs;
 		this.lanes.updateMeans(elapsedMs);
+		if (this.lanes.size > 0) {
+			this.checkWaiting(nowMs);
+		}
+		if (nowMs - this.comparedMs >= this.policy.speed.compareMs) {
+			this.checkTargets(nowMs);
+		}
+	}
+
+	private checkTargets(nowMs: number): void {
+		const elapsedMs = nowMs - Math.max(0, this.comparedMs);
+		this.comparedMs = nowMs;
 		for (const held of this.held.values()) {
 			if (held.running !== undefined) {
 				this.observer.noteOverdue(held.running, nowMs);
 			}
 		}
-		this.pool.update(elapsedMs, this.predictor.estimateMeanRun());
-		this.checkWaiting(nowMs);
+		this.pool.update(elapsedMs, this.predictor.estimateMeanRun(), nowMs);
 	}
 
 	/** Refuses what waits and can no longer be answered in time. */
@@ -310,8 +301,4 @@
 		const detail = 'the time left is shorter than its run';
 		this.decided.push(this.refusals.createUnrun(held.request, ErrorKind.DeadlineUnreachable, detail, nowMs));
 	}
-
-	private getLane(held: HeldRequest): ClassLane {
-		return this.lanes.getLane(held.request.requestClass);
-	}
 }
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -79,14 +79,16 @@
 		const { plan, origin, head } = run.call;
 		const mayLeaveRegion = plan.homeRegion === undefined && origin === undefined;
 		if (mayLeaveRegion) {
-			const answer = this.surroundings.getSendAwayPolicy(head.service).decide(
-				{
-					request: createSchedulable(run),
-					localRoom: this.surroundings.getRunner(head.service).measureRoom(),
-					offers: this.surroundings.listOffers(head.service),
-				},
-				this.timers.getNow(),
-			);
+			const runner = this.surroundings.getRunner(head.service);
+			const request = createSchedulable(run);
+			const question = {
+				request,
+				localRoom: runner.measureRoom(request),
+				offers: this.surroundings.listOffers(head.service),
+				isUnservedHere: !runner.hasTarget(),
+			};
+			const policy = this.surroundings.getSendAwayPolicy(head.service);
+			const answer = policy.decide(question, this.timers.getNow());
 			const peer = answer.sendTo === undefined ? undefined : this.surroundings.findPeer(answer.sendTo);
 			if (answer.sendTo !== undefined && peer !== undefined) {
 				void this.sendAway(run, answer.sendTo, peer);
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -66,6 +66,7 @@
 		prefixKey: head.prefixKey,
 		bodyBytes: body.byteLength,
 		isRepeatable: plan.repeat === RepeatRule.Idempotent,
+		organisationWeight: plan.organisation.weight,
 	};
 }
 
@@ -73,6 +74,7 @@
 export class ServiceRunner extends Disposable implements IAttemptOwner {
 	private readonly states = new Map<RequestId, RunState>();
 	private dueTimer: IDisposable | undefined;
+	private hasUsableTarget = false;
 	private isAdvancing = false;
 	private mustAdvanceAgain = false;
 
@@ -91,6 +93,7 @@
 	}
 
 	setTargets(targets: readonly SchedulableTarget[]): void {
+		this.hasUsableTarget = targets.some(target => !target.isLeaving);
 		this.scheduler.setTargets(targets, this.timers.getNow());
 		this.advance();
 	}
@@ -133,8 +136,14 @@
 		run.abandon();
 	}
 
-	measureRoom(): ServiceRoom {
-		return this.scheduler.measureRoom(this.timers.getNow());
+	/** Room for a normal request, or for the one given. */
+	measureRoom(request?: SchedulableRequest): ServiceRoom {
+		return this.scheduler.measureRoom(this.timers.getNow(), request);
+	}
+
+	/** Whether any target of the service is in use in this region. */
+	hasTarget(): boolean {
+		return this.hasUsableTarget;
 	}
 
 	measureTarget(target: TargetId): TargetRoom {
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -9,8 +9,9 @@
 import type { ITimerService } from '../../../base/common/timerService';
 import type { ServiceName } from '../../../platform/ids/common/ids';
 import { ServiceScheduler } from '../../common/scheduling/scheduler';
+import { SendAwayPolicy } from '../../common/sendAway/costedSendAway';
 import type { ISendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
-import { StayHomePolicy } from '../../common/sendAway/sendAwayPolicy';
+
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { TargetRegistry } from '../targets/targetRegistry';
 import type { CrashWatch } from './crashWatch';
@@ -73,7 +74,7 @@
 		const runner = this.owned.add(
 			new ServiceRunner(new ServiceScheduler(this.random), this.targets, this.crashes, this.timers),
 		);
-		const opened = { runner, sendAway: new StayHomePolicy() };
+		const opened = { runner, sendAway: new SendAwayPolicy(this.random) };
 		this.services.set(service, opened);
 		this.update(service);
 		return opened;
