--- a/src/entry/common/sendAway/costedSendAway.ts
+++ b/src/entry/common/sendAway/costedSendAway.ts
@@ -85,7 +85,7 @@
 		const region = this.getRegion(name);
 		region.link.addBytes(request.bodyBytes + this.answerBytes);
 		region.noteSent();
-		this.getPeer(instance, name).noteSent(nowMs);
+		this.getPeer(instance, name, nowMs).noteSent(nowMs);
 		return { sendTo: instance, reason: costs };
 	}
 
@@ -134,9 +134,15 @@
 		return offer.room.waitMs + 2 * offer.oneWayMs + transferMs + coldMs;
 	}
 
-	private getPeer(instance: InstanceId, region: RegionName): RemotePeer {
+	/** A new peer takes the place of those that nothing was sent to of late, so that gone ones don't pile up. */
+	private getPeer(instance: InstanceId, region: RegionName, nowMs: number): RemotePeer {
 		let peer = this.peers.get(instance);
 		if (peer === undefined) {
+			for (const [other, known] of this.peers) {
+				if (known.isIdle(nowMs)) {
+					this.peers.delete(other);
+				}
+			}
 			peer = new RemotePeer(region, 2 * this.figures.longestOfferAgeMs);
 			this.peers.set(instance, peer);
 		}
--- a/src/entry/common/sendAway/remotePeer.ts
+++ b/src/entry/common/sendAway/remotePeer.ts
@@ -42,6 +42,12 @@
 		this.addSample(nowMs);
 	}
 
+	/** Whether nothing is in flight and nothing was within the memory. */
+	isIdle(nowMs: number): boolean {
+		const last = this.samples.at(-1);
+		return this.count === 0 && (last === undefined || nowMs - last.atMs > this.memoryMs);
+	}
+
 	/** Requests that were in flight at a time. */
 	countAt(atMs: number): number {
 		for (let index = this.samples.length - 1; index >= 0; index--) {
