Keep requests that were in flight at a death apart from each other

Cause: bystanders of one death were tried again together; a second death seen by two of them would refuse the innocent one for five minutes. Ruled out: holding them back one after the other (eight drafts of forty seconds would wait five minutes); leaving them at the head of their queue (they would hold up every other request of their class). Change: a target takes at most one of them; one that finds no such target steps aside to the retries, whose deadline and refusal rules it follows. Conclusion: holds for one entry; two entries may still share a target.

--- a/src/entry/common/scheduling/attempt.ts
+++ b/src/entry/common/scheduling/attempt.ts
@@ -15,6 +15,8 @@
 	readonly startedMs: number;
 	readonly expectedMs: number;
 	readonly isTrial: boolean;
+	/** It holds the target's one place for requests that must run apart. */
+	readonly isApart: boolean;
 	hasFirstByte: boolean;
 	/** Its lateness has been noted before its end. */
 	isOverdue: boolean;
--- a/src/entry/common/scheduling/attemptObserver.ts
+++ b/src/entry/common/scheduling/attemptObserver.ts
@@ -29,6 +29,7 @@
 		lane.running++;
 		use.running++;
 		use.runningReserved += lane.policy.reservedShare > 0 ? 1 : 0;
+		use.runningApart += attempt.isApart ? 1 : 0;
 		this.pool.noteStart(use, attempt.expectedMs, nowMs);
 		if (attempt.isTrial) {
 			this.pool.speed.beginTrial(id, nowMs);
@@ -52,6 +53,7 @@
 		lane.running--;
 		use.running--;
 		use.runningReserved -= lane.policy.reservedShare > 0 ? 1 : 0;
+		use.runningApart -= attempt.isApart ? 1 : 0;
 		if (attempt.isTrial) {
 			this.pool.speed.endTrial(id);
 		}
--- a/src/entry/common/scheduling/refusals.ts
+++ b/src/entry/common/scheduling/refusals.ts
@@ -31,7 +31,7 @@
 	createAfterAttempts(held: HeldRequest, detail: string, nowMs: number): RefuseDecision {
 		const { request, mayHaveRun } = held;
 		const retryAfterMs = this.planReturn(request, nowMs);
-		const kind = held.fault ?? ErrorKind.TargetFailed;
+		const kind = held.fault ?? (mayHaveRun ? ErrorKind.TargetFailed : ErrorKind.DeadlineUnreachable);
 		return createDecision(
 			request,
 			createRequestError(kind, detail, { retryAfterMs, isOutcomeUnknown: mayHaveRun }),
--- a/src/entry/common/scheduling/retryQueue.ts
+++ b/src/entry/common/scheduling/retryQueue.ts
@@ -43,6 +43,11 @@
 		this.waiting.delete(held);
 	}
 
+	/** Takes a request in that waits for a target without another of those that are kept apart. */
+	add(held: HeldRequest): void {
+		this.waiting.add(held);
+	}
+
 	/** Takes a request in whose attempt failed, where the rules and the budget allow another one. */
 	accept(held: HeldRequest, attempt: RunningAttempt, end: AttemptEnd, nowMs: number): boolean {
 		if (!this.isAllowed(held, attempt, end) || !this.isPossible(held, nowMs) || !this.budget.take()) {
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -204,13 +204,22 @@
 			}
 			const choice = this.chooseFor(held, nowMs);
 			if (choice === undefined) {
-				this.refuseWaiting(held, nowMs);
+				this.waitApartOrRefuse(held, nowMs);
 				continue;
 			}
 			this.lanes.noteServed(lane, this.start(held, choice, nowMs).expectedMs);
 		}
 	}
 
+	/** At the head of its queue, a request that is kept apart would hold up all behind it; so it steps aside. */
+	private waitApartOrRefuse(held: HeldRequest, nowMs: number): void {
+		if (held.request.isKeptApart?.() === true) {
+			this.retries.add(held);
+			return;
+		}
+		this.refuseWaiting(held, nowMs);
+	}
+
 	private isServable(lane: ClassLane, nowMs: number): boolean {
 		const openSlots = this.lanes.computeOpenSlots(lane, this.pool.totalSlots, this.pool.meanShare);
 		return lane.running < openSlots && this.pool.hasFree(lane.requestClass, nowMs);
@@ -238,6 +247,7 @@
 			startedMs: nowMs,
 			expectedMs: this.estimator.estimate(request.organisation, request.requestClass),
 			isTrial: choice.isTrial,
+			isApart: request.isKeptApart?.() === true,
 			hasFirstByte: false,
 			isOverdue: false,
 		};
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -23,6 +23,11 @@
 	readonly isRepeatable: boolean;
 	/** The organisation's share of a full service relative to others; 1 where left out. */
 	readonly organisationWeight?: number;
+	/**
+	 * Whether it was in flight when a target died. At most one such request runs at a target, so that the
+	 * next death is seen by one of them alone; asked each time a target is chosen. Never where left out.
+	 */
+	readonly isKeptApart?: () => boolean;
 }
 
 /** A target as the manifest and the signs of its life describe it. */
--- a/src/entry/common/scheduling/targetChoice.ts
+++ b/src/entry/common/scheduling/targetChoice.ts
@@ -57,6 +57,9 @@
 	}
 
 	private isUsable(target: PooledTarget, { request, tried }: ChoiceQuestion, nowMs: number): boolean {
+		if (target.use.runningApart > 0 && request.isKeptApart?.() === true) {
+			return false;
+		}
 		return !tried.includes(target.id) && this.pool.isFree(target, request.requestClass, nowMs);
 	}
 
--- a/src/entry/common/scheduling/targetUse.ts
+++ b/src/entry/common/scheduling/targetUse.ts
@@ -34,6 +34,8 @@
 	running = 0;
 	/** Of these, the ones whose class leaves a reserve. */
 	runningReserved = 0;
+	/** Of these, the ones that must run apart from each other. */
+	runningApart = 0;
 	/** Work sent there of late. */
 	readonly recentWork: FadingSum;
 	/** No attempt before this time: the last ones could not be made or were refused. */
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -247,7 +247,8 @@
 			return;
 		}
 		run.note(JournalStep.Queued, this.describeRoom());
-		this.scheduler.submit(createSchedulable(run), this.timers.getNow());
+		const request = { ...createSchedulable(run), isKeptApart: () => this.crashes.isSighted(run.call) };
+		this.scheduler.submit(request, this.timers.getNow());
 		this.advance();
 	}
 
