Feed request and ticket metrics, record refused requests, let spent tickets in while leaving

Cause: attempts, gaps, waits and most ticket results were defined and never counted; requests refused by head or body had no record, so explain knew nothing of ids that callers were told; a refused GET lost its connection like an unread upload; a leaving issuer refused by the head, so that the resend of a payment it had run was told unknown for good.

Ruled out: counting attempts in the runner alone, since an attempt's end is known first by the attempt; a flag of leaving inside the ledger, which would have to be kept in step with the entry's own; recording answered lookups, which come every few seconds from every caller and would take the requests' room.

--- a/src/entry/node/callGate.ts
+++ b/src/entry/node/callGate.ts
@@ -9,15 +9,13 @@
 import type { IRandom } from '../../base/common/random';
 import type { ITimerService } from '../../base/common/timerService';
 import type { NamedEntry, RequestError } from '../../platform/errors/common/errorKinds';
-import { createRequestError, ErrorKind, getOutcomeOf } from '../../platform/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../platform/errors/common/errorKinds';
 import type { BootId, RegionName, RequestId } from '../../platform/ids/common/ids';
 import type { ManifestService } from '../../platform/manifest/common/manifest';
 import { RepeatRule, ResidencyRule } from '../../platform/manifest/common/manifest';
-import { RequestClass } from '../../platform/requests/common/requestClass';
 import type { EntrySettings } from '../../platform/settings/common/entrySettings';
 import type { Readiness } from '../../platform/status/common/entryStatus';
 import { TicketResult } from '../../platform/telemetry/common/entryMetricLabels';
-import { otherService } from '../../platform/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
 import type { EntryView, FetchManifestResponse } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
@@ -32,6 +30,7 @@
 import type { OwnView } from './fleet/ownView';
 import type { IndexedManifest, ManifestKeeper } from './manifest/manifestKeeper';
 import type { IPeerHandler } from './peers/peerServer';
+import type { RefusedCall } from './requests/activeRuns';
 import type { AcceptedCall } from './requests/requestRun';
 import type { RequestRouter } from './requests/requestRouter';
 import type { TicketDesk } from './tickets/ticketDesk';
@@ -39,6 +38,11 @@
 /** Who this entry is. */
 export type OwnInstance = EntrySettings['instance'] & { readonly boot: BootId };
 
+/** What the gate asks of the parts around it. */
+export type GateManifests = Pick<ManifestKeeper, 'getCurrent'>;
+export type GateFleet = Pick<EntryFleet, 'listNamed' | 'receiveViews'>;
+export type GateOwnView = Pick<OwnView, 'getName' | 'isLeaving'>;
+
 const lookupValidMs = 5_000;
 const numberBase = 36;
 const bootCharacters = 6;
@@ -49,9 +53,9 @@
 
 	constructor(
 		private readonly own: OwnInstance,
-		private readonly manifests: ManifestKeeper,
-		private readonly fleet: EntryFleet,
-		private readonly ownView: OwnView,
+		private readonly manifests: GateManifests,
+		private readonly fleet: GateFleet,
+		private readonly ownView: GateOwnView,
 		private readonly tickets: TicketDesk,
 		private readonly router: RequestRouter,
 		private readonly metrics: EntryMetrics,
@@ -82,13 +86,12 @@
 		if (manifest === undefined) {
 			return err(createRequestError(ErrorKind.NoManifest, 'neither the platform nor a peer has given one'));
 		}
-		if (this.isLeaving()) {
-			const entries = this.listEntriesOf(this.own.region, undefined);
-			return err(createRequestError(ErrorKind.Leaving, this.own.id, { entries }));
+		if (this.isLeaving() && !this.isOwnTicket(head)) {
+			return err(this.createLeavingFault());
 		}
-		return planCall(manifest.index, this.own.region, head).mapErr(error =>
-			this.createHomeHint(error, head, manifest),
-		);
+		return planCall(manifest.index, this.own.region, head)
+			.mapErr(error => this.createHomeHint(error, head, manifest))
+			.andThen(plan => this.checkLeaving(plan));
 	}
 
 	planForwarded(head: CallHead, from: ForwardedFrom): Result<CallPlan, RequestError> {
@@ -96,18 +99,17 @@
 	}
 
 	refuseTicketed(ticket: string, error: RequestError): RequestError {
-		this.metrics.noteTicket(TicketResult.Rejected);
-		return this.tickets.refuseUnread(ticket, error, this.timers.getNow());
+		const refusal = this.tickets.refuseUnread(ticket, error, this.timers.getNow());
+		this.metrics.noteTicket(refusal.result);
+		return refusal.error;
 	}
 
-	noteRefused(head: CallHead | undefined, error: RequestError): void {
-		const service = head?.service ?? otherService;
-		const requestClass = head?.requestClass ?? RequestClass.Normal;
-		this.metrics.noteRequest(service, requestClass, getOutcomeOf(error), error.kind);
+	recordRefused(call: RefusedCall, error: RequestError): void {
+		this.router.recordRefused(call, error);
 	}
 
 	accept(call: AcceptedCall, sink: IAnswerSink): void {
-		this.router.take(call, sink);
+		this.router.take(call, sink, this.isLeaving() ? this.createLeavingFault() : undefined);
 	}
 
 	findEntries(question: LookupQuestion): Result<LookupAnswer, RequestError> {
@@ -123,7 +125,7 @@
 		const isTicketed = hasAtMostOnceCalls(service) && region === this.own.region && !this.isLeaving();
 		const tickets = isTicketed ? this.tickets.issueBatch(question.tickets, this.timers.getNow()) : [];
 		if (tickets.length > 0) {
-			this.metrics.noteTicket(TicketResult.Issued);
+			this.metrics.noteTicket(TicketResult.Issued, tickets.length);
 		}
 		const entries = this.listEntriesOf(region, question.previous);
 		return ok({ service: question.service, validForMs: lookupValidMs, entries, tickets });
@@ -142,6 +144,26 @@
 		});
 	}
 
+	/**
+	 * A leaving issuer is the only one that knows what became of its tickets, and is soon gone. Refused by its
+	 * head, a resend of a payment that has run would be told `unknown` here and at every other entry; so it is
+	 * let in as far as the ledger, which joins or replays it, and refuses a fresh ticket.
+	 */
+	private isOwnTicket({ ticket }: CallHead): boolean {
+		return ticket !== undefined && this.tickets.isOwn(ticket);
+	}
+
+	/** A ticket guards nothing where calls may be repeated: there, it opens no leaving entry. */
+	private checkLeaving(plan: CallPlan): Result<CallPlan, RequestError> {
+		const isRefused = this.isLeaving() && plan.repeat !== RepeatRule.AtMostOnce;
+		return isRefused ? err(this.createLeavingFault()) : ok(plan);
+	}
+
+	private createLeavingFault(): RequestError {
+		const entries = this.listEntriesOf(this.own.region, undefined);
+		return createRequestError(ErrorKind.Leaving, this.own.id, { entries });
+	}
+
 	private createHomeHint(error: RequestError, head: CallHead, manifest: IndexedManifest): RequestError {
 		const home = manifest.index.findOrganisation(head.organisation)?.home;
 		if (error.kind !== ErrorKind.WrongRegion || home === undefined) {
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -20,6 +20,7 @@
 import { parseLookup } from '../../common/callers/lookupAnswer';
 import { createRefusal } from '../../common/callers/refusal';
 import type { CallPlan } from '../../common/placement/callPlan';
+import type { RefusedCall } from '../requests/activeRuns';
 import type { AcceptedCall } from '../requests/requestRun';
 import type { HeldBytes } from './bodyReader';
 import { readBody } from './bodyReader';
@@ -32,8 +33,8 @@
 	plan(head: CallHead): Result<CallPlan, RequestError>;
 	/** Weakens a refusal of a call that carries a ticket, whose earlier copy may have run. */
 	refuseTicketed(ticket: string, error: RequestError): RequestError;
-	/** Counts a call that ended before it was accepted. */
-	noteRefused(head: CallHead | undefined, error: RequestError): void;
+	/** Counts and records a call that ended before it was accepted. */
+	recordRefused(call: RefusedCall, error: RequestError): void;
 	accept(call: AcceptedCall, sink: IAnswerSink): void;
 	findEntries(question: LookupQuestion): Result<LookupAnswer, RequestError>;
 	isLeaving(): boolean;
@@ -111,9 +112,11 @@
 	}
 
 	private serveLookup(url: string, request: IncomingMessage, response: ServerResponse): void {
+		const arrivedMs = this.timers.getNow();
 		const id = this.handler.createRequestId();
 		const answer = parseLookup(url).andThen(question => this.handler.findEntries(question));
 		if (answer.isErr()) {
+			this.handler.recordRefused({ id, head: undefined, line: `GET ${url}`, arrivedMs }, answer.error);
 			this.createSink(id, request, response).refuse(answer.error);
 			return;
 		}
@@ -132,13 +135,14 @@
 		const id = this.handler.createRequestId();
 		const sink = this.createSink(id, request, response);
 		const head = parseCallHead(raw);
+		const call = { id, head: head.unwrapOr(undefined), line: `${raw.method} ${raw.url}`, arrivedMs };
 		if (head.isErr()) {
-			this.refuse(sink, undefined, findHeader(raw.lines, headers.ticket), head.error);
+			this.refuse(sink, call, findHeader(raw.lines, headers.ticket), head.error);
 			return;
 		}
 		const plan = this.handler.plan(head.value);
 		if (plan.isErr()) {
-			this.refuse(sink, head.value, head.value.ticket, plan.error);
+			this.refuse(sink, call, head.value.ticket, plan.error);
 			return;
 		}
 		if (request.headers.expect !== undefined) {
@@ -146,26 +150,21 @@
 		}
 		const body = await readBody(request, this.limits.mostBodyBytes, this.held);
 		if (body.isErr()) {
-			this.refuseBody(sink, head.value, body.error);
+			this.refuseBody(sink, call, body.error);
 			return;
 		}
 		this.handler.accept(createCall(id, head.value, plan.value, body.value, arrivedMs), sink);
 	}
 
 	/** A body that broke off is told to nobody; its ticket stays unspent, so that the resend can run. */
-	private refuseBody(sink: CallerSink, head: CallHead, error: RequestError): void {
-		const ticket = error.kind === ErrorKind.BodyIncomplete ? undefined : head.ticket;
-		this.refuse(sink, head, ticket, error);
+	private refuseBody(sink: CallerSink, call: RefusedCall, error: RequestError): void {
+		const ticket = error.kind === ErrorKind.BodyIncomplete ? undefined : call.head?.ticket;
+		this.refuse(sink, call, ticket, error);
 	}
 
-	private refuse(
-		sink: CallerSink,
-		head: CallHead | undefined,
-		ticket: string | undefined,
-		error: RequestError,
-	): void {
+	private refuse(sink: CallerSink, call: RefusedCall, ticket: string | undefined, error: RequestError): void {
 		const told = ticket === undefined ? error : this.handler.refuseTicketed(ticket, error);
-		this.handler.noteRefused(head, told);
+		this.handler.recordRefused(call, told);
 		sink.refuse(told);
 	}
 
@@ -180,8 +179,10 @@
 		}
 		const kind = error.code === overflowCode ? ErrorKind.HeadTooLarge : ErrorKind.MalformedHeader;
 		const fault = createRequestError(kind, error.code ?? error.message);
-		this.handler.noteRefused(undefined, fault);
-		const refusal = createRefusal(this.handler.createRequestId(), fault);
+		const id = this.handler.createRequestId();
+		const line = 'a request that cannot be read';
+		this.handler.recordRefused({ id, head: undefined, line, arrivedMs: this.timers.getNow() }, fault);
+		const refusal = createRefusal(id, fault);
 		const lines = [
 			...refusal.lines,
 			{ name: 'connection', value: 'close' },
--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -60,7 +60,7 @@
 		const length = { name: 'content-length', value: String(Buffer.byteLength(refusal.text)) };
 		this.writeHead(refusal.status, [...refusal.lines, length]);
 		this.response.end(refusal.text);
-		if (!this.request.complete) {
+		if (this.hasUnreadBody()) {
 			this.closeUnreadUpload();
 		}
 	}
@@ -75,7 +75,7 @@
 	}
 
 	private writeHead(status: number, lines: readonly HeaderLine[]): void {
-		const isLast = this.isClosing() || !this.request.complete;
+		const isLast = this.isClosing() || this.hasUnreadBody();
 		const closing = isLast ? [{ name: 'connection', value: 'close' }] : [];
 		this.response.writeHead(
 			status,
@@ -83,6 +83,17 @@
 		);
 	}
 
+	/**
+	 * A request without a body is incomplete too until its handler returns. Taken for an upload, each refused
+	 * GET would cost its caller the connection, just when many are refused.
+	 */
+	private hasUnreadBody(): boolean {
+		const { complete, headers } = this.request;
+		const isAnnounced =
+			headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
+		return isAnnounced && !complete;
+	}
+
 	/**
 	 * Closing a socket that still receives an upload resets it, and the reset can overtake the refusal: the
 	 * caller would see a broken connection and no outcome. So the connection lingers, unread, until the
--- /dev/null
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -0,0 +1,83 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
+import { Agent, request } from 'undici';
+import { DisposableStore, toDisposable } from '../../../../base/common/lifecycle';
+import type { RequestId } from '../../../../platform/ids/common/ids';
+import type { GateWorld } from '../../test/gateFixtures';
+import { createGateWorld } from '../../test/gateFixtures';
+import { CallerServer } from '../callerServer';
+
+const owned = new DisposableStore();
+
+afterAll(() => {
+	owned.dispose();
+});
+
+async function startServer(world: GateWorld): Promise<{ url: string; port: number; agent: Agent }> {
+	const limits = { mostHeadBytes: 2_048, mostBodyBytes: 100 };
+	const server = new CallerServer(world.gate, world.held, limits, world.flow.timers);
+	const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
+	const agent = new Agent({ connections: 1, pipelining: 1 });
+	owned.add(toDisposable(() => void server.close()));
+	owned.add(toDisposable(() => void agent.destroy()));
+	return { url: `http://127.0.0.1:${port}`, port, agent };
+}
+
+async function sendGarbage(port: number): Promise<string> {
+	const socket = connect(port, '127.0.0.1');
+	socket.write('not http at all\r\n\r\n');
+	const chunks: Buffer[] = [];
+	socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+	await once(socket, 'close');
+	return Buffer.concat(chunks).toString();
+}
+
+describe('a refused request', () => {
+	// A caller is refused and hands its request id to the operators. If the entry kept nothing of the
+	// request, they could not say why, nor whether it was this caller's fault at all.
+	it('has a record under the id that its caller was told', async () => {
+		const world = createGateWorld();
+		const { url, port, agent } = await startServer(world);
+		const organisation = { 'anvilroad-organisation': 'harbour-hotel' };
+		const answers = [
+			await request(`${url}/nowhere`, { dispatcher: agent }),
+			await request(`${url}/v1/entries?service=none`, { dispatcher: agent }),
+			await request(`${url}/v1/services/none/x`, { dispatcher: agent, headers: organisation }),
+			await request(`${url}/v1/services/bookings/pay`, {
+				dispatcher: agent,
+				method: 'POST',
+				headers: organisation,
+				body: 'x'.repeat(101),
+			}),
+		];
+		const ids = answers.map(answer => String(answer.headers['anvilroad-request-id']));
+		ids.push(/anvilroad-request-id: (\S+)/.exec(await sendGarbage(port))?.[1] ?? '');
+		const told = ids.map(id => {
+			const steps = world.journal.find(id as RequestId)?.entries ?? [];
+			return steps.map(({ step, detail }) => `${step} ${detail.split(':', 1)[0] ?? ''}`);
+		});
+		expect(told.map(steps => [steps[0], steps.at(-1)])).toEqual([
+			['received GET /nowhere', 'ended not-run; unknown-route'],
+			['received GET /v1/entries?service=none', 'ended not-run; unknown-service'],
+			['received GET /v1/services/none/x', 'ended not-run; unknown-service'],
+			['received POST /v1/services/bookings/pay', 'ended not-run; body-too-large'],
+			['received a request that cannot be read', 'ended not-run; malformed-header'],
+		]);
+		await Promise.all(answers.map(async answer => answer.body.dump()));
+	});
+
+	// Many callers are refused at once, as in an overload. If each lost its connection with the answer, all
+	// of them would connect anew, which costs the busy entry more than the refusals.
+	it('keeps its connection unless a body is left unread', async () => {
+		const { url, agent } = await startServer(createGateWorld());
+		const options = { dispatcher: agent };
+		const empty = [
+			await request(`${url}/nowhere`, options),
+			await request(`${url}/nowhere`, { ...options, method: 'POST' }),
+		];
+		const upload = await request(`${url}/nowhere`, { ...options, method: 'POST', body: 'unread' });
+		const connections = [...empty, upload].map(answer => answer.headers.connection);
+		expect(connections).toEqual(['keep-alive', 'keep-alive', 'close']);
+		await Promise.all([...empty, upload].map(async answer => answer.body.dump()));
+	});
+});
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -4,16 +4,38 @@
  */
 
 import type { ITimerService } from '../../../base/common/timerService';
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { getOutcomeOf } from '../../../platform/errors/common/errorKinds';
 import type { IRequestJournal } from '../../../platform/explain/common/requestJournal';
+import { JournalStep } from '../../../platform/explain/common/requestJournal';
+import type { RequestId } from '../../../platform/ids/common/ids';
+import { RequestClass } from '../../../platform/requests/common/requestClass';
+import { otherService } from '../../../platform/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
 import type { IAnswerSink } from '../../common/callers/answerSink';
+import type { CallHead } from '../../common/callers/callHead';
 import { RequestLife } from '../../common/requests/requestLife';
+import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { HeldBytes } from '../callers/bodyReader';
-import type { AcceptedCall, RequestEnd } from './requestRun';
+import type { AcceptedCall, IRunObserver, RequestEnd } from './requestRun';
 import { RequestRun } from './requestRun';
 
+/** A request that was refused by its head or its body. */
+export interface RefusedCall {
+	readonly id: RequestId;
+	/** Undefined where the head could not be read. */
+	readonly head: CallHead | undefined;
+	/** Method and path as the caller wrote them, as far as they could be read. */
+	readonly line: string;
+	/** Monotonic milliseconds. */
+	readonly arrivedMs: number;
+}
+
+/** Stands in a record for what a head did not tell. */
+const untold = 'unknown';
+
 /** Opens runs and hears of their ends. */
-export class ActiveRuns {
+export class ActiveRuns implements IRunObserver {
 	private readonly runs = new Set<RequestRun>();
 	private readonly waiters: (() => void)[] = [];
 
@@ -27,13 +49,31 @@
 	open(call: AcceptedCall, sink: IAnswerSink): RequestRun {
 		const { service, organisation, requestClass } = call.head;
 		this.journal.open(call.id, { service, organisation, requestClass }, call.arrivedMs);
-		const run = new RequestRun(call, new RequestLife(), sink, this.journal, this.timers, (ended, end) => {
-			this.noteEnd(ended, end);
-		});
+		const line = `${call.head.method} ${call.head.path}`;
+		this.journal.note(call.id, JournalStep.Received, line, call.arrivedMs);
+		const run = new RequestRun(call, new RequestLife(), sink, this.journal, this.timers, this);
 		this.runs.add(run);
 		return run;
 	}
 
+	/** Records a request that never became a run, so that its caller's question about it has an answer. */
+	recordRefused(call: RefusedCall, error: RequestError): void {
+		const { id, head, line, arrivedMs } = call;
+		const outcome = getOutcomeOf(error);
+		const nowMs = this.timers.getNow();
+		const about = {
+			service: head?.service ?? untold,
+			organisation: head?.organisation ?? untold,
+			requestClass: head?.requestClass ?? untold,
+		};
+		this.journal.open(id, about, arrivedMs);
+		this.journal.note(id, JournalStep.Received, line, arrivedMs);
+		this.journal.note(id, JournalStep.Refused, error.detail, nowMs);
+		this.journal.note(id, JournalStep.Ended, `${outcome}; ${error.kind}: ${error.detail}`, nowMs);
+		const requestClass = head?.requestClass ?? RequestClass.Normal;
+		this.metrics.noteRequest(head?.service ?? otherService, requestClass, outcome, error.kind);
+	}
+
 	count(): number {
 		return this.runs.size;
 	}
@@ -48,7 +88,19 @@
 		});
 	}
 
-	private noteEnd(run: RequestRun, end: RequestEnd): void {
+	noteQueueWait({ call }: RequestRun, waitedMs: number): void {
+		this.metrics.noteQueueWait(call.head.service, call.head.requestClass, waitedMs);
+	}
+
+	noteAttemptEnd({ call }: RequestRun, end: AttemptEnd): void {
+		this.metrics.noteAttempt(call.head.service, end);
+	}
+
+	noteGap({ call }: RequestRun, gapMs: number): void {
+		this.metrics.noteGap(call.head.service, call.head.requestClass, gapMs);
+	}
+
+	noteEnd(run: RequestRun, end: RequestEnd): void {
 		const { service, requestClass } = run.call.head;
 		this.runs.delete(run);
 		this.held.release(run.call.body.byteLength);
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -54,6 +54,7 @@
 
 	start(): void {
 		this.run.life.send(RequestEvent.Start);
+		this.run.noteAttemptStart();
 		this.heardMs = this.timers.getNow();
 		this.deadlineTimer = this.timers.schedule(this.run.getRemainingMs(), () => {
 			this.endAtDeadline();
@@ -121,7 +122,7 @@
 		}
 		this.close();
 		this.run.finish();
-		this.owner.noteEnd(this, AttemptEnd.Answered, undefined);
+		this.finishAs(AttemptEnd.Answered, undefined);
 	}
 
 	noteBroken(error: Error): void {
@@ -131,10 +132,10 @@
 		this.close();
 		const detail = `${this.target}: ${error.message}`;
 		if (this.isHandedOver) {
-			this.owner.noteEnd(this, AttemptEnd.Failed, createRequestError(ErrorKind.TargetFailed, detail));
+			this.finishAs(AttemptEnd.Failed, createRequestError(ErrorKind.TargetFailed, detail));
 			return;
 		}
-		this.owner.noteEnd(this, AttemptEnd.NotConnected, createRequestError(ErrorKind.NoTarget, detail));
+		this.finishAs(AttemptEnd.NotConnected, createRequestError(ErrorKind.NoTarget, detail));
 	}
 
 	private beginAnswer(head: AnswerHead): void {
@@ -191,6 +192,11 @@
 		}
 		this.close();
 		this.attempt?.cancel(error.detail);
+		this.finishAs(end, error);
+	}
+
+	private finishAs(end: AttemptEnd, error: RequestError | undefined): void {
+		this.run.noteAttemptEnd(end);
 		this.owner.noteEnd(this, end, error);
 	}
 
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -10,6 +10,7 @@
 import { Outcome } from '../../../platform/errors/common/outcome';
 import type { InstanceId, RegionName, ServiceName } from '../../../platform/ids/common/ids';
 import { RepeatRule, UnticketedRule } from '../../../platform/manifest/common/manifest';
+import { TicketResult } from '../../../platform/telemetry/common/entryMetricLabels';
 import type { KeptAnswer, RunEnd, TicketRun } from '../../common/atMostOnce/ticketRun';
 import { RunEndKind } from '../../common/atMostOnce/ticketRun';
 import { ReceiveKind } from '../../common/atMostOnce/atMostOnceLedger';
@@ -22,6 +23,7 @@
 import type { ForwardSender } from '../peers/forwardRun';
 import type { PeerConnection } from '../peers/peerClients';
 import type { TicketDesk } from '../tickets/ticketDesk';
+import type { RefusedCall } from './activeRuns';
 import { RecordingSink } from './recordingSink';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import type { ServiceRunner } from './serviceRunner';
@@ -38,6 +40,8 @@
 	openRun(call: AcceptedCall, sink: IAnswerSink): RequestRun;
 	noteForwardEnd(service: ServiceName, region: RegionName, end: ForwardEnd): void;
 	findRegion(instance: InstanceId): RegionName | undefined;
+	noteTicket(result: TicketResult): void;
+	recordRefused(call: RefusedCall, error: RequestError): void;
 }
 
 /** Sends each accepted request on its way. */
@@ -48,15 +52,25 @@
 		private readonly timers: ITimerService,
 	) {}
 
-	/** Takes a request whose body is whole. */
-	take(call: AcceptedCall, sink: IAnswerSink): void {
+	/** Takes note of a request that was refused before its body was whole. */
+	recordRefused(call: RefusedCall, error: RequestError): void {
+		this.surroundings.recordRefused(call, error);
+	}
+
+	/**
+	 * Takes a request whose body is whole.
+	 *
+	 * @param freshRefusal What a call with a fresh ticket is told in place of its run; a ticket already spent
+	 * is joined or replayed all the same.
+	 */
+	take(call: AcceptedCall, sink: IAnswerSink, freshRefusal?: RequestError): void {
 		const { ticket } = call.head;
 		if (call.plan.repeat === RepeatRule.Idempotent) {
 			this.takeFree(this.openRun(call, sink));
 			return;
 		}
 		if (ticket !== undefined) {
-			this.takeTicketed(call, ticket, sink);
+			this.takeTicketed(call, ticket, sink, freshRefusal);
 			return;
 		}
 		const run = this.openRun(call, sink);
@@ -157,48 +171,78 @@
 
 	// #region calls with a ticket
 
-	private takeTicketed(call: AcceptedCall, ticketText: string, sink: IAnswerSink): void {
+	private takeTicketed(
+		call: AcceptedCall,
+		ticketText: string,
+		sink: IAnswerSink,
+		freshRefusal: RequestError | undefined,
+	): void {
 		const route = this.tickets.findRoute(ticketText, call.origin !== undefined);
 		if (route.isErr()) {
+			this.surroundings.noteTicket(TicketResult.Rejected);
 			this.openRun(call, sink).fail(route.error);
 			return;
 		}
 		switch (route.value.kind) {
 			case TicketRouteKind.Own:
-				this.receiveTicket(call, ticketText, sink);
+				this.receiveTicket(call, ticketText, sink, freshRefusal);
 				return;
 			case TicketRouteKind.Forward:
 				void this.sendToIssuer(this.openRun(call, sink), route.value.to);
 				return;
 			case TicketRouteKind.Refuse:
+				this.surroundings.noteTicket(TicketResult.Rejected);
 				this.openRun(call, sink).fail(route.value.error);
 				return;
 		}
 	}
 
-	private receiveTicket(call: AcceptedCall, ticketText: string, sink: IAnswerSink): void {
+	private receiveTicket(
+		call: AcceptedCall,
+		ticketText: string,
+		sink: IAnswerSink,
+		freshRefusal: RequestError | undefined,
+	): void {
 		const decision = this.tickets.receive(ticketText, call, this.timers.getNow());
 		switch (decision.kind) {
-			case ReceiveKind.Run: {
-				const run = this.openRun(call, new RecordingSink(sink, decision.run));
-				this.surroundings.getRunner(call.head.service).submit(run);
+			case ReceiveKind.Run:
+				this.runTicketed(call, decision.run, sink, freshRefusal);
 				return;
-			}
 			case ReceiveKind.Join:
+				this.surroundings.noteTicket(TicketResult.Joined);
 				this.join(this.openRun(call, sink), decision.run);
 				return;
 			case ReceiveKind.Replay: {
+				this.surroundings.noteTicket(TicketResult.Replayed);
 				const run = this.openRun(call, sink);
 				run.life.send(RequestEvent.Replay);
 				sendKept(run, decision.answer);
 				return;
 			}
 			case ReceiveKind.Refuse:
+				this.surroundings.noteTicket(describeRefusal(decision.error));
 				this.openRun(call, sink).fail(decision.error);
 				return;
 		}
 	}
 
+	private runTicketed(
+		call: AcceptedCall,
+		ticketRun: TicketRun,
+		sink: IAnswerSink,
+		freshRefusal: RequestError | undefined,
+	): void {
+		ticketRun.waitForEnd(end => {
+			this.surroundings.noteTicket(describeEnd(end));
+		});
+		const run = this.openRun(call, new RecordingSink(sink, ticketRun));
+		if (freshRefusal !== undefined) {
+			run.fail(freshRefusal);
+			return;
+		}
+		this.surroundings.getRunner(call.head.service).submit(run);
+	}
+
 	private join(run: RequestRun, ticketRun: TicketRun): void {
 		run.life.send(RequestEvent.Join);
 		const deadline = this.timers.schedule(run.getRemainingMs(), () => {
@@ -218,6 +262,7 @@
 	/** Only the issuer can say `not-run` of its tickets; what this entry itself finds is `unknown`. */
 	private async sendToIssuer(run: RequestRun, issuer: InstanceId): Promise<void> {
 		const peer = this.surroundings.findPeer(issuer);
+		this.surroundings.noteTicket(peer === undefined ? TicketResult.Rejected : TicketResult.Forwarded);
 		if (peer === undefined) {
 			run.fail(createRequestError(ErrorKind.TicketIssuerGone, `${issuer} is not in view`));
 			return;
@@ -233,6 +278,25 @@
 	// #endregion
 }
 
+const ticketKinds: ReadonlySet<ErrorKind> = new Set([
+	ErrorKind.TicketExpired,
+	ErrorKind.TicketForged,
+	ErrorKind.TicketReused,
+	ErrorKind.TicketAnswerGone,
+	ErrorKind.TicketIssuerGone,
+	ErrorKind.EntryFull,
+]);
+
+/** The ledger refuses with a fault of the ticket itself, or gives the refusal of the ticket's one run again. */
+function describeRefusal({ kind }: RequestError): TicketResult {
+	return ticketKinds.has(kind) ? TicketResult.Rejected : TicketResult.Replayed;
+}
+
+function describeEnd(end: RunEnd): TicketResult {
+	const isUnrun = end.kind === RunEndKind.Failed && getOutcomeOf(end.error) === Outcome.NotRun;
+	return isUnrun ? TicketResult.Refused : TicketResult.Spent;
+}
+
 function createIssuerFault(error: RequestError): RequestError {
 	const isUnreachable = error.kind === ErrorKind.PeerUnreachable;
 	return { ...error, kind: isUnreachable ? ErrorKind.TicketIssuerGone : error.kind, isOutcomeUnknown: true };
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -19,6 +19,7 @@
 import type { CallHead } from '../../common/callers/callHead';
 import type { CallPlan } from '../../common/placement/callPlan';
 import { RequestEvent, RequestLife } from '../../common/requests/requestLife';
+import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 
 /** Which entry forwarded a request here. */
 export interface ForwardOrigin {
@@ -47,12 +48,22 @@
 	readonly tookMs: number;
 }
 
-/** Hears of a request's end, once. */
-export type ObserveEnd = (run: RequestRun, end: RequestEnd) => void;
+/** Hears what is counted of a request. */
+export interface IRunObserver {
+	/** An attempt starts, `waitedMs` after the request was submitted or taken back. */
+	noteQueueWait(run: RequestRun, waitedMs: number): void;
+	noteAttemptEnd(run: RequestRun, end: AttemptEnd): void;
+	/** Milliseconds between two pieces of the answer. */
+	noteGap(run: RequestRun, gapMs: number): void;
+	/** Called once. */
+	noteEnd(run: RequestRun, end: RequestEnd): void;
+}
 
 /** A request under way. */
 export class RequestRun {
 	private firstByteMs: number | undefined;
+	private submittedMs: number | undefined;
+	private lastPieceMs: number | undefined;
 	private isOver = false;
 	private abandonHandler: (() => void) | undefined;
 
@@ -62,7 +73,7 @@
 		private readonly sink: IAnswerSink,
 		private readonly journal: IRequestJournal,
 		private readonly timers: ITimerService,
-		private readonly observeEnd: ObserveEnd,
+		private readonly observer: IRunObserver,
 	) {
 		sink.watchAbandoned(() => {
 			this.handleAbandoned();
@@ -85,6 +96,22 @@
 		this.journal.note(this.call.id, step, detail, this.timers.getNow());
 	}
 
+	/** The request waits for an attempt, its first or another one. */
+	noteSubmitted(): void {
+		this.submittedMs = this.timers.getNow();
+	}
+
+	noteAttemptStart(): void {
+		if (this.submittedMs !== undefined) {
+			this.observer.noteQueueWait(this, this.timers.getNow() - this.submittedMs);
+		}
+		this.submittedMs = undefined;
+	}
+
+	noteAttemptEnd(end: AttemptEnd): void {
+		this.observer.noteAttemptEnd(this, end);
+	}
+
 	/** Hands the answer's head on. */
 	begin(head: AnswerHead): void {
 		this.life.send(RequestEvent.FirstByte);
@@ -98,6 +125,11 @@
 
 	/** Gives false where the caller is behind. */
 	write(chunk: Uint8Array): boolean {
+		const nowMs = this.timers.getNow();
+		if (this.lastPieceMs !== undefined) {
+			this.observer.noteGap(this, nowMs - this.lastPieceMs);
+		}
+		this.lastPieceMs = nowMs;
 		return this.sink.write(chunk);
 	}
 
@@ -164,7 +196,7 @@
 	private close(outcome: Outcome, errorKind: ErrorKind | undefined, detail: string): void {
 		this.isOver = true;
 		this.note(JournalStep.Ended, `${outcome}; ${detail}`);
-		this.observeEnd(this, {
+		this.observer.noteEnd(this, {
 			outcome,
 			errorKind,
 			firstByteMs: this.firstByteMs,
--- a/src/entry/node/requests/routerSurroundings.ts
+++ b/src/entry/node/requests/routerSurroundings.ts
@@ -2,8 +2,10 @@
  * The router's view of the entry: runners, offers of other regions, peers.
  */
 
+import type { RequestError } from '../../../platform/errors/common/errorKinds';
 import type { InstanceId, ManifestVersion, RegionName, ServiceName } from '../../../platform/ids/common/ids';
 import type { EntrySettings } from '../../../platform/settings/common/entrySettings';
+import type { TicketResult } from '../../../platform/telemetry/common/entryMetricLabels';
 import { ByteDirection, SentAwayResult } from '../../../platform/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
 import type { ManifestLink } from '../../../platform/manifest/common/manifest';
@@ -15,7 +17,7 @@
 import type { ForwardEnd, ForwardSender } from '../peers/forwardRun';
 import { ForwardEndKind } from '../peers/forwardRun';
 import type { PeerConnection } from '../peers/peerClients';
-import type { ActiveRuns } from './activeRuns';
+import type { ActiveRuns, RefusedCall } from './activeRuns';
 import type { IRouterSurroundings } from './requestRouter';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import type { ServiceRunner } from './serviceRunner';
@@ -72,6 +74,14 @@
 		};
 	}
 
+	noteTicket(result: TicketResult): void {
+		this.metrics.noteTicket(result);
+	}
+
+	recordRefused(call: RefusedCall, error: RequestError): void {
+		this.runs.recordRefused(call, error);
+	}
+
 	openRun(call: AcceptedCall, sink: IAnswerSink): RequestRun {
 		return this.runs.open(call, sink);
 	}
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -214,6 +214,7 @@
 			run.life.send(event);
 		}
 		run.note(JournalStep.Retried, end);
+		run.noteSubmitted();
 	}
 
 	private endRun(run: RequestRun, error: RequestError | undefined): void {
@@ -247,6 +248,7 @@
 			return;
 		}
 		run.note(JournalStep.Queued, this.describeRoom());
+		run.noteSubmitted();
 		this.scheduler.submit(createSchedulable(run), this.timers.getNow());
 		this.advance();
 	}
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -13,6 +13,7 @@
 	TargetId,
 	ZoneName,
 } from '../../../../platform/ids/common/ids';
+import type { Manifest } from '../../../../platform/manifest/common/manifest';
 import { checkManifest, RepeatRule } from '../../../../platform/manifest/common/manifest';
 import { RequestClass } from '../../../../platform/requests/common/requestClass';
 import type { AnswerHead, IAnswerSink } from '../../../common/callers/answerSink';
@@ -23,7 +24,7 @@
 import { ServiceScheduler } from '../../../common/scheduling/scheduler';
 import type { AttemptRequest, IAttempt, IAttemptObserver, ITargetClient } from '../../targets/targetClient';
 import { CrashWatch } from '../crashWatch';
-import type { AcceptedCall, RequestEnd } from '../requestRun';
+import type { AcceptedCall, IRunObserver, RequestEnd } from '../requestRun';
 import { RequestRun } from '../requestRun';
 import { ServiceRunner } from '../serviceRunner';
 
@@ -85,17 +86,24 @@
 	readonly renewed: TargetId[];
 	readonly dead: Set<TargetId>;
 	readonly ends: RequestEnd[];
+	/** What was counted of the requests, in its order, but for their ends. */
+	readonly counted: string[];
 	submit(body?: string): RememberingSink;
 	/** Lets promises that are due waitForPromises. */
 	waitForPromises(): Promise<void>;
 }
 
-function createPlan(repeat: RepeatRule): AcceptedCall['plan'] {
-	const manifest = checkManifest({
+/** One region, one organisation and one plain service. */
+export function createFlowManifest(repeat: RepeatRule): Manifest {
+	return checkManifest({
 		regions: [{ name: 'kingston', zones: ['kingston-a'] }],
 		organisations: [{ name: 'harbour-hotel', home: 'kingston' }],
 		services: [{ name: 'bookings', kind: 'plain', residency: 'home', repeat }],
 	})._unsafeUnwrap();
+}
+
+function createPlan(repeat: RepeatRule): AcceptedCall['plan'] {
+	const manifest = createFlowManifest(repeat);
 	const call = {
 		service: 'bookings' as ServiceName,
 		organisation: 'harbour-hotel' as OrganisationName,
@@ -128,6 +136,7 @@
 	const renewed: TargetId[] = [];
 	const dead = new Set<TargetId>();
 	const ends: RequestEnd[] = [];
+	const counted: string[] = [];
 	const ids = Array.from({ length: targets }, (_, index) => `bookings-${index + 1}` as TargetId);
 	const clients = new Map(ids.map(id => [id, createClient(id, attempts, renewed)]));
 	const crashes = new CrashWatch(new Quarantine(), target => Promise.resolve(dead.has(target)), timers);
@@ -141,13 +150,14 @@
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
 	const journal = new RingRequestJournal(100, () => new Date(0));
 	const plan = createPlan(repeat);
+	const observer = createObserver(ends, counted);
 	let submitted = 0;
 	const submit = (body = 'work'): RememberingSink => {
 		submitted++;
 		const sink = new RememberingSink();
 		const call = createCall(`request-${submitted}` as RequestId, plan, body, timers.getNow());
 		journal.open(call.id, { service: 'bookings', organisation: 'harbour-hotel', requestClass: 'normal' }, 0);
-		const run = new RequestRun(call, new RequestLife(), sink, journal, timers, (_, end) => ends.push(end));
+		const run = new RequestRun(call, new RequestLife(), sink, journal, timers, observer);
 		run.life.send(RequestEvent.AcceptHead);
 		run.setAbandonHandler(() => {
 			runner.abandon(run);
@@ -158,7 +168,16 @@
 	const waitForPromises = async (): Promise<void> => {
 		await new Promise(resolve => setImmediate(resolve));
 	};
-	return { timers, runner, attempts, renewed, dead, ends, submit, waitForPromises };
+	return { timers, runner, attempts, renewed, dead, ends, counted, submit, waitForPromises };
+}
+
+function createObserver(ends: RequestEnd[], counted: string[]): IRunObserver {
+	return {
+		noteQueueWait: (_, waitedMs) => counted.push(`waited ${waitedMs}`),
+		noteAttemptEnd: (_, end) => counted.push(`attempt ${end}`),
+		noteGap: (_, gapMs) => counted.push(`gap ${gapMs}`),
+		noteEnd: (_, end) => ends.push(end),
+	};
 }
 
 function createCall(id: RequestId, plan: AcceptedCall['plan'], body: string, nowMs: number): AcceptedCall {
--- /dev/null
+++ b/src/entry/node/test/gateFixtures.ts
@@ -0,0 +1,154 @@
+/**
+ * The gate of an entry over scripted targets: the real ledger, router, journal and metrics, no network.
+ */
+
+import { SeededRandom } from '../../../base/common/random';
+import { RingRequestJournal } from '../../../platform/explain/common/ringRequestJournal';
+import type {
+	BootId,
+	InstanceId,
+	ManifestVersion,
+	OrganisationName,
+	RegionName,
+	RequestId,
+	ServiceName,
+	ZoneName,
+} from '../../../platform/ids/common/ids';
+import { RepeatRule } from '../../../platform/manifest/common/manifest';
+import { RequestClass } from '../../../platform/requests/common/requestClass';
+import { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
+import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
+import type { CallHead } from '../../common/callers/callHead';
+import { ManifestIndex } from '../../common/placement/manifestIndex';
+import { StayHomePolicy } from '../../common/sendAway/sendAwayPolicy';
+import { formatTicket } from '../../common/tickets/ticket';
+import { TicketIssuer } from '../../common/tickets/ticketIssuer';
+import { CallGate } from '../callGate';
+import { HeldBytes } from '../callers/bodyReader';
+import type { PeerConnection } from '../peers/peerClients';
+import { ActiveRuns } from '../requests/activeRuns';
+import type { IRouterSurroundings } from '../requests/requestRouter';
+import { RequestRouter } from '../requests/requestRouter';
+import type { Flow } from '../requests/test/flowFixtures';
+import { createFlow, createFlowManifest, RememberingSink } from '../requests/test/flowFixtures';
+import { HmacTicketSigner } from '../tickets/hmacTicketSigner';
+import { TicketDesk } from '../tickets/ticketDesk';
+
+const own = { instance: 'entry-1' as InstanceId, boot: 'boot1' as BootId };
+const region = 'kingston' as RegionName;
+const zone = 'kingston-a' as ZoneName;
+const neighbour = { own: { instance: 'entry-2' as InstanceId, boot: 'boot2' as BootId }, region };
+
+/** A peer that takes no connection. */
+const closedPeer = { session: { connect: () => Promise.resolve('error') } } as unknown as PeerConnection;
+
+/** A gate and what stands around it. */
+export interface GateWorld {
+	readonly gate: CallGate;
+	readonly flow: Flow;
+	readonly journal: RingRequestJournal;
+	readonly held: HeldBytes;
+	/** The metrics page. */
+	render(): Promise<string>;
+	/** A ticket of this entry, or of another one of its region. */
+	issue(issuer?: 'own' | 'neighbour'): string;
+	/** Sends a call as a caller's connection would; undefined where the head was refused. */
+	send(ticket: string | undefined, body?: string): RememberingSink;
+	setLeaving(): void;
+}
+
+/** Builds a gate before one scripted target. */
+export function createGateWorld(repeat = RepeatRule.AtMostOnce, mostHeldBytes = 1_000): GateWorld {
+	const flow = createFlow(1, repeat);
+	const { timers } = flow;
+	const metrics = new EntryMetrics({ version: '1', instance: own.instance, region, zone });
+	metrics.setServices(['bookings']);
+	const journal = new RingRequestJournal(100, () => new Date(0));
+	const held = new HeldBytes(mostHeldBytes);
+	const runs = new ActiveRuns(journal, metrics, held, timers);
+	const signer = new HmacTicketSigner('a key of today');
+	const desk = new TicketDesk(
+		{ own, region },
+		signer,
+		new TicketIssuer(own, signer, 120_000),
+		new AtMostOnceLedger(own, { mostAnswerBytes: 1_000, mostTickets: 10 }),
+		{ findEntry: instance => (instance === neighbour.own.instance ? neighbour : undefined) },
+	);
+	const router = new RequestRouter(createSurroundings(flow, runs, metrics), desk, timers);
+	let isLeaving = false;
+	const manifest = createFlowManifest(repeat);
+	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
+	const name = { instance: own.instance, region, zone, url: 'http://127.0.0.1:1' };
+	const gate = new CallGate(
+		{ id: own.instance, region, zone, boot: own.boot },
+		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
+		{ listNamed: () => [{ ...name, instance: neighbour.own.instance }], receiveViews: () => [] },
+		{ getName: () => name, isLeaving: () => isLeaving },
+		desk,
+		router,
+		metrics,
+		timers,
+		new SeededRandom(1),
+	);
+	return {
+		gate,
+		flow,
+		journal,
+		held,
+		render: () => metrics.render(),
+		issue: (issuer = 'own') =>
+			issuer === 'own'
+				? desk.issueBatch(1, timers.getNow())[0]!
+				: formatTicket({ issuer: neighbour.own, number: 1, expiresMs: 120_000 }, signer),
+		send: (ticket, body = 'pay') => sendCall(gate, createHead(ticket), body),
+		setLeaving: () => {
+			isLeaving = true;
+		},
+	};
+}
+
+function createSurroundings(flow: Flow, runs: ActiveRuns, metrics: EntryMetrics): IRouterSurroundings {
+	return {
+		getRunner: () => flow.runner,
+		getSendAwayPolicy: () => new StayHomePolicy(),
+		listOffers: () => [],
+		findPeer: () => closedPeer,
+		findRegion: () => region,
+		describeSender: () => ({ instance: own.instance, region, manifestVersion: 1 as ManifestVersion }),
+		openRun: (call, sink) => runs.open(call, sink),
+		noteForwardEnd: () => undefined,
+		noteTicket: result => {
+			metrics.noteTicket(result);
+		},
+		recordRefused: (call, error) => {
+			runs.recordRefused(call, error);
+		},
+	};
+}
+
+function createHead(ticket: string | undefined): CallHead {
+	return {
+		service: 'bookings' as ServiceName,
+		organisation: 'harbour-hotel' as OrganisationName,
+		requestClass: RequestClass.Normal,
+		method: 'POST',
+		path: '/pay',
+		deadlineMs: 30_000,
+		prefixKey: undefined,
+		ticket,
+		passedOn: [],
+	};
+}
+
+function sendCall(gate: CallGate, head: CallHead, body: string): RememberingSink {
+	const sink = new RememberingSink();
+	const plan = gate.plan(head);
+	if (plan.isErr()) {
+		sink.refuse(head.ticket === undefined ? plan.error : gate.refuseTicketed(head.ticket, plan.error));
+		return sink;
+	}
+	const id: RequestId = gate.createRequestId();
+	const times = { arrivedMs: 0, deadlineMs: 30_000, isDeadlineGiven: true };
+	gate.accept({ id, head, plan: plan.value, body: Buffer.from(body), ...times, origin: undefined }, sink);
+	return sink;
+}
--- a/src/entry/node/tickets/ticketDesk.ts
+++ b/src/entry/node/tickets/ticketDesk.ts
@@ -6,7 +6,10 @@
 import { createHash } from 'node:crypto';
 import type { Result } from 'neverthrow';
 import type { RequestError } from '../../../platform/errors/common/errorKinds';
+import { getOutcomeOf } from '../../../platform/errors/common/errorKinds';
+import { Outcome } from '../../../platform/errors/common/outcome';
 import type { Fingerprint } from '../../../platform/ids/common/ids';
+import { TicketResult } from '../../../platform/telemetry/common/entryMetricLabels';
 import type { AtMostOnceLedger, ReceiveDecision } from '../../common/atMostOnce/atMostOnceLedger';
 import { ReceiveKind } from '../../common/atMostOnce/atMostOnceLedger';
 import { describeCall } from '../../common/atMostOnce/callFingerprint';
@@ -17,6 +20,12 @@
 import { isSameBoot, refuseAsOther, decideTicketRoute } from '../../common/tickets/ticketRoute';
 import type { AcceptedCall } from '../requests/requestRun';
 
+/** What a send that carried a ticket is told when it was refused unread, and what became of the ticket. */
+export interface UnreadRefusal {
+	readonly error: RequestError;
+	readonly result: TicketResult;
+}
+
 /** The ticket work of one start of one entry. */
 export class TicketDesk {
 	constructor(
@@ -31,6 +40,13 @@
 		return this.issuer.issueBatch(count, nowMs);
 	}
 
+	/** Whether this boot issued the ticket; false for one that cannot be read. */
+	isOwn(ticketText: string): boolean {
+		return parseTicket(ticketText, this.signer)
+			.map(ticket => isSameBoot(ticket.issuer, this.own.own))
+			.unwrapOr(false);
+	}
+
 	countSpent(): number {
 		return this.ledger.countSpent();
 	}
@@ -55,15 +71,17 @@
 	 * Refuses a send that carries a ticket before its body was read, and gives the fault as the caller may
 	 * be told it: an earlier copy of the same call may have run, or may still be on its way.
 	 */
-	refuseUnread(ticketText: string, error: RequestError, nowMs: number): RequestError {
+	refuseUnread(ticketText: string, error: RequestError, nowMs: number): UnreadRefusal {
 		const ticket = parseTicket(ticketText, this.signer);
 		if (ticket.isErr()) {
-			return error;
+			return { error, result: TicketResult.Rejected };
 		}
 		if (!isSameBoot(ticket.value.issuer, this.own.own)) {
-			return refuseAsOther(error);
+			return { error: refuseAsOther(error), result: TicketResult.Rejected };
 		}
-		return this.ledger.refuseUnread(ticket.value, error, nowMs);
+		const told = this.ledger.refuseUnread(ticket.value, error, nowMs);
+		const isUnrun = getOutcomeOf(told) === Outcome.NotRun;
+		return { error: told, result: isUnrun ? TicketResult.Refused : TicketResult.Rejected };
 	}
 }
 
--- a/src/platform/telemetry/common/entryMetricLabels.ts
+++ b/src/platform/telemetry/common/entryMetricLabels.ts
@@ -10,11 +10,11 @@
 	Refused = 'refused',
 	/** Sent again while its call ran; the answer is shared. */
 	Joined = 'joined',
-	/** Sent again after its call; the kept answer was given. */
+	/** Sent again after its call; the kept answer, or the refusal that the call ended with, was given. */
 	Replayed = 'replayed',
 	/** Carried to its issuer in the same region. */
 	Forwarded = 'forwarded',
-	/** Answered with a `ticket-…` error kind. */
+	/** Not taken: answered with a `ticket-…` error kind, or with `unknown` before its body was read. */
 	Rejected = 'rejected',
 }
 
