Let the entry's fleet use the fleet view and the exchange plan

Silence limits were fixed at 3.5 s whatever the fleet's size; an entry that had just started divided the targets by the few entries that it had heard of; one new manifest version was fetched from every peer that named it.

Ruled out: the small budget of bytes for every size. Up to 64 others a node now spends up to 16,000 bytes a second on views and begins two exchanges a second; above that 1,600 and one.

The change: merging, ageing and suspicion by FleetView, peers and views by ExchangePlan, addresses and seeds in Contacts, a codec between views and messages, InstanceLives with limits that scale with the fleet, lookups by rankEntries, entryOrder removed. A lookup of a home-bound service with an organisation names only its home region.

--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -46,6 +46,11 @@
 	readonly crashSightings: readonly CrashSightingView[];
 }
 
+/** The room that a view tells of a service. */
+export function findRoom(view: EntryView, service: ServiceName): ServiceRoom | undefined {
+	return view.rooms.find(told => told.service === service)?.room;
+}
+
 /** Tags, lengths and numbers of a view beside its texts. */
 const fixedBytes = 40;
 const roomBytes = 14;
--- a/src/entry/common/fleetView/exchangePlan.ts
+++ b/src/entry/common/fleetView/exchangePlan.ts
@@ -1,7 +1,7 @@
 /**
  * With whom views are exchanged next and which views go along. Load pattern: a fleet of hundreds. If each
- * node told every other, control traffic would grow with the square of the fleet; here each begins one
- * exchange a period with one peer, and the views that go along are bounded by bytes, so that the traffic
+ * node told every other, control traffic would grow with the square of the fleet; here each begins one or two
+ * exchanges a period, and the views that go along are bounded by bytes, so that the traffic
  * of a node does not depend on the size of the fleet at all.
  *
  * Most exchanges stay in the own zone, whose room callers and routing need freshest, and which goes on when
@@ -31,6 +31,18 @@
 		private readonly figures: FleetViewFigures = defaultFleetViewFigures,
 	) {}
 
+	/** The peers to exchange with now, each once. */
+	pickPeers(nowMs: number): readonly KnownInstance[] {
+		const picked = new Map<InstanceId, KnownInstance>();
+		for (let exchange = 0; exchange < this.fleet.exchangesPerPeriod; exchange++) {
+			const peer = this.pickPeer(nowMs);
+			if (peer !== undefined) {
+				picked.set(peer.view.instance, peer);
+			}
+		}
+		return [...picked.values()];
+	}
+
 	/** The peer to exchange with now, or undefined where none is known. Suspected ones are tried now and then. */
 	pickPeer(nowMs: number): KnownInstance | undefined {
 		const known = this.fleet.list(nowMs).filter(({ view }) => !view.isLeaving);
@@ -44,8 +56,8 @@
 	 * The views to send to a peer: this entry's own, then others that are not suspected, the peer's zone first
 	 * and drawn at random within it, until the bytes of one exchange are used up.
 	 */
-	listViews(own: EntryView, peer: InstanceId, nowMs: number): readonly EntryView[] {
-		const peerZone = this.fleet.find(peer, nowMs)?.view.zone;
+	listViews(own: EntryView, peer: InstanceId | undefined, nowMs: number): readonly EntryView[] {
+		const peerZone = peer === undefined ? undefined : this.fleet.find(peer, nowMs)?.view.zone;
 		const others = this.fleet
 			.list(nowMs)
 			.filter(({ view, isSuspect }) => !isSuspect && view.instance !== peer)
@@ -66,10 +78,11 @@
 
 	/** Bytes of one message: a node sends and receives in the exchanges that it begins and that others begin. */
 	private computeMostBytes(): number {
-		const { bytesPerSecond, periodMs } = this.figures;
+		const { bytesPerSecond, exchangesPerPeriod } = this.fleet;
 		const messagesPerExchange = 2;
 		const roles = 2;
-		return (bytesPerSecond * periodMs) / 1_000 / (messagesPerExchange * roles);
+		const periodBytes = (bytesPerSecond * this.figures.periodMs) / 1_000;
+		return periodBytes / (messagesPerExchange * roles * exchangesPerPeriod);
 	}
 
 	private pickGroup(known: readonly KnownInstance[]): readonly KnownInstance[] {
--- a/src/entry/common/fleetView/fleetView.ts
+++ b/src/entry/common/fleetView/fleetView.ts
@@ -14,7 +14,7 @@
 import { defaultFleetViewFigures } from '../scheduling/policy';
 import type { ServiceRoom } from '../scheduling/serviceScheduler';
 import type { EntryView } from './entryView';
-import { estimateViewBytes } from './entryView';
+import { estimateViewBytes, findRoom } from './entryView';
 
 /** An instance as it is known here. */
 export interface KnownInstance {
@@ -36,6 +36,21 @@
 /** Boots of an instance that are remembered; more restarts than that within a view's life are not expected. */
 const mostPastBoots = 8;
 
+/**
+ * The least time that a view is held, in milliseconds: as long as a ticket lives. Its issuer is found by its
+ * view, and a shorter time would refuse tickets whose issuer is merely cut off for a moment.
+ */
+const leastHeldMs = 120_000;
+
+/**
+ * Up to this many others, a node spends more on views than the budget of a large fleet. Sending away goes by
+ * offers of other regions that are at most seconds old; with the small budget a fleet of seven held offers
+ * too old to use for most of the time, and a drained region refused what another had room for.
+ */
+const smallFleetInstances = 64;
+const smallFleetBytesPerSecond = 16_000;
+const smallFleetExchanges = 2;
+
 /** The views held by one entry. */
 export class FleetView {
 	private readonly records = new Map<InstanceId, InstanceRecord>();
@@ -59,14 +74,20 @@
 		}
 	}
 
-	/** The platform's list no longer names the instance. */
-	remove(instance: InstanceId): void {
-		this.records.delete(instance);
+	/** This process slept: what it could not hear meanwhile is no silence of the others. */
+	noteOwnSleep(sleptMs: number): void {
+		for (const record of this.records.values()) {
+			record.spokenMs += sleptMs;
+		}
+	}
+
+	has(instance: InstanceId): boolean {
+		return this.records.has(instance);
 	}
 
 	/** Forgets instances that were silent for far longer than the suspicion time; gives their ids. */
 	expire(nowMs: number): readonly InstanceId[] {
-		const longestMs = this.computeSuspectAfter() * this.figures.forgetFactor;
+		const longestMs = this.computeForgetAfter();
 		const gone = [...this.records].filter(([, record]) => nowMs - record.spokenMs > longestMs);
 		for (const [instance] of gone) {
 			this.records.delete(instance);
@@ -101,17 +122,36 @@
 
 	/** Silence after which an instance is suspected, in milliseconds. */
 	computeSuspectAfter(): number {
-		const { bytesPerSecond, suspectAfterMs, suspectAfterRenewals } = this.figures;
+		const { suspectAfterMs, suspectAfterRenewals } = this.figures;
 		// Half of the bytes are received.
-		const renewalMs = (this.records.size * this.meanViewBytes * 1_000) / (bytesPerSecond / 2);
+		const renewalMs = (this.records.size * this.meanViewBytes * 1_000) / (this.bytesPerSecond / 2);
 		return Math.max(suspectAfterMs, renewalMs * suspectAfterRenewals);
 	}
 
+	/** Silence after which an instance is forgotten, in milliseconds. */
+	computeForgetAfter(): number {
+		return Math.max(leastHeldMs, this.computeSuspectAfter() * this.figures.forgetFactor);
+	}
+
+	/** Bytes a second that this node may spend on views, both directions and both roles together. */
+	get bytesPerSecond(): number {
+		return this.isSmall() ? smallFleetBytesPerSecond : this.figures.bytesPerSecond;
+	}
+
+	/** Exchanges that this node begins in one period. */
+	get exchangesPerPeriod(): number {
+		return this.isSmall() ? smallFleetExchanges : 1;
+	}
+
 	/** Mean bytes of the views held. */
 	get viewBytes(): number {
 		return this.meanViewBytes;
 	}
 
+	private isSmall(): boolean {
+		return this.records.size <= smallFleetInstances;
+	}
+
 	private mergeOne(view: EntryView, nowMs: number): boolean {
 		const spokenMs = nowMs - view.ageMs;
 		const record = this.records.get(view.instance);
@@ -184,10 +224,6 @@
 	}
 }
 
-function findRoom(view: EntryView, service: ServiceName): ServiceRoom | undefined {
-	return view.rooms.find(told => told.service === service)?.room;
-}
-
 function computeMixedRoom(neutral: ServiceRoom, told: ServiceRoom, belief: number): ServiceRoom {
 	const mix = (measure: (room: ServiceRoom) => number): number =>
 		measure(neutral) + (measure(told) - measure(neutral)) * belief;
--- a/src/entry/common/lookup/rankEntries.ts
+++ b/src/entry/common/lookup/rankEntries.ts
@@ -31,7 +31,8 @@
 /** What is known of the caller. */
 export interface LookupQuestion {
 	readonly region: RegionName;
-	readonly zone: ZoneName;
+	/** Undefined where the caller's zone is not known. */
+	readonly zone: ZoneName | undefined;
 	/** The entry that it uses already, if it said so. */
 	readonly previous: InstanceId | undefined;
 }
--- a/src/entry/node/callGate.ts
+++ b/src/entry/node/callGate.ts
@@ -10,7 +10,7 @@
 import type { ITimerService } from '../../base/common/timerService';
 import type { NamedEntry, RequestError } from '../../platform/errors/common/errorKinds';
 import { createRequestError, ErrorKind, getOutcomeOf } from '../../platform/errors/common/errorKinds';
-import type { BootId, RegionName, RequestId } from '../../platform/ids/common/ids';
+import type { BootId, InstanceId, RegionName, RequestId, ServiceName } from '../../platform/ids/common/ids';
 import type { ManifestService } from '../../platform/manifest/common/manifest';
 import { RepeatRule, ResidencyRule } from '../../platform/manifest/common/manifest';
 import { RequestClass } from '../../platform/requests/common/requestClass';
@@ -26,9 +26,9 @@
 import type { LookupAnswer, LookupQuestion } from '../common/callers/lookupAnswer';
 import type { CallPlan, ForwardedFrom } from '../common/placement/callPlan';
 import { checkForwarded, planCall } from '../common/placement/callPlan';
-import { sortEntries } from '../common/lookup/entryOrder';
+import { rankEntries } from '../common/lookup/rankEntries';
 import type { ICallHandler } from './callers/callerServer';
-import type { EntryFleet } from './fleet/entryFleet';
+import type { EntryFleet, LookupCandidate } from './fleet/entryFleet';
 import type { OwnView } from './fleet/ownView';
 import type { IndexedManifest, ManifestKeeper } from './manifest/manifestKeeper';
 import type { IPeerHandler } from './peers/peerServer';
@@ -39,6 +39,16 @@
 /** Who this entry is. */
 export type OwnInstance = EntrySettings['instance'] & { readonly boot: BootId };
 
+/** Which entries are to be named. */
+interface EntryWish {
+	readonly region: RegionName;
+	/** Entries of other regions may not serve the caller, so none is named. */
+	readonly isBound: boolean;
+	readonly previous?: InstanceId | undefined;
+	/** Chooses the room by which entries are weighed. */
+	readonly service?: ServiceName;
+}
+
 const lookupValidMs = 5_000;
 const numberBase = 36;
 const bootCharacters = 6;
@@ -83,7 +93,7 @@
 			return err(createRequestError(ErrorKind.NoManifest, 'neither the platform nor a peer has given one'));
 		}
 		if (this.isLeaving()) {
-			const entries = this.listEntriesOf(this.own.region, undefined);
+			const entries = this.listEntriesOf({ region: this.own.region, isBound: false });
 			return err(createRequestError(ErrorKind.Leaving, this.own.id, { entries }));
 		}
 		return planCall(manifest.index, this.own.region, head).mapErr(error =>
@@ -119,13 +129,19 @@
 		if (service === undefined) {
 			return err(createRequestError(ErrorKind.UnknownService, `no service ${question.service}`));
 		}
-		const region = findHome(service, question, manifest) ?? this.own.region;
+		const home = findHome(service, question, manifest);
+		const region = home ?? this.own.region;
 		const isTicketed = hasAtMostOnceCalls(service) && region === this.own.region && !this.isLeaving();
 		const tickets = isTicketed ? this.tickets.issueBatch(question.tickets, this.timers.getNow()) : [];
 		if (tickets.length > 0) {
 			this.metrics.noteTicket(TicketResult.Issued);
 		}
-		const entries = this.listEntriesOf(region, question.previous);
+		const entries = this.listEntriesOf({
+			region,
+			isBound: home !== undefined,
+			previous: question.previous,
+			service: service.name,
+		});
 		return ok({ service: question.service, validForMs: lookupValidMs, entries, tickets });
 	}
 
@@ -147,19 +163,29 @@
 		if (error.kind !== ErrorKind.WrongRegion || home === undefined) {
 			return error;
 		}
-		return {
-			...error,
-			entries: this.listEntriesOf(home, undefined).filter(({ region }) => region === String(home)),
-		};
+		return { ...error, entries: this.listEntriesOf({ region: home, isBound: true }) };
 	}
 
-	private listEntriesOf(region: RegionName, previous: string | undefined): readonly NamedEntry[] {
-		const own = this.isLeaving() ? [] : [this.ownView.getName()];
+	private listEntriesOf(wish: EntryWish): readonly NamedEntry[] {
+		const { region, isBound, previous, service } = wish;
 		const zone = region === this.own.region ? this.own.zone : undefined;
-		return sortEntries([...own, ...this.fleet.listNamed()], { region, zone, previous }, this.random);
+		const candidates = [
+			this.ownView.describeCandidate(service),
+			...this.fleet.listCandidates(service),
+		].filter(candidate => !isBound || candidate.region === region);
+		const byInstance = new Map(candidates.map(candidate => [candidate.instance, candidate]));
+		const ranked = rankEntries({ region, zone, previous }, candidates, this.random);
+		return ranked.flatMap(instance => {
+			const candidate = byInstance.get(instance);
+			return candidate === undefined ? [] : [createName(candidate)];
+		});
 	}
 }
 
+function createName({ instance, region, zone, callerUrl }: LookupCandidate): NamedEntry {
+	return { instance, region, zone, url: callerUrl };
+}
+
 function hasAtMostOnceCalls(service: ManifestService): boolean {
 	return [service, ...service.rules].some(rule => rule.repeat === RepeatRule.AtMostOnce);
 }
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -13,14 +13,14 @@
 import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
 import { RingRequestJournal } from '../../platform/explain/common/ringRequestJournal';
 import { PlatformFollower } from '../../platform/following/node/platformFollower';
-import type { BootId, Fingerprint, InstanceId, TargetId } from '../../platform/ids/common/ids';
+import type { BootId } from '../../platform/ids/common/ids';
 import { OperatorsServer } from '../../platform/operators/node/operatorsServer';
 import { HttpPlatformClient } from '../../platform/platformClient/node/platformClient';
 import type { EntrySettings } from '../../platform/settings/common/entrySettings';
 import { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
 import { writeAuditLines } from '../../platform/telemetry/node/logger';
-import type { EntryView } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { AtMostOnceLedger } from '../common/atMostOnce/atMostOnceLedger';
+import type { EntryView } from '../common/fleetView/entryView';
 import { Quarantine } from '../common/quarantine/quarantine';
 import { TicketIssuer } from '../common/tickets/ticketIssuer';
 import { HeldBytes } from './callers/bodyReader';
@@ -28,6 +28,7 @@
 import { CallGate } from './callGate';
 import { EntryCertificates } from './entryCertificates';
 import { EntryFleet } from './fleet/entryFleet';
+import { ManifestFetches } from './fleet/manifestFetches';
 import { OwnView } from './fleet/ownView';
 import { ManifestKeeper } from './manifest/manifestKeeper';
 import { describeOfferState } from './manifest/offerMetrics';
@@ -70,6 +71,7 @@
 	private readonly held: HeldBytes;
 	private readonly platform: HttpPlatformClient;
 	private readonly manifests: ManifestKeeper;
+	private readonly manifestFetches: ManifestFetches;
 	private readonly targets: TargetRegistry;
 	private readonly peers: PeerClients;
 	private readonly fleet: EntryFleet;
@@ -104,14 +106,13 @@
 				this.timers,
 			),
 		);
+		this.manifestFetches = new ManifestFetches(this.manifests, this.timers);
 		this.targets = this.register(new TargetRegistry({ region, zone }, this.trail, this.timers));
 		this.peers = this.register(new PeerClients(settings.peer_routes, this.certificates.peers));
 		this.fleet = this.register(
 			new EntryFleet(
-				id,
-				settings.peers.url,
+				{ id, region, zone, peerUrl: settings.peers.url, seeds: settings.peers.seeds },
 				() => this.ownView.describe(),
-				settings.peers.seeds,
 				this.peers,
 				this.timers,
 				this.random,
@@ -254,25 +255,21 @@
 	}
 
 	private noteView(view: EntryView): void {
-		this.targets.notePeerWords(view.leavingTargets as TargetId[]);
+		this.targets.notePeerWords(view.leavingTargets);
 		this.noteSightings(view);
-		const instance = view.instanceId as InstanceId;
-		const peer = this.fleet.findPeer(instance);
+		const peer = this.fleet.findPeer(view.instance);
 		if (peer !== undefined) {
-			void this.manifests.takeFromPeer(instance, Number(view.manifestVersion), peer);
+			void this.manifestFetches.fetch(view.instance, view.manifestVersion, peer);
 		}
 	}
 
 	/** Targets belong to one region, so only its own entries' sightings concern this one. */
 	private noteSightings(view: EntryView): void {
-		if (view.region !== String(this.settings.instance.region)) {
+		if (view.region !== this.settings.instance.region) {
 			return;
 		}
 		for (const { fingerprint, target, ageMs } of view.crashSightings) {
-			this.quarantine.noteSighting(
-				{ fingerprint: fingerprint as Fingerprint, target: target as TargetId, ageMs: ageMs + view.ageMs },
-				this.timers.getNow(),
-			);
+			this.quarantine.noteSighting({ fingerprint, target, ageMs: ageMs + view.ageMs }, this.timers.getNow());
 		}
 	}
 
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -1,81 +1,85 @@
 /**
- * The other entries: heartbeats with them, what they say of themselves, and who may be named to callers.
- * Views travel once a second to a few peers, with what was heard of the others lately, so that two entries
- * that cannot reach each other directly still hear of each other.
+ * The other entries: heartbeats with them, what is held of them, and who may be named to callers. What is
+ * held and with whom to exchange is decided in `entry/common/fleetView`; here the decisions meet the
+ * network, the instance list and the lives of the instances.
  */
 
-import { create } from '@bufbuild/protobuf';
 import type { Stream } from 'most';
 import { Channel, subscribeTo } from '../../../base/common/channel';
 import { Disposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { IAuditTrail } from '../../../platform/audit/common/auditTrail';
-import type { NamedEntry } from '../../../platform/errors/common/errorKinds';
-import type { BootId, InstanceId, RegionName, ServiceName } from '../../../platform/ids/common/ids';
+import type { InstanceId, RegionName, ServiceName, ZoneName } from '../../../platform/ids/common/ids';
 import { InstanceState } from '../../../platform/instances/common/instanceLife';
 import { InstanceLives } from '../../../platform/instances/common/instanceLives';
 import type { InstanceList, ListedInstance } from '../../../platform/platformClient/common/instanceList';
 import { ListedState } from '../../../platform/platformClient/common/instanceList';
-import type { EntryView } from '../../../gen/anvilroad/peer/v1/peer_pb';
-import { EntryViewSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { EntryView as WireView } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { EntryView } from '../../common/fleetView/entryView';
+import { findRoom } from '../../common/fleetView/entryView';
+import { ExchangePlan } from '../../common/fleetView/exchangePlan';
+import type { KnownInstance } from '../../common/fleetView/fleetView';
+import { FleetView } from '../../common/fleetView/fleetView';
+import type { KnownEntry as LookupEntry } from '../../common/lookup/rankEntries';
+import { defaultFleetViewFigures } from '../../common/scheduling/policy';
 import type { IEntryDirectory, KnownEntry } from '../../common/tickets/ticketRoute';
 import type { PeerClients, PeerConnection } from '../peers/peerClients';
+import type { ExchangeContact } from './contacts';
+import { Contacts } from './contacts';
+import { FleetSilenceLimits } from './fleetSilenceLimits';
+import { decodeView, encodeView } from './viewCodec';
 
 /** What this entry says of itself at present. */
 export type DescribeSelf = () => EntryView;
 
-/** A view as it stands here. */
-interface HeldView {
-	readonly view: EntryView;
-	/** Monotonic time of this process at which the entry spoke, as far as ages tell. */
-	readonly spokeMs: number;
+/** Where this entry stands among the others. */
+export interface FleetPlace {
+	readonly id: InstanceId;
+	readonly region: RegionName;
+	readonly zone: ZoneName;
+	readonly peerUrl: string;
+	/** Peers to ask before others are known. */
+	readonly seeds: readonly string[];
 }
 
-/** A view with its present age. */
-export interface AgedView {
-	readonly view: EntryView;
-	readonly ageMs: number;
+/** An entry that a lookup can name, with the address that callers use. */
+export interface LookupCandidate extends LookupEntry {
+	readonly callerUrl: string;
 }
 
-const exchangeMs = 1_000;
+const { periodMs } = defaultFleetViewFigures;
 const exchangeTimeoutMs = 2_000;
-/** Peers spoken to in one second; the number that bounds control traffic whatever the fleet's size. */
-const exchangesPerTick = 3;
-/** Views older than this are not passed on. */
-const relayedAgeMs = 10_000;
-/** Other entries' views in one message. */
-const mostRelayed = 16;
-/** After this much silence a view is no longer held. */
-const heldAgeMs = 120_000;
 
 /** Holds what is known of the other entries. */
 export class EntryFleet extends Disposable implements IEntryDirectory {
+	private readonly views: FleetView;
+	private readonly plan: ExchangePlan;
+	private readonly contacts: Contacts;
 	private readonly lives: InstanceLives;
-	private readonly views = new Map<InstanceId, HeldView>();
 	private readonly received = this.register(new Channel<EntryView>());
-	private listed: readonly ListedInstance[] = [];
 
-	/** Each view that is newer than what was held. */
+	/** Each view that is newer than what was held, with the age that it had when it arrived. */
 	readonly onDidReceive: Stream<EntryView> = this.received.stream;
 
 	constructor(
-		private readonly own: InstanceId,
-		private readonly ownPeerUrl: string,
+		place: FleetPlace,
 		private readonly describeSelf: DescribeSelf,
-		private readonly seeds: readonly string[],
 		private readonly peers: PeerClients,
 		private readonly timers: ITimerService,
-		private readonly random: IRandom,
+		random: IRandom,
 		auditTrail: IAuditTrail,
 	) {
 		super();
-		this.lives = this.register(new InstanceLives(auditTrail));
+		this.views = new FleetView(place.id);
+		this.plan = new ExchangePlan(place, this.views, random);
+		this.contacts = new Contacts(place, this.views, this.plan, random);
+		this.lives = this.register(new InstanceLives(auditTrail, new FleetSilenceLimits(this.views)));
 		this.register(
-			subscribeTo(timers.watchTicks(exchangeMs), tick => {
-				this.lives.noteOwnSleep(Math.max(0, tick.elapsedMs - exchangeMs));
-				this.expire(tick.nowMs);
-				this.exchangeWithSome();
+			subscribeTo(timers.watchTicks(periodMs), ({ nowMs, elapsedMs }) => {
+				this.noteOwnSleep(Math.max(0, elapsedMs - periodMs));
+				this.expire(nowMs);
+				this.exchangeWithSome(nowMs);
 			}),
 		);
 	}
@@ -85,174 +89,144 @@
 	}
 
 	setInstanceList(list: InstanceList): void {
-		this.listed = list.instances.filter(instance => instance.id !== this.own);
-		for (const { id, state } of this.listed) {
+		this.contacts.setListed(list.instances);
+		for (const { id, state } of list.instances) {
 			if (state === ListedState.Leaving) {
 				this.lives.noteListedLeaving(id);
+			} else {
+				this.lives.noteListedLive(id);
 			}
 		}
 	}
 
 	/** Views that arrived, and the answer to them. */
-	receiveViews(views: readonly EntryView[]): EntryView[] {
-		for (const view of views) {
-			this.receive(view, views[0]?.instanceId ?? '');
-		}
-		return this.listViewsToSend();
+	receiveViews(messages: readonly WireView[]): WireView[] {
+		const views = messages.map(decodeView);
+		const sender = views[0]?.instance;
+		this.receive(views, sender ?? 'unknown');
+		return this.listViewsFor(sender);
 	}
 
 	/** Tells everybody at once, as when this entry begins to leave. */
 	async exchangeWithAll(): Promise<void> {
-		await Promise.all(this.listPeerUrls().map(url => this.exchangeWith(url)));
+		const contacts = this.contacts.listAll(this.timers.getNow());
+		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
 	}
 
-	listViews(): readonly AgedView[] {
-		const nowMs = this.timers.getNow();
-		return [...this.views.values()].map(held => ({ view: held.view, ageMs: nowMs - held.spokeMs }));
+	/** All views held, with their present age. */
+	listViews(): readonly KnownInstance[] {
+		return this.views.list(this.timers.getNow());
 	}
 
-	/** The entries that callers may be sent to, this one not among them. */
-	listNamed(): readonly NamedEntry[] {
-		const heard = [...this.views.values()]
-			.filter(held => this.isLive(held.view))
-			.map(held => createNamed(held.view));
-		const silent = this.listed.filter(({ id, state }) => state === ListedState.Live && !this.views.has(id));
-		return [...heard, ...silent.map(createNamedFromList)];
+	/** The entries that a lookup may name, this one not among them; `service` chooses the room told. */
+	listCandidates(service: ServiceName | undefined): readonly LookupCandidate[] {
+		const heard = this.listViews().map(known => this.createCandidate(known, service));
+		return [...heard, ...this.contacts.listSilent().map(createListedCandidate)];
 	}
 
 	findEntry(instance: InstanceId): KnownEntry | undefined {
-		const view = this.views.get(instance)?.view;
-		if (view === undefined) {
-			return undefined;
-		}
-		return { own: { instance, boot: view.bootId as BootId }, region: view.region as RegionName };
+		const view = this.views.find(instance, this.timers.getNow())?.view;
+		return view === undefined ? undefined : { own: { instance, boot: view.bootId }, region: view.region };
 	}
 
 	findPeer(instance: InstanceId): PeerConnection | undefined {
-		const url =
-			this.views.get(instance)?.view.peerUrl ?? this.listed.find(({ id }) => id === instance)?.peerUrl;
+		const url = this.contacts.findUrl(instance, this.timers.getNow());
 		return url === undefined ? undefined : this.peers.open(url);
 	}
 
-	/** Live entries of one region that offer a service, with the age of what they say. */
-	listLiveViews(isWanted: (view: EntryView) => boolean): readonly AgedView[] {
-		return this.listViews().filter(({ view }) => this.isLive(view) && isWanted(view));
+	/** Entries that live and are wanted, with the age of what they say. */
+	listLiveViews(isWanted: (view: EntryView) => boolean): readonly KnownInstance[] {
+		return this.listViews().filter(known => isWanted(known.view) && this.isLive(known));
 	}
 
-	/** Live entries of a region, this one included where it stands there. */
+	/**
+	 * Live entries of a region, this one included where it stands there. Those that the instance list names
+	 * and that have not spoken yet count: an entry that has just started hears of the others one by one, and
+	 * would take too large a part of the targets for itself until it has heard of all.
+	 */
 	countLive(region: RegionName, ownRegion: RegionName): number {
-		const others = this.listLiveViews(view => view.region === region).length;
-		return others + (region === ownRegion ? 1 : 0);
+		const heard = this.listLiveViews(view => view.region === region).length;
+		const silent = this.contacts.listSilent().filter(listed => listed.region === region).length;
+		return heard + silent + (region === ownRegion ? 1 : 0);
 	}
 
-	private isLive(view: EntryView): boolean {
-		return this.lives.findBoot(view.bootId as BootId)?.life.getState() === InstanceState.Live;
+	private isLive({ view, isSuspect }: KnownInstance): boolean {
+		return !isSuspect && this.findState(view) === InstanceState.Live;
 	}
 
-	private receive(view: EntryView, from: string): void {
-		const instance = view.instanceId as InstanceId;
-		if (instance === this.own) {
-			return;
-		}
+	private findState(view: EntryView): InstanceState {
+		return this.lives.findBoot(view.bootId)?.life.getState() ?? InstanceState.Gone;
+	}
+
+	private createCandidate(known: KnownInstance, service: ServiceName | undefined): LookupCandidate {
+		const { view, ageMs } = known;
+		const state = this.findState(view);
+		return {
+			instance: view.instance,
+			region: view.region,
+			zone: view.zone,
+			callerUrl: view.callerUrl,
+			isLeaving: view.isLeaving || state === InstanceState.Leaving || state === InstanceState.ListedLeaving,
+			isSuspect: known.isSuspect || state !== InstanceState.Live,
+			room: service === undefined ? undefined : findRoom(view, service),
+			ageMs,
+		};
+	}
+
+	private receive(views: readonly EntryView[], from: string): void {
 		const nowMs = this.timers.getNow();
-		const spokeMs = nowMs - view.ageMs;
-		const held = this.views.get(instance);
-		this.lives.noteHeard(
-			{
-				instance,
-				boot: view.bootId as BootId,
-				peerUrl: view.peerUrl,
-				isLeaving: view.isLeaving,
-				ageMs: view.ageMs,
-			},
-			`peer ${from}`,
-			nowMs,
-		);
-		if (held !== undefined && !isNewer(view, spokeMs, held)) {
-			return;
+		for (const view of this.views.merge(views, nowMs)) {
+			const { instance, bootId, peerUrl, isLeaving, ageMs } = view;
+			this.lives.noteHeard({ instance, boot: bootId, peerUrl, isLeaving, ageMs }, `peer ${from}`, nowMs);
+			this.received.emit(view);
 		}
-		this.views.set(instance, { view, spokeMs });
-		this.received.emit(view);
 	}
 
-	private expire(nowMs: number): void {
-		this.lives.expire(nowMs);
-		for (const [instance, { spokeMs }] of [...this.views]) {
-			if (nowMs - spokeMs >= heldAgeMs) {
-				this.views.delete(instance);
-			}
-		}
-		this.peers.closeOthers(new Set(this.listPeerUrls()));
+	/** What was not heard while this process slept is no silence of the others. */
+	private noteOwnSleep(sleptMs: number): void {
+		this.views.noteOwnSleep(sleptMs);
+		this.lives.noteOwnSleep(sleptMs);
 	}
 
-	private listPeerUrls(): string[] {
-		const urls = new Set([...this.views.values()].map(({ view }) => view.peerUrl));
-		for (const { id, peerUrl } of this.listed) {
-			if (!this.views.has(id)) {
-				urls.add(peerUrl);
-			}
-		}
-		for (const seed of this.seeds) {
-			urls.add(seed);
-		}
-		urls.delete(this.ownPeerUrl);
-		return [...urls];
+	private expire(nowMs: number): void {
+		this.lives.expire(nowMs);
+		this.views.expire(nowMs);
+		this.peers.closeOthers(new Set(this.contacts.listAll(nowMs).map(({ peerUrl }) => peerUrl)));
 	}
 
-	private exchangeWithSome(): void {
-		const urls = this.listPeerUrls();
-		const count = Math.min(exchangesPerTick, urls.length);
-		const start = urls.length <= exchangesPerTick ? 0 : this.random.pickBelow(urls.length);
-		for (let step = 0; step < count; step++) {
-			const url = urls[(start + step) % urls.length];
-			if (url !== undefined) {
-				void this.exchangeWith(url);
-			}
+	private exchangeWithSome(nowMs: number): void {
+		for (const contact of this.contacts.pick(nowMs)) {
+			void this.exchangeWith(contact);
 		}
 	}
 
-	private async exchangeWith(url: string): Promise<void> {
+	private async exchangeWith({ instance, peerUrl }: ExchangeContact): Promise<void> {
 		try {
 			const answer = await this.peers
-				.open(url)
-				.client.exchangeViews({ views: this.listViewsToSend() }, { timeoutMs: exchangeTimeoutMs });
-			for (const view of answer.views) {
-				this.receive(view, answer.views[0]?.instanceId ?? url);
-			}
+				.open(peerUrl)
+				.client.exchangeViews({ views: this.listViewsFor(instance) }, { timeoutMs: exchangeTimeoutMs });
+			const views = answer.views.map(decodeView);
+			this.receive(views, views[0]?.instance ?? peerUrl);
+			this.noteExchange(instance, true);
 		} catch {
-			// Silence is judged by the ages of views, whichever way they come; one failed exchange is none.
+			// Failures in a row make it suspected; its views that others pass on make it trusted again.
+			this.noteExchange(instance, false);
 		}
 	}
 
-	private listViewsToSend(): EntryView[] {
-		const fresh = this.listViews()
-			.filter(({ ageMs }) => ageMs < relayedAgeMs)
-			.sort((left, right) => left.ageMs - right.ageMs)
-			.slice(0, mostRelayed);
-		const relayed = fresh.map(({ view, ageMs }) =>
-			create(EntryViewSchema, { ...view, ageMs: Math.round(ageMs) }),
-		);
-		return [this.describeSelf(), ...relayed];
+	private noteExchange(instance: InstanceId | undefined, isReached: boolean): void {
+		if (instance !== undefined) {
+			this.views.noteExchange(instance, isReached);
+		}
 	}
-}
 
-/** A boot's own sequence orders its views; between two boots the one that spoke later is believed. */
-function isNewer(view: EntryView, spokeMs: number, held: HeldView): boolean {
-	if (view.bootId === held.view.bootId) {
-		return view.sequence > held.view.sequence;
+	private listViewsFor(peer: InstanceId | undefined): WireView[] {
+		return this.plan.listViews(this.describeSelf(), peer, this.timers.getNow()).map(encodeView);
 	}
-	return spokeMs > held.spokeMs;
-}
-
-function createNamed(view: EntryView): NamedEntry {
-	return { instance: view.instanceId, region: view.region, zone: view.zone, url: view.callerUrl };
-}
-
-function createNamedFromList(listed: ListedInstance): NamedEntry {
-	return { instance: listed.id, region: listed.region, zone: listed.zone, url: listed.callerUrl };
 }
 
-/** The room that a view tells of a service. */
-export function findRoom(view: EntryView, service: ServiceName): EntryView['services'][number] | undefined {
-	return view.services.find(room => room.service === String(service));
+function createListedCandidate(listed: ListedInstance): LookupCandidate {
+	const { id, region, zone, callerUrl } = listed;
+	const isSuspect = false;
+	return { instance: id, region, zone, callerUrl, isLeaving: false, isSuspect, room: undefined, ageMs: 0 };
 }
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -2,21 +2,15 @@
  * What this entry says of itself to its peers.
  */
 
-import { create } from '@bufbuild/protobuf';
 import type { ITimerService } from '../../../base/common/timerService';
-import type { NamedEntry } from '../../../platform/errors/common/errorKinds';
-import type { BootId } from '../../../platform/ids/common/ids';
+import type { BootId, ManifestVersion, ServiceName } from '../../../platform/ids/common/ids';
 import type { EntrySettings } from '../../../platform/settings/common/entrySettings';
-import type { EntryView, ServiceRoom } from '../../../gen/anvilroad/peer/v1/peer_pb';
-import {
-	CrashSightingSchema,
-	EntryViewSchema,
-	ServiceRoomSchema,
-} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { EntryView } from '../../common/fleetView/entryView';
 import type { Quarantine } from '../../common/quarantine/quarantine';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { ServiceRunners } from '../requests/serviceRunners';
 import type { TargetRegistry } from '../targets/targetRegistry';
+import type { LookupCandidate } from './entryFleet';
 
 /** Enough of a digest to tell two documents of one version apart in a view. */
 const digestCharacters = 16;
@@ -32,7 +26,7 @@
 
 /** Makes this entry's view; each one made counts the sequence up. */
 export class OwnView {
-	private sequence = 0n;
+	private sequence = 0;
 	private hasLeft = false;
 
 	constructor(
@@ -49,18 +43,28 @@
 		this.hasLeft = true;
 	}
 
-	/** As lookups name this entry to callers. */
-	getName(): NamedEntry {
+	/** This entry as lookups name it; `service` chooses the room told. */
+	describeCandidate(service: ServiceName | undefined): LookupCandidate {
 		const { instance, callers } = this.settings;
-		return { instance: instance.id, region: instance.region, zone: instance.zone, url: callers.url };
+		return {
+			instance: instance.id,
+			region: instance.region,
+			zone: instance.zone,
+			callerUrl: callers.url,
+			isLeaving: this.hasLeft,
+			isSuspect: false,
+			room: service === undefined ? undefined : this.parts.runners.getRunner(service).measureRoom(),
+			ageMs: 0,
+		};
 	}
 
 	describe(): EntryView {
 		const { instance, callers, peers } = this.settings;
-		const accepted = this.parts.manifests.getCurrent()?.accepted;
+		const { manifests, targets, runners, quarantine, timers } = this.parts;
+		const accepted = manifests.getCurrent()?.accepted;
 		this.sequence++;
-		return create(EntryViewSchema, {
-			instanceId: instance.id,
+		return {
+			instance: instance.id,
 			bootId: this.boot,
 			sequence: this.sequence,
 			region: instance.region,
@@ -68,24 +72,14 @@
 			callerUrl: callers.url,
 			peerUrl: peers.url,
 			isLeaving: this.hasLeft,
-			manifestVersion: BigInt(accepted?.version ?? 0),
+			manifestVersion: accepted?.version ?? (0 as ManifestVersion),
 			manifestDigest: accepted?.digest.slice(0, digestCharacters) ?? '',
-			services: this.parts.runners.listServices().map(service => this.describeRoom(service)),
-			leavingTargets: [...this.parts.targets.listLeavingByOwnWord()],
-			crashSightings: this.parts.quarantine
-				.listSightings(this.parts.timers.getNow())
-				.map(sighting => create(CrashSightingSchema, { ...sighting, ageMs: Math.round(sighting.ageMs) })),
-		});
-	}
-
-	private describeRoom(service: Parameters<ServiceRunners['getRunner']>[0]): ServiceRoom {
-		const room = this.parts.runners.getRunner(service).measureRoom();
-		return create(ServiceRoomSchema, {
-			service,
-			waitMs: Math.min(0xffff_ffff, Math.ceil(room.waitMs)),
-			freeSlots: Math.max(0, Math.floor(room.freeSlots)),
-			running: room.running,
-			queued: room.queued,
-		});
+			ageMs: 0,
+			rooms: runners
+				.listServices()
+				.map(service => ({ service, room: runners.getRunner(service).measureRoom() })),
+			leavingTargets: [...targets.listLeavingByOwnWord()],
+			crashSightings: [...quarantine.listSightings(timers.getNow())],
+		};
 	}
 }
--- /dev/null
+++ b/src/entry/node/fleet/test/fleet.test.ts
@@ -0,0 +1,164 @@
+import * as fc from 'fast-check';
+import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import { SeededRandom } from '../../../../base/common/random';
+import { RingAuditTrail } from '../../../../platform/audit/common/ringAuditTrail';
+import type { InstanceId, ManifestVersion, ZoneName } from '../../../../platform/ids/common/ids';
+import { parseInstanceList } from '../../../../platform/platformClient/common/instanceList';
+import type { EntryView } from '../../../common/fleetView/entryView';
+import { PeerClients } from '../../peers/peerClients';
+import type { PeerConnection } from '../../peers/peerClients';
+import { EntryFleet } from '../entryFleet';
+import { ManifestFetches } from '../manifestFetches';
+import { decodeView, encodeView } from '../viewCodec';
+import { createView, region } from './views';
+
+/** A fleet whose clock stands still, so that nothing is sent. */
+function createFleet(timers = new ManualTimerService()): EntryFleet {
+	const place = {
+		id: 'self' as InstanceId,
+		region,
+		zone: 'khomas-a' as ZoneName,
+		peerUrl: 'http://self:2',
+		seeds: [],
+	};
+	const trail = new RingAuditTrail(100, () => new Date(0));
+	return new EntryFleet(
+		place,
+		() => createView('self'),
+		new PeerClients({}, undefined),
+		timers,
+		new SeededRandom(3),
+		trail,
+	);
+}
+
+function createList(entries: readonly [string, string][]): ReturnType<typeof parseInstanceList> {
+	const instances = entries.map(([id, state]) => ({
+		id,
+		kind: 'entry',
+		region,
+		zone: 'khomas-a',
+		callerUrl: `http://${id}:1`,
+		peerUrl: `http://${id}:2`,
+		state,
+	}));
+	return parseInstanceList(JSON.stringify({ instances }));
+}
+
+const uint32 = fc.integer({ min: 0, max: 0xffff_ffff });
+const room = fc.record({ waitMs: uint32, freeSlots: uint32, running: uint32, queued: uint32 });
+
+const anyView: fc.Arbitrary<EntryView> = fc
+	.record({
+		sequence: fc.nat(),
+		isLeaving: fc.boolean(),
+		manifestVersion: fc.nat().map(version => version as ManifestVersion),
+		manifestDigest: fc.string(),
+		ageMs: uint32,
+		callerUrl: fc.webUrl(),
+		peerUrl: fc.webUrl(),
+		rooms: fc.array(fc.record({ service: fc.string(), room })),
+		leavingTargets: fc.array(fc.string()),
+		crashSightings: fc.array(fc.record({ fingerprint: fc.string(), target: fc.string(), ageMs: uint32 })),
+	})
+	.map(fields => createView('entry-2', fields as unknown as Partial<EntryView>));
+
+describe('view codec', () => {
+	it('gives back every field of every view', () => {
+		fc.assert(
+			fc.property(anyView, view => {
+				expect(decodeView(encodeView(view))).toEqual(view);
+			}),
+			{ seed: 21, numRuns: 100 },
+		);
+	});
+
+	// An entry without any usable target predicts an infinite wait. A number that the protocol cannot hold
+	// would make each of its exchanges fail, and the others would take a healthy entry for dead.
+	it('bounds what the protocol cannot hold', () => {
+		const rooms = [{ service: 's', room: { waitMs: Infinity, freeSlots: -0.5, running: 1, queued: 0 } }];
+		const told = encodeView(createView('entry-2', { rooms: rooms as unknown as EntryView['rooms'] }));
+		expect(told.services[0]).toMatchObject({ waitMs: 0xffff_ffff, freeSlots: 0 });
+	});
+});
+
+describe('EntryFleet', () => {
+	// An entry starts into a running fleet and has heard of only one other so far. If it divided the targets
+	// by two, it would send them many times its part of the load until it has heard of everybody.
+	it('divides by the entries that the list names before it has heard of them', () => {
+		const fleet = createFleet();
+		fleet.receiveViews([encodeView(createView('entry-1'))]);
+		const list = createList([
+			['self', 'live'],
+			['entry-1', 'live'],
+			['entry-2', 'live'],
+			['entry-3', 'leaving'],
+		])._unsafeUnwrap();
+		fleet.setInstanceList(list);
+		expect(fleet.countLive(region, region)).toBe(3);
+		expect(fleet.listCandidates(undefined).map(({ instance }) => instance)).toEqual(['entry-1', 'entry-2']);
+	});
+
+	// The list lags and names an entry as leaving that was restarted in place. Once the list says live again
+	// and the entry speaks, callers must be sent to it again.
+	it('takes an entry back that the list names as live again', () => {
+		const timers = new ManualTimerService();
+		const fleet = createFleet(timers);
+		fleet.receiveViews([encodeView(createView('entry-1'))]);
+		fleet.setInstanceList(createList([['entry-1', 'leaving']])._unsafeUnwrap());
+		expect(fleet.listCandidates(undefined)[0]?.isLeaving).toBe(true);
+		fleet.setInstanceList(createList([['entry-1', 'live']])._unsafeUnwrap());
+		timers.advance(500);
+		fleet.receiveViews([encodeView(createView('entry-1', { sequence: 2 }))]);
+		expect(fleet.listCandidates(undefined)[0]).toMatchObject({ isLeaving: false, isSuspect: false });
+	});
+
+	// In a fleet of hundreds each view is renewed only now and then. A limit made for seven entries would
+	// suspect nearly all of them at any time, and lookups would name strangers before neighbours.
+	it('waits longer for a word of each in a large fleet', () => {
+		const countLiveAfter = (size: number, silentMs: number): number => {
+			const fleet = createFleet();
+			const views = Array.from({ length: size }, (_, index) => createView(`entry-${index}`));
+			fleet.receiveViews(views.map(encodeView));
+			fleet.getLives().expire(silentMs);
+			return fleet.getLives().listLive().length;
+		};
+		expect(countLiveAfter(6, 30_000)).toBe(0);
+		expect(countLiveAfter(90, 30_000)).toBe(90);
+		expect(countLiveAfter(90, 200_000)).toBe(0);
+	});
+});
+
+describe('ManifestFetches', () => {
+	function createFetches(): {
+		readonly fetches: ManifestFetches;
+		readonly asked: InstanceId[];
+		readonly timers: ManualTimerService;
+	} {
+		const timers = new ManualTimerService();
+		const asked: InstanceId[] = [];
+		const takeFromPeer = (instance: InstanceId): Promise<void> => {
+			asked.push(instance);
+			return new Promise(() => undefined);
+		};
+		return { fetches: new ManifestFetches({ getVersion: () => 3, takeFromPeer }, timers), asked, timers };
+	}
+
+	// A new version shows in many views at once, and the first peer asked for it has gone silent. Asking all
+	// would draw the document many times over; waiting for the silent one would leave the old one in force.
+	it('asks one peer at a time, and another when the first does not answer', () => {
+		const { fetches, asked, timers } = createFetches();
+		const peer = {} as PeerConnection;
+		for (const [name, version] of [
+			['a', 3],
+			['b', 4],
+			['c', 4],
+		] as const) {
+			void fetches.fetch(name as InstanceId, version as ManifestVersion, peer);
+		}
+		expect(asked).toEqual(['b']);
+		timers.advance(2_000);
+		void fetches.fetch('c' as InstanceId, 4 as ManifestVersion, peer);
+		expect(asked).toEqual(['b', 'c']);
+	});
+});
--- /dev/null
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -0,0 +1,95 @@
+/**
+ * Views between the entry's own types and the peer protocol's messages. Counts are bounded here, once: the
+ * protocol's numbers have 32 bits, and a predicted wait of an entry without targets is infinite.
+ */
+
+import { create } from '@bufbuild/protobuf';
+import type {
+	BootId,
+	Fingerprint,
+	InstanceId,
+	ManifestVersion,
+	RegionName,
+	ServiceName,
+	TargetId,
+	ZoneName,
+} from '../../../platform/ids/common/ids';
+import type {
+	CrashSighting as WireSighting,
+	EntryView as WireView,
+	ServiceRoom as WireRoom,
+} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import {
+	CrashSightingSchema,
+	EntryViewSchema,
+	ServiceRoomSchema,
+} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { CrashSightingView, EntryView, ServiceRoomView } from '../../common/fleetView/entryView';
+
+const largestUint32 = 0xffff_ffff;
+
+/** The message of a view. */
+export function encodeView(view: EntryView): WireView {
+	return create(EntryViewSchema, {
+		instanceId: view.instance,
+		bootId: view.bootId,
+		sequence: BigInt(view.sequence),
+		region: view.region,
+		zone: view.zone,
+		callerUrl: view.callerUrl,
+		peerUrl: view.peerUrl,
+		isLeaving: view.isLeaving,
+		manifestVersion: BigInt(view.manifestVersion),
+		manifestDigest: view.manifestDigest,
+		ageMs: toUint32(view.ageMs),
+		services: view.rooms.map(encodeRoom),
+		leavingTargets: [...view.leavingTargets],
+		crashSightings: view.crashSightings.map(encodeSighting),
+	});
+}
+
+/** The view that a message carries. */
+export function decodeView(message: WireView): EntryView {
+	return {
+		instance: message.instanceId as InstanceId,
+		bootId: message.bootId as BootId,
+		sequence: Number(message.sequence),
+		region: message.region as RegionName,
+		zone: message.zone as ZoneName,
+		callerUrl: message.callerUrl,
+		peerUrl: message.peerUrl,
+		isLeaving: message.isLeaving,
+		manifestVersion: Number(message.manifestVersion) as ManifestVersion,
+		manifestDigest: message.manifestDigest,
+		ageMs: message.ageMs,
+		rooms: message.services.map(decodeRoom),
+		leavingTargets: message.leavingTargets as TargetId[],
+		crashSightings: message.crashSightings.map(decodeSighting),
+	};
+}
+
+function encodeRoom({ service, room }: ServiceRoomView): WireRoom {
+	return create(ServiceRoomSchema, {
+		service,
+		waitMs: toUint32(Math.ceil(room.waitMs)),
+		freeSlots: toUint32(Math.floor(room.freeSlots)),
+		running: toUint32(room.running),
+		queued: toUint32(room.queued),
+	});
+}
+
+function decodeRoom({ service, waitMs, freeSlots, running, queued }: WireRoom): ServiceRoomView {
+	return { service: service as ServiceName, room: { waitMs, freeSlots, running, queued } };
+}
+
+function encodeSighting({ fingerprint, target, ageMs }: CrashSightingView): WireSighting {
+	return create(CrashSightingSchema, { fingerprint, target, ageMs: toUint32(ageMs) });
+}
+
+function decodeSighting({ fingerprint, target, ageMs }: WireSighting): CrashSightingView {
+	return { fingerprint: fingerprint as Fingerprint, target: target as TargetId, ageMs };
+}
+
+function toUint32(value: number): number {
+	return Math.min(largestUint32, Math.max(0, Math.round(value)));
+}
--- a/src/entry/node/operatorsSource.ts
+++ b/src/entry/node/operatorsSource.ts
@@ -5,7 +5,7 @@
 import type { ITimerService } from '../../base/common/timerService';
 import type { AuditRecord, IAuditTrail } from '../../platform/audit/common/auditTrail';
 import type { IRequestJournal, RequestRecord } from '../../platform/explain/common/requestJournal';
-import type { BootId, RequestId } from '../../platform/ids/common/ids';
+import type { RequestId } from '../../platform/ids/common/ids';
 import type { IOperatorsSource, ManifestInForce } from '../../platform/operators/common/operatorsSource';
 import type {
 	EntryStatus,
@@ -109,12 +109,12 @@
 	private listPeers(): PeerStatus[] {
 		const lives = this.parts.fleet.getLives();
 		return this.parts.fleet.listViews().map(({ view, ageMs }) => ({
-			instance: view.instanceId,
+			instance: view.instance,
 			region: view.region,
 			zone: view.zone,
-			state: lives.findBoot(view.bootId as BootId)?.life.getState() ?? 'gone',
+			state: lives.findBoot(view.bootId)?.life.getState() ?? 'gone',
 			viewAgeMs: Math.round(ageMs),
-			manifestVersion: Number(view.manifestVersion),
+			manifestVersion: view.manifestVersion,
 		}));
 	}
 
--- a/src/entry/node/requests/routerSurroundings.ts
+++ b/src/entry/node/requests/routerSurroundings.ts
@@ -9,8 +9,9 @@
 import type { ManifestLink } from '../../../platform/manifest/common/manifest';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { ISendAwayPolicy, RemoteOffer } from '../../common/sendAway/sendAwayPolicy';
-import type { AgedView, EntryFleet } from '../fleet/entryFleet';
-import { findRoom } from '../fleet/entryFleet';
+import { findRoom } from '../../common/fleetView/entryView';
+import type { KnownInstance } from '../../common/fleetView/fleetView';
+import type { EntryFleet } from '../fleet/entryFleet';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { ForwardEnd, ForwardSender } from '../peers/forwardRun';
 import { ForwardEndKind } from '../peers/forwardRun';
@@ -85,16 +86,16 @@
 		this.metrics.noteLinkBytes(region, ByteDirection.Received, end.receivedBytes);
 	}
 
-	private createOffer(service: ServiceName, { view, ageMs }: AgedView): RemoteOffer[] {
+	private createOffer(service: ServiceName, { view, ageMs }: KnownInstance): RemoteOffer[] {
 		const room = findRoom(view, service);
-		const region = view.region as RegionName;
+		const { region } = view;
 		const link = this.findLink(region);
 		if (room === undefined || link === undefined) {
 			return [];
 		}
 		return [
 			{
-				instance: view.instanceId as InstanceId,
+				instance: view.instance,
 				region,
 				room: { ...room },
 				ageMs,
