Hold requests of a process that slept until it knows what is fresh

Cause: a frozen entry that wakes decides its first requests by a manifest and by views that are as old as its sleep: work for targets that left. Ruled out: a check on a tick only (sockets that became ready in the sleep are served before any timer).

--- a/scripts/functionVerbs.mjs
+++ b/scripts/functionVerbs.mjs
@@ -87,6 +87,7 @@
 	'resume',
 	'run',
 	'schedule',
+	'refresh',
 	'send',
 	'serve',
 	'set',
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -29,6 +29,8 @@
 /** What the server asks of the entry. */
 export interface ICallHandler {
 	createRequestId(): RequestId;
+	/** Undefined, or what a call must wait for after this process slept. */
+	findHold(): Promise<void> | undefined;
 	/** Decides by the head alone whether the call may go on to its body. */
 	plan(head: CallHead): Result<CallPlan, RequestError>;
 	/** Weakens a refusal of a call that carries a ticket, whose earlier copy may have run. */
@@ -140,6 +142,10 @@
 			this.refuse(sink, call, findHeader(raw.lines, headers.ticket), head.error);
 			return;
 		}
+		const hold = this.handler.findHold();
+		if (hold !== undefined) {
+			await hold;
+		}
 		const plan = this.handler.plan(head.value);
 		if (plan.isErr()) {
 			this.refuse(sink, call, head.value.ticket, plan.error);
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -47,6 +47,8 @@
 export interface IPeerHandler {
 	exchangeViews(views: readonly EntryView[]): EntryView[];
 	describeManifest(): FetchManifestResponse;
+	/** Undefined, or what a call must wait for after this process slept. */
+	findHold(): Promise<void> | undefined;
 	/** Checks a forwarded call by this entry's own manifest, before its body is read. */
 	planForwarded(head: CallHead, from: ForwardedFrom): Result<CallPlan, RequestError>;
 	refuseTicketed(ticket: string, error: RequestError): RequestError;
@@ -147,6 +149,7 @@
 			return err(createRequestError(ErrorKind.PeerFailed, 'a forwarded request without a head'));
 		}
 		const message = first.value.part.value;
+		await this.handler.findHold();
 		const head = readForwardHead(message);
 		const from = { hops: message.hops, region: message.fromRegion as RegionName };
 		const plan = head.andThen(known => this.handler.planForwarded(known, from));
--- a/src/entry/node/test/gateFixtures.ts
+++ b/src/entry/node/test/gateFixtures.ts
@@ -19,6 +19,7 @@
 import { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
 import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
 import type { CallHead } from '../../common/callers/callHead';
+import type { LookupCandidate } from '../fleet/entryFleet';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { StayHomePolicy } from '../../common/sendAway/sendAwayPolicy';
 import { formatTicket } from '../../common/tickets/ticket';
@@ -78,12 +79,22 @@
 	let isLeaving = false;
 	const manifest = createFlowManifest(repeat);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
-	const name = { instance: own.instance, region, zone, url: 'http://127.0.0.1:1' };
+	const createCandidate = (instance: InstanceId): LookupCandidate => ({
+		instance,
+		region,
+		zone,
+		callerUrl: 'http://127.0.0.1:1',
+		isLeaving: isLeaving && instance === own.instance,
+		isSuspect: false,
+		room: undefined,
+		ageMs: 0,
+	});
 	const gate = new CallGate(
 		{ id: own.instance, region, zone, boot: own.boot },
 		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
-		{ listNamed: () => [{ ...name, instance: neighbour.own.instance }], receiveViews: () => [] },
-		{ getName: () => name, isLeaving: () => isLeaving },
+		{ listCandidates: () => [createCandidate(neighbour.own.instance)], receiveViews: () => [] },
+		{ describeCandidate: () => createCandidate(own.instance), isLeaving: () => isLeaving },
+		{ findHold: () => undefined },
 		desk,
 		router,
 		metrics,
