Let a refused upload read its refusal before the connection closes

Ruled out: reading the upload away (a bound body must not be read here). Conclusion: the outcome reaches callers that look late.

--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -59,10 +59,12 @@
 		const refusal = createRefusal(this.requestId, error);
 		const length = { name: 'content-length', value: String(Buffer.byteLength(refusal.text)) };
 		this.writeHead(refusal.status, [...refusal.lines, length]);
-		this.response.end(refusal.text);
 		if (this.hasUnreadBody()) {
+			this.response.write(refusal.text);
 			this.closeUnreadUpload();
+			return;
 		}
+		this.response.end(refusal.text);
 	}
 
 	watchAbandoned(notify: () => void): void {
@@ -96,12 +98,16 @@
 
 	/**
 	 * Closing a socket that still receives an upload resets it, and the reset can overtake the refusal: the
-	 * caller would see a broken connection and no outcome. So the connection lingers, unread, until the
-	 * caller has had time to read.
+	 * caller would see a broken connection and no outcome. Node closes the socket as soon as an answer with
+	 * `Connection: close` has ended; so the refusal, whole by its length, is written but not ended until the
+	 * caller has had time to read it. The upload stays unread meanwhile.
 	 */
 	private closeUnreadUpload(): void {
 		this.request.pause();
-		const timer = setTimeout(() => this.request.destroy(), lingerMs);
+		const timer = setTimeout(() => {
+			this.response.end();
+			this.request.destroy();
+		}, lingerMs);
 		this.request.once('close', () => {
 			clearTimeout(timer);
 		});
--- /dev/null
+++ b/src/entry/node/callers/test/callerSink.test.ts
@@ -0,0 +1,53 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { connect } from 'node:net';
+import { createRequestError, ErrorKind } from '../../../../platform/errors/common/errorKinds';
+import type { RequestId } from '../../../../platform/ids/common/ids';
+import { CallerSink } from '../callerSink';
+
+const uploadBytes = 16_777_216;
+/** A caller on a thin link, or a busy one, looks at the answer only after a while. */
+const readAfterMs = 150;
+
+async function openRefusingServer(): Promise<Server> {
+	const server = createServer((request, response) => {
+		const sink = new CallerSink('r-1' as RequestId, request, response, () => false);
+		sink.refuse(createRequestError(ErrorKind.BodyTooLarge, 'at most 8 bytes'));
+	});
+	await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+	return server;
+}
+
+/** Uploads without looking, then reads what there is; gives the answer's text or the socket's error. */
+async function sendThenRead(port: number): Promise<string> {
+	return new Promise(resolve => {
+		const socket = connect(port, '127.0.0.1');
+		socket.pause();
+		socket.once('error', error => {
+			resolve(error.message);
+		});
+		socket.write(`POST / HTTP/1.1\r\nhost: entry\r\ncontent-length: ${uploadBytes}\r\n\r\n`);
+		socket.write(Buffer.alloc(uploadBytes));
+		setTimeout(() => {
+			socket.once('data', chunk => {
+				resolve(chunk.toString());
+				socket.destroy();
+			});
+			socket.resume();
+		}, readAfterMs);
+	});
+}
+
+describe('CallerSink', () => {
+	it('lets a caller that is still uploading read why it was refused', async () => {
+		// A caller sends a body that is larger than allowed and is refused by its announced length. If the
+		// connection is closed with the upload unread, the caller sees a broken pipe and never the refusal.
+		const server = await openRefusingServer();
+		const text = await sendThenRead((server.address() as AddressInfo).port);
+		expect(text).toContain('HTTP/1.1 413');
+		expect(text).toContain('"error":"body-too-large","outcome":"not-run"');
+		server.close();
+		server.closeAllConnections();
+	});
+});
