--- a/src/entry/common/scheduling/targetSpeed.ts
+++ b/src/entry/common/scheduling/targetSpeed.ts
@@ -8,7 +8,7 @@
  * mean of it is compared with the median of the peers. A slow target is weighed down first. Only far above
  * the median does it get nothing but trial requests, one at a time; by these it comes back. At 2.5 times
  * the median a healthy target is over five deviations of the running mean away, for runs whose times
- * vary by a factor of two; a target that is five times slower is found after eight runs.
+ * vary by a factor of two; a target that is five times slower is found after ten runs, the fewest that are compared.
  */
 
 import type { TargetId } from '../../../platform/ids/common/ids';
--- a/src/entry/common/scheduling/test/fairQueue.test.ts
+++ b/src/entry/common/scheduling/test/fairQueue.test.ts
@@ -42,6 +42,21 @@
 		expect((served.get('short') ?? 0) / (served.get('long') ?? 1)).toBeCloseTo(2, 0);
 	});
 
+	// An organisation was idle all morning and sends a thousand requests at noon. Had it saved up its part, all
+	// others would wait until it has been served as much as they were.
+	it('gives an organisation that was idle its part from now on, not from the beginning', () => {
+		const queue = new FairQueue();
+		for (let index = 0; index < 300; index++) {
+			queue.push(createQueued(`b${index}`, 'busy', 100), 1);
+		}
+		sumServed(queue, 100);
+		for (let index = 0; index < 300; index++) {
+			queue.push(createQueued(`i${index}`, 'idle', 100), 1);
+		}
+		const served = sumServed(queue, 100);
+		expect(served.get('idle')).toBe(5_000);
+	});
+
 	it('makes an organisation pay later for work that was estimated too low', () => {
 		const queue = new FairQueue();
 		for (let index = 0; index < 100; index++) {
--- a/src/entry/common/sendAway/test/costedSendAway.test.ts
+++ b/src/entry/common/sendAway/test/costedSendAway.test.ts
@@ -1,5 +1,6 @@
 import { SeededRandom } from '../../../../base/common/random';
 import type { InstanceId, RegionName } from '../../../../platform/ids/common/ids';
+import { defaultSendAwayFigures } from '../../scheduling/policy';
 import { createRequest } from '../../scheduling/test/fixtures';
 import { SendAwayPolicy } from '../costedSendAway';
 import type { RemoteOffer, SendAwayQuestion } from '../sendAwayPolicy';
@@ -61,11 +62,15 @@
 		expect(sum(sends)).toBe(0);
 	});
 
+	// Offers lag by seconds. Were all requests sent as soon as it pays, the other region would be overrun before
+	// its next offer says so, and all would turn back at once.
 	it('raises the share slowly and takes it back slowly', () => {
-		const sends = countSends(new SendAwayPolicy(new SeededRandom(1)), 40, nowMs =>
+		const figures = { ...defaultSendAwayFigures, firstStep: 10_000 };
+		const sends = countSends(new SendAwayPolicy(new SeededRandom(1), figures), 40, nowMs =>
 			createQuestion(nowMs < 20_000 ? 5_000 : 0, nowMs, [createOffer()]),
 		);
 		expect(sends[0]).toBeLessThan(15);
+		expect(sends[4]).toBeLessThan(60);
 		expect(sends[15]).toBeGreaterThan(90);
 		expect(sum(sends.slice(20))).toBe(0);
 	});
