Read targets from the instance list; tell how platform reads end and how many peers are in view

Cause: TargetLives knows four signs of a leaving target, and the list's was never fed, since the list's schema refused any row but an entry's. How reads of the platform end was known to nobody who counts.

Ruled out: a second list of targets beside the entries, which would be another hanging watch of the platform for each entry. A list is kept for targets that a later manifest names.

Conclusion: the entry still has to hand the list on and subscribe the counts.

--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -13,6 +13,9 @@
 import type { RegionName, ServiceName, TargetId, ZoneName } from '../../../platform/ids/common/ids';
 import type { ManifestService, ManifestTarget } from '../../../platform/manifest/common/manifest';
 import { TargetRole } from '../../../platform/manifest/common/manifest';
+import type { InstanceList } from '../../../platform/platformClient/common/instanceList';
+import { ListedState } from '../../../platform/platformClient/common/instanceList';
+import type { ListedTarget } from '../../../platform/targets/common/targetLife';
 import { TargetLives } from '../../../platform/targets/common/targetLives';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import { findHeader } from '../../common/callers/callHead';
@@ -43,6 +46,7 @@
 	private readonly lives: TargetLives;
 	private readonly lastSigns = new Map<string, string>();
 	private manifest: IndexedManifest | undefined;
+	private listed: ReadonlyMap<TargetId, ListedTarget> | undefined;
 
 	/** A service whose targets, or their usability, changed. */
 	readonly onDidChange: Stream<ServiceName> = this.changes.stream;
@@ -85,12 +89,21 @@
 		const { version, manifest: document } = manifest.accepted;
 		const own = document.targets.filter(target => target.region === this.place.region);
 		this.lives.setManifest(own, version, this.timers.getNow());
+		this.applyInstanceList();
 		this.setClients(own);
 		for (const service of document.services) {
 			this.changes.emit(service.name);
 		}
 	}
 
+	/** Kept for the targets that a later manifest names. */
+	setInstanceList({ targets }: Pick<InstanceList, 'targets'>): void {
+		this.listed = new Map(
+			targets.map(({ id, boot, state }) => [id, { isLeaving: state === ListedState.Leaving, boot }]),
+		);
+		this.applyInstanceList();
+	}
+
 	notePeerWords(targets: readonly TargetId[]): void {
 		this.lives.notePeerWords(targets, this.timers.getNow());
 	}
@@ -163,6 +176,12 @@
 		}
 	}
 
+	private applyInstanceList(): void {
+		if (this.listed !== undefined) {
+			this.lives.setInstanceList(this.listed, this.timers.getNow());
+		}
+	}
+
 	private setClients(targets: readonly ManifestTarget[]): void {
 		const urls = new Map(targets.map(target => [target.id, target.url]));
 		for (const [id, { url, client }] of [...this.known]) {
--- /dev/null
+++ b/src/entry/node/test/operatorsSource.test.ts
@@ -0,0 +1,31 @@
+import { create } from '@bufbuild/protobuf';
+import { EntryViewSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import { RingAuditTrail } from '../../../platform/audit/common/ringAuditTrail';
+import type { BootId, InstanceId } from '../../../platform/ids/common/ids';
+import { InstanceLives } from '../../../platform/instances/common/instanceLives';
+import { countPeers } from '../operatorsSource';
+
+describe('countPeers', () => {
+	// Half of the fleet is lost. The alert on live peers rings only if those that fell silent, that leave and
+	// that are gone no longer count as live.
+	it('tells the other entries by state, without those that are gone', () => {
+		const lives = new InstanceLives(new RingAuditTrail(10, () => new Date(0)));
+		const boots = ['live', 'also-live', 'leaving', 'silent'];
+		boots.forEach((boot, index) => {
+			const spoken = { instance: `entry-${index}` as InstanceId, boot: boot as BootId, ageMs: 0 };
+			const isLeaving = boot === 'leaving';
+			lives.noteHeard({ ...spoken, peerUrl: `http://127.0.0.1:${index + 1}`, isLeaving }, 'peer', 0);
+		});
+		const views = [...boots, 'gone'].map(bootId => ({
+			view: create(EntryViewSchema, { bootId }),
+			ageMs: 0,
+		}));
+		const [first, second, third] = boots as BootId[];
+		for (const boot of [first, second, third]) {
+			lives.findBoot(boot!)?.life.noteHeard(5_000, boot === 'leaving', 'peer');
+		}
+		lives.expire(5_000);
+		const counts = countPeers({ getLives: () => lives, listViews: () => views });
+		expect(Object.fromEntries(counts)).toEqual({ live: 2, leaving: 1, suspect: 1 });
+	});
+});
--- a/src/platform/platformClient/common/instanceList.ts
+++ b/src/platform/platformClient/common/instanceList.ts
@@ -1,12 +1,12 @@
 /**
- * The platform's list of live and leaving instances. It lags: an instance that is gone may still stand in
- * it as live, and a new one may be missing.
+ * The platform's list of live and leaving instances, entries and targets. It lags: an instance that is gone
+ * may still stand in it as live, and a new one may be missing.
  */
 
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
-import type { InstanceId, RegionName, ZoneName } from '../../ids/common/ids';
+import type { BootId, InstanceId, RegionName, TargetId, ZoneName } from '../../ids/common/ids';
 
 /** What the platform believes of an instance. */
 export enum ListedState {
@@ -24,19 +24,48 @@
 	state: z.enum(ListedState),
 });
 
-const instanceListSchema = z.object({ instances: z.array(listedInstanceSchema) });
+const listedTargetSchema = z.object({
+	/** As the manifest names the target. */
+	id: z.string().transform(value => value as TargetId),
+	kind: z.literal('target'),
+	/** Where the platform tells one start of a target from the next. */
+	boot: z
+		.string()
+		.transform(value => value as BootId)
+		.optional(),
+	state: z.enum(ListedState),
+});
+
+const rowSchema = z.discriminatedUnion('kind', [listedInstanceSchema, listedTargetSchema]);
+
+const instanceListSchema = z.object({ instances: z.array(rowSchema) });
 
 export type ListedInstance = z.output<typeof listedInstanceSchema>;
-export type InstanceList = z.output<typeof instanceListSchema>;
+export type ListedTargetRow = z.output<typeof listedTargetSchema>;
+
+/** The list, apart by kind. */
+export interface InstanceList {
+	/** Entries. */
+	readonly instances: readonly ListedInstance[];
+	/** Targets; those that the platform does not list are missing. */
+	readonly targets: readonly ListedTargetRow[];
+}
 
 /** Parses the list, or says in words what is wrong with it. */
 export function parseInstanceList(text: string): Result<InstanceList, string> {
 	try {
 		const parsed = instanceListSchema.safeParse(JSON.parse(text));
 		return parsed.success
-			? ok(parsed.data)
+			? ok(splitRows(parsed.data.instances))
 			: err(`the instance list is malformed: ${z.prettifyError(parsed.error)}`);
 	} catch {
 		return err('the instance list is not JSON');
 	}
 }
+
+function splitRows(rows: readonly z.output<typeof rowSchema>[]): InstanceList {
+	return {
+		instances: rows.filter(row => row.kind === 'entry'),
+		targets: rows.filter(row => row.kind === 'target'),
+	};
+}
--- a/src/platform/platformClient/node/platformClient.ts
+++ b/src/platform/platformClient/node/platformClient.ts
@@ -4,9 +4,12 @@
  * hang on a watch in place of polling.
  */
 
+import type { Stream } from 'most';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { Agent, request } from 'undici';
+import { Channel } from '../../../base/common/channel';
+import { PlatformReadKind, ReadResult } from '../../telemetry/common/entryMetricLabels';
 import { headers } from '../common/platformHeaders';
 import type { InstanceList } from '../common/instanceList';
 import { parseInstanceList } from '../common/instanceList';
@@ -40,20 +43,40 @@
 	readInstances(after: number, waitMs: number, signal: AbortSignal): PlatformRead<VersionedInstanceList>;
 }
 
+/** How one read ended, for those who count. */
+export interface PlatformReadEnd {
+	readonly kind: PlatformReadKind;
+	readonly result: ReadResult;
+}
+
 const statusOk = 200;
 const statusNotModified = 304;
 const statusNotFound = 404;
+const statusTooManyRequests = 429;
 /** Beyond the wait itself: the platform answers in milliseconds, so this much silence is an outage. */
 const answerMarginMs = 3_000;
 
+/** Documents that are followed by their versions. */
+type FollowedKind = PlatformReadKind.Manifest | PlatformReadKind.Instances;
+
+const paths: Readonly<Record<FollowedKind, string>> = {
+	[PlatformReadKind.Manifest]: '/v1/config/manifest',
+	[PlatformReadKind.Instances]: '/v1/instances',
+};
+
 /** The platform over HTTP. */
 export class HttpPlatformClient implements IPlatformClient {
+	private readonly ends = new Channel<PlatformReadEnd>();
+
+	/** The end of each read; one that was given up by its caller is not told. */
+	readonly onDidEndRead: Stream<PlatformReadEnd> = this.ends.stream;
+
 	private readonly agent = new Agent({ pipelining: 1, connect: { timeout: answerMarginMs } });
 
 	constructor(private readonly origin: string) {}
 
 	async readManifest(after: number, waitMs: number, signal: AbortSignal): PlatformRead<PlatformDocument> {
-		return this.read('/v1/config/manifest', after, waitMs, signal);
+		return this.read(PlatformReadKind.Manifest, after, waitMs, signal);
 	}
 
 	async readInstances(
@@ -61,7 +84,7 @@
 		waitMs: number,
 		signal: AbortSignal,
 	): PlatformRead<VersionedInstanceList> {
-		const read = await this.read('/v1/instances', after, waitMs, signal);
+		const read = await this.read(PlatformReadKind.Instances, after, waitMs, signal);
 		return read.andThen(document => {
 			if (document === undefined) {
 				return ok(undefined);
@@ -73,30 +96,52 @@
 	}
 
 	async close(): Promise<void> {
+		this.ends.dispose();
 		await this.agent.destroy();
 	}
 
 	private async read(
-		path: string,
+		kind: FollowedKind,
 		after: number,
 		waitMs: number,
 		signal: AbortSignal,
 	): PlatformRead<PlatformDocument> {
 		try {
-			const answer = await request(`${this.origin}${path}?after=${after}&wait-ms=${Math.floor(waitMs)}`, {
-				dispatcher: this.agent,
-				signal,
-				headersTimeout: waitMs + answerMarginMs,
-				bodyTimeout: answerMarginMs,
-			});
+			const answer = await request(
+				`${this.origin}${paths[kind]}?after=${after}&wait-ms=${Math.floor(waitMs)}`,
+				{
+					dispatcher: this.agent,
+					signal,
+					headersTimeout: waitMs + answerMarginMs,
+					bodyTimeout: answerMarginMs,
+				},
+			);
 			const bytes = new Uint8Array(await answer.body.arrayBuffer());
-			return readAnswer(answer.statusCode, answer.headers, bytes);
+			const read = readAnswer(answer.statusCode, answer.headers, bytes);
+			this.ends.emit({ kind, result: describeResult(answer.statusCode, read) });
+			return read;
 		} catch (error) {
+			if (!signal.aborted) {
+				this.ends.emit({ kind, result: ReadResult.Failed });
+			}
 			return err({ detail: error instanceof Error ? error.message : String(error), retryAfterMs: undefined });
 		}
 	}
 }
 
+function describeResult(
+	status: number,
+	read: Result<PlatformDocument | undefined, PlatformFault>,
+): ReadResult {
+	if (status === statusTooManyRequests) {
+		return ReadResult.Refused;
+	}
+	return read.match(
+		document => (document === undefined ? ReadResult.Unchanged : ReadResult.Fresh),
+		() => ReadResult.Failed,
+	);
+}
+
 function readAnswer(
 	status: number,
 	answerHeaders: Record<string, string | string[] | undefined>,
--- a/src/standin/common/instanceList.ts
+++ b/src/standin/common/instanceList.ts
@@ -10,7 +10,7 @@
 	Leaving = 'leaving',
 }
 
-const instanceSchema = z.strictObject({
+const entrySchema = z.strictObject({
 	id: z.string().min(1),
 	kind: z.literal('entry'),
 	region: z.string().min(1),
@@ -20,6 +20,16 @@
 	state: z.enum(InstanceState),
 });
 
+const targetSchema = z.strictObject({
+	/** As the manifest names it. */
+	id: z.string().min(1),
+	kind: z.literal('target'),
+	boot: z.string().min(1).optional(),
+	state: z.enum(InstanceState),
+});
+
+const instanceSchema = z.discriminatedUnion('kind', [entrySchema, targetSchema]);
+
 export const instanceListSchema = z.strictObject({ instances: z.array(instanceSchema) });
 
 export type InstanceList = z.output<typeof instanceListSchema>;
@@ -34,6 +44,7 @@
 /** What clients see: the live entries and where they stand. */
 export function listDirectoryEntries(list: InstanceList): DirectoryEntry[] {
 	return list.instances
+		.filter(instance => instance.kind === 'entry')
 		.filter(instance => instance.state === InstanceState.Live)
 		.map(({ callerUrl, region, zone }) => ({ url: callerUrl, region, zone }));
 }
--- a/src/standin/test/standinHost.test.ts
+++ b/src/standin/test/standinHost.test.ts
@@ -75,6 +75,24 @@
 		expect(same.status).toBe(304);
 	});
 
+	it('publishes targets beside entries, and only entries in the directory', async () => {
+		const place = { region: 'kingston', zone: 'kingston-a' };
+		const urls = { callerUrl: 'http://127.0.0.1:1', peerUrl: 'http://127.0.0.1:2' };
+		const instances = [
+			{ id: 'entry-1', kind: 'entry', ...place, ...urls, state: 'live' },
+			{ id: 'bookings-1', kind: 'target', boot: 'b1', state: 'leaving' },
+		];
+		const path = `${addresses.admin}/v1/platform/instances`;
+		const put = await send(path, { method: 'PUT', body: JSON.stringify({ instances }) });
+		expect(put.status).toBe(200);
+		const watch = getUrl('platform', '/v1/instances?after=0&wait-ms=5000');
+		const served = await send(watch, { method: 'GET' });
+		expect(JSON.parse(served.body.toString())).toEqual({ instances });
+		const directory = await send(getUrl('platform', '/v1/directory'), { method: 'GET' });
+		const entries = [{ url: 'http://127.0.0.1:1', ...place }];
+		expect(JSON.parse(directory.body.toString())).toEqual({ entries });
+	});
+
 	it('streams tokens and ends with a mark', async () => {
 		const body = JSON.stringify({ prompt: 'which gate?', maxTokens: 2 });
 		const answer = await send(getUrl('rounds-1', '/v1/complete'), {
