Name settings faults by their whole section

Cause: the place of a fault was taken from the first two parts of the schema's path, though a dotted section takes two by itself: '[engine] k1 = -1' for a fault of '[engine.k1] slots'. A section too much was said to be missing, and so was a list with one wrong part. A ticket key above the first section was printed in full.

Ruled out: a depth given by each schema, which would have to be kept in step with it.

Change: the path is followed through the document itself; where it ends tells section, key and value.

Conclusion: each fault is found by the words of the file.

--- a/src/platform/settings/common/settings.ts
+++ b/src/platform/settings/common/settings.ts
@@ -11,10 +11,13 @@
 
 /** One fault of a settings file. */
 export interface SettingsFault {
+	/** As it stands in brackets; empty for a key above the first section. */
 	readonly section: string;
+	/** Empty for a fault of the whole section. */
 	readonly key: string;
-	/** The value as it stands in the file, undefined where it is missing; of a secret only its length. */
+	/** The value as it stands in the file; of a secret only its length. Undefined for a section, or a missing key. */
 	readonly value: string | undefined;
+	readonly isMissing: boolean;
 	/** What is allowed. */
 	readonly allowed: string;
 }
@@ -25,8 +28,8 @@
  */
 const secretKeys: ReadonlySet<string> = new Set(['key', 'previous_key']);
 
-/** Sections where a misspelt key is taken for a secret. */
-const secretSections: ReadonlySet<string> = new Set(['tickets']);
+/** Sections where a misspelt key is taken for a secret; a ticket key whose heading was left out is in none. */
+const secretSections: ReadonlySet<string> = new Set(['tickets', '']);
 
 /** Reads and checks the text of a settings file. */
 export function parseSettings<TSchema extends z.ZodType>(
@@ -43,33 +46,63 @@
 
 /** One line a fault, for a person. */
 export function formatSettingsFault(fault: SettingsFault): string {
-	const place = fault.key === '' ? `[${fault.section}]` : `[${fault.section}] ${fault.key}`;
-	const value = fault.value === undefined ? 'is missing' : `= ${fault.value}`;
-	return `${place} ${value}: ${fault.allowed}`;
+	const section = fault.section === '' ? '' : `[${fault.section}]`;
+	const place = [section, fault.key].filter(part => part !== '').join(' ');
+	if (fault.isMissing) {
+		return `${place} is missing: ${fault.allowed}`;
+	}
+	return fault.value === undefined
+		? `${place}: ${fault.allowed}`
+		: `${place} = ${fault.value}: ${fault.allowed}`;
 }
 
 function createFaults(issue: z.core.$ZodIssue, document: unknown): SettingsFault[] {
-	const [section = '', key = ''] = issue.path.map(String);
-	if (issue.code === 'unrecognized_keys') {
-		return issue.keys.map(unknownKey => ({
-			section: section === '' ? unknownKey : section,
-			key: section === '' ? '' : unknownKey,
-			value: formatValue(findValue(document, [...issue.path, unknownKey]), secretSections.has(section)),
-			allowed: section === '' ? 'no such section' : 'no such key in this section',
-		}));
+	if (issue.code !== 'unrecognized_keys') {
+		return [createFault(findPlace(document, issue.path), issue.message)];
 	}
-	const value = formatValue(findValue(document, issue.path), secretKeys.has(key));
-	return [{ section, key, value, allowed: issue.message }];
+	return issue.keys.map(unknownKey => {
+		const place = findPlace(document, [...issue.path, unknownKey]);
+		return createFault(place, place.key === '' ? 'no such section' : 'no such key in this section');
+	});
+}
+
+/** Where a path of the schema leads in the file. */
+interface SettingsPlace {
+	/** As it stands in brackets; empty for a key above the first section. */
+	readonly section: string;
+	/** Empty where the place is a section. */
+	readonly key: string;
+	readonly value: string | undefined;
+	readonly isMissing: boolean;
 }
 
-function findValue(document: unknown, path: readonly PropertyKey[]): string | undefined {
+/**
+ * Follows a path through the document. A dotted section such as `[engine.k1]` is nested there, so how many
+ * parts of the path name the section shows only in the document itself; and a path may lead on into a value
+ * that the schema takes apart, such as a list.
+ */
+function findPlace(document: unknown, path: readonly PropertyKey[]): SettingsPlace {
 	let value = document;
-	for (const part of path) {
-		value =
-			typeof value === 'object' && value !== null ? (value as Record<PropertyKey, unknown>)[part] : undefined;
+	for (const [depth, part] of path.entries()) {
+		value = (value as Record<PropertyKey, unknown>)[part];
+		if (typeof value === 'object' && value !== null) {
+			continue;
+		}
+		const isMissing = value === undefined;
+		const isSection = isMissing && depth === 0;
+		const section = path.slice(0, isSection ? 1 : depth).join('.');
+		// The INI library reads the words true and false as booleans; the fault must show them all the same.
+		const text = typeof value === 'string' || typeof value === 'boolean' ? String(value) : undefined;
+		return { section, key: isSection ? '' : String(part), value: text, isMissing };
 	}
-	// The INI library reads the words true and false as booleans; the fault must show them all the same.
-	return typeof value === 'string' || typeof value === 'boolean' ? String(value) : undefined;
+	return { section: path.join('.'), key: '', value: undefined, isMissing: false };
+}
+
+function createFault({ section, key, value, isMissing }: SettingsPlace, message: string): SettingsFault {
+	const isSecret = secretKeys.has(key) || secretSections.has(section);
+	const isAboveSections = section === '' && key !== '';
+	const allowed = isAboveSections ? 'no key may stand above the first section' : message;
+	return { section, key, value: formatValue(value, isSecret), isMissing, allowed };
 }
 
 function formatValue(value: string | undefined, isSecret: boolean): string | undefined {
--- a/src/platform/settings/test/settings.test.ts
+++ b/src/platform/settings/test/settings.test.ts
@@ -1,5 +1,7 @@
+import { z } from 'zod';
 import { entrySettingsSchema } from '../common/entrySettings';
 import { formatSettingsFault, parseSettings } from '../common/settings';
+import { createWholeNumber, originUrl } from '../common/settingsTypes';
 import { isSecured } from '../common/transportRules';
 
 const plainSeeds = 'seeds = http://127.0.0.1:7102, http://127.0.0.1:7103\nplain = yes';
@@ -71,6 +73,53 @@
 	});
 });
 
+describe('the place of a fault', () => {
+	const engines = z.strictObject({
+		engine: z.record(
+			z.string(),
+			z.strictObject({ slots: createWholeNumber(1, 9), key: z.string().optional() }),
+		),
+		hosts: z.strictObject({
+			urls: z
+				.string()
+				.transform(text => text.split(','))
+				.pipe(z.array(originUrl)),
+		}),
+	});
+
+	function listPlaces(text: string): string[] {
+		const faults = parseSettings(engines, text)._unsafeUnwrapErr();
+		return faults.map(formatSettingsFault).map(line => line.replace(/: .*$/, ''));
+	}
+
+	// An operator runs dozens of engines from one file and mistypes a number of one of them. Named by half of
+	// its section, the fault could be any engine's, and the section that it names does not exist.
+	it('is named by the whole of a dotted section', () => {
+		const hosts = '\n[hosts]\nurls = http://127.0.0.1:1';
+		expect(listPlaces('[engine.k1]\nslots = -1\nslot = 2\n[engine.k2]' + hosts)).toEqual([
+			'[engine.k1] slots = -1',
+			'[engine.k1] slot = 2',
+			'[engine.k2] slots is missing',
+		]);
+	});
+
+	it('is the key where one part of its value is at fault, and a section that is too much or missing', () => {
+		expect(listPlaces('[engine.k1]\nslots = 1\n[hosts]\nurls = nowhere\n[host]\na = 1')).toEqual([
+			'[hosts] urls = nowhere',
+			'[host]',
+		]);
+		expect(listPlaces('[engine.k1]\nslots = 1')).toEqual(['[hosts] is missing']);
+	});
+
+	// An operator forgets the heading above the ticket key. The fault goes to a log that many can read.
+	it('hides a value that stands above the first section', () => {
+		const lines = listPlaces(
+			'key = the-ticket-key\n[engine.k1]\nslots = 1\n[hosts]\nurls = http://127.0.0.1:1',
+		);
+		expect(lines).toEqual(['key = (hidden, 14 characters)']);
+	});
+});
+
 describe('transport', () => {
 	const tls = '\n[tls]\ncertificate = /run/entry.crt\nprivate_key = env:ENTRY_KEY\nauthorities = /run/ca.crt';
 	const securedPeers = {
