Give the steward the common audit trail, log and settings check

Cause: the steward wrote its audit records to a log of its own making and kept none, so no command could show them, and its settings could be checked only by starting it.

Ruled out: the entry's whole operators' server for the steward, which has no requests to explain and no manifest to show. The answer to /v1/trail is shared by both in its place.

Conclusion: orders are accounted for like every other change.

--- a/src/bin/steward.ts
+++ b/src/bin/steward.ts
@@ -3,38 +3,43 @@
  * `anvilroad-steward`: brings the engines of its availability zone to what the manifest says.
  */
 
-import { randomInt } from 'node:crypto';
-import pino from 'pino';
+import { randomBytes, randomInt } from 'node:crypto';
 import { SeededRandom } from '../base/common/random';
 import { SystemTimerService } from '../base/node/systemTimerService';
+import { RingAuditTrail } from '../platform/audit/common/ringAuditTrail';
+import type { BootId } from '../platform/ids/common/ids';
+import { stewardSettingsSchema } from '../platform/settings/common/stewardSettings';
 import { loadSettingsOrExit } from '../platform/settings/node/loadSettings';
-import { stewardSettingsSchema } from '../steward/common/stewardSettings';
-import { LogAuditRecorder } from '../steward/node/logAuditRecorder';
+import { createLogger } from '../platform/telemetry/node/logger';
 import { StewardProcess } from '../steward/node/stewardProcess';
 import { parseSettingsOption } from './commandLine';
 
 const description = 'Brings the engines of its availability zone to what the manifest says.';
 const seedRange = 0x7fff_ffff;
+const bootIdBytes = 6;
+const trailCapacity = 4_096;
+
+/** A reader of standard output that has stalled keeps the end of the log from being written. */
+const mostFlushMs = 1_000;
 
 async function runSteward(): Promise<void> {
 	const file = await parseSettingsOption('anvilroad-steward', description);
 	const settings = loadSettingsOrExit(stewardSettingsSchema, file);
-	const logger = pino({
-		name: `anvilroad-steward ${settings.instance.id}`,
-		level: settings.log.level,
-		timestamp: pino.stdTimeFunctions.isoTime,
-	});
+	const logger = createLogger(`anvilroad-steward ${settings.instance.id}`, settings.log.level);
 	const timers = new SystemTimerService();
 	const random = new SeededRandom(randomInt(seedRange));
-	const steward = new StewardProcess(settings, timers, random, new LogAuditRecorder(logger), logger);
-	const stop = (): void => {
-		logger.info('steward stopped');
-		steward.dispose();
+	const trail = new RingAuditTrail(trailCapacity, () => new Date());
+	const boot = randomBytes(bootIdBytes).toString('hex') as BootId;
+	const steward = new StewardProcess(settings, timers, random, boot, trail, logger);
+	const stop = (signal: NodeJS.Signals): void => {
+		steward.stop(signal);
 		timers.dispose();
-		process.exit(0);
+		const exit = (): never => process.exit(0);
+		logger.flush(exit);
+		setTimeout(exit, mostFlushMs);
 	};
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	process.once('SIGTERM', stop);
+	process.once('SIGINT', stop);
 	await steward.open();
 }
 
--- a/src/ctl/node/checkSettingsCommand.ts
+++ b/src/ctl/node/checkSettingsCommand.ts
@@ -4,6 +4,7 @@
 
 import type { z } from 'zod';
 import { entrySettingsSchema } from '../../platform/settings/common/entrySettings';
+import { stewardSettingsSchema } from '../../platform/settings/common/stewardSettings';
 import { formatSettingsFault, parseSettings } from '../../platform/settings/common/settings';
 import { ExitCode } from '../common/exitCode';
 import type { ICommand, ICommandOutput } from './command';
@@ -13,10 +14,12 @@
 /** Programs whose settings can be checked. */
 export enum SettingsProgram {
 	Entry = 'entry',
+	Steward = 'steward',
 }
 
 const schemas: Readonly<Record<SettingsProgram, z.ZodType>> = {
 	[SettingsProgram.Entry]: entrySettingsSchema,
+	[SettingsProgram.Steward]: stewardSettingsSchema,
 };
 
 export interface CheckSettingsOptions {
--- a/src/platform/operators/common/operatorsRouter.ts
+++ b/src/platform/operators/common/operatorsRouter.ts
@@ -3,49 +3,13 @@
  */
 
 import type { RequestId } from '../../ids/common/ids';
-import { createExplainAnswer, createTrailRecord, OperatorsFault } from '../../status/common/operatorsAnswers';
-import type { FaultAnswer, TrailAnswer } from '../../status/common/operatorsAnswers';
+import { createExplainAnswer, OperatorsFault } from '../../status/common/operatorsAnswers';
+import type { OperatorsAnswer } from './operatorsAnswer';
+import { createFaultAnswer, createJsonAnswer, jsonType } from './operatorsAnswer';
 import type { IMetricsPage, IOperatorsSource } from './operatorsSource';
+import { answerTrail } from './trailAnswer';
 
-/** One answer; the body is whole. */
-export interface OperatorsAnswer {
-	readonly status: number;
-	readonly contentType: string;
-	readonly body: string;
-}
-
-const jsonType = 'application/json';
 const textType = 'text/plain; charset=utf-8';
-const defaultTrailRecords = 100;
-const mostTrailRecords = 10_000;
-
-const statusByFault: Readonly<Record<OperatorsFault, number>> = {
-	[OperatorsFault.UnknownRoute]: 404,
-	[OperatorsFault.MethodNotAllowed]: 405,
-	[OperatorsFault.MalformedQuery]: 400,
-	[OperatorsFault.RequestNotKept]: 404,
-	[OperatorsFault.NoManifest]: 404,
-	[OperatorsFault.Internal]: 500,
-};
-
-function createJsonAnswer(status: number, value: unknown): OperatorsAnswer {
-	return { status, contentType: jsonType, body: `${JSON.stringify(value)}\n` };
-}
-
-/** The answer to what cannot be answered otherwise. */
-export function createFaultAnswer(error: OperatorsFault, message: string): OperatorsAnswer {
-	const fault: FaultAnswer = { error, message };
-	return createJsonAnswer(statusByFault[error], fault);
-}
-
-/** A whole number of a query, or undefined where it is not one in the range. */
-function parseCount(text: string | null, fallback: number, most: number): number | undefined {
-	if (text === null) {
-		return fallback;
-	}
-	const count = Number(text);
-	return /^\d+$/.test(text) && count <= most ? count : undefined;
-}
 
 /** Answers the reads of operators and their tools. */
 export class OperatorsRouter {
@@ -108,21 +72,8 @@
 	}
 
 	private answerTrail(query: URLSearchParams): OperatorsAnswer {
-		const most = parseCount(query.get('most'), defaultTrailRecords, mostTrailRecords);
-		const after = parseCount(query.get('after'), 0, Number.MAX_SAFE_INTEGER);
-		if (most === undefined || after === undefined) {
-			return createFaultAnswer(
-				OperatorsFault.MalformedQuery,
-				`most is a whole number up to ${mostTrailRecords}; after is a record's sequence.`,
-			);
-		}
 		const { instance, boot } = this.source.getStatus();
-		const records = this.source
-			.listTrail(most)
-			.filter(record => record.sequence > after)
-			.map(createTrailRecord);
-		const answer: TrailAnswer = { instance, boot, records };
-		return createJsonAnswer(200, answer);
+		return answerTrail(query, { instance, boot, listTrail: most => this.source.listTrail(most) });
 	}
 
 	/** The document is put in as the text that was accepted, so that what is shown is what is in force. */
--- a/src/platform/operators/node/operatorsServer.ts
+++ b/src/platform/operators/node/operatorsServer.ts
@@ -14,8 +14,9 @@
 import type { CertificateStore } from '../../tls/node/certificateStore';
 import { createServerOptions, followCertificates } from '../../tls/node/secureOptions';
 import { OperatorsFault } from '../../status/common/operatorsAnswers';
-import type { OperatorsAnswer } from '../common/operatorsRouter';
-import { createFaultAnswer, OperatorsRouter } from '../common/operatorsRouter';
+import type { OperatorsAnswer } from '../common/operatorsAnswer';
+import { createFaultAnswer } from '../common/operatorsAnswer';
+import { OperatorsRouter } from '../common/operatorsRouter';
 import type { IMetricsPage, IOperatorsSource } from '../common/operatorsSource';
 
 /**
--- a/src/steward/common/stewardSettings.ts
+++ b/src/platform/settings/common/stewardSettings.ts
@@ -3,14 +3,9 @@
  */
 
 import { z } from 'zod';
-import type { InstanceId, RegionName, ZoneName } from '../../platform/ids/common/ids';
-import { logLevels } from '../../platform/settings/common/entrySettings';
-import {
-	createName,
-	createWholeNumber,
-	listenAddress,
-	originUrl,
-} from '../../platform/settings/common/settingsTypes';
+import type { InstanceId, RegionName, ZoneName } from '../../ids/common/ids';
+import { logLevels } from './entrySettings';
+import { createName, createWholeNumber, listenAddress, originUrl } from './settingsTypes';
 
 export const stewardSettingsSchema = z.strictObject({
 	instance: z.strictObject({
--- a/src/steward/node/stewardOperators.ts
+++ b/src/steward/node/stewardOperators.ts
@@ -1,5 +1,5 @@
 /**
- * The steward's port for operators: health, readiness, metrics, and the state of every order.
+ * The steward's port for operators: health, readiness, metrics, the state of every order and the audit trail.
  */
 
 import { once } from 'node:events';
@@ -7,6 +7,8 @@
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import type { IDisposable } from '../../base/common/lifecycle';
+import type { TrailSource } from '../../platform/operators/common/trailAnswer';
+import { answerTrail } from '../../platform/operators/common/trailAnswer';
 import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
 import type { EngineStatus, Steward } from '../common/steward';
 import { describeHolding } from '../common/engineOrder';
@@ -39,6 +41,7 @@
 		private readonly listen: ListenAddress,
 		private readonly steward: Steward,
 		private readonly metrics: StewardMetrics,
+		private readonly trail: TrailSource,
 	) {}
 
 	/** Listens and gives the base URL. */
@@ -55,7 +58,8 @@
 	}
 
 	private async answerRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		switch (`${request.method ?? ''} ${request.url ?? ''}`) {
+		const [path = '', query = ''] = (request.url ?? '').split('?', 2);
+		switch (`${request.method ?? ''} ${path}`) {
 			case 'GET /healthz':
 				sendText(response, 200, 'text/plain', 'ok\n');
 				return;
@@ -68,6 +72,11 @@
 			case 'GET /v1/orders':
 				sendText(response, 200, 'application/json', JSON.stringify(this.listOrders()));
 				return;
+			case 'GET /v1/trail': {
+				const { status, contentType, body } = answerTrail(new URLSearchParams(query), this.trail);
+				sendText(response, status, contentType, body);
+				return;
+			}
 			default:
 				sendText(response, 404, 'text/plain', 'no such path\n');
 		}
--- a/src/steward/node/stewardProcess.ts
+++ b/src/steward/node/stewardProcess.ts
@@ -8,10 +8,13 @@
 import { subscribeTo } from '../../base/common/channel';
 import { Disposable } from '../../base/common/lifecycle';
 import type { ITimerService } from '../../base/common/timerService';
-import type { AuditRecorder } from '../common/orderAudit';
+import type { IAuditTrail } from '../../platform/audit/common/auditTrail';
+import { AuditKind } from '../../platform/audit/common/auditTrail';
+import type { BootId } from '../../platform/ids/common/ids';
+import { writeAuditLines } from '../../platform/telemetry/node/logger';
 import { OrderAudit } from '../common/orderAudit';
 import { Steward } from '../common/steward';
-import type { StewardSettings } from '../common/stewardSettings';
+import type { StewardSettings } from '../../platform/settings/common/stewardSettings';
 import { HttpEngineGateway } from './httpEngineGateway';
 import { ManifestWatcher } from './manifestWatcher';
 import { StewardMetrics } from './stewardMetrics';
@@ -23,13 +26,15 @@
 	private readonly operators: StewardOperators;
 
 	constructor(
-		settings: StewardSettings,
+		private readonly settings: StewardSettings,
 		timers: ITimerService,
 		random: IRandom,
-		trail: AuditRecorder,
-		private readonly logger: Logger,
+		boot: BootId,
+		private readonly trail: IAuditTrail,
+		logger: Logger,
 	) {
 		super();
+		this.register(writeAuditLines(logger, trail));
 		this.watcher = this.register(new ManifestWatcher(settings.platform.url, timers, trail, random));
 		const audit = new OrderAudit(trail);
 		const metrics = new StewardMetrics(
@@ -59,14 +64,31 @@
 				steward.setManifest(version, manifest);
 			}),
 		);
-		this.operators = this.register(new StewardOperators(settings.operators.listen, steward, metrics));
+		this.operators = this.register(
+			new StewardOperators(settings.operators.listen, steward, metrics, {
+				instance: settings.instance.id,
+				boot,
+				listTrail: most => trail.list(most),
+			}),
+		);
 	}
 
 	/** Listens for operators, begins to follow the manifest, and gives the operators' URL. */
 	async open(): Promise<string> {
 		const url = await this.operators.open();
 		void this.watcher.follow();
-		this.logger.info({ operators: url }, 'steward started');
+		this.recordProcess('stopped', 'started', `operators' port ${url}`);
 		return url;
 	}
+
+	/** Lets go of everything at once; the sign says what ended it. */
+	stop(sign: string): void {
+		this.recordProcess('started', 'stopped', sign);
+		this.dispose();
+	}
+
+	private recordProcess(from: string, to: string, sign: string): void {
+		const subject = this.settings.instance.id;
+		this.trail.record({ kind: AuditKind.Process, subject, from, to, sign, manifestVersion: undefined });
+	}
 }
--- a/src/steward/test/stewardProcess.test.ts
+++ b/src/steward/test/stewardProcess.test.ts
@@ -7,9 +7,12 @@
 import { SeededRandom } from '../../base/common/random';
 import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
 import { SystemTimerService } from '../../base/node/systemTimerService';
+import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
+import type { BootId } from '../../platform/ids/common/ids';
 import { parseSettings } from '../../platform/settings/common/settings';
+import { stewardSettingsSchema } from '../../platform/settings/common/stewardSettings';
+import { trailAnswerSchema } from '../../platform/status/common/operatorsAnswers';
 import type { EngineOrder } from '../common/engineOrder';
-import { stewardSettingsSchema } from '../common/stewardSettings';
 import { StewardProcess } from '../node/stewardProcess';
 import { createManifest, createOrder, FakeEngine } from './stewardFixtures';
 
@@ -79,14 +82,15 @@
 			stewardSettingsSchema,
 			createSettingsText(await openPlatform(await openEngine(engine))),
 		)._unsafeUnwrap();
-		const signs: string[] = [];
+		const logged: string[] = [];
 		const steward = owned.add(
 			new StewardProcess(
 				settings,
 				owned.add(new SystemTimerService()),
 				new SeededRandom(1),
-				{ record: ({ subject, sign }) => signs.push(`${subject} ${sign}`) },
-				pino({ level: 'silent' }),
+				'boot1' as BootId,
+				owned.add(new RingAuditTrail(10, () => new Date(0))),
+				pino({}, { write: line => logged.push(line) }),
 			),
 		);
 		const url = await steward.open();
@@ -108,7 +112,14 @@
 			],
 		});
 		expect(engine.state).toMatchObject(createOrder(1));
-		expect(signs.slice(1)).toEqual(['engine-1 accepted: by the engine', 'engine-1 in-force: read back']);
+		const trail = trailAnswerSchema.parse(JSON.parse(await fetchText(`${url}/v1/trail?most=3`)));
+		expect(trail).toMatchObject({ instance: 'steward-1', boot: 'boot1' });
+		expect(trail.records.map(({ subject, sign }) => `${subject} ${sign}`).slice(1)).toEqual([
+			'engine-1 accepted: by the engine',
+			'engine-1 in-force: read back',
+		]);
+		expect(logged.at(-1)).toContain('"audit":{"kind":"order","subject":"engine-1"');
+		expect(await fetchText(`${url}/v1/trail?most=many`)).toContain('malformed-query');
 		expect(await fetchText(`${url}/readyz`)).toBe('ready\n');
 		expect(await fetchText(`${url}/metrics`)).toContain(
 			'anvilroad_steward_order_events_total{kind="accepted"} 1',
