Unify tables, the opening of ports and the steward's test servers

Cause: aligned columns were laid out twice, a port was opened in six places in two ways, and three tests of the steward had the same loopback server.

Ruled out: the list of a connection's own headers in load's pass-through stays its own, since that baseline must not change with the entry; the enums that look alike by shape say different things.

Change: textTable and listenOn in base, openServer beside the steward's tests. A server's port that can't be had rejects as before.

Conclusion: one place each.

--- a/src/bin/demo.ts
+++ b/src/bin/demo.ts
@@ -6,7 +6,7 @@
 import { join } from 'node:path';
 import { DemoProgram } from '../demo/node/demoProgram';
 import { exitCodeBadUsage } from '../platform/settings/node/loadSettings';
-import { renderTable } from '../load/common/textTable';
+import { renderTable } from '../base/common/textTable';
 import { version } from '../../package.json';
 
 const exitCodeWrong = 1;
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -8,6 +8,7 @@
 import type { AddressInfo, Socket } from 'node:net';
 import type { Result } from 'neverthrow';
 import type { ITimerService } from '../../../base/common/timerService';
+import { listenOn } from '../../../base/node/listenOn';
 import type { RequestError } from '../../../platform/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
 import { headers } from '../../../platform/headers/common/headers';
@@ -84,12 +85,7 @@
 	}
 
 	async listen(address: ListenAddress): Promise<AddressInfo> {
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(address.port, address.host, () => {
-				resolve(this.server.address() as AddressInfo);
-			});
-		});
+		return listenOn(this.server, address);
 	}
 
 	/** Stops listening, and ends once the answers in progress have ended. */
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -13,6 +13,7 @@
 import { err, ok } from 'neverthrow';
 import { Disposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
+import { listenOn } from '../../../base/node/listenOn';
 import type { RequestError } from '../../../platform/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../platform/errors/common/errorKinds';
 import type {
@@ -81,12 +82,7 @@
 	}
 
 	async listen(address: ListenAddress): Promise<AddressInfo> {
-		return new Promise((resolve, reject) => {
-			this.server.once('error', reject);
-			this.server.listen(address.port, address.host, () => {
-				resolve(this.server.address() as AddressInfo);
-			});
-		});
+		return listenOn(this.server, address);
 	}
 
 	/** Stops listening and ends each session after the streams that run on it. */
--- a/src/load/common/comparison.ts
+++ b/src/load/common/comparison.ts
@@ -7,7 +7,7 @@
 
 import type { LoadSummary } from './loadStatistics';
 import { formatMs } from './loadReport';
-import { renderTable } from './textTable';
+import { renderTable } from '../../base/common/textTable';
 
 /** A way from the caller to the target. */
 export enum Way {
--- a/src/load/common/loadReport.ts
+++ b/src/load/common/loadReport.ts
@@ -3,7 +3,7 @@
  */
 
 import type { LoadSummary } from './loadStatistics';
-import { renderTable } from './textTable';
+import { renderTable } from '../../base/common/textTable';
 
 const latencyDigits = 2;
 
--- a/src/platform/operators/node/operatorsServer.ts
+++ b/src/platform/operators/node/operatorsServer.ts
@@ -7,9 +7,8 @@
 import { createServer as createSecureServer } from 'node:https';
 import type { Server as SecureServer } from 'node:https';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { once } from 'node:events';
-import type { AddressInfo } from 'node:net';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
+import { listenOn } from '../../../base/node/listenOn';
 import type { ListenAddress } from '../../settings/common/settingsTypes';
 import type { CertificateStore } from '../../tls/node/certificateStore';
 import { createServerOptions, followCertificates } from '../../tls/node/secureOptions';
@@ -49,9 +48,7 @@
 
 	/** Opens the port and gives the address in use; rejects where the port cannot be had. */
 	async start(listen: ListenAddress): Promise<ListenAddress> {
-		this.server.listen(listen.port, listen.host);
-		await once(this.server, 'listening');
-		const { address, port } = this.server.address() as AddressInfo;
+		const { address, port } = await listenOn(this.server, listen);
 		return { host: address, port };
 	}
 
--- a/src/standin/node/httpListener.ts
+++ b/src/standin/node/httpListener.ts
@@ -3,11 +3,11 @@
  * later come back on the same port.
  */
 
-import { once } from 'node:events';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import type { IDisposable } from '../../base/common/lifecycle';
+import { listenOn } from '../../base/node/listenOn';
 import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
 
 /** Answers one request; a rejected promise resets the connection. */
@@ -35,9 +35,8 @@
 			this.noteConnection(socket);
 		});
 		this.server = server;
-		server.listen(this.port, this.address.host);
-		await once(server, 'listening');
-		this.port = (server.address() as AddressInfo).port;
+		const { port } = await listenOn(server, { host: this.address.host, port: this.port });
+		this.port = port;
 		const host = this.address.host.includes(':') ? `[${this.address.host}]` : this.address.host;
 		return `http://${host}:${this.port}`;
 	}
--- a/src/standin/node/linkRelay.ts
+++ b/src/standin/node/linkRelay.ts
@@ -3,11 +3,11 @@
  * relay accepts a connection at once, so that setting one up costs no round trip here.
  */
 
-import { once } from 'node:events';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 import type { Result } from 'neverthrow';
 import type { ITimerService } from '../../base/common/timerService';
+import { listenOn } from '../../base/node/listenOn';
 import type { SwitchFault } from '../common/faultBoard';
 import { FaultBoard } from '../common/faultBoard';
 import type { LinkFaults } from '../common/linkFaults';
@@ -54,9 +54,7 @@
 	}
 
 	async open(): Promise<string> {
-		this.server.listen(this.section.listen.port, this.section.listen.host);
-		await once(this.server, 'listening');
-		const { address, port } = this.server.address() as AddressInfo;
+		const { address, port } = await listenOn(this.server, this.section.listen);
 		return `${address}:${port}`;
 	}
 
--- a/src/steward/node/stewardOperators.ts
+++ b/src/steward/node/stewardOperators.ts
@@ -2,11 +2,10 @@
  * The steward's port for operators: health, readiness, metrics, the state of every order and the audit trail.
  */
 
-import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { IDisposable } from '../../base/common/lifecycle';
+import { listenOn } from '../../base/node/listenOn';
 import type { TrailSource } from '../../platform/operators/common/trailAnswer';
 import { answerTrail } from '../../platform/operators/common/trailAnswer';
 import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
@@ -46,9 +45,7 @@
 
 	/** Listens and gives the base URL. */
 	async open(): Promise<string> {
-		this.server.listen(this.listen.port, this.listen.host);
-		await once(this.server, 'listening');
-		const { address, port, family } = this.server.address() as AddressInfo;
+		const { address, port, family } = await listenOn(this.server, this.listen);
 		return `http://${family === 'IPv6' ? `[${address}]` : address}:${port}`;
 	}
 
--- a/src/steward/test/httpEngineGateway.test.ts
+++ b/src/steward/test/httpEngineGateway.test.ts
@@ -1,11 +1,9 @@
-import { once } from 'node:events';
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
-import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
+import type { RequestListener, ServerResponse } from 'node:http';
+import { DisposableStore } from '../../base/common/lifecycle';
 import { OrderAnswer } from '../common/engineGateway';
 import { HttpEngineGateway } from '../node/httpEngineGateway';
 import { createOrder } from './stewardFixtures';
+import { openServer } from './testServer';
 
 const owned = new DisposableStore();
 const gateway = owned.add(new HttpEngineGateway());
@@ -14,19 +12,8 @@
 	owned.dispose();
 });
 
-async function createEngine(
-	answer: (request: IncomingMessage, response: ServerResponse) => void,
-): Promise<string> {
-	const server = createServer(answer);
-	owned.add(
-		toDisposable(() => {
-			server.close();
-			server.closeAllConnections();
-		}),
-	);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+async function createEngine(answer: RequestListener): Promise<string> {
+	return openServer(owned, answer);
 }
 
 describe('HttpEngineGateway', () => {
--- a/src/steward/test/manifestWatcher.test.ts
+++ b/src/steward/test/manifestWatcher.test.ts
@@ -1,13 +1,11 @@
-import { once } from 'node:events';
 import type { ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { SeededRandom } from '../../base/common/random';
 import { subscribeTo } from '../../base/common/channel';
-import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
+import { DisposableStore } from '../../base/common/lifecycle';
 import { SystemTimerService } from '../../base/node/systemTimerService';
 import { ManifestWatcher } from '../node/manifestWatcher';
 import { createManifest } from './stewardFixtures';
+import { openServer } from './testServer';
 
 type Answer = (response: ServerResponse) => void;
 
@@ -29,20 +27,11 @@
 	answers: readonly Answer[],
 ): Promise<{ watcher: ManifestWatcher; queries: string[]; signs: string[] }> {
 	const queries: string[] = [];
-	const server = createServer((request, response) => {
+	const url = await openServer(owned, (request, response) => {
 		const answer = answers[queries.length];
 		queries.push(request.url?.split('?')[1]?.split('&')[0] ?? '');
 		answer?.(response);
 	});
-	owned.add(
-		toDisposable(() => {
-			server.close();
-			server.closeAllConnections();
-		}),
-	);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
 	const signs: string[] = [];
 	const timers = owned.add(new SystemTimerService());
 	const trail = { record: ({ to }: { to: string }): unknown => signs.push(to) };
--- a/src/steward/test/stewardProcess.test.ts
+++ b/src/steward/test/stewardProcess.test.ts
@@ -1,11 +1,7 @@
-import { once } from 'node:events';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import pino from 'pino';
 import { request } from 'undici';
 import { SeededRandom } from '../../base/common/random';
-import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
+import { DisposableStore } from '../../base/common/lifecycle';
 import { SystemTimerService } from '../../base/node/systemTimerService';
 import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
 import type { BootId } from '../../platform/ids/common/ids';
@@ -15,6 +11,7 @@
 import type { EngineOrder } from '../common/engineOrder';
 import { StewardProcess } from '../node/stewardProcess';
 import { createManifest, createOrder, FakeEngine } from './stewardFixtures';
+import { openServer } from './testServer';
 
 const owned = new DisposableStore();
 
@@ -22,23 +19,8 @@
 	owned.dispose();
 });
 
-async function openServer(
-	answer: (request: IncomingMessage, response: ServerResponse) => void,
-): Promise<string> {
-	const server: Server = createServer(answer);
-	owned.add(
-		toDisposable(() => {
-			server.close();
-			server.closeAllConnections();
-		}),
-	);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
 async function openEngine(engine: FakeEngine): Promise<string> {
-	return openServer((incoming, response) => {
+	return openServer(owned, (incoming, response) => {
 		if (incoming.method === 'GET') {
 			const { isLoading, ...state } = engine.state;
 			response.end(JSON.stringify({ ...state, loading: isLoading, ...engine.load }));
@@ -55,7 +37,7 @@
 async function openPlatform(engineUrl: string): Promise<string> {
 	const manifest = createManifest(1, ['engine-1']);
 	const targets = manifest.targets.map(target => ({ ...target, url: engineUrl }));
-	return openServer((incoming, response) => {
+	return openServer(owned, (incoming, response) => {
 		if (incoming.url?.includes('after=0') === true) {
 			response.setHeader('platform-version', '1');
 			response.end(JSON.stringify({ ...manifest, targets }));
