--- a/src/entry/node/test/callGate.test.ts
+++ b/src/entry/node/test/callGate.test.ts
@@ -60,6 +60,19 @@
 	});
 });
 
+describe('a ticket of another entry of the region', () => {
+	// Payments are carried to their issuers all day. Counted as sent to another region, they would use up the
+	// operator's budget for links on paper, and the alert on it would mean nothing.
+	it('is carried there without counting as sent away', async () => {
+		const { flow, issue, send, render } = createGateWorld();
+		send(issue('neighbour'));
+		await flow.waitForPromises();
+		const page = await render();
+		expect(page).toContain('anvilroad_tickets_total{result="forwarded"} 1');
+		expect(page).not.toContain('anvilroad_sent_away_requests_total{');
+	});
+});
+
 describe('a leaving issuer', () => {
 	// An instance is being replaced while a payment runs on it, and the payment's connection breaks. Its
 	// caller sends it again. Only this instance knows of the payment; refused here, the household would
--- a/src/entry/node/test/gateFixtures.ts
+++ b/src/entry/node/test/gateFixtures.ts
@@ -16,6 +16,7 @@
 } from '../../../platform/ids/common/ids';
 import { RepeatRule } from '../../../platform/manifest/common/manifest';
 import { RequestClass } from '../../../platform/requests/common/requestClass';
+import { SentAwayResult } from '../../../platform/telemetry/common/entryMetricLabels';
 import { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
 import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
 import type { CallHead } from '../../common/callers/callHead';
@@ -116,7 +117,9 @@
 		findRegion: () => region,
 		describeSender: () => ({ instance: own.instance, region, manifestVersion: 1 as ManifestVersion }),
 		openRun: (call, sink) => runs.open(call, sink),
-		noteForwardEnd: () => undefined,
+		noteForwardEnd: (service, to) => {
+			metrics.noteSentAway(service, to, SentAwayResult.Failed);
+		},
 		noteTicket: result => {
 			metrics.noteTicket(result);
 		},
