--- a/src/steward/node/stewardOperators.ts
+++ b/src/steward/node/stewardOperators.ts
@@ -1,12 +1,13 @@
 /**
- * The steward's port for operators: health, readiness, metrics, and the state of every order.
+ * The steward's port for operators: health, readiness, metrics, the state of every order and the audit trail.
  */
 
-import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import type { IDisposable } from '../../base/common/lifecycle';
+import { listenOn } from '../../base/node/listenOn';
+import type { TrailSource } from '../../platform/operators/common/trailAnswer';
+import { answerTrail } from '../../platform/operators/common/trailAnswer';
 import type { ListenAddress } from '../../platform/settings/common/settingsTypes';
 import type { EngineStatus, Steward } from '../common/steward';
 import { describeHolding } from '../common/engineOrder';
@@ -39,13 +40,12 @@
 		private readonly listen: ListenAddress,
 		private readonly steward: Steward,
 		private readonly metrics: StewardMetrics,
+		private readonly trail: TrailSource,
 	) {}
 
 	/** Listens and gives the base URL. */
 	async open(): Promise<string> {
-		this.server.listen(this.listen.port, this.listen.host);
-		await once(this.server, 'listening');
-		const { address, port, family } = this.server.address() as AddressInfo;
+		const { address, port, family } = await listenOn(this.server, this.listen);
 		return `http://${family === 'IPv6' ? `[${address}]` : address}:${port}`;
 	}
 
@@ -55,7 +55,8 @@
 	}
 
 	private async answerRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-		switch (`${request.method ?? ''} ${request.url ?? ''}`) {
+		const [path = '', query = ''] = (request.url ?? '').split('?', 2);
+		switch (`${request.method ?? ''} ${path}`) {
 			case 'GET /healthz':
 				sendText(response, 200, 'text/plain', 'ok\n');
 				return;
@@ -68,6 +69,11 @@
 			case 'GET /v1/orders':
 				sendText(response, 200, 'application/json', JSON.stringify(this.listOrders()));
 				return;
+			case 'GET /v1/trail': {
+				const { status, contentType, body } = answerTrail(new URLSearchParams(query), this.trail);
+				sendText(response, status, contentType, body);
+				return;
+			}
 			default:
 				sendText(response, 404, 'text/plain', 'no such path\n');
 		}
--- a/src/steward/test/stewardProcess.test.ts
+++ b/src/steward/test/stewardProcess.test.ts
@@ -1,17 +1,17 @@
-import { once } from 'node:events';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import pino from 'pino';
 import { request } from 'undici';
 import { SeededRandom } from '../../base/common/random';
-import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
+import { DisposableStore } from '../../base/common/lifecycle';
 import { SystemTimerService } from '../../base/node/systemTimerService';
+import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
+import type { BootId } from '../../platform/ids/common/ids';
 import { parseSettings } from '../../platform/settings/common/settings';
+import { stewardSettingsSchema } from '../../platform/settings/common/stewardSettings';
+import { trailAnswerSchema } from '../../platform/status/common/operatorsAnswers';
 import type { EngineOrder } from '../common/engineOrder';
-import { stewardSettingsSchema } from '../common/stewardSettings';
 import { StewardProcess } from '../node/stewardProcess';
 import { createManifest, createOrder, FakeEngine } from './stewardFixtures';
+import { openServer } from './testServer';
 
 const owned = new DisposableStore();
 
@@ -19,23 +19,8 @@
 	owned.dispose();
 });
 
-async function openServer(
-	answer: (request: IncomingMessage, response: ServerResponse) => void,
-): Promise<string> {
-	const server: Server = createServer(answer);
-	owned.add(
-		toDisposable(() => {
-			server.close();
-			server.closeAllConnections();
-		}),
-	);
-	server.listen(0, '127.0.0.1');
-	await once(server, 'listening');
-	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
-}
-
 async function openEngine(engine: FakeEngine): Promise<string> {
-	return openServer((incoming, response) => {
+	return openServer(owned, (incoming, response) => {
 		if (incoming.method === 'GET') {
 			const { isLoading, ...state } = engine.state;
 			response.end(JSON.stringify({ ...state, loading: isLoading, ...engine.load }));
@@ -52,7 +37,7 @@
 async function openPlatform(engineUrl: string): Promise<string> {
 	const manifest = createManifest(1, ['engine-1']);
 	const targets = manifest.targets.map(target => ({ ...target, url: engineUrl }));
-	return openServer((incoming, response) => {
+	return openServer(owned, (incoming, response) => {
 		if (incoming.url?.includes('after=0') === true) {
 			response.setHeader('platform-version', '1');
 			response.end(JSON.stringify({ ...manifest, targets }));
@@ -79,14 +64,15 @@
 			stewardSettingsSchema,
 			createSettingsText(await openPlatform(await openEngine(engine))),
 		)._unsafeUnwrap();
-		const signs: string[] = [];
+		const logged: string[] = [];
 		const steward = owned.add(
 			new StewardProcess(
 				settings,
 				owned.add(new SystemTimerService()),
 				new SeededRandom(1),
-				{ record: ({ subject, sign }) => signs.push(`${subject} ${sign}`) },
-				pino({ level: 'silent' }),
+				'boot1' as BootId,
+				owned.add(new RingAuditTrail(10, () => new Date(0))),
+				pino({}, { write: line => logged.push(line) }),
 			),
 		);
 		const url = await steward.open();
@@ -108,7 +94,14 @@
 			],
 		});
 		expect(engine.state).toMatchObject(createOrder(1));
-		expect(signs.slice(1)).toEqual(['engine-1 accepted: by the engine', 'engine-1 in-force: read back']);
+		const trail = trailAnswerSchema.parse(JSON.parse(await fetchText(`${url}/v1/trail?most=3`)));
+		expect(trail).toMatchObject({ instance: 'steward-1', boot: 'boot1' });
+		expect(trail.records.map(({ subject, sign }) => `${subject} ${sign}`).slice(1)).toEqual([
+			'engine-1 accepted: by the engine',
+			'engine-1 in-force: read back',
+		]);
+		expect(logged.at(-1)).toContain('"audit":{"kind":"order","subject":"engine-1"');
+		expect(await fetchText(`${url}/v1/trail?most=many`)).toContain('malformed-query');
 		expect(await fetchText(`${url}/readyz`)).toBe('ready\n');
 		expect(await fetchText(`${url}/metrics`)).toContain(
 			'anvilroad_steward_order_events_total{kind="accepted"} 1',
