--- a/src/entry/node/operatorsSource.ts
+++ b/src/entry/node/operatorsSource.ts
@@ -147,10 +147,7 @@
 export function countPeers(fleet: PeersInView): ReadonlyMap<string, number> {
 	const counts = new Map<string, number>();
 	for (const { view } of fleet.listViews()) {
-		const state = fleet
-			.getLives()
-			.findBoot(view.bootId as BootId)
-			?.life.getState();
+		const state = fleet.getLives().findBoot(view.bootId)?.life.getState();
 		if (state !== undefined) {
 			counts.set(state, (counts.get(state) ?? 0) + 1);
 		}
--- a/src/entry/node/test/operatorsSource.test.ts
+++ b/src/entry/node/test/operatorsSource.test.ts
@@ -1,8 +1,7 @@
-import { create } from '@bufbuild/protobuf';
-import { EntryViewSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { RingAuditTrail } from '../../../platform/audit/common/ringAuditTrail';
 import type { BootId, InstanceId } from '../../../platform/ids/common/ids';
 import { InstanceLives } from '../../../platform/instances/common/instanceLives';
+import { createView } from '../fleet/test/views';
 import { countPeers } from '../operatorsSource';
 
 describe('countPeers', () => {
@@ -17,8 +16,9 @@
 			lives.noteHeard({ ...spoken, peerUrl: `http://127.0.0.1:${index + 1}`, isLeaving }, 'peer', 0);
 		});
 		const views = [...boots, 'gone'].map(bootId => ({
-			view: create(EntryViewSchema, { bootId }),
+			view: createView('entry', { bootId: bootId as BootId }),
 			ageMs: 0,
+			isSuspect: false,
 		}));
 		const [first, second, third] = boots as BootId[];
 		for (const boot of [first, second, third]) {
