--- a/src/entry/common/scheduling/targetUse.ts
+++ b/src/entry/common/scheduling/targetUse.ts
@@ -8,10 +8,10 @@
  * The limit falls by a factor on a sign of that and is given back slowly.
  *
  * A share that is kept strictly has a cost of its own: six entries with a slot or two each queue while the
- * target has slots free, and at 0.8 of the capacity the slowest hundredth waits twice as long as without
- * any limit. So short requests may go beyond the share by what independent callers need, two square
- * roots of it. Reports that the target is full take this back: kept up, it would move the queue into the
- * target, where the most urgent class starves the others. A refusal cuts the share itself.
+ * target has slots free, and at 0.8 of the capacity the p99 is 1.7 times that without any limit. So short
+ * requests may go beyond the share by what independent callers need, two square roots of it. Reports that
+ * the target is full take this back: kept up, it would move the queue into the target, where the most
+ * urgent class starves the others. A refusal cuts the share itself.
  */
 
 import { FadingSum } from './fadingSum';
