Prove promises with killed, frozen and stopped processes

Cause: nothing yet showed the promises with running processes; all tests ran in one process on a clock moved by hand.

Found and mended: a stopping entry did not exit after its last request. The sessions of its peer port were closed, but their sockets stayed in FIN-WAIT-2 (7 of them in one fleet, `ss`), since the peer's client never closed its end (CLOSE-WAIT there). Ruled out: requests in progress (0), callers' connections (0). The peer port now ends such a socket 2 s after it has sent everything.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,14 +2,35 @@
 import { functionVerbs } from './scripts/functionVerbs.mjs';
 
 /** Layers from the lowest to the highest; a folder imports only from its own layer and those before it. */
-const layers = ['base', 'platform', 'entry', 'steward', 'ctl', 'standin', 'load', 'bench', 'demo', 'bin'];
+const layers = [
+	'base',
+	'platform',
+	'entry',
+	'steward',
+	'ctl',
+	'standin',
+	'load',
+	'bench',
+	'demo',
+	'prove',
+	'bin',
+];
 
 /** Features beside each other: none of them imports another, whatever their order in `layers`. */
-const features = ['entry', 'steward', 'ctl', 'standin', 'load', 'bench', 'demo'];
+const features = ['entry', 'steward', 'ctl', 'standin', 'load', 'bench', 'demo', 'prove'];
 
-/** The one import between features: the bench measures the pure decisions of the entry. */
+/** The bench measures the pure decisions of the entry. */
 const measuredByBench = 'entry';
 
+/** The failure campaign runs on the demo's harness of processes. */
+const harnessOfProve = 'demo';
+
+/** The only imports between features, from the one that imports to the one that is imported. */
+const allowedBeside = new Map([
+	['bench', measuredByBench],
+	['prove', harnessOfProve],
+]);
+
 /** Packages that touch the network, the file system or the process; `common` stays free of them. */
 const nodeOnlyPackages = ['undici', 'pino', 'yargs', 'prom-client', '@connectrpc/connect-node'];
 
@@ -17,7 +38,7 @@
 
 function listLayersBarredFrom(layer) {
 	const above = layers.slice(layers.indexOf(layer) + 1);
-	const isAllowed = other => other === layer || (layer === 'bench' && other === measuredByBench);
+	const isAllowed = other => other === layer || allowedBeside.get(layer) === other;
 	const beside = features.includes(layer) ? features.filter(other => !isAllowed(other)) : [];
 	return layer === 'bin' ? [] : [...new Set([...above, ...beside])];
 }
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -8,7 +8,7 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
 import { createSecureServer, createServer } from 'node:http2';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { Disposable } from '../../../base/common/lifecycle';
@@ -40,6 +40,7 @@
 import type { CallPlan, ForwardedFrom } from '../../common/placement/callPlan';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
+import { LingeringSockets } from './lingeringSockets';
 import { createFaultPart, PeerSink } from './peerSink';
 
 /** What the server asks of the entry. */
@@ -56,6 +57,7 @@
 export class PeerServer extends Disposable {
 	private readonly server: Http2Server | Http2SecureServer;
 	private readonly sessions = new Set<ServerHttp2Session>();
+	private readonly sockets: LingeringSockets;
 
 	constructor(
 		private readonly handler: IPeerHandler,
@@ -74,6 +76,10 @@
 			});
 		};
 		this.server = this.createServer(connectNodeAdapter({ routes }), certificates);
+		this.sockets = new LingeringSockets(timers);
+		this.server.on(certificates === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
+			this.sockets.add(socket);
+		});
 		this.server.on('session', session => {
 			this.sessions.add(session);
 			session.once('close', () => this.sessions.delete(session));
@@ -96,6 +102,7 @@
 			this.server.close(() => {
 				resolve();
 			});
+			this.sockets.endAfterLinger();
 			for (const session of this.sessions) {
 				session.close();
 			}
