Tell the region of a death before the request is tried again

And each entry and service took a link's cap for its own. Ruled out: a shorter exchange period (more traffic always, for a rare event). Change: a death is told to the live entries of the region at once, and the retry or answer waits for them up to 500 ms; a link's cap is divided by the region's entries and the services that may leave it.

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -127,7 +127,12 @@
 				this.manifests,
 				this.targets,
 				() => this.fleet.countLive(region, region),
-				new CrashWatch(this.quarantine, target => this.targets.probeDeath(target), this.timers),
+				new CrashWatch(
+					this.quarantine,
+					target => this.targets.probeDeath(target),
+					() => this.fleet.exchangeWithRegion(region),
+					this.timers,
+				),
 				this.timers,
 				this.random,
 			),
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -113,6 +113,14 @@
 		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
 	}
 
+	/** Tells the live entries of a region at once what this entry's view says. */
+	async exchangeWithRegion(region: RegionName): Promise<void> {
+		const near = this.listLiveViews(view => view.region === region);
+		await Promise.all(
+			near.map(({ view }) => this.exchangeWith({ instance: view.instance, peerUrl: view.peerUrl })),
+		);
+	}
+
 	/** All views held, with their present age. */
 	listViews(): readonly KnownInstance[] {
 		return this.views.list(this.timers.getNow());
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -8,7 +8,7 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
 import { createSecureServer, createServer } from 'node:http2';
-import type { AddressInfo } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { Disposable } from '../../../base/common/lifecycle';
@@ -42,6 +42,7 @@
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
 import { setSessionWindow, windowSettings } from './flowWindows';
+import { LingeringSockets } from './lingeringSockets';
 import { createFaultPart, PeerSink } from './peerSink';
 
 /** What the server asks of the entry. */
@@ -60,6 +61,7 @@
 export class PeerServer extends Disposable {
 	private readonly server: Http2Server | Http2SecureServer;
 	private readonly sessions = new Set<ServerHttp2Session>();
+	private readonly sockets: LingeringSockets;
 
 	constructor(
 		private readonly handler: IPeerHandler,
@@ -78,6 +80,10 @@
 			});
 		};
 		this.server = this.createServer(connectNodeAdapter({ routes }), certificates);
+		this.sockets = new LingeringSockets(timers);
+		this.server.on(certificates === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
+			this.sockets.add(socket);
+		});
 		this.server.on('session', session => {
 			setSessionWindow(session);
 			this.sessions.add(session);
@@ -96,6 +102,7 @@
 			this.server.close(() => {
 				resolve();
 			});
+			this.sockets.endAfterLinger();
 			for (const session of this.sessions) {
 				session.close();
 			}
--- a/src/entry/node/requests/crashWatch.ts
+++ b/src/entry/node/requests/crashWatch.ts
@@ -15,8 +15,14 @@
 /** Whether a new connection to the target is refused. */
 export type ProbeDeath = (target: TargetId) => Promise<boolean>;
 
+/** Tells the other entries of the region what was seen; ends when they have heard. */
+export type TellRegion = () => Promise<void>;
+
 const hexadecimal = 16;
 
+/** An entry that has not answered by then is silent, and a caller is waiting. */
+const mostTellMs = 500;
+
 /** Hashes what makes two sends of one request alike. */
 export function createCrashFingerprint(call: AcceptedCall): Fingerprint {
 	const { service, organisation, method, path } = call.head;
@@ -33,6 +39,7 @@
 	constructor(
 		private readonly quarantine: Quarantine,
 		private readonly probeDeath: ProbeDeath,
+		private readonly tellRegion: TellRegion,
 		private readonly timers: ITimerService,
 	) {}
 
@@ -70,6 +77,22 @@
 		const isDead = await this.probeDeath(target);
 		if (isDead) {
 			this.quarantine.noteDeath(target, inFlight.map(createCrashFingerprint), this.timers.getNow());
+			await this.waitForRegion();
 		}
 	}
+
+	/**
+	 * The caller may send the request again, to another entry, the moment it is answered here. If that entry
+	 * heard of the deaths only with the next exchange of views, a second later, it would give the request one
+	 * more target to kill.
+	 */
+	private async waitForRegion(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const limit = this.timers.schedule(mostTellMs, resolve);
+			void this.tellRegion().then(() => {
+				limit.dispose();
+				resolve();
+			});
+		});
+	}
 }
--- a/src/entry/node/requests/routerSurroundings.ts
+++ b/src/entry/node/requests/routerSurroundings.ts
@@ -9,6 +9,7 @@
 import { ByteDirection, SentAwayResult } from '../../../platform/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../../platform/telemetry/node/entryMetrics';
 import type { ManifestLink } from '../../../platform/manifest/common/manifest';
+import { ResidencyRule } from '../../../platform/manifest/common/manifest';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { ISendAwayPolicy, RemoteOffer } from '../../common/sendAway/sendAwayPolicy';
 import { findRoom } from '../../common/fleetView/entryView';
@@ -110,11 +111,25 @@
 				room: { ...room },
 				ageMs,
 				oneWayMs: link.oneWayMs,
-				linkBytesPerMs: (link.megabitsPerSecond * bytesPerMsOfMegabit * link.sharePercent) / wholePercent,
+				linkBytesPerMs: this.computeOwnLinkRate(link),
 			},
 		];
 	}
 
+	/**
+	 * This entry's part of a link, for one service. Each entry of the region sends for each service that may
+	 * leave it, and none knows what the others send; parts of the whole keep their sum under the cap.
+	 */
+	private computeOwnLinkRate(link: ManifestLink): number {
+		const cap = (link.megabitsPerSecond * bytesPerMsOfMegabit * link.sharePercent) / wholePercent;
+		const services = this.manifests.getCurrent()?.accepted.manifest.services ?? [];
+		const leaving = services.filter(service =>
+			[service, ...service.rules].some(rule => rule.residency === ResidencyRule.Any),
+		);
+		const entries = this.fleet.countLive(this.own.region, this.own.region);
+		return cap / Math.max(1, leaving.length * entries);
+	}
+
 	private findLink(region: RegionName): ManifestLink | undefined {
 		const links = this.manifests.getCurrent()?.accepted.manifest.links ?? [];
 		return links.find(({ between }) => between.includes(region) && between.includes(this.own.region));
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -85,6 +85,8 @@
 	readonly attempts: SeenAttempt[];
 	readonly renewed: TargetId[];
 	readonly dead: Set<TargetId>;
+	/** Attempts made each time that the region was told of a death. */
+	readonly toldAfter: number[];
 	readonly ends: RequestEnd[];
 	/** What was counted of the requests, in its order, but for their ends. */
 	readonly counted: string[];
@@ -135,11 +137,20 @@
 	const attempts: SeenAttempt[] = [];
 	const renewed: TargetId[] = [];
 	const dead = new Set<TargetId>();
+	const toldAfter: number[] = [];
 	const ends: RequestEnd[] = [];
 	const counted: string[] = [];
 	const ids = Array.from({ length: targets }, (_, index) => `bookings-${index + 1}` as TargetId);
 	const clients = new Map(ids.map(id => [id, createClient(id, attempts, renewed)]));
-	const crashes = new CrashWatch(new Quarantine(), target => Promise.resolve(dead.has(target)), timers);
+	const crashes = new CrashWatch(
+		new Quarantine(),
+		target => Promise.resolve(dead.has(target)),
+		() => {
+			toldAfter.push(attempts.length);
+			return Promise.resolve();
+		},
+		timers,
+	);
 	const directory = {
 		findClient: (id: TargetId) => clients.get(id),
 		noteAnswerHead: () => undefined,
@@ -168,7 +179,7 @@
 	const waitForPromises = async (): Promise<void> => {
 		await new Promise(resolve => setImmediate(resolve));
 	};
-	return { timers, runner, attempts, renewed, dead, ends, counted, submit, waitForPromises };
+	return { timers, runner, attempts, renewed, dead, toldAfter, ends, counted, submit, waitForPromises };
 }
 
 function createObserver(ends: RequestEnd[], counted: string[]): IRunObserver {
--- a/src/entry/node/requests/test/requestFlow.test.ts
+++ b/src/entry/node/requests/test/requestFlow.test.ts
@@ -140,6 +140,7 @@
 			attempt.observer.noteBroken(new Error('reset'));
 			await flow.waitForPromises();
 		}
+		expect(flow.toldAfter).toEqual([1, 2]);
 		const resent = flow.submit('deadly');
 		const other = flow.submit('harmless');
 		expect(flow.attempts).toHaveLength(3);
