Name the state of a peer that is gone by its chart

Cause: the count of peers and the list of them each knew the word for a boot that has ended.

Ruled out: a constant of this file's own beside the chart's state.

Change: the count compares with InstanceState.Gone.

Figures: src/entry/node 29 tests, passing.

Conclusion: the chart's enum says it.

--- a/src/entry/node/operatorsSource.ts
+++ b/src/entry/node/operatorsSource.ts
@@ -6,6 +6,7 @@
 import type { AuditRecord, IAuditTrail } from '../../platform/audit/common/auditTrail';
 import type { IRequestJournal, RequestRecord } from '../../platform/explain/common/requestJournal';
 import type { BootId, RequestId } from '../../platform/ids/common/ids';
+import { InstanceState } from '../../platform/instances/common/instanceLife';
 import type { IOperatorsSource, ManifestInForce } from '../../platform/operators/common/operatorsSource';
 import type {
 	EntryStatus,
@@ -42,9 +43,6 @@
 	readonly timers: ITimerService;
 }
 
-/** The state of a peer whose view is still held and whose boot has ended. */
-const goneState = 'gone';
-
 /** Gathers the status of one entry. */
 export class EntryOperatorsSource implements IOperatorsSource {
 	private readonly startedMs: number;
@@ -103,7 +101,7 @@
 	/** Other entries in view by state, for the metrics; a boot that is gone is no longer in view. */
 	countPeers(): ReadonlyMap<string, number> {
 		const counts = new Map<string, number>();
-		for (const { state } of this.listPeers().filter(peer => peer.state !== goneState)) {
+		for (const { state } of this.listPeers().filter(peer => peer.state !== String(InstanceState.Gone))) {
 			counts.set(state, (counts.get(state) ?? 0) + 1);
 		}
 		return counts;
@@ -124,7 +122,7 @@
 			instance: view.instanceId,
 			region: view.region,
 			zone: view.zone,
-			state: lives.findBoot(view.bootId as BootId)?.life.getState() ?? goneState,
+			state: lives.findBoot(view.bootId as BootId)?.life.getState() ?? 'gone',
 			viewAgeMs: Math.round(ageMs),
 			manifestVersion: Number(view.manifestVersion),
 		}));
