--- a/src/entry/node/operatorsSource.ts
+++ b/src/entry/node/operatorsSource.ts
@@ -6,7 +6,6 @@
 import type { AuditRecord, IAuditTrail } from '../../platform/audit/common/auditTrail';
 import type { IRequestJournal, RequestRecord } from '../../platform/explain/common/requestJournal';
 import type { BootId, RequestId } from '../../platform/ids/common/ids';
-import { InstanceState } from '../../platform/instances/common/instanceLife';
 import type { IOperatorsSource, ManifestInForce } from '../../platform/operators/common/operatorsSource';
 import type {
 	EntryStatus,
@@ -24,6 +23,9 @@
 import type { TargetRegistry } from './targets/targetRegistry';
 import type { TicketDesk } from './tickets/ticketDesk';
 
+/** The part of the fleet that knows the peers. */
+export type PeersInView = Pick<EntryFleet, 'getLives' | 'listViews'>;
+
 /** The entry and the version of its program. */
 export type DescribedInstance = OwnInstance & { readonly version: string };
 
@@ -98,15 +100,6 @@
 		return { version: accepted.version, digest: accepted.digest, text: accepted.document };
 	}
 
-	/** Other entries in view by state, for the metrics; a boot that is gone is no longer in view. */
-	countPeers(): ReadonlyMap<string, number> {
-		const counts = new Map<string, number>();
-		for (const { state } of this.listPeers().filter(peer => peer.state !== String(InstanceState.Gone))) {
-			counts.set(state, (counts.get(state) ?? 0) + 1);
-		}
-		return counts;
-	}
-
 	private describeManifest(): EntryStatus['manifest'] {
 		const accepted = this.parts.manifests.getCurrent()?.accepted;
 		if (accepted === undefined) {
@@ -150,6 +143,21 @@
 	}
 }
 
+/** Other entries in view by state, for the metrics. A boot that is gone is no longer in view. */
+export function countPeers(fleet: PeersInView): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>();
+	for (const { view } of fleet.listViews()) {
+		const state = fleet
+			.getLives()
+			.findBoot(view.bootId as BootId)
+			?.life.getState();
+		if (state !== undefined) {
+			counts.set(state, (counts.get(state) ?? 0) + 1);
+		}
+	}
+	return counts;
+}
+
 function formatAge(ageMs: number | undefined): number | null {
 	return ageMs === undefined ? null : Math.round(ageMs);
 }
--- a/src/entry/node/test/operatorsSource.test.ts
+++ b/src/entry/node/test/operatorsSource.test.ts
@@ -1,16 +1,9 @@
-import { ManualTimerService } from '../../../base/common/manualTimerService';
+import { create } from '@bufbuild/protobuf';
+import { EntryViewSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { RingAuditTrail } from '../../../platform/audit/common/ringAuditTrail';
 import type { BootId, InstanceId } from '../../../platform/ids/common/ids';
 import { InstanceLives } from '../../../platform/instances/common/instanceLives';
-import type { DescribedInstance, OperatorsParts } from '../operatorsSource';
-import { EntryOperatorsSource } from '../operatorsSource';
-
-function createSource(lives: InstanceLives, boots: readonly string[]): EntryOperatorsSource {
-	const views = boots.map(bootId => ({ view: { bootId }, ageMs: 0 }));
-	const fleet = { getLives: () => lives, listViews: () => views };
-	const parts = { fleet, timers: new ManualTimerService() } as unknown as OperatorsParts;
-	return new EntryOperatorsSource({} as DescribedInstance, 0, parts);
-}
+import { countPeers } from '../operatorsSource';
 
 describe('countPeers', () => {
 	// Half of the fleet is lost. The alert on live peers rings only if those that fell silent, that leave and
@@ -23,11 +16,16 @@
 			const isLeaving = boot === 'leaving';
 			lives.noteHeard({ ...spoken, peerUrl: `http://127.0.0.1:${index + 1}`, isLeaving }, 'peer', 0);
 		});
-		for (const boot of boots.slice(0, 3)) {
-			lives.findBoot(boot as BootId)?.life.noteHeard(5_000, boot === 'leaving', 'peer');
+		const views = [...boots, 'gone'].map(bootId => ({
+			view: create(EntryViewSchema, { bootId }),
+			ageMs: 0,
+		}));
+		const [first, second, third] = boots as BootId[];
+		for (const boot of [first, second, third]) {
+			lives.findBoot(boot!)?.life.noteHeard(5_000, boot === 'leaving', 'peer');
 		}
 		lives.expire(5_000);
-		const counts = createSource(lives, [...boots, 'gone']).countPeers();
+		const counts = countPeers({ getLives: () => lives, listViews: () => views });
 		expect(Object.fromEntries(counts)).toEqual({ live: 2, leaving: 1, suspect: 1 });
 	});
 });
