Add a measurement of what control costs an entry

Cause: nothing told what an entry spends on its peers, the manifest and lookups, or how that grows.

Ruled out: real processes as peers. 360 of them would not fit beside other work on one machine, and what is measured is the one entry; its peers speak the protocol by the entry's own classes in one process.

The change: `npm run capacity` starts one real entry among 7 to 359 such peers and with 30 to 890 targets, reads processor time, memory and bytes from /proc, times new manifests and lookups, and fits lines with their errors. The new feature folder `capacity` may import from `entry`, as `bench` may.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,13 +2,29 @@
 import { functionVerbs } from './scripts/functionVerbs.mjs';
 
 /** Layers from the lowest to the highest; a folder imports only from its own layer and those before it. */
-const layers = ['base', 'platform', 'entry', 'steward', 'ctl', 'standin', 'load', 'bench', 'demo', 'bin'];
+const layers = [
+	'base',
+	'platform',
+	'entry',
+	'steward',
+	'ctl',
+	'standin',
+	'load',
+	'bench',
+	'capacity',
+	'demo',
+	'bin',
+];
 
 /** Features beside each other: none of them imports another, whatever their order in `layers`. */
-const features = ['entry', 'steward', 'ctl', 'standin', 'load', 'bench', 'demo'];
+const features = ['entry', 'steward', 'ctl', 'standin', 'load', 'bench', 'capacity', 'demo'];
 
-/** The one import between features: the bench measures the pure decisions of the entry. */
-const measuredByBench = 'entry';
+/**
+ * The one import between features: the bench measures the pure decisions of the entry, and the capacity
+ * measurement makes entries out of its parts.
+ */
+const measured = 'entry';
+const measuring = ['bench', 'capacity'];
 
 /** Packages that touch the network, the file system or the process; `common` stays free of them. */
 const nodeOnlyPackages = ['undici', 'pino', 'yargs', 'prom-client', '@connectrpc/connect-node'];
@@ -17,7 +33,7 @@
 
 function listLayersBarredFrom(layer) {
 	const above = layers.slice(layers.indexOf(layer) + 1);
-	const isAllowed = other => other === layer || (layer === 'bench' && other === measuredByBench);
+	const isAllowed = other => other === layer || (measuring.includes(layer) && other === measured);
 	const beside = features.includes(layer) ? features.filter(other => !isAllowed(other)) : [];
 	return layer === 'bin' ? [] : [...new Set([...above, ...beside])];
 }
@@ -29,7 +45,7 @@
 	}));
 	if (layer === 'bench') {
 		barred.push({
-			group: [`**/${measuredByBench}/node/**`],
+			group: [`**/${measured}/node/**`],
 			message: 'src/bench measures pure decisions: it imports only entry/common.',
 		});
 	}
--- /dev/null
+++ b/src/bin/capacity.ts
@@ -0,0 +1,119 @@
+/**
+ * `npm run capacity`: measures what control costs one entry in fleets of several sizes, fits lines through
+ * the figures and prints them; docs/CAPACITY.md reads the fleet to come off these lines.
+ */
+
+import { writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import { computeSlopes } from '../capacity/common/controlCost';
+import type { ControlCost, CostSlope, FleetSize } from '../capacity/common/controlCost';
+import { estimateAt } from '../capacity/common/leastSquares';
+import { measureControl } from '../capacity/node/measureControl';
+import { renderTable } from '../load/common/textTable';
+import { readProcessorSeconds } from '../load/node/processorTime';
+
+const organisations = 540;
+const fewTargets = 30;
+const fewPeers = 7;
+/** Up to 64 others an entry spends more on views, so two lines are fitted. */
+const smallFleets = [7, 30, 60];
+const largeFleets = [90, 180, 270, 359];
+const targetCounts = [30, 120, 445, 890];
+const organisationCounts = [10, 275, 540];
+const goal = { peers: 359, targets: 890, organisations };
+
+function createSizes(peers: readonly number[]): FleetSize[] {
+	return peers.map(count => ({ peers: count, targets: fewTargets, organisations }));
+}
+
+function formatFigure(value: number): string {
+	return Number(value.toPrecision(4)).toString();
+}
+
+function printCosts(costs: readonly ControlCost[]): void {
+	const head = ['peers', 'targets', 'organisations', '% of a core', 'MB', 'sent B/s', 'received B/s'];
+	const more = ['manifest bytes', 'in force ms', 'cpu ms a change', 'cpu us a lookup', 'exchanges begun'];
+	const rows = costs.map(cost =>
+		[
+			cost.peers,
+			cost.targets,
+			cost.organisations,
+			cost.corePercent.toFixed(2),
+			cost.residentMegabytes.toFixed(1),
+			cost.sentPerSecond.toFixed(0),
+			cost.receivedPerSecond.toFixed(0),
+			cost.manifestBytes,
+			cost.inForceMs.toFixed(1),
+			cost.inForceCpuMs.toFixed(1),
+			cost.lookupCpuUs.toFixed(0),
+			cost.exchanges,
+		].map(String),
+	);
+	process.stdout.write(`${renderTable([...head, ...more], rows)}\n\n`);
+}
+
+function printSlopes(slopes: readonly CostSlope[]): void {
+	const head = ['runs', 'over', 'figure', 'slope', 'at 0', 'rms error', 'largest error', 'at the goal'];
+	const rows = slopes.map(({ runs, over, figure, fit }) => [
+		runs,
+		over,
+		figure,
+		formatFigure(fit.slope),
+		formatFigure(fit.intercept),
+		formatFigure(fit.error),
+		formatFigure(fit.largestError),
+		formatFigure(estimateAt(fit, goal[over])),
+	]);
+	process.stdout.write(`${renderTable(head, rows)}\n`);
+}
+
+async function measureAll(
+	sizes: readonly FleetSize[],
+	times: { readonly settleMs: number; readonly windowMs: number },
+): Promise<ControlCost[]> {
+	const costs: ControlCost[] = [];
+	for (const size of sizes) {
+		const program = join(__dirname, 'entry.js');
+		costs.push(await measureControl(size, { ...times, versions: 6 }, program, readProcessorSeconds));
+		process.stderr.write(`${size.peers} peers, ${size.targets} targets: done\n`);
+	}
+	return costs;
+}
+
+async function runCapacity(): Promise<void> {
+	const { default: yargs } = await import('yargs');
+	const options = await yargs(process.argv.slice(2))
+		.scriptName('npm run capacity --')
+		.option('json', { type: 'string', describe: 'also write the figures and the lines to this file' })
+		.option('window-ms', { type: 'number', default: 8_000, describe: 'how long each fleet is measured' })
+		.strict()
+		.parseAsync();
+	const times = { settleMs: 4_000, windowMs: options.windowMs };
+	const small = await measureAll(createSizes(smallFleets), times);
+	const large = await measureAll(createSizes(largeFleets), times);
+	const byTargets = await measureAll(
+		targetCounts.map(targets => ({ peers: fewPeers, targets, organisations })),
+		{ settleMs: 2_000, windowMs: times.windowMs / 2 },
+	);
+	const byOrganisations = await measureAll(
+		organisationCounts.map(count => ({ peers: fewPeers, targets: fewTargets, organisations: count })),
+		{ settleMs: 2_000, windowMs: times.windowMs / 2 },
+	);
+	const costs = [...small, ...large, ...byTargets, ...byOrganisations];
+	const slopes = [
+		...computeSlopes('small fleets', 'peers', small),
+		...computeSlopes('large fleets', 'peers', large),
+		...computeSlopes('targets', 'targets', byTargets),
+		...computeSlopes('organisations', 'organisations', byOrganisations),
+	];
+	printCosts(costs);
+	printSlopes(slopes);
+	if (options.json !== undefined) {
+		writeFileSync(options.json, JSON.stringify({ costs, slopes }, undefined, '\t'));
+	}
+}
+
+void runCapacity().catch((error: unknown) => {
+	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
+	process.exitCode = 1;
+});
