Feed the remaining metrics and the instance list's word on targets

Cause: platform reads, peers by state and the list's leaving targets had sources and no one that read them. Change: one class feeds the metrics; the entry hands it its parts. Conclusion: peer exchanges and bytes are still not fed.

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -27,6 +27,7 @@
 import { CallerServer } from './callers/callerServer';
 import { CallGate } from './callGate';
 import { EntryCertificates } from './entryCertificates';
+import { EntryTelemetry } from './entryTelemetry';
 import { EntryFleet } from './fleet/entryFleet';
 import { ManifestFetches } from './fleet/manifestFetches';
 import { OwnView } from './fleet/ownView';
@@ -50,7 +51,7 @@
 const mostSpentTickets = 200_000;
 const mostKeptAnswerBytes = 33_554_432;
 const bootIdBytes = 6;
-const metricsTickMs = 1_000;
+const housekeepingMs = 1_000;
 const refreshMs = 1_000;
 const largestSeed = 0x7fff_ffff;
 
@@ -201,7 +202,6 @@
 			return;
 		}
 		this.ownView.setLeaving();
-		this.metrics.setLeaving(true);
 		this.recordProcess('started', 'leaving', sign);
 		void this.fleet.exchangeWithAll();
 		await new Promise<void>(resolve => {
@@ -215,12 +215,21 @@
 	}
 
 	private subscribeParts(): void {
-		this.register(writeAuditLines(this.logger, this.trail));
 		this.register(
-			subscribeTo(this.trail.onDidRecord, record => {
-				this.metrics.noteAuditRecord(record.kind);
+			new EntryTelemetry(this.metrics, {
+				trail: this.trail,
+				platform: this.platform,
+				manifests: this.manifests,
+				targets: this.targets,
+				fleet: this.fleet,
+				runners: this.runners,
+				tickets: this.tickets,
+				gate: this.gate,
+				held: this.held,
+				timers: this.timers,
 			}),
 		);
+		this.register(writeAuditLines(this.logger, this.trail));
 		this.register(
 			subscribeTo(this.manifestFollower.onDidRead, document => {
 				this.manifests.takeFromPlatform(document);
@@ -229,6 +238,7 @@
 		this.register(
 			subscribeTo(this.instanceFollower.onDidRead, list => {
 				this.fleet.setInstanceList(list);
+				this.targets.setInstanceList(list);
 			}),
 		);
 		this.register(
@@ -247,8 +257,8 @@
 			}),
 		);
 		this.register(
-			subscribeTo(this.timers.watchTicks(metricsTickMs), () => {
-				this.setGauges();
+			subscribeTo(this.timers.watchTicks(housekeepingMs), ({ nowMs }) => {
+				this.quarantine.expire(nowMs);
 			}),
 		);
 	}
@@ -258,8 +268,6 @@
 		if (current === undefined) {
 			return;
 		}
-		this.metrics.setManifestVersion(current.accepted.version);
-		this.metrics.setServices(current.accepted.manifest.services.map(service => service.name));
 		this.targets.setManifest(current);
 	}
 
@@ -282,17 +290,6 @@
 		}
 	}
 
-	private setGauges(): void {
-		this.quarantine.expire(this.timers.getNow());
-		this.metrics.setHeldBytes(this.held.getHeld());
-		this.metrics.setTicketsOutstanding(this.tickets.countSpent());
-		this.metrics.setReady(this.gate.getReadiness().isReady);
-		for (const service of this.runners.listServices()) {
-			const room = this.runners.getRunner(service).measureRoom();
-			this.metrics.setService(service, { ...room, targetsByState: this.targets.countStates(service) });
-		}
-	}
-
 	private recordProcess(from: string, to: string, sign: string): void {
 		this.trail.record({
 			kind: AuditKind.Process,
--- /dev/null
+++ b/src/entry/node/entryTelemetry.ts
@@ -0,0 +1,79 @@
+/**
+ * Feeds the metrics of one entry from its parts: what happens is counted as it happens, what stands is
+ * looked at once a second.
+ */
+
+import { subscribeTo } from '../../base/common/channel';
+import { Disposable } from '../../base/common/lifecycle';
+import type { ITimerService } from '../../base/common/timerService';
+import type { IAuditTrail } from '../../platform/audit/common/auditTrail';
+import type { HttpPlatformClient } from '../../platform/platformClient/node/platformClient';
+import type { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
+import type { CallGate } from './callGate';
+import type { HeldBytes } from './callers/bodyReader';
+import type { EntryFleet } from './fleet/entryFleet';
+import type { ManifestKeeper } from './manifest/manifestKeeper';
+import { countPeers } from './operatorsSource';
+import type { ServiceRunners } from './requests/serviceRunners';
+import type { TargetRegistry } from './targets/targetRegistry';
+import type { TicketDesk } from './tickets/ticketDesk';
+
+const gaugesMs = 1_000;
+
+/** The parts that are looked at. */
+export interface TelemetryParts {
+	readonly trail: IAuditTrail;
+	readonly platform: HttpPlatformClient;
+	readonly manifests: ManifestKeeper;
+	readonly targets: TargetRegistry;
+	readonly fleet: EntryFleet;
+	readonly runners: ServiceRunners;
+	readonly tickets: TicketDesk;
+	readonly gate: CallGate;
+	readonly held: HeldBytes;
+	readonly timers: ITimerService;
+}
+
+/** Keeps the metrics fed until disposed of. */
+export class EntryTelemetry extends Disposable {
+	constructor(
+		private readonly metrics: EntryMetrics,
+		private readonly parts: TelemetryParts,
+	) {
+		super();
+		this.register(
+			subscribeTo(parts.trail.onDidRecord, record => {
+				metrics.noteAuditRecord(record.kind);
+			}),
+		);
+		this.register(
+			subscribeTo(parts.platform.onDidEndRead, ({ kind, result }) => {
+				metrics.notePlatformRead(kind, result);
+			}),
+		);
+		this.register(
+			subscribeTo(parts.manifests.onDidAccept, ({ version, manifest }) => {
+				metrics.setManifestVersion(version);
+				metrics.setServices(manifest.services.map(service => service.name));
+			}),
+		);
+		this.register(
+			subscribeTo(parts.timers.watchTicks(gaugesMs), () => {
+				this.setGauges();
+			}),
+		);
+	}
+
+	private setGauges(): void {
+		const { held, tickets, gate, fleet, runners, targets } = this.parts;
+		this.metrics.setHeldBytes(held.getHeld());
+		this.metrics.setTicketsOutstanding(tickets.countSpent());
+		this.metrics.setReady(gate.getReadiness().isReady);
+		this.metrics.setLeaving(gate.isLeaving());
+		this.metrics.setPeers(countPeers(fleet));
+		for (const service of runners.listServices()) {
+			const room = runners.getRunner(service).measureRoom();
+			this.metrics.setService(service, { ...room, targetsByState: targets.countStates(service) });
+		}
+	}
+}
