Measure the whole fleet at once and model how news spreads

Cause: lines through small fleets say nothing of how their parts add up, and memory or bytes alone do not tell whether a manifest, an offer or a silence reaches all nodes in time.

--- a/src/bin/capacity.ts
+++ b/src/bin/capacity.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run capacity`: measures what control costs one entry in fleets of several sizes, fits lines through
- * the figures and prints them; docs/CAPACITY.md reads the fleet to come off these lines.
+ * the figures, runs the model of how news spreads and prints all. docs/CAPACITY.md reads the fleet to come
+ * off these lines.
  */
 
 import { writeFileSync } from 'node:fs';
@@ -8,6 +9,8 @@
 import { computeSlopes } from '../capacity/common/controlCost';
 import type { ControlCost, CostSlope, FleetSize } from '../capacity/common/controlCost';
 import { estimateAt } from '../capacity/common/leastSquares';
+import { computeSpread } from '../capacity/common/spreadModel';
+import type { Spread } from '../capacity/common/spreadModel';
 import { measureControl } from '../capacity/node/measureControl';
 import { renderTable } from '../load/common/textTable';
 import { readProcessorSeconds } from '../load/node/processorTime';
@@ -17,9 +20,11 @@
 const fewPeers = 7;
 /** Up to 64 others an entry spends more on views, so two lines are fitted. */
 const smallFleets = [7, 30, 60];
-const largeFleets = [90, 180, 270, 359];
+const largeFleets = [90, 180, 359];
 const targetCounts = [30, 120, 445, 890];
 const organisationCounts = [10, 275, 540];
+const spreadNodes = [8, 31, 60, 91, 181, 360];
+const spreadSeeds = [1, 2, 3];
 const goal = { peers: 359, targets: 890, organisations };
 
 function createSizes(peers: readonly number[]): FleetSize[] {
@@ -80,36 +85,65 @@
 	return costs;
 }
 
-async function runCapacity(): Promise<void> {
-	const { default: yargs } = await import('yargs');
-	const options = await yargs(process.argv.slice(2))
-		.scriptName('npm run capacity --')
-		.option('json', { type: 'string', describe: 'also write the figures and the lines to this file' })
-		.option('window-ms', { type: 'number', default: 8_000, describe: 'how long each fleet is measured' })
-		.strict()
-		.parseAsync();
-	const times = { settleMs: 4_000, windowMs: options.windowMs };
+function printSpreads(spreads: readonly Spread[]): void {
+	const head = ['nodes', 'rounds to 90%', 'rounds to all', '% with an offer', 'suspected after s'];
+	const rows = spreads.map(spread =>
+		[
+			spread.nodes,
+			spread.roundsToMost,
+			spread.roundsToAll,
+			spread.offeredPercent.toFixed(0),
+			spread.suspectAfterSeconds.toFixed(0),
+		].map(String),
+	);
+	process.stdout.write(`\n${renderTable(head, rows)}\n`);
+}
+
+/** All fleets that are measured and the lines through them. */
+async function measureFleets(windowMs: number): Promise<{
+	readonly costs: readonly ControlCost[];
+	readonly slopes: readonly CostSlope[];
+}> {
+	const times = { settleMs: 4_000, windowMs };
 	const small = await measureAll(createSizes(smallFleets), times);
 	const large = await measureAll(createSizes(largeFleets), times);
+	const shortTimes = { settleMs: 2_000, windowMs: windowMs / 2 };
 	const byTargets = await measureAll(
 		targetCounts.map(targets => ({ peers: fewPeers, targets, organisations })),
-		{ settleMs: 2_000, windowMs: times.windowMs / 2 },
+		shortTimes,
 	);
 	const byOrganisations = await measureAll(
 		organisationCounts.map(count => ({ peers: fewPeers, targets: fewTargets, organisations: count })),
-		{ settleMs: 2_000, windowMs: times.windowMs / 2 },
+		shortTimes,
 	);
-	const costs = [...small, ...large, ...byTargets, ...byOrganisations];
-	const slopes = [
-		...computeSlopes('small fleets', 'peers', small),
-		...computeSlopes('large fleets', 'peers', large),
-		...computeSlopes('targets', 'targets', byTargets),
-		...computeSlopes('organisations', 'organisations', byOrganisations),
-	];
-	printCosts(costs);
-	printSlopes(slopes);
+	const whole = await measureAll([goal], times);
+	return {
+		costs: [...small, ...large, ...byTargets, ...byOrganisations, ...whole],
+		slopes: [
+			...computeSlopes('small fleets', 'peers', small),
+			...computeSlopes('large fleets', 'peers', large),
+			...computeSlopes('targets', 'targets', byTargets),
+			...computeSlopes('organisations', 'organisations', byOrganisations),
+		],
+	};
+}
+
+async function runCapacity(): Promise<void> {
+	const { default: yargs } = await import('yargs');
+	const options = await yargs(process.argv.slice(2))
+		.scriptName('npm run capacity --')
+		.option('json', { type: 'string', describe: 'also write the figures and the lines to this file' })
+		.option('window-ms', { type: 'number', default: 8_000, describe: 'how long each fleet is measured' })
+		.option('fleets', { type: 'boolean', default: true, describe: 'measure the entry; else only the model' })
+		.strict()
+		.parseAsync();
+	const measured = options.fleets ? await measureFleets(options['window-ms']) : { costs: [], slopes: [] };
+	const spreads = spreadNodes.flatMap(nodes => spreadSeeds.map(seed => computeSpread(nodes, seed)));
+	printCosts(measured.costs);
+	printSlopes(measured.slopes);
+	printSpreads(spreads);
 	if (options.json !== undefined) {
-		writeFileSync(options.json, JSON.stringify({ costs, slopes }, undefined, '\t'));
+		writeFileSync(options.json, JSON.stringify({ ...measured, spreads }, undefined, '\t'));
 	}
 }
 
--- a/src/capacity/node/publisher.ts
+++ b/src/capacity/node/publisher.ts
@@ -1,6 +1,6 @@
 /**
- * The platform of a measurement: the manifest and the instance list over HTTP with hanging watches, and a
- * count of reads.
+ * The platform of a measurement: the manifest and the instance list over HTTP with hanging
+ * watches.
  */
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
@@ -19,7 +19,6 @@
 
 /** Publishes two documents. */
 export class Publisher implements IDisposable {
-	private reads = 0;
 	private readonly server: Server = createServer((request, response) => {
 		this.answer(request, response);
 	});
@@ -43,17 +42,12 @@
 		return putDocument(this.instances, text);
 	}
 
-	countReads(): number {
-		return this.reads;
-	}
-
 	dispose(): void {
 		this.server.close();
 		this.server.closeAllConnections();
 	}
 
 	private answer(request: IncomingMessage, response: ServerResponse): void {
-		this.reads++;
 		const url = new URL(request.url ?? '/', 'http://platform');
 		const document = url.pathname === '/v1/instances' ? this.instances : this.manifest;
 		const after = Number(url.searchParams.get('after'));
