Keep the capacity measurement within its open files and end its entry with it

Cause: a trial with 359 peers and 890 targets ended with EMFILE at 20,000 open files, since each fake peer keeps its connections to the others for a minute; and an interrupted run left the measured entry running.

Ruled out: a higher limit, which is the machine's to set.

The change: fleets of hundreds settle for 3 s and are measured for 6 s at most; the entry is killed when the measurement exits or is interrupted.

--- a/src/bin/capacity.ts
+++ b/src/bin/capacity.ts
@@ -15,6 +15,8 @@
 import { renderTable } from '../load/common/textTable';
 import { readProcessorSeconds } from '../load/node/processorTime';
 
+/** By custom 128 and the number of SIGINT. */
+const exitCodeInterrupted = 130;
 const organisations = 540;
 const fewTargets = 30;
 const fewPeers = 7;
@@ -23,6 +25,12 @@
 const largeFleets = [90, 180, 359];
 const targetCounts = [30, 120, 445, 890];
 const organisationCounts = [10, 275, 540];
+/**
+ * Hundreds of peers in one process open some hundred connections a second among each other and keep each for
+ * a minute; a longer run needs more open files than a process commonly may have, and fails.
+ */
+const largeSettleMs = 3_000;
+const longestLargeWindowMs = 6_000;
 const spreadNodes = [8, 31, 60, 91, 181, 360];
 const spreadSeeds = [1, 2, 3];
 const goal = { peers: 359, targets: 890, organisations };
@@ -106,7 +114,8 @@
 }> {
 	const times = { settleMs: 4_000, windowMs };
 	const small = await measureAll(createSizes(smallFleets), times);
-	const large = await measureAll(createSizes(largeFleets), times);
+	const largeTimes = { settleMs: largeSettleMs, windowMs: Math.min(windowMs, longestLargeWindowMs) };
+	const large = await measureAll(createSizes(largeFleets), largeTimes);
 	const shortTimes = { settleMs: 2_000, windowMs: windowMs / 2 };
 	const byTargets = await measureAll(
 		targetCounts.map(targets => ({ peers: fewPeers, targets, organisations })),
@@ -116,7 +125,7 @@
 		organisationCounts.map(count => ({ peers: fewPeers, targets: fewTargets, organisations: count })),
 		shortTimes,
 	);
-	const whole = await measureAll([goal], times);
+	const whole = await measureAll([goal], largeTimes);
 	return {
 		costs: [...small, ...large, ...byTargets, ...byOrganisations, ...whole],
 		slopes: [
@@ -147,6 +156,13 @@
 	}
 }
 
+/** Node's own end by a signal runs no exit handlers, and the measured entry would stay behind. */
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(exitCodeInterrupted);
+	});
+}
+
 void runCapacity().catch((error: unknown) => {
 	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
 	process.exitCode = 1;
--- a/src/capacity/node/measuredEntry.ts
+++ b/src/capacity/node/measuredEntry.ts
@@ -52,6 +52,7 @@
 			stdio: ['ignore', 'pipe', 'inherit'],
 		});
 		this.child = child;
+		process.once('exit', this.release);
 		createInterface({ input: child.stdout }).on('line', line => {
 			this.readLine(line);
 		});
@@ -99,9 +100,16 @@
 			child.kill('SIGKILL');
 			await ended;
 		}
-		rmSync(this.folder, { recursive: true, force: true });
+		process.removeListener('exit', this.release);
+		this.release();
 	}
 
+	/** Also when the measurement is interrupted: the entry would go on for good. */
+	private readonly release = (): void => {
+		this.child?.kill('SIGKILL');
+		rmSync(this.folder, { recursive: true, force: true });
+	};
+
 	private readLine(line: string): void {
 		this.callerPort = Number(listeningSign.exec(line)?.[1] ?? this.callerPort);
 		const version = manifestSign.exec(line)?.[1];
