--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -12,24 +12,20 @@
 import { AuditKind } from '../../platform/audit/common/auditTrail';
 import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
 import { RingRequestJournal } from '../../platform/explain/common/ringRequestJournal';
-import { PlatformFollower } from '../../platform/following/node/platformFollower';
 import type { BootId } from '../../platform/ids/common/ids';
 import { OperatorsServer } from '../../platform/operators/node/operatorsServer';
 import { HttpPlatformClient } from '../../platform/platformClient/node/platformClient';
 import type { EntrySettings } from '../../platform/settings/common/entrySettings';
 import { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
 import { writeAuditLines } from '../../platform/telemetry/node/logger';
-import { AtMostOnceLedger } from '../common/atMostOnce/atMostOnceLedger';
-import type { EntryView } from '../common/fleetView/entryView';
 import { Quarantine } from '../common/quarantine/quarantine';
-import { TicketIssuer } from '../common/tickets/ticketIssuer';
 import { HeldBytes } from './callers/bodyReader';
 import { CallerServer } from './callers/callerServer';
 import { CallGate } from './callGate';
 import { EntryCertificates } from './entryCertificates';
+import { EntryFollowing } from './entryFollowing';
 import { EntryTelemetry } from './entryTelemetry';
 import { EntryFleet } from './fleet/entryFleet';
-import { ManifestFetches } from './fleet/manifestFetches';
 import { OwnView } from './fleet/ownView';
 import { ManifestKeeper } from './manifest/manifestKeeper';
 import { describeOfferState } from './manifest/offerMetrics';
@@ -43,16 +39,13 @@
 import { ServiceRunners } from './requests/serviceRunners';
 import { TargetRegistry } from './targets/targetRegistry';
 import { WakeGuard } from './wakeGuard';
-import { HmacTicketSigner } from './tickets/hmacTicketSigner';
-import { TicketDesk } from './tickets/ticketDesk';
+import { openTicketDesk } from './tickets/openTicketDesk';
+import type { TicketDesk } from './tickets/ticketDesk';
 
 const trailCapacity = 4_096;
 const journalCapacity = 10_000;
-const mostSpentTickets = 200_000;
-const mostKeptAnswerBytes = 33_554_432;
 const bootIdBytes = 6;
 const housekeepingMs = 1_000;
-const refreshMs = 1_000;
 const largestSeed = 0x7fff_ffff;
 
 /**
@@ -74,7 +67,6 @@
 	private readonly held: HeldBytes;
 	private readonly platform: HttpPlatformClient;
 	private readonly manifests: ManifestKeeper;
-	private readonly manifestFetches: ManifestFetches;
 	private readonly targets: TargetRegistry;
 	private readonly peers: PeerClients;
 	private readonly fleet: EntryFleet;
@@ -87,8 +79,7 @@
 	private readonly callers: CallerServer;
 	private readonly peerServer: PeerServer;
 	private readonly operators: OperatorsServer;
-	private readonly manifestFollower;
-	private readonly instanceFollower;
+	private readonly following: EntryFollowing;
 
 	constructor(
 		private readonly settings: EntrySettings,
@@ -110,7 +101,6 @@
 				this.timers,
 			),
 		);
-		this.manifestFetches = new ManifestFetches(this.manifests, this.timers);
 		this.targets = this.register(new TargetRegistry({ region, zone }, this.trail, this.timers));
 		this.peers = this.register(new PeerClients(settings.peer_routes, this.certificates.peers));
 		this.fleet = this.register(
@@ -146,7 +136,7 @@
 			timers: this.timers,
 		});
 		this.runs = new ActiveRuns(this.journal, this.metrics, this.held, this.timers);
-		this.tickets = this.createTicketDesk();
+		this.tickets = openTicketDesk(settings, this.boot, this.fleet);
 		this.wakeGuard = this.register(this.createWakeGuard());
 		this.gate = this.createGate();
 		this.callers = new CallerServer(
@@ -163,19 +153,17 @@
 			this.certificates.peers,
 		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
-		this.manifestFollower = this.register(
-			new PlatformFollower(
-				(after, waitMs, signal) => this.platform.readManifest(after, waitMs, signal),
-				this.timers,
-				this.random,
-			),
-		);
-		this.instanceFollower = this.register(
-			new PlatformFollower(
-				(after, waitMs, signal) => this.platform.readInstances(after, waitMs, signal),
-				this.timers,
-				this.random,
-			),
+		this.following = this.register(
+			new EntryFollowing({
+				region,
+				platform: this.platform,
+				manifests: this.manifests,
+				targets: this.targets,
+				fleet: this.fleet,
+				quarantine: this.quarantine,
+				timers: this.timers,
+				random: this.random,
+			}),
 		);
 		this.subscribeParts();
 	}
@@ -186,8 +174,7 @@
 		const operators = await this.operators.start(settings.operators.listen);
 		const peers = await this.peerServer.listen(settings.peers.listen);
 		const callers = await this.callers.listen(settings.callers.listen);
-		void this.manifestFollower.follow();
-		void this.instanceFollower.follow();
+		this.following.start();
 		void this.fleet.exchangeWithAll();
 		this.recordProcess('stopped', 'started', `boot ${this.boot}`);
 		this.logger.info({ callers: callers.port, peers: peers.port, operators: operators.port }, 'listening');
@@ -230,27 +217,6 @@
 			}),
 		);
 		this.register(writeAuditLines(this.logger, this.trail));
-		this.register(
-			subscribeTo(this.manifestFollower.onDidRead, document => {
-				this.manifests.takeFromPlatform(document);
-			}),
-		);
-		this.register(
-			subscribeTo(this.instanceFollower.onDidRead, list => {
-				this.fleet.setInstanceList(list);
-				this.targets.setInstanceList(list);
-			}),
-		);
-		this.register(
-			subscribeTo(this.manifests.onDidAccept, () => {
-				this.noteManifest();
-			}),
-		);
-		this.register(
-			subscribeTo(this.fleet.onDidReceive, view => {
-				this.noteView(view);
-			}),
-		);
 		this.register(
 			subscribeTo(this.fleet.getLives().onDidChange, () => {
 				this.runners.updateAll();
@@ -263,33 +229,6 @@
 		);
 	}
 
-	private noteManifest(): void {
-		const current = this.manifests.getCurrent();
-		if (current === undefined) {
-			return;
-		}
-		this.targets.setManifest(current);
-	}
-
-	private noteView(view: EntryView): void {
-		this.targets.notePeerWords(view.leavingTargets);
-		this.noteSightings(view);
-		const peer = this.fleet.findPeer(view.instance);
-		if (peer !== undefined) {
-			void this.manifestFetches.fetch(view.instance, view.manifestVersion, peer);
-		}
-	}
-
-	/** Targets belong to one region, so only its own entries' sightings concern this one. */
-	private noteSightings(view: EntryView): void {
-		if (view.region !== this.settings.instance.region) {
-			return;
-		}
-		for (const { fingerprint, target, ageMs } of view.crashSightings) {
-			this.quarantine.noteSighting({ fingerprint, target, ageMs: ageMs + view.ageMs }, this.timers.getNow());
-		}
-	}
-
 	private recordProcess(from: string, to: string, sign: string): void {
 		this.trail.record({
 			kind: AuditKind.Process,
@@ -301,24 +240,10 @@
 		});
 	}
 
-	private createTicketDesk(): TicketDesk {
-		const { instance, tickets } = this.settings;
-		const own = { instance: instance.id, boot: this.boot };
-		const signer = new HmacTicketSigner(tickets.key, tickets.previous_key);
-		const limits = { mostAnswerBytes: mostKeptAnswerBytes, mostTickets: mostSpentTickets };
-		return new TicketDesk(
-			{ own, region: instance.region },
-			signer,
-			new TicketIssuer(own, signer, tickets.lifetime_ms),
-			new AtMostOnceLedger(own, limits),
-			this.fleet,
-		);
-	}
-
 	private createWakeGuard(): WakeGuard {
 		return new WakeGuard(
 			async () => {
-				await Promise.all([this.readManifestAnew(), this.fleet.exchangeWithAll()]);
+				await Promise.all([this.following.readManifestAnew(), this.fleet.exchangeWithAll()]);
 			},
 			sleptMs => {
 				this.recordProcess('asleep', 'awake', `no beat for ${Math.round(sleptMs)} ms`);
@@ -327,17 +252,6 @@
 		);
 	}
 
-	private async readManifestAnew(): Promise<void> {
-		const read = await this.platform.readManifest(
-			this.manifests.getVersion(),
-			0,
-			AbortSignal.timeout(refreshMs),
-		);
-		if (read.isOk() && read.value !== undefined) {
-			this.manifests.takeFromPlatform(read.value);
-		}
-	}
-
 	private createGate(): CallGate {
 		const surroundings = new RouterSurroundings(
 			this.settings.instance,
@@ -376,7 +290,7 @@
 				held: this.held,
 				trail: this.trail,
 				journal: this.journal,
-				getPlatformSilenceMs: () => this.manifestFollower.getSilenceMs(),
+				getPlatformSilenceMs: () => this.following.getPlatformSilenceMs(),
 				timers: this.timers,
 			},
 		);
--- /dev/null
+++ b/src/entry/node/tickets/openTicketDesk.ts
@@ -0,0 +1,34 @@
+/**
+ * Puts the ticket work of one start of one entry together, by its settings.
+ */
+
+import type { BootId } from '../../../platform/ids/common/ids';
+import type { EntrySettings } from '../../../platform/settings/common/entrySettings';
+import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
+import { TicketIssuer } from '../../common/tickets/ticketIssuer';
+import type { IEntryDirectory } from '../../common/tickets/ticketRoute';
+import { HmacTicketSigner } from './hmacTicketSigner';
+import { TicketDesk } from './ticketDesk';
+
+/** At 256 bytes a spent ticket, some 50 MB at the most. */
+const mostSpentTickets = 200_000;
+/** Bytes of answers kept for resends. */
+const mostKeptAnswerBytes = 33_554_432;
+
+/** Opens the desk; nothing of an earlier boot's tickets is known to it. */
+export function openTicketDesk(
+	settings: EntrySettings,
+	boot: BootId,
+	directory: IEntryDirectory,
+): TicketDesk {
+	const { instance, tickets } = settings;
+	const own = { instance: instance.id, boot };
+	const signer = new HmacTicketSigner(tickets.key, tickets.previous_key);
+	return new TicketDesk(
+		{ own, region: instance.region },
+		signer,
+		new TicketIssuer(own, signer, tickets.lifetime_ms),
+		new AtMostOnceLedger(own, { mostAnswerBytes: mostKeptAnswerBytes, mostTickets: mostSpentTickets }),
+		directory,
+	);
+}
