Notice a death behind a relay; bound the wait for a peer's connection

And a relayed draft was told nothing after its deadline: opening a connection into a link that swallows everything had no bound. Ruled out: the retry inside one entry (two deaths, then refused); the peers' exchange (told at once). Change: the probe asks for an answer, and a connection closed before one is a death; opening to a peer takes 2 s at the most; a deadline that the caller did not name no longer cuts a relayed answer that flows, as at home.

--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -4,6 +4,8 @@
  */
 
 import { create } from '@bufbuild/protobuf';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../platform/errors/common/errorKinds';
 import { createRequestError, ErrorKind, getOutcomeOf } from '../../../platform/errors/common/errorKinds';
 import { Outcome } from '../../../platform/errors/common/outcome';
@@ -55,11 +57,16 @@
 
 const allowedHops = 1;
 const partBytes = 65_536;
+/** Several round trips between regions. */
+const mostConnectMs = 2_000;
 const largestUint32 = 0xffff_ffff;
 
+type ConnectState = Awaited<ReturnType<PeerConnection['session']['connect']>>;
+
 /** One forwarded request. */
 export class ForwardRun {
 	private readonly abort = new AbortController();
+	private deadline: IDisposable | undefined;
 	private sentBytes = 0;
 	private receivedBytes = 0;
 	private isAbandoned = false;
@@ -69,13 +76,14 @@
 		private readonly to: InstanceId,
 		private readonly peer: PeerConnection,
 		private readonly sender: ForwardSender,
+		private readonly timers: ITimerService,
 	) {}
 
 	/** Forwards and hands the answer on; never rejects. */
 	async forward(): Promise<ForwardEnd> {
 		this.run.life.send(RequestEvent.SendAway);
 		this.run.note(JournalStep.SentAway, `to ${this.to}`);
-		const state = await this.peer.session.connect();
+		const state = await this.openConnection();
 		if (this.run.hasEnded()) {
 			return this.createEnd(ForwardEndKind.Abandoned, undefined);
 		}
@@ -96,10 +104,27 @@
 		this.abort.abort();
 	}
 
+	/**
+	 * A connection into a link that swallows everything is neither opened nor refused for minutes. The
+	 * request would wait past its deadline, its caller told nothing and a leaving entry kept from its end.
+	 */
+	private async openConnection(): Promise<ConnectState> {
+		const limitMs = Math.min(mostConnectMs, this.run.getRemainingMs());
+		return new Promise(resolve => {
+			const limit = this.timers.schedule(limitMs, () => {
+				resolve('error');
+			});
+			void this.peer.session.connect().then(state => {
+				limit.dispose();
+				resolve(state);
+			});
+		});
+	}
+
 	private async exchange(): Promise<ForwardEnd> {
-		const deadline = setTimeout(() => {
+		this.deadline = this.timers.schedule(this.run.getRemainingMs(), () => {
 			this.abort.abort();
-		}, this.run.getRemainingMs());
+		});
 		try {
 			return await this.receive();
 		} catch (error) {
@@ -111,7 +136,7 @@
 			const detail = error instanceof Error ? error.message : String(error);
 			return this.createEnd(ForwardEndKind.Failed, this.createFault(kind, detail));
 		} finally {
-			clearTimeout(deadline);
+			this.deadline.dispose();
 		}
 	}
 
@@ -141,6 +166,9 @@
 	}
 
 	private begin(head: ForwardAnswerHead): void {
+		if (!this.run.call.isDeadlineGiven) {
+			this.deadline?.dispose();
+		}
 		this.run.begin({
 			status: head.status,
 			lines: head.headers.map(({ name, value }) => ({ name, value })),
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -156,7 +156,7 @@
 	}
 
 	async forward(run: RequestRun, to: InstanceId, peer: PeerConnection): Promise<ForwardEnd> {
-		const forward = new ForwardRun(run, to, peer, this.surroundings.describeSender());
+		const forward = new ForwardRun(run, to, peer, this.surroundings.describeSender(), this.timers);
 		run.setAbandonHandler(() => {
 			forward.abandon();
 			run.abandon();
--- a/src/entry/node/targets/targetProbe.ts
+++ b/src/entry/node/targets/targetProbe.ts
@@ -3,7 +3,6 @@
  * may be silent for good while new ones work.
  */
 
-import { connect } from 'node:net';
 import { Client } from 'undici';
 import { headers } from '../../../platform/headers/common/headers';
 
@@ -15,8 +14,10 @@
 }
 
 const probeTimeoutMs = 2_000;
-/** A port that does not refuse in this time belongs to a host that is slow or cut off, not to a dead target. */
-const refusalTimeoutMs = 500;
+/** A target that has not answered by then is slow or cut off, and a caller is waiting. */
+const deathTimeoutMs = 500;
+/** Refused, reset, or closed before an answer. */
+const deathCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET', 'EPIPE', 'UND_ERR_SOCKET']);
 
 /** Whether a `Connection` header asks for the connection to be closed. */
 export function isClosing(connection: string | undefined): boolean {
@@ -50,24 +51,25 @@
 	}
 }
 
-/** Whether the host answers that nobody listens on the port. */
-export async function isPortRefused(url: string): Promise<boolean> {
-	const { hostname, port, protocol } = new URL(url);
-	const usualPort = protocol === 'https:' ? 443 : 80;
-	return new Promise(resolve => {
-		const socket = connect({ host: hostname, port: port === '' ? usualPort : Number(port) });
-		const finish = (isRefused: boolean): void => {
-			socket.destroy();
-			resolve(isRefused);
-		};
-		socket.setTimeout(refusalTimeoutMs, () => {
-			finish(false);
-		});
-		socket.once('connect', () => {
-			finish(false);
-		});
-		socket.once('error', (error: NodeJS.ErrnoException) => {
-			finish(error.code === 'ECONNREFUSED');
+/**
+ * Whether the target is gone: its port refuses a new connection, or one is accepted and closed again before
+ * an answer, as by a relay whose far end refuses. A target that says nothing in time may be slow or cut
+ * off, and is not taken for dead. A relay that is itself cut looks like a death behind it; requests that
+ * were in flight there are then kept apart for a while, and refused only if it happens to them twice.
+ */
+export async function isTargetDead(url: string): Promise<boolean> {
+	const client = new Client(new URL(url).origin);
+	try {
+		const answer = await client.request({
+			path: '/',
+			method: 'HEAD',
+			signal: AbortSignal.timeout(deathTimeoutMs),
 		});
-	});
+		await answer.body.dump();
+		return false;
+	} catch (error) {
+		return deathCodes.has((error as NodeJS.ErrnoException).code ?? '');
+	} finally {
+		void client.destroy();
+	}
 }
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -24,7 +24,7 @@
 import type { IndexedManifest } from '../manifest/manifestKeeper';
 import type { ITargetDirectory } from '../requests/serviceRunner';
 import { TargetClient } from './targetClient';
-import { isClosing, isPortRefused, probeTarget } from './targetProbe';
+import { isClosing, isTargetDead, probeTarget } from './targetProbe';
 
 /** Where this entry stands. */
 export interface Place {
@@ -164,10 +164,10 @@
 		life?.noteAnswer(isClosing(findHeader(head.lines, 'connection')), this.timers.getNow());
 	}
 
-	/** Whether the target died: its port refuses a new connection. */
+	/** Whether the target died, found out by a new connection. */
 	async probeDeath(target: TargetId): Promise<boolean> {
 		const url = this.known.get(target)?.url;
-		return url !== undefined && (await isPortRefused(url));
+		return url !== undefined && (await isTargetDead(url));
 	}
 
 	noteAttemptEnd(target: TargetId, end: AttemptEnd): void {
