--- a/src/standin/node/engineServer.ts
+++ b/src/standin/node/engineServer.ts
@@ -135,6 +135,9 @@
 
 	private async handleWork(url: URL, request: IncomingMessage, response: ServerResponse): Promise<void> {
 		if (request.method !== 'POST') {
+			if (this.host.refuseWhereSwitched(response)) {
+				return;
+			}
 			sendJson(response, 404, { error: `no such path: ${url.pathname}` });
 			return;
 		}
