Part the ends of attempts and the targets' interface from the runner

Change: attemptEnds, schedulableRequest and targetDirectory stand by themselves; behaviour is as it was.

--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -21,7 +21,7 @@
 import type { RefusedCall } from './activeRuns';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import type { ServiceRunner } from './serviceRunner';
-import { createSchedulable } from './serviceRunner';
+import { createSchedulable } from './schedulableRequest';
 import type { ITicketCarrier } from './ticketRouter';
 import { TicketRouter } from './ticketRouter';
 
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -11,7 +11,6 @@
 import { JournalStep } from '../../../platform/explain/common/requestJournal';
 import { headers } from '../../../platform/headers/common/headers';
 import type { RequestId, TargetId } from '../../../platform/ids/common/ids';
-import { RepeatRule } from '../../../platform/manifest/common/manifest';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import { findHeader } from '../../common/callers/callHead';
 import { RequestEvent } from '../../common/requests/requestLife';
@@ -26,20 +25,13 @@
 	TargetRoom,
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
-import type { ITargetClient } from '../targets/targetClient';
+import type { ITargetDirectory } from '../targets/targetDirectory';
+import { endUnanswered, sendRetryEvent } from './attemptEnds';
 import type { IAttemptOwner } from './attemptRun';
 import { AttemptRun } from './attemptRun';
 import type { CrashWatch } from './crashWatch';
 import type { AcceptedCall, RequestRun } from './requestRun';
-
-/** What the runner needs of the targets' registry. */
-export interface ITargetDirectory {
-	findClient(target: TargetId): ITargetClient | undefined;
-	/** An answer's head: it may say that the target is leaving. */
-	noteAnswerHead(target: TargetId, head: AnswerHead): void;
-	/** An attempt ended; connections that fail are a sign about the target. */
-	noteAttemptEnd(target: TargetId, end: AttemptEnd, run: RequestRun): void;
-}
+import { createSchedulable } from './schedulableRequest';
 
 interface RunState {
 	readonly run: RequestRun;
@@ -47,29 +39,6 @@
 	running: AttemptRun | undefined;
 }
 
-const eventsOfRetry: Readonly<Partial<Record<AttemptEnd, RequestEvent>>> = {
-	[AttemptEnd.TargetRefused]: RequestEvent.TargetRefused,
-	[AttemptEnd.NotConnected]: RequestEvent.NotConnected,
-	[AttemptEnd.Failed]: RequestEvent.Retry,
-	[AttemptEnd.Silent]: RequestEvent.Retry,
-};
-
-/** Makes the scheduler's view of a request. */
-export function createSchedulable(run: RequestRun): SchedulableRequest {
-	const { id, head, plan, body, arrivedMs, deadlineMs } = run.call;
-	return {
-		id,
-		organisation: head.organisation,
-		requestClass: head.requestClass,
-		arrivedMs,
-		deadlineMs,
-		prefixKey: head.prefixKey,
-		bodyBytes: body.byteLength,
-		isRepeatable: plan.repeat === RepeatRule.Idempotent,
-		organisationWeight: plan.organisation.weight,
-	};
-}
-
 /** Runs the requests of one service. */
 export class ServiceRunner extends Disposable implements IAttemptOwner {
 	private readonly states = new Map<RequestId, RunState>();
@@ -203,42 +172,17 @@
 			this.takeBack(run, end);
 		} else {
 			this.states.delete(run.call.id);
-			this.endRun(run, refusal ?? error);
+			endUnanswered(run, refusal ?? error);
 		}
 		this.advance();
 	}
 
 	private takeBack(run: RequestRun, end: AttemptEnd): void {
-		const event = eventsOfRetry[end];
-		if (event !== undefined) {
-			run.life.send(event);
-		}
+		sendRetryEvent(run, end);
 		run.note(JournalStep.Retried, end);
 		run.noteSubmitted();
 	}
 
-	private endRun(run: RequestRun, error: RequestError | undefined): void {
-		if (error === undefined || run.hasEnded()) {
-			return;
-		}
-		if (error.kind === ErrorKind.CallerGone) {
-			run.abandon();
-			return;
-		}
-		this.noteUnrun(run, error);
-		run.fail(error);
-	}
-
-	/** A refusal that was not taken back still clears the attempt: the caller may be told `not-run`. */
-	private noteUnrun(run: RequestRun, error: RequestError): void {
-		if (error.kind === ErrorKind.TargetRefused) {
-			run.life.send(RequestEvent.TargetRefused);
-		}
-		if (error.kind === ErrorKind.NoTarget) {
-			run.life.send(RequestEvent.NotConnected);
-		}
-	}
-
 	private submitToScheduler(run: RequestRun): void {
 		const refusal = this.crashes.findRefusal(run.call);
 		if (refusal !== undefined) {
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -22,7 +22,7 @@
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
-import type { ITargetDirectory } from '../requests/serviceRunner';
+import type { ITargetDirectory } from './targetDirectory';
 import { TargetClient } from './targetClient';
 import { isClosing, isTargetDead, probeTarget } from './targetProbe';
 
