Return to a platform that refused spread out, and test the follower

Cause: a time to return that the platform named was kept exactly, so a fleet refused together came back together; and the follower had no test. Change: the drawn wait comes on top of the time told.

--- a/src/platform/following/node/platformFollower.ts
+++ b/src/platform/following/node/platformFollower.ts
@@ -100,7 +100,8 @@
 	private computeBackoffMs(retryAfterMs: number | undefined): number {
 		const limitMs = Math.min(mostBackoffMs, leastBackoffMs * 2 ** this.failures);
 		const drawnMs = leastBackoffMs + this.random.pickFraction() * (limitMs - leastBackoffMs);
-		return Math.max(drawnMs, retryAfterMs ?? 0);
+		// Told the same time, a fleet that came back exactly then would be refused together again.
+		return (retryAfterMs ?? 0) + drawnMs;
 	}
 
 	private async waitFor(delayMs: number): Promise<void> {
--- /dev/null
+++ b/src/platform/following/test/platformFollower.test.ts
@@ -0,0 +1,102 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { subscribeTo } from '../../../base/common/channel';
+import { ManualTimerService } from '../../../base/common/manualTimerService';
+import { SeededRandom } from '../../../base/common/random';
+import type { PlatformFault } from '../../platformClient/node/platformClient';
+import { PlatformFollower } from '../node/platformFollower';
+
+interface Document {
+	readonly version: number;
+}
+
+type Answer = Result<Document | undefined, PlatformFault>;
+
+const outage: Answer = err({ detail: 'connect refused', retryAfterMs: undefined });
+
+interface Following {
+	readonly timers: ManualTimerService;
+	readonly follower: PlatformFollower<Document>;
+	/** When each read was made, and after which version. */
+	readonly reads: { readonly atMs: number; readonly after: number }[];
+	readonly versions: number[];
+	/** Moves the clock in small steps, so that reads and waits take turns. */
+	advance(durationMs: number): Promise<void>;
+}
+
+/** A follower whose reads are answered at once by `answer`. */
+function createFollowing(answer: (read: number) => Answer, seed = 1): Following {
+	const timers = new ManualTimerService();
+	const reads: Following['reads'] = [];
+	const versions: number[] = [];
+	const follower = new PlatformFollower<Document>(
+		after => {
+			reads.push({ atMs: timers.getNow(), after });
+			return Promise.resolve(answer(reads.length));
+		},
+		timers,
+		new SeededRandom(seed),
+	);
+	subscribeTo(follower.onDidRead, ({ version }) => versions.push(version));
+	const advance = async (durationMs: number): Promise<void> => {
+		const untilMs = timers.getNow() + durationMs;
+		while (timers.getNow() < untilMs) {
+			await new Promise(resolve => setImmediate(resolve));
+			timers.advance(50);
+		}
+	};
+	return { timers, follower, reads, versions, advance };
+}
+
+describe('PlatformFollower', () => {
+	it('emits each version and asks on from there', async () => {
+		const following = createFollowing(read => ok(read <= 3 ? { version: read } : undefined));
+		void following.follower.follow();
+		await following.advance(1_000);
+		following.follower.dispose();
+		expect(following.versions).toEqual([1, 2, 3]);
+		expect(following.reads.slice(0, 4).map(read => read.after)).toEqual([0, 1, 2, 3]);
+	});
+
+	it('asks rarely, and not in step with others, while the platform is away', async () => {
+		// The platform goes down for a minute. Entries that all ask again at once, and again every second,
+		// trip its rate limit when it comes back, and the outage goes on for everybody.
+		const [first, second] = [1, 2].map(seed => createFollowing(() => outage, seed));
+		for (const following of [first!, second!]) {
+			void following.follower.follow();
+			await following.advance(60_000);
+			following.follower.dispose();
+			expect(following.reads.length).toBeLessThan(60);
+			expect(following.reads.length).toBeGreaterThan(10);
+		}
+		const times = first!.reads.slice(1, 10).map(read => read.atMs);
+		expect(second!.reads.slice(1, 10).map(read => read.atMs)).not.toEqual(times);
+	});
+
+	it('comes back no sooner than it was told to, and not in step with others', async () => {
+		// A fleet that lost the platform comes back to it together and is refused with one time to return.
+		// If all return exactly then, they are refused together once more.
+		const refused: Answer = err({ detail: 'the platform answered 429', retryAfterMs: 10_000 });
+		const times = [1, 2].map(async seed => {
+			const following = createFollowing(() => refused, seed);
+			void following.follower.follow();
+			await following.advance(45_000);
+			following.follower.dispose();
+			return following.reads.map(read => read.atMs);
+		});
+		const [first, second] = await Promise.all(times);
+		const gaps = first!.slice(1).map((atMs, index) => atMs - first![index]!);
+		expect(Math.min(...gaps)).toBeGreaterThanOrEqual(10_000);
+		expect(second).not.toEqual(first);
+	});
+
+	it('does not spin where a watch is answered at once with nothing new', async () => {
+		// Something between the two ends answers for the platform without waiting. An entry that asked again
+		// at once would spend its core and the platform's whole rate on it.
+		const following = createFollowing(() => ok(undefined));
+		void following.follower.follow();
+		await following.advance(10_000);
+		following.follower.dispose();
+		expect(following.reads.length).toBeLessThanOrEqual(50);
+	});
+});
