End a stop though a peer or a caller is gone without a word

A session to a peer behind a link that swallows everything never ends: its stream waits for a window that nobody opens. Ruled out, by reading: the request itself (its deadline ends it); the sockets whose sending side has ended (lingeringSockets has them). Not shown by a log: the folder for logs was not made, which is mended too. Change: a closing server asks sessions that have streams for a sign of life and ends those that give none for 10 s; unread answers of callers bound the stop by two minutes.

--- a/src/bin/prove.ts
+++ b/src/bin/prove.ts
@@ -4,7 +4,7 @@
  * kinds and compares what callers were told with what targets ran. Exit code 0 only if everything holds.
  */
 
-import { writeFileSync } from 'node:fs';
+import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { renderTable } from '../base/common/textTable';
 import { exitCodeBadUsage } from '../platform/settings/node/loadSettings';
@@ -52,6 +52,7 @@
 }
 
 function writeLogs(program: ProveProgram, folder: string): void {
+	mkdirSync(folder, { recursive: true });
 	for (const [name, lines] of program.listLines()) {
 		writeFileSync(join(folder, `${name}.log`), `${lines.join('\n')}\n`);
 	}
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -55,6 +55,8 @@
 const requestTimeoutMs = 120_000;
 /** Longer than callers usually keep idle connections, so that it is they who close them. */
 const keepAliveTimeoutMs = 75_000;
+/** Ended answers that a caller has not read: some megabytes, for which a thin link takes a minute. */
+const mostFlushMs = 120_000;
 const overflowCode = 'HPE_HEADER_OVERFLOW';
 
 /** Serves callers. */
@@ -90,10 +92,17 @@
 		return listenOn(this.server, address);
 	}
 
-	/** Stops listening, and ends once the answers in progress have ended. */
+	/**
+	 * Stops listening, and ends once the answers in progress have been read. A caller that is gone without a
+	 * word never reads its last bytes, and would keep the process for as long as the system tries to send.
+	 */
 	async close(): Promise<void> {
 		return new Promise(resolve => {
+			const limit = this.timers.schedule(mostFlushMs, () => {
+				this.server.closeAllConnections();
+			});
 			this.server.close(() => {
+				limit.dispose();
 				resolve();
 			});
 			this.server.closeIdleConnections();
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -6,7 +6,7 @@
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import type { Http2SecureServer, Http2Server, ServerHttp2Session } from 'node:http2';
+import type { Http2SecureServer, Http2Server } from 'node:http2';
 import { createSecureServer, createServer } from 'node:http2';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Result } from 'neverthrow';
@@ -41,6 +41,7 @@
 import type { CallPlan, ForwardedFrom } from '../../common/placement/callPlan';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
+import { ClosingSessions } from './closingSessions';
 import { setSessionWindow, windowSettings } from './flowWindows';
 import { LingeringSockets } from './lingeringSockets';
 import { createFaultPart, PeerSink } from './peerSink';
@@ -60,7 +61,7 @@
 /** Serves other entries. */
 export class PeerServer extends Disposable {
 	private readonly server: Http2Server | Http2SecureServer;
-	private readonly sessions = new Set<ServerHttp2Session>();
+	private readonly sessions: ClosingSessions;
 	private readonly sockets: LingeringSockets;
 
 	constructor(
@@ -81,13 +82,13 @@
 		};
 		this.server = this.createServer(connectNodeAdapter({ routes }), certificates);
 		this.sockets = new LingeringSockets(timers);
+		this.sessions = new ClosingSessions(timers);
 		this.server.on(certificates === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
 			this.sockets.add(socket);
 		});
 		this.server.on('session', session => {
 			setSessionWindow(session);
 			this.sessions.add(session);
-			session.once('close', () => this.sessions.delete(session));
 		});
 	}
 
@@ -100,12 +101,11 @@
 		return new Promise(resolve => {
 			this.dispose();
 			this.server.close(() => {
+				this.sessions.dispose();
 				resolve();
 			});
 			this.sockets.endAfterLinger();
-			for (const session of this.sessions) {
-				session.close();
-			}
+			this.sessions.close();
 		});
 	}
 
