Name the call handler, the ticket service and the sleep detector by what they do

Cause: gate, desk and guard are figures of speech; a newcomer looks for a handler, a service and a detector. Change: names and files only; behaviour is as it was.

--- a/src/entry/node/callGate.ts
+++ b/src/entry/node/callHandler.ts
@@ -1,5 +1,5 @@
 /**
- * The gate of one entry: decides by the manifest in force which calls come in, from callers and from peers,
+ * Handles the calls of one entry: decides by the manifest in force which calls come in, from callers and from peers,
  * and answers lookups.
  */
 
@@ -33,16 +33,16 @@
 import type { RefusedCall } from './requests/activeRuns';
 import type { AcceptedCall } from './requests/requestRun';
 import type { RequestRouter } from './requests/requestRouter';
-import type { WakeGuard } from './wakeGuard';
-import type { TicketDesk } from './tickets/ticketDesk';
+import type { SleepDetector } from './sleepDetector';
+import type { TicketService } from './tickets/ticketService';
 
 /** Who this entry is. */
 export type OwnInstance = EntrySettings['instance'] & { readonly boot: BootId };
 
-/** What the gate asks of the parts around it. */
-export type GateManifests = Pick<ManifestKeeper, 'getCurrent'>;
-export type GateFleet = Pick<EntryFleet, 'listCandidates' | 'receiveViews'>;
-export type GateOwnView = Pick<OwnView, 'describeCandidate' | 'isLeaving'>;
+/** What the handler asks of the parts around it. */
+export type HandlerManifests = Pick<ManifestKeeper, 'getCurrent'>;
+export type HandlerFleet = Pick<EntryFleet, 'listCandidates' | 'receiveViews'>;
+export type HandlerOwnView = Pick<OwnView, 'describeCandidate' | 'isLeaving'>;
 
 /** Which entries are to be named. */
 interface EntryWish {
@@ -59,16 +59,16 @@
 const bootCharacters = 6;
 
 /** Lets calls in. */
-export class CallGate implements ICallHandler, IPeerHandler {
+export class CallHandler implements ICallHandler, IPeerHandler {
 	private requests = 0;
 
 	constructor(
 		private readonly own: OwnInstance,
-		private readonly manifests: GateManifests,
-		private readonly fleet: GateFleet,
-		private readonly ownView: GateOwnView,
-		private readonly wakeGuard: Pick<WakeGuard, 'findHold'>,
-		private readonly tickets: TicketDesk,
+		private readonly manifests: HandlerManifests,
+		private readonly fleet: HandlerFleet,
+		private readonly ownView: HandlerOwnView,
+		private readonly sleepDetector: Pick<SleepDetector, 'findHold'>,
+		private readonly tickets: TicketService,
 		private readonly router: RequestRouter,
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
@@ -76,7 +76,7 @@
 	) {}
 
 	findHold(): Promise<void> | undefined {
-		return this.wakeGuard.findHold();
+		return this.sleepDetector.findHold();
 	}
 
 	createRequestId(): RequestId {
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -3,8 +3,8 @@
 import { Agent, request } from 'undici';
 import { DisposableStore, toDisposable } from '../../../../base/common/lifecycle';
 import type { RequestId } from '../../../../platform/ids/common/ids';
-import type { GateWorld } from '../../test/gateFixtures';
-import { createGateWorld } from '../../test/gateFixtures';
+import type { HandlerWorld } from '../../test/callHandlerFixtures';
+import { createHandlerWorld } from '../../test/callHandlerFixtures';
 import { CallerServer } from '../callerServer';
 
 const owned = new DisposableStore();
@@ -13,9 +13,9 @@
 	owned.dispose();
 });
 
-async function startServer(world: GateWorld): Promise<{ url: string; port: number; agent: Agent }> {
+async function startServer(world: HandlerWorld): Promise<{ url: string; port: number; agent: Agent }> {
 	const limits = { mostHeadBytes: 2_048, mostBodyBytes: 100 };
-	const server = new CallerServer(world.gate, world.held, limits, world.flow.timers);
+	const server = new CallerServer(world.handler, world.held, limits, world.flow.timers);
 	const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
 	const agent = new Agent({ connections: 1, pipelining: 1 });
 	owned.add(toDisposable(() => void server.close()));
@@ -36,7 +36,7 @@
 	// A caller is refused and hands its request id to the operators. If the entry kept nothing of the
 	// request, they could not say why, nor whether it was this caller's fault at all.
 	it('has a record under the id that its caller was told', async () => {
-		const world = createGateWorld();
+		const world = createHandlerWorld();
 		const { url, port, agent } = await startServer(world);
 		const organisation = { 'anvilroad-organisation': 'harbour-hotel' };
 		const answers = [
@@ -69,7 +69,7 @@
 	// Many callers are refused at once, as in an overload. If each lost its connection with the answer, all
 	// of them would connect anew, which costs the busy entry more than the refusals.
 	it('keeps its connection unless a body is left unread', async () => {
-		const { url, agent } = await startServer(createGateWorld());
+		const { url, agent } = await startServer(createHandlerWorld());
 		const options = { dispatcher: agent };
 		const empty = [
 			await request(`${url}/nowhere`, options),
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -21,7 +21,7 @@
 import { Quarantine } from '../common/quarantine/quarantine';
 import { HeldBytes } from './callers/bodyReader';
 import { CallerServer } from './callers/callerServer';
-import { CallGate } from './callGate';
+import { CallHandler } from './callHandler';
 import { EntryCertificates } from './entryCertificates';
 import { EntryFollowing } from './entryFollowing';
 import { EntryTelemetry } from './entryTelemetry';
@@ -38,9 +38,9 @@
 import { RouterSurroundings } from './requests/routerSurroundings';
 import { ServiceRunners } from './requests/serviceRunners';
 import { TargetRegistry } from './targets/targetRegistry';
-import { WakeGuard } from './wakeGuard';
-import { openTicketDesk } from './tickets/openTicketDesk';
-import type { TicketDesk } from './tickets/ticketDesk';
+import { SleepDetector } from './sleepDetector';
+import { createTicketService } from './tickets/createTicketService';
+import type { TicketService } from './tickets/ticketService';
 
 const trailCapacity = 4_096;
 const journalCapacity = 10_000;
@@ -73,9 +73,9 @@
 	private readonly runners: ServiceRunners;
 	private readonly ownView: OwnView;
 	private readonly runs: ActiveRuns;
-	private readonly wakeGuard: WakeGuard;
-	private readonly tickets: TicketDesk;
-	private readonly gate: CallGate;
+	private readonly sleepDetector: SleepDetector;
+	private readonly tickets: TicketService;
+	private readonly callHandler: CallHandler;
 	private readonly callers: CallerServer;
 	private readonly peerServer: PeerServer;
 	private readonly operators: OperatorsServer;
@@ -136,17 +136,17 @@
 			timers: this.timers,
 		});
 		this.runs = new ActiveRuns(this.journal, this.metrics, this.held, this.timers);
-		this.tickets = openTicketDesk(settings, this.boot, this.fleet);
-		this.wakeGuard = this.register(this.createWakeGuard());
-		this.gate = this.createGate();
+		this.tickets = createTicketService(settings, this.boot, this.fleet);
+		this.sleepDetector = this.register(this.createSleepDetector());
+		this.callHandler = this.createCallHandler();
 		this.callers = new CallerServer(
-			this.gate,
+			this.callHandler,
 			this.held,
 			{ mostHeadBytes: settings.limits.max_head_bytes, mostBodyBytes: settings.limits.max_body_bytes },
 			this.timers,
 		);
 		this.peerServer = new PeerServer(
-			this.gate,
+			this.callHandler,
 			this.held,
 			settings.limits.max_body_bytes,
 			this.timers,
@@ -211,7 +211,7 @@
 				fleet: this.fleet,
 				runners: this.runners,
 				tickets: this.tickets,
-				gate: this.gate,
+				callHandler: this.callHandler,
 				held: this.held,
 				timers: this.timers,
 			}),
@@ -240,8 +240,8 @@
 		});
 	}
 
-	private createWakeGuard(): WakeGuard {
-		return new WakeGuard(
+	private createSleepDetector(): SleepDetector {
+		return new SleepDetector(
 			async () => {
 				await Promise.all([this.following.readManifestAnew(), this.fleet.exchangeWithAll()]);
 			},
@@ -252,7 +252,7 @@
 		);
 	}
 
-	private createGate(): CallGate {
+	private createCallHandler(): CallHandler {
 		const surroundings = new RouterSurroundings(
 			this.settings.instance,
 			this.manifests,
@@ -262,12 +262,12 @@
 			this.metrics,
 		);
 		const router = new RequestRouter(surroundings, this.tickets, this.timers);
-		return new CallGate(
+		return new CallHandler(
 			{ ...this.settings.instance, boot: this.boot },
 			this.manifests,
 			this.fleet,
 			this.ownView,
-			this.wakeGuard,
+			this.sleepDetector,
 			this.tickets,
 			router,
 			this.metrics,
@@ -285,7 +285,7 @@
 				targets: this.targets,
 				fleet: this.fleet,
 				runners: this.runners,
-				gate: this.gate,
+				callHandler: this.callHandler,
 				tickets: this.tickets,
 				held: this.held,
 				trail: this.trail,
--- a/src/entry/node/entryTelemetry.ts
+++ b/src/entry/node/entryTelemetry.ts
@@ -9,14 +9,14 @@
 import type { IAuditTrail } from '../../platform/audit/common/auditTrail';
 import type { HttpPlatformClient } from '../../platform/platformClient/node/platformClient';
 import type { EntryMetrics } from '../../platform/telemetry/node/entryMetrics';
-import type { CallGate } from './callGate';
+import type { CallHandler } from './callHandler';
 import type { HeldBytes } from './callers/bodyReader';
 import type { EntryFleet } from './fleet/entryFleet';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
 import { countPeers } from './operatorsSource';
 import type { ServiceRunners } from './requests/serviceRunners';
 import type { TargetRegistry } from './targets/targetRegistry';
-import type { TicketDesk } from './tickets/ticketDesk';
+import type { TicketService } from './tickets/ticketService';
 
 const gaugesMs = 1_000;
 
@@ -28,8 +28,8 @@
 	readonly targets: TargetRegistry;
 	readonly fleet: EntryFleet;
 	readonly runners: ServiceRunners;
-	readonly tickets: TicketDesk;
-	readonly gate: CallGate;
+	readonly tickets: TicketService;
+	readonly callHandler: CallHandler;
 	readonly held: HeldBytes;
 	readonly timers: ITimerService;
 }
@@ -65,11 +65,11 @@
 	}
 
 	private setGauges(): void {
-		const { held, tickets, gate, fleet, runners, targets } = this.parts;
+		const { held, tickets, callHandler, fleet, runners, targets } = this.parts;
 		this.metrics.setHeldBytes(held.getHeld());
 		this.metrics.setTicketsOutstanding(tickets.countSpent());
-		this.metrics.setReady(gate.getReadiness().isReady);
-		this.metrics.setLeaving(gate.isLeaving());
+		this.metrics.setReady(callHandler.getReadiness().isReady);
+		this.metrics.setLeaving(callHandler.isLeaving());
 		this.metrics.setPeers(countPeers(fleet));
 		for (const service of runners.listServices()) {
 			const room = runners.getRunner(service).measureRoom();
--- a/src/entry/node/operatorsSource.ts
+++ b/src/entry/node/operatorsSource.ts
@@ -14,14 +14,14 @@
 	ServiceStatus,
 	TargetStatus,
 } from '../../platform/status/common/entryStatus';
-import type { OwnInstance } from './callGate';
-import type { CallGate } from './callGate';
+import type { OwnInstance } from './callHandler';
+import type { CallHandler } from './callHandler';
 import type { HeldBytes } from './callers/bodyReader';
 import type { EntryFleet } from './fleet/entryFleet';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
 import type { ServiceRunners } from './requests/serviceRunners';
 import type { TargetRegistry } from './targets/targetRegistry';
-import type { TicketDesk } from './tickets/ticketDesk';
+import type { TicketService } from './tickets/ticketService';
 
 /** The part of the fleet that knows the peers. */
 export type PeersInView = Pick<EntryFleet, 'getLives' | 'listViews'>;
@@ -35,8 +35,8 @@
 	readonly targets: TargetRegistry;
 	readonly fleet: EntryFleet;
 	readonly runners: ServiceRunners;
-	readonly gate: CallGate;
-	readonly tickets: TicketDesk;
+	readonly callHandler: CallHandler;
+	readonly tickets: TicketService;
 	readonly held: HeldBytes;
 	readonly trail: IAuditTrail;
 	readonly journal: IRequestJournal;
@@ -58,7 +58,7 @@
 	}
 
 	getReadiness(): Readiness {
-		return this.parts.gate.getReadiness();
+		return this.parts.callHandler.getReadiness();
 	}
 
 	getStatus(): EntryStatus {
@@ -72,7 +72,7 @@
 			version,
 			uptimeMs: Math.round(parts.timers.getNow() - this.startedMs),
 			readiness: this.getReadiness(),
-			isLeaving: parts.gate.isLeaving(),
+			isLeaving: parts.callHandler.isLeaving(),
 			manifest: this.describeManifest(),
 			platform: { lastReadAgeMs: formatAge(parts.getPlatformSilenceMs()) },
 			peers: this.listPeers(),
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -17,7 +17,7 @@
 import { ForwardEndKind, ForwardRun } from '../peers/forwardRun';
 import type { ForwardSender } from '../peers/forwardRun';
 import type { PeerConnection } from '../peers/peerClients';
-import type { TicketDesk } from '../tickets/ticketDesk';
+import type { TicketService } from '../tickets/ticketService';
 import type { RefusedCall } from './activeRuns';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import type { ServiceRunner } from './serviceRunner';
@@ -46,7 +46,7 @@
 
 	constructor(
 		private readonly surroundings: IRouterSurroundings,
-		tickets: TicketDesk,
+		tickets: TicketService,
 		private readonly timers: ITimerService,
 	) {
 		this.tickets = new TicketRouter(surroundings, tickets, this, timers);
--- a/src/entry/node/requests/ticketRouter.ts
+++ b/src/entry/node/requests/ticketRouter.ts
@@ -18,7 +18,7 @@
 import type { ForwardEnd } from '../peers/forwardRun';
 import { ForwardEndKind } from '../peers/forwardRun';
 import type { PeerConnection } from '../peers/peerClients';
-import type { TicketDesk } from '../tickets/ticketDesk';
+import type { TicketService } from '../tickets/ticketService';
 import { RecordingSink } from './recordingSink';
 import type { IRouterSurroundings } from './requestRouter';
 import type { AcceptedCall, RequestRun } from './requestRun';
@@ -33,7 +33,7 @@
 export class TicketRouter {
 	constructor(
 		private readonly surroundings: Pick<IRouterSurroundings, 'findPeer' | 'getRunner' | 'noteTicket'>,
-		private readonly tickets: TicketDesk,
+		private readonly tickets: TicketService,
 		private readonly carrier: ITicketCarrier,
 		private readonly timers: ITimerService,
 	) {}
--- a/src/entry/node/wakeGuard.ts
+++ b/src/entry/node/sleepDetector.ts
@@ -27,8 +27,8 @@
  */
 const mostHoldMs = 1_000;
 
-/** Guards the entry's ways in. */
-export class WakeGuard extends Disposable {
+/** Detects sleep, and says what new requests must wait for. */
+export class SleepDetector extends Disposable {
 	private beatenMs: number;
 	private refreshing: Promise<void> | undefined;
 
--- a/src/entry/node/test/callGate.test.ts
+++ b/src/entry/node/test/callHandler.test.ts
@@ -3,7 +3,7 @@
 import { RepeatRule } from '../../../platform/manifest/common/manifest';
 import type { SeenAttempt } from '../requests/test/flowFixtures';
 import { beginAnswer } from '../requests/test/flowFixtures';
-import { createGateWorld } from './gateFixtures';
+import { createHandlerWorld } from './callHandlerFixtures';
 
 function answer(attempt: SeenAttempt | undefined, text: string): void {
 	attempt!.observer.noteHandedOver();
@@ -11,10 +11,10 @@
 	attempt!.observer.noteEnded();
 }
 
-describe('what a gate counts', () => {
+describe('what a call handler counts', () => {
 	it('tells tickets by what became of them', async () => {
-		const { gate, flow, issue, send, render } = createGateWorld();
-		gate.findEntries({
+		const { handler, flow, issue, send, render } = createHandlerWorld();
+		handler.findEntries({
 			service: 'bookings',
 			organisation: undefined,
 			previous: undefined,
@@ -45,7 +45,7 @@
 	});
 
 	it('tells the wait in the queue, the gaps of the answer and the attempts by their ends', async () => {
-		const { flow, send, render } = createGateWorld(RepeatRule.Idempotent);
+		const { flow, send, render } = createHandlerWorld(RepeatRule.Idempotent);
 		send(undefined);
 		const attempt = flow.attempts[0]!;
 		attempt.observer.noteHandedOver();
@@ -64,7 +64,7 @@
 	// Payments are carried to their issuers all day. Counted as sent to another region, they would use up the
 	// operator's budget for links on paper, and the alert on it would mean nothing.
 	it('is carried there without counting as sent away', async () => {
-		const { flow, issue, send, render } = createGateWorld();
+		const { flow, issue, send, render } = createHandlerWorld();
 		send(issue('neighbour'));
 		await flow.waitForPromises();
 		const page = await render();
@@ -78,7 +78,7 @@
 	// caller sends it again. Only this instance knows of the payment; refused here, the household would
 	// never learn whether it was charged.
 	it('still joins and replays the calls that its tickets were spent on', () => {
-		const { flow, issue, send, setLeaving } = createGateWorld();
+		const { flow, issue, send, setLeaving } = createHandlerWorld();
 		const ticket = issue();
 		send(ticket);
 		setLeaving();
@@ -92,7 +92,7 @@
 	// A caller presents a fresh ticket to an instance that is being replaced. It is told not-run and pays by
 	// other means; a copy of the call that is still under way must not run after that.
 	it('refuses a fresh ticket for good, as not-run', () => {
-		const { flow, issue, send, setLeaving } = createGateWorld();
+		const { flow, issue, send, setLeaving } = createHandlerWorld();
 		const ticket = issue();
 		setLeaving();
 		for (const sink of [send(ticket), send(ticket)]) {
@@ -103,7 +103,7 @@
 	});
 
 	it('takes no new work for a ticket that its service does not need', () => {
-		const { flow, issue, send, setLeaving } = createGateWorld(RepeatRule.Idempotent);
+		const { flow, issue, send, setLeaving } = createHandlerWorld(RepeatRule.Idempotent);
 		setLeaving();
 		expect(send(issue()).refusal?.kind).toBe(ErrorKind.Leaving);
 		expect(send(undefined).refusal?.kind).toBe(ErrorKind.Leaving);
--- a/src/entry/node/test/gateFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -1,5 +1,5 @@
 /**
- * The gate of an entry over scripted targets: the real ledger, router, journal and metrics, no network.
+ * The call handler of an entry over scripted targets: the real ledger, router, journal and metrics, no network.
  */
 
 import { SeededRandom } from '../../../base/common/random';
@@ -25,7 +25,7 @@
 import { StayHomePolicy } from '../../common/sendAway/sendAwayPolicy';
 import { formatTicket } from '../../common/tickets/ticket';
 import { TicketIssuer } from '../../common/tickets/ticketIssuer';
-import { CallGate } from '../callGate';
+import { CallHandler } from '../callHandler';
 import { HeldBytes } from '../callers/bodyReader';
 import type { PeerConnection } from '../peers/peerClients';
 import { ActiveRuns } from '../requests/activeRuns';
@@ -34,7 +34,7 @@
 import type { Flow } from '../requests/test/flowFixtures';
 import { createFlow, createFlowManifest, RememberingSink } from '../requests/test/flowFixtures';
 import { HmacTicketSigner } from '../tickets/hmacTicketSigner';
-import { TicketDesk } from '../tickets/ticketDesk';
+import { TicketService } from '../tickets/ticketService';
 
 const own = { instance: 'entry-1' as InstanceId, boot: 'boot1' as BootId };
 const region = 'kingston' as RegionName;
@@ -44,9 +44,9 @@
 /** A peer that takes no connection. */
 const closedPeer = { session: { connect: () => Promise.resolve('error') } } as unknown as PeerConnection;
 
-/** A gate and what stands around it. */
-export interface GateWorld {
-	readonly gate: CallGate;
+/** A handler and what stands around it. */
+export interface HandlerWorld {
+	readonly handler: CallHandler;
 	readonly flow: Flow;
 	readonly journal: RingRequestJournal;
 	readonly held: HeldBytes;
@@ -59,8 +59,8 @@
 	setLeaving(): void;
 }
 
-/** Builds a gate before one scripted target. */
-export function createGateWorld(repeat = RepeatRule.AtMostOnce, mostHeldBytes = 1_000): GateWorld {
+/** Builds a handler before one scripted target. */
+export function createHandlerWorld(repeat = RepeatRule.AtMostOnce, mostHeldBytes = 1_000): HandlerWorld {
 	const flow = createFlow(1, repeat);
 	const { timers } = flow;
 	const metrics = new EntryMetrics({ version: '1', instance: own.instance, region, zone });
@@ -69,14 +69,14 @@
 	const held = new HeldBytes(mostHeldBytes);
 	const runs = new ActiveRuns(journal, metrics, held, timers);
 	const signer = new HmacTicketSigner('a key of today');
-	const desk = new TicketDesk(
+	const tickets = new TicketService(
 		{ own, region },
 		signer,
 		new TicketIssuer(own, signer, 120_000),
 		new AtMostOnceLedger(own, { mostAnswerBytes: 1_000, mostTickets: 10 }),
 		{ findEntry: instance => (instance === neighbour.own.instance ? neighbour : undefined) },
 	);
-	const router = new RequestRouter(createSurroundings(flow, runs, metrics), desk, timers);
+	const router = new RequestRouter(createSurroundings(flow, runs, metrics), tickets, timers);
 	let isLeaving = false;
 	const manifest = createFlowManifest(repeat);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
@@ -90,29 +90,29 @@
 		room: undefined,
 		ageMs: 0,
 	});
-	const gate = new CallGate(
+	const handler = new CallHandler(
 		{ id: own.instance, region, zone, boot: own.boot },
 		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
 		{ listCandidates: () => [createCandidate(neighbour.own.instance)], receiveViews: () => [] },
 		{ describeCandidate: () => createCandidate(own.instance), isLeaving: () => isLeaving },
 		{ findHold: () => undefined },
-		desk,
+		tickets,
 		router,
 		metrics,
 		timers,
 		new SeededRandom(1),
 	);
 	return {
-		gate,
+		handler,
 		flow,
 		journal,
 		held,
 		render: () => metrics.render(),
 		issue: (issuer = 'own') =>
 			issuer === 'own'
-				? desk.issueBatch(1, timers.getNow())[0]!
+				? tickets.issueBatch(1, timers.getNow())[0]!
 				: formatTicket({ issuer: neighbour.own, number: 1, expiresMs: 120_000 }, signer),
-		send: (ticket, body = 'pay') => sendCall(gate, createHead(ticket), body),
+		send: (ticket, body = 'pay') => sendCall(handler, createHead(ticket), body),
 		setLeaving: () => {
 			isLeaving = true;
 		},
@@ -154,15 +154,15 @@
 	};
 }
 
-function sendCall(gate: CallGate, head: CallHead, body: string): RememberingSink {
+function sendCall(handler: CallHandler, head: CallHead, body: string): RememberingSink {
 	const sink = new RememberingSink();
-	const plan = gate.plan(head);
+	const plan = handler.plan(head);
 	if (plan.isErr()) {
-		sink.refuse(head.ticket === undefined ? plan.error : gate.refuseTicketed(head.ticket, plan.error));
+		sink.refuse(head.ticket === undefined ? plan.error : handler.refuseTicketed(head.ticket, plan.error));
 		return sink;
 	}
-	const id: RequestId = gate.createRequestId();
+	const id: RequestId = handler.createRequestId();
 	const times = { arrivedMs: 0, deadlineMs: 30_000, isDeadlineGiven: true };
-	gate.accept({ id, head, plan: plan.value, body: Buffer.from(body), ...times, origin: undefined }, sink);
+	handler.accept({ id, head, plan: plan.value, body: Buffer.from(body), ...times, origin: undefined }, sink);
 	return sink;
 }
--- a/src/entry/node/test/wakeGuard.test.ts
+++ b/src/entry/node/test/sleepDetector.test.ts
@@ -1,9 +1,9 @@
 import { ManualTimerService } from '../../../base/common/manualTimerService';
-import { WakeGuard } from '../wakeGuard';
+import { SleepDetector } from '../sleepDetector';
 
 interface Sleeper {
 	readonly timers: ManualTimerService;
-	readonly guard: WakeGuard;
+	readonly guard: SleepDetector;
 	readonly slept: number[];
 	answerRefresh: () => void;
 }
@@ -15,7 +15,7 @@
 		timers,
 		slept,
 		answerRefresh: () => undefined,
-		guard: new WakeGuard(
+		guard: new SleepDetector(
 			() =>
 				new Promise(resolve => {
 					sleeper.answerRefresh = resolve;
@@ -27,7 +27,7 @@
 	return sleeper;
 }
 
-describe('WakeGuard', () => {
+describe('SleepDetector', () => {
 	it('holds nothing back while the process is awake', () => {
 		const { timers, guard, slept } = createSleeper();
 		timers.advance(60_000);
--- a/src/entry/node/tickets/openTicketDesk.ts
+++ b/src/entry/node/tickets/createTicketService.ts
@@ -8,23 +8,23 @@
 import { TicketIssuer } from '../../common/tickets/ticketIssuer';
 import type { IEntryDirectory } from '../../common/tickets/ticketRoute';
 import { HmacTicketSigner } from './hmacTicketSigner';
-import { TicketDesk } from './ticketDesk';
+import { TicketService } from './ticketService';
 
 /** At 256 bytes a spent ticket, some 50 MB at the most. */
 const mostSpentTickets = 200_000;
 /** Bytes of answers kept for resends. */
 const mostKeptAnswerBytes = 33_554_432;
 
-/** Opens the desk; nothing of an earlier boot's tickets is known to it. */
-export function openTicketDesk(
+/** Makes the service; nothing of an earlier boot's tickets is known to it. */
+export function createTicketService(
 	settings: EntrySettings,
 	boot: BootId,
 	directory: IEntryDirectory,
-): TicketDesk {
+): TicketService {
 	const { instance, tickets } = settings;
 	const own = { instance: instance.id, boot };
 	const signer = new HmacTicketSigner(tickets.key, tickets.previous_key);
-	return new TicketDesk(
+	return new TicketService(
 		{ own, region: instance.region },
 		signer,
 		new TicketIssuer(own, signer, tickets.lifetime_ms),
--- a/src/entry/node/tickets/ticketDesk.ts
+++ b/src/entry/node/tickets/ticketService.ts
@@ -27,7 +27,7 @@
 }
 
 /** The ticket work of one start of one entry. */
-export class TicketDesk {
+export class TicketService {
 	constructor(
 		private readonly own: KnownEntry,
 		private readonly signer: ITicketSigner,
