Hash a suspected call once; make the synthetic view in one place

Cause: while requests are under suspicion, each choice of a target hashed a waiting call's body anew, and so did the refusal and the death check beside it; and the capacity model and its fake peers each made the same view. Change: the crash watch keeps a call's fingerprint for as long as the call lives; createSyntheticView serves both. Behaviour is as it was. The two setTimeout calls in the entry's stop and the caller's sink still go past the timer service.

--- a/src/capacity/common/spreadModel.ts
+++ b/src/capacity/common/spreadModel.ts
@@ -9,15 +9,8 @@
 import type { EntryView } from '../../entry/common/fleetView/entryView';
 import { ExchangePlan } from '../../entry/common/fleetView/exchangePlan';
 import { FleetView } from '../../entry/common/fleetView/fleetView';
-import type {
-	BootId,
-	InstanceId,
-	ManifestVersion,
-	RegionName,
-	ServiceName,
-	ZoneName,
-} from '../../platform/ids/common/ids';
-import { createPlace } from './syntheticFleet';
+import type { InstanceId, ManifestVersion } from '../../platform/ids/common/ids';
+import { createSyntheticView } from './syntheticView';
 
 /** What one run of the model gave. */
 export interface Spread {
@@ -30,7 +23,7 @@
 	readonly suspectAfterSeconds: number;
 }
 
-const services = 7;
+const placeholderUrl = 'http://127.0.0.1:30001';
 const roundMs = 1_000;
 const publishRound = 10;
 const rounds = 40;
@@ -38,7 +31,6 @@
 const usableOfferMs = 5_000;
 const mostShare = 0.9;
 const wholePercent = 100;
-const oldVersion = 1 as ManifestVersion;
 const newVersion = 2 as ManifestVersion;
 
 /** Runs a fleet of a size from a seed. */
@@ -75,7 +67,7 @@
 	constructor(nodes: number, seed: number) {
 		const random = new SeededRandom(seed);
 		for (let index = 0; index < nodes; index++) {
-			const view = createView(index);
+			const view = createSyntheticView(index, 1, placeholderUrl);
 			const fleet = new FleetView(view.instance);
 			this.views.push(view);
 			this.fleets.push(fleet);
@@ -135,7 +127,7 @@
 	}
 
 	private updateView(index: number, change: Partial<EntryView>): EntryView {
-		const before = this.views[index] ?? createView(index);
+		const before = this.views[index] ?? createSyntheticView(index, 1, placeholderUrl);
 		const view = { ...before, ...change, sequence: before.sequence + 1 };
 		this.views[index] = view;
 		return view;
@@ -146,26 +138,3 @@
 	const index = holders.findIndex(count => count >= wanted);
 	return index < 0 ? Number.POSITIVE_INFINITY : index + 1;
 }
-
-function createView(index: number): EntryView {
-	const { id, region, zone } = createPlace(index);
-	return {
-		instance: id as InstanceId,
-		bootId: `boot0000${index}` as BootId,
-		sequence: 1,
-		region: region as RegionName,
-		zone: zone as ZoneName,
-		callerUrl: 'http://127.0.0.1:30001',
-		peerUrl: 'http://127.0.0.1:30001',
-		isLeaving: false,
-		manifestVersion: oldVersion,
-		manifestDigest: '0123456789abcdef',
-		ageMs: 0,
-		rooms: Array.from({ length: services }, (_, service) => ({
-			service: `service-${service}` as ServiceName,
-			room: { waitMs: 12, freeSlots: 40, running: 24, queued: 3 },
-		})),
-		leavingTargets: [],
-		crashSightings: [],
-	};
-}
--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -11,14 +11,7 @@
 import { SystemTimerService } from '../../base/node/systemTimerService';
 import { RingAuditTrail } from '../../platform/audit/common/ringAuditTrail';
 import { createRequestError, ErrorKind } from '../../platform/errors/common/errorKinds';
-import type {
-	BootId,
-	InstanceId,
-	ManifestVersion,
-	RegionName,
-	ServiceName,
-	ZoneName,
-} from '../../platform/ids/common/ids';
+import type { InstanceId, RegionName, ZoneName } from '../../platform/ids/common/ids';
 import type { EntryView as WireView } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
 import type { EntryView } from '../../entry/common/fleetView/entryView';
@@ -29,8 +22,8 @@
 import type { IPeerHandler } from '../../entry/node/peers/peerServer';
 import { PeerServer } from '../../entry/node/peers/peerServer';
 import { createPlace } from '../common/syntheticFleet';
+import { createSyntheticView } from '../common/syntheticView';
 
-const services = 7;
 const bodyBytes = 1_024;
 const trailCapacity = 16;
 const drawSeed = 20;
@@ -83,25 +76,7 @@
 
 	describe(): EntryView {
 		this.sequence++;
-		return {
-			instance: this.place.id as InstanceId,
-			bootId: `boot0000${this.index}` as BootId,
-			sequence: this.sequence,
-			region: this.place.region as RegionName,
-			zone: this.place.zone as ZoneName,
-			callerUrl: this.peerUrl,
-			peerUrl: this.peerUrl,
-			isLeaving: false,
-			manifestVersion: 1 as ManifestVersion,
-			manifestDigest: '0123456789abcdef',
-			ageMs: 0,
-			rooms: Array.from({ length: services }, (_, service) => ({
-				service: `service-${service}` as ServiceName,
-				room: { waitMs: 12, freeSlots: 40, running: 24, queued: 3 },
-			})),
-			leavingTargets: [],
-			crashSightings: [],
-		};
+		return createSyntheticView(this.index, this.sequence, this.peerUrl);
 	}
 
 	describeListed(): object {
--- a/src/entry/node/requests/crashWatch.ts
+++ b/src/entry/node/requests/crashWatch.ts
@@ -24,7 +24,7 @@
 const mostTellMs = 500;
 
 /** Hashes what makes two sends of one request alike. */
-export function createCrashFingerprint(call: AcceptedCall): Fingerprint {
+function createCrashFingerprint(call: AcceptedCall): Fingerprint {
 	const { service, organisation, method, path } = call.head;
 	const hash = xxh3.Xxh3.withSeed();
 	hash.update(describeCall({ service, organisation, method, path }));
@@ -35,6 +35,8 @@
 /** Judges deaths for the runners of all services. */
 export class CrashWatch {
 	private readonly checks = new Map<TargetId, Promise<void>>();
+	/** A waiting call is asked about at each choice of a target; its body is hashed once. */
+	private readonly fingerprints = new WeakMap<AcceptedCall, Fingerprint>();
 
 	constructor(
 		private readonly quarantine: Quarantine,
@@ -48,12 +50,12 @@
 		if (this.quarantine.countFingerprints() === 0) {
 			return undefined;
 		}
-		return this.quarantine.findRefusal(createCrashFingerprint(call), this.timers.getNow());
+		return this.quarantine.findRefusal(this.getFingerprint(call), this.timers.getNow());
 	}
 
 	/** Whether a call was in flight at a death and must run apart from others of that kind. */
 	isSighted(call: AcceptedCall): boolean {
-		return this.quarantine.countFingerprints() > 0 && this.quarantine.isSighted(createCrashFingerprint(call));
+		return this.quarantine.countFingerprints() > 0 && this.quarantine.isSighted(this.getFingerprint(call));
 	}
 
 	/**
@@ -73,10 +75,21 @@
 		this.checks.delete(target);
 	}
 
+	private getFingerprint(call: AcceptedCall): Fingerprint {
+		const known = this.fingerprints.get(call);
+		if (known !== undefined) {
+			return known;
+		}
+		const fingerprint = createCrashFingerprint(call);
+		this.fingerprints.set(call, fingerprint);
+		return fingerprint;
+	}
+
 	private async noteIfDead(target: TargetId, inFlight: readonly AcceptedCall[]): Promise<void> {
 		const isDead = await this.probeDeath(target);
 		if (isDead) {
-			this.quarantine.noteDeath(target, inFlight.map(createCrashFingerprint), this.timers.getNow());
+			const fingerprints = inFlight.map(call => this.getFingerprint(call));
+			this.quarantine.noteDeath(target, fingerprints, this.timers.getNow());
 			await this.waitForRegion();
 		}
 	}
