Keep a region's callers at its last entry while its entries are replaced

Traced from the process lines of all entries: the second entry of kingston was stopped at 3.0 s, the first came back at 5.8 s. The directory then looked for a region that is a home of all routes of the host; one nested route has kingston alone, so none was left and any region was named. Ruled out: that a started entry does not know its region (it is heard of 0.25 s after it listens).

Change: the directory names regions that are homes of most routes; the last entry of a region says that it leaves only when another one has started, at most three eighths of the grace; it is unready at once, and takes no answer that is expected to last longer than it does.

--- a/src/entry/common/leaving/planLeaving.ts
+++ b/src/entry/common/leaving/planLeaving.ts
@@ -9,18 +9,28 @@
  * are stopped two seconds after each other would all be leaving at once, and a region be left with none. It
  * ends a little before it would be ended, so that what is left sees its connections closed by choice and the
  * log tells how many these were.
+ *
+ * The last entry of a region that is still taking callers says nothing of its leaving until another one of
+ * the region has started, or until the time that is left is needed to finish what it took. Without that, the
+ * callers of a region whose entries are replaced two seconds after each other are led to other regions for the
+ * three seconds that a process takes to finish and to start: their requests are slow there, or must not be
+ * read there.
  */
 
-/** How an entry leaves, in milliseconds from the word to leave. */
+/** How an entry leaves, in milliseconds; `endsMs` counts from the word to leave, the others one after another. */
 export interface LeavingTimes {
-	/** Up to when new work is still taken from those who do not know yet. */
+	/** How long the last entry of a region goes on taking callers as if it had not been stopped. */
+	readonly staysMs: number;
+	/** Up to when new work is still taken from those who do not know yet, after it has said that it leaves. */
 	readonly servesMs: number;
-	/** Up to when it goes on listening, to say that it leaves. */
+	/** Up to when it goes on listening, to say that it leaves; counted as before. */
 	readonly listensMs: number;
 	/** When it ends at the latest, whatever is in progress. */
 	readonly endsMs: number;
 }
 
+/** With the next two, leaves three eighths of the time for the longest answers to end. */
+const stayingShare = 0.375;
 const servingShare = 0.25;
 const listeningShare = 0.28;
 const reserveMs = 300;
@@ -32,10 +42,11 @@
 /** Plans a stop; `killedAfterS` is undefined where the process may take its time. */
 export function planLeaving(killedAfterS: number | undefined): LeavingTimes {
 	if (killedAfterS === undefined) {
-		return { servesMs: 0, listensMs: usualListeningMs, endsMs: Number.POSITIVE_INFINITY };
+		return { staysMs: 0, servesMs: 0, listensMs: usualListeningMs, endsMs: Number.POSITIVE_INFINITY };
 	}
 	const wholeMs = killedAfterS * msPerSecond;
 	return {
+		staysMs: wholeMs * stayingShare,
 		servesMs: wholeMs * servingShare,
 		listensMs: wholeMs * listeningShare,
 		endsMs: wholeMs - reserveMs,
--- a/src/entry/common/lookup/rankEntries.ts
+++ b/src/entry/common/lookup/rankEntries.ts
@@ -37,9 +37,9 @@
 	readonly previous: InstanceId | undefined;
 }
 
-/** Where a caller stands that chooses by itself, and which regions may answer all that it can ask. */
+/** Where a caller stands that chooses by itself, and how many of its routes each region is a home of. */
 export interface UsableQuestion extends Pick<LookupQuestion, 'region' | 'zone'> {
-	readonly homes: ReadonlySet<RegionName> | undefined;
+	readonly homes: ReadonlyMap<RegionName, number>;
 }
 
 interface WeighedEntry {
@@ -79,13 +79,14 @@
 }
 
 /**
- * The entries that a caller may choose from by itself: those of its zone, of its region, of the regions that
- * may answer all that it can ask, or any; the first of these groups in which one is live. A caller that draws
- * one of them at random spreads evenly. Where nothing is known to be live, those that may be are better than
- * none.
+ * The entries that a caller may choose from by itself: those of its zone, of its region, or of the regions
+ * that may answer most of its bound routes; the first of these groups in which one is live. A caller that
+ * draws one of them at random spreads evenly. Where nothing is known to be live, those that may be are better
+ * than none.
  *
  * While all entries of a region are replaced, its callers are led elsewhere. Led to a region that may not
- * answer them, their requests would be read where they must not be.
+ * answer them, their requests would be read where they must not be. Routes of one host may have no home in
+ * common; then a region that may see most of them does the least harm.
  */
 export function listUsable<TEntry extends KnownEntry>(
 	entries: readonly TEntry[],
@@ -96,13 +97,21 @@
 	const groups = [
 		live.filter(entry => entry.region === region && entry.zone === zone),
 		live.filter(entry => entry.region === region),
-		live.filter(entry => homes === undefined || homes.has(entry.region)),
-		live,
+		listOfMostRoutes(live, homes),
 		staying,
 	];
 	return groups.find(group => group.length > 0) ?? [];
 }
 
+function listOfMostRoutes<TEntry extends KnownEntry>(
+	entries: readonly TEntry[],
+	homes: ReadonlyMap<RegionName, number>,
+): readonly TEntry[] {
+	const countRoutes = ({ region }: TEntry): number => homes.get(region) ?? 0;
+	const most = Math.max(...entries.map(countRoutes));
+	return entries.filter(entry => countRoutes(entry) === most);
+}
+
 /** The entries that are not leaving, by tier. */
 function createTiers(question: LookupQuestion, entries: readonly KnownEntry[]): WeighedEntry[][] {
 	const tiers: WeighedEntry[][] = Array.from({ length: 2 * tierCount }, () => []);
--- a/src/entry/common/placement/manifestIndex.ts
+++ b/src/entry/common/placement/manifestIndex.ts
@@ -41,8 +41,8 @@
 	}
 
 	/** The regions that may answer every request to a host; undefined where all may. */
-	findHomes(host: string): ReadonlySet<RegionName> | undefined {
-		return this.routes.findHomes(host);
+	countHomes(host: string): ReadonlyMap<RegionName, number> {
+		return this.routes.countHomes(host);
 	}
 
 	findService(name: ServiceName): ManifestService | undefined {
--- a/src/entry/common/routing/routeTable.ts
+++ b/src/entry/common/routing/routeTable.ts
@@ -23,11 +23,15 @@
 		}
 	}
 
-	/** The regions that are homes of every route of a host that has any; undefined where none has. */
-	findHomes(host: string): ReadonlySet<RegionName> | undefined {
-		const bound = (this.byHost.get(readHostName(host)) ?? []).filter(({ homes }) => homes.length > 0);
-		const [first] = bound;
-		return first && new Set(first.homes.filter(home => bound.every(({ homes }) => homes.includes(home))));
+	/** The regions that are homes of routes of a host, each with the number of these routes. */
+	countHomes(host: string): ReadonlyMap<RegionName, number> {
+		const counts = new Map<RegionName, number>();
+		for (const { homes } of this.byHost.get(readHostName(host)) ?? []) {
+			for (const home of homes) {
+				counts.set(home, (counts.get(home) ?? 0) + 1);
+			}
+		}
+		return counts;
 	}
 
 	/** The route whose prefix is the longest that begins the path, or undefined. `host` may name a port. */
--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -32,6 +32,7 @@
 import type { LookupAnswer, LookupQuestion } from '../common/callers/lookupAnswer';
 import type { CallPlan, ForwardedFrom } from '../common/placement/callPlan';
 import { checkForwarded, planCall } from '../common/placement/callPlan';
+import { isFinishable } from '../common/leaving/finishable';
 import { listUsable, rankEntries } from '../common/lookup/rankEntries';
 import type { ICallHandler } from './callers/callerServer';
 import type { IEntrySources } from './environment/entryEnvironment';
@@ -51,7 +52,7 @@
 /** What the handler asks of the parts around it. */
 export type HandlerManifests = Pick<ManifestKeeper, 'getCurrent'>;
 export type HandlerFleet = Pick<EntryFleet, 'listCandidates' | 'receiveViews'>;
-export type HandlerOwnView = Pick<OwnView, 'describeCandidate' | 'isLeaving' | 'isRefusing'>;
+export type HandlerOwnView = Pick<OwnView, 'describeCandidate' | 'isLeaving' | 'isRefusing' | 'getEndsMs'>;
 export type HandlerRuns = Pick<ActiveRuns, 'has'>;
 export type HandlerSources = Pick<IEntrySources, 'listMissing'>;
 
@@ -111,8 +112,9 @@
 		return this.dialect.readHead(raw, manifest?.index);
 	}
 
+	/** It is being stopped: kept connections end with their next answer, also before callers are led elsewhere. */
 	isLeaving(): boolean {
-		return this.ownView.isLeaving();
+		return this.ownView.isLeaving() || Number.isFinite(this.ownView.getEndsMs());
 	}
 
 	getReadiness(): Readiness {
@@ -134,7 +136,7 @@
 		}
 		return planCall(manifest.index, this.own.region, head)
 			.mapErr(error => this.createHomeHint(error, head, manifest))
-			.andThen(plan => this.checkLeaving(plan));
+			.andThen(plan => this.checkLeaving(plan, head));
 	}
 
 	planForwarded(head: CallHead, from: ForwardedFrom): Result<CallPlan, RequestError> {
@@ -182,7 +184,7 @@
 
 	/** The entries that callers of a host may use from a place, for those that choose among them by themselves. */
 	listEntriesFor(host: string, region: RegionName, zone: ZoneName): readonly LookupCandidate[] {
-		const homes = this.manifests.getCurrent()?.index.findHomes(host);
+		const homes = this.manifests.getCurrent()?.index.countHomes(host) ?? new Map();
 		const candidates = [this.ownView.describeCandidate(undefined), ...this.fleet.listCandidates(undefined)];
 		return listUsable(candidates, { region, zone, homes });
 	}
@@ -210,8 +212,10 @@
 	}
 
 	/** A ticket guards nothing where calls may be repeated: there, it opens no leaving entry. */
-	private checkLeaving(plan: CallPlan): Result<CallPlan, RequestError> {
-		const isRefused = this.ownView.isRefusing() && plan.repeat !== RepeatRule.AtMostOnce;
+	private checkLeaving(plan: CallPlan, { routed }: CallHead): Result<CallPlan, RequestError> {
+		const leftMs = this.ownView.getEndsMs() - this.timers.getNow();
+		const isTooLong = !isFinishable(routed?.prompt, leftMs) && routed !== undefined;
+		const isRefused = isTooLong || (this.ownView.isRefusing() && plan.repeat !== RepeatRule.AtMostOnce);
 		return isRefused ? err(this.createLeavingFault()) : ok(plan);
 	}
 
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -50,6 +50,8 @@
 const journalCapacity = 10_000;
 const bootIdBytes = 6;
 const housekeepingMs = 1_000;
+/** How often the last entry of a region looks for another one, in milliseconds. */
+const successorCheckMs = 100;
 const largestSeed = 0x7fff_ffff;
 
 /** One running entry. */
@@ -181,15 +183,18 @@
 	}
 
 	private async finishAndEnd(sign: string): Promise<void> {
-		this.ownView.setLeaving();
 		const startedMs = this.timers.getNow();
 		const { servesMs, listensMs, endsMs } = this.environment.leaving;
+		this.ownView.setStopping(startedMs + endsMs);
 		const waitUntil = (ms: number): Promise<void> => this.waitFor(startedMs + ms - this.timers.getNow());
+		await this.waitForSuccessor(sign);
+		this.ownView.setLeaving();
+		const saidMs = this.timers.getNow();
 		this.recordProcess('started', 'leaving', sign);
 		void this.fleet.exchangeWithAll();
-		await waitUntil(servesMs);
+		await waitUntil(saidMs - startedMs + servesMs);
 		this.ownView.setRefusing();
-		await waitUntil(listensMs);
+		await waitUntil(saidMs - startedMs + listensMs);
 		await Promise.race([this.runs.waitForNone(), waitUntil(endsMs)]);
 		const left = this.runs.count();
 		const closed = [this.callers, this.peerServer, ...this.ports].map(port => port.close());
@@ -199,6 +204,26 @@
 		await Promise.race([this.platform.sources.close(), waitUntil(endsMs)]);
 	}
 
+	/** Ends when another entry of the region takes callers, or when this one can stay no longer. */
+	private async waitForSuccessor(sign: string): Promise<void> {
+		const endsMs = this.timers.getNow() + this.environment.leaving.staysMs;
+		let isTold = false;
+		while (!this.hasSuccessor() && this.timers.getNow() < endsMs) {
+			if (!isTold) {
+				this.recordProcess('started', 'staying', `${sign}, the last of its region`);
+				isTold = true;
+			}
+			await this.waitFor(Math.min(successorCheckMs, endsMs - this.timers.getNow()));
+		}
+	}
+
+	private hasSuccessor(): boolean {
+		const { region } = this.settings.instance;
+		return this.fleet
+			.listCandidates(undefined)
+			.some(entry => entry.region === region && !entry.isLeaving && !entry.isSuspect);
+	}
+
 	/** Never ends for an infinite time. The timer keeps the process alive, since nothing else may do so then. */
 	private async waitFor(delayMs: number): Promise<void> {
 		await new Promise<void>(resolve => {
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -29,6 +29,7 @@
 	private sequence = 0;
 	private hasLeft = false;
 	private refuses = false;
+	private endsMs = Number.POSITIVE_INFINITY;
 
 	constructor(
 		private readonly settings: EntrySettings,
@@ -44,6 +45,15 @@
 		this.hasLeft = true;
 	}
 
+	/** When this entry ends at the latest, in monotonic milliseconds; infinite while it is not being stopped. */
+	getEndsMs(): number {
+		return this.endsMs;
+	}
+
+	setStopping(endsMs: number): void {
+		this.endsMs = endsMs;
+	}
+
 	/** Whether new work is refused; an entry that leaves may serve for a while those who do not know it yet. */
 	isRefusing(): boolean {
 		return this.refuses;
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -100,6 +100,7 @@
 			describeCandidate: () => createCandidate(own.instance),
 			isLeaving: () => isLeaving,
 			isRefusing: () => isLeaving,
+			getEndsMs: () => Number.POSITIVE_INFINITY,
 		},
 		{ findHold: () => undefined },
 		tickets,
