Take nothing in the last five eighths of a stop

An entry that was the last of its region took a question 3.9 s after the signal; the target had turned slow and was still answering when the process ended. Ruled out: the guard by expected length (the answer was hinted short).

Change: whatever an entry waits for, it takes new work for three eighths of the grace at most.

--- a/src/entry/common/leaving/planLeaving.ts
+++ b/src/entry/common/leaving/planLeaving.ts
@@ -14,41 +14,51 @@
  * the region has started, or until the time that is left is needed to finish what it took. Without that, the
  * callers of a region whose entries are replaced two seconds after each other are led to other regions for the
  * three seconds that a process takes to finish and to start: their requests are slow there, or must not be
- * read there.
+ * read there. Nothing is taken in the last five eighths of the time all the same: an answer that had to be begun
+ * then, at a target that turned slow, was cut off in its middle when the process was ended.
  */
 
-/** How an entry leaves, in milliseconds; `endsMs` counts from the word to leave, the others one after another. */
+/** How an entry leaves, in milliseconds. */
 export interface LeavingTimes {
 	/** How long the last entry of a region goes on taking callers as if it had not been stopped. */
 	readonly staysMs: number;
-	/** Up to when new work is still taken from those who do not know yet, after it has said that it leaves. */
+	/** How long new work is still taken from those who do not know yet, after it has said that it leaves. */
 	readonly servesMs: number;
-	/** Up to when it goes on listening, to say that it leaves; counted as before. */
-	readonly listensMs: number;
-	/** When it ends at the latest, whatever is in progress. */
+	/** From the signal, up to when new work is taken at all; the rest is for the longest answers to end. */
+	readonly takesMs: number;
+	/** How long it goes on listening after that, to say that it leaves. */
+	readonly refusesMs: number;
+	/** From the signal, when it ends at the latest, whatever is in progress. */
 	readonly endsMs: number;
 }
 
-/** With the next two, leaves three eighths of the time for the longest answers to end. */
-const stayingShare = 0.375;
+/** Answers that take three seconds are common where targets are slow; a grace of eight leaves them five. */
+const takingShare = 0.375;
 const servingShare = 0.25;
-const listeningShare = 0.28;
+const refusingShare = 0.03;
 const reserveMs = 300;
 const msPerSecond = 1_000;
 
 /** Where nobody ends the process: callers go by a lookup for up to this long, in milliseconds. */
-const usualListeningMs = 6_000;
+const usualRefusingMs = 6_000;
 
 /** Plans a stop; `killedAfterS` is undefined where the process may take its time. */
 export function planLeaving(killedAfterS: number | undefined): LeavingTimes {
 	if (killedAfterS === undefined) {
-		return { staysMs: 0, servesMs: 0, listensMs: usualListeningMs, endsMs: Number.POSITIVE_INFINITY };
+		const unbounded = { takesMs: Number.POSITIVE_INFINITY, endsMs: Number.POSITIVE_INFINITY };
+		return { staysMs: 0, servesMs: 0, refusesMs: usualRefusingMs, ...unbounded };
 	}
 	const wholeMs = killedAfterS * msPerSecond;
 	return {
-		staysMs: wholeMs * stayingShare,
+		staysMs: wholeMs * takingShare,
 		servesMs: wholeMs * servingShare,
-		listensMs: wholeMs * listeningShare,
+		takesMs: wholeMs * takingShare,
+		refusesMs: wholeMs * refusingShare,
 		endsMs: wholeMs - reserveMs,
 	};
 }
+
+/** Up to when new work is taken, in milliseconds from the signal, if the entry says `saidMs` after it that it leaves. */
+export function computeTakingMs({ servesMs, takesMs }: LeavingTimes, saidMs: number): number {
+	return Math.max(saidMs, Math.min(saidMs + servesMs, takesMs));
+}
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -20,6 +20,7 @@
 import type { EntrySettings } from '../../core/settings/common/entrySettings';
 import { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
+import { computeTakingMs } from '../common/leaving/planLeaving';
 import { Quarantine } from '../common/quarantine/quarantine';
 import { HeldBytes } from './callers/bodyReader';
 import type { CallerLimits } from './callers/callerServer';
@@ -184,17 +185,17 @@
 
 	private async finishAndEnd(sign: string): Promise<void> {
 		const startedMs = this.timers.getNow();
-		const { servesMs, listensMs, endsMs } = this.environment.leaving;
+		const { refusesMs, endsMs } = this.environment.leaving;
 		this.ownView.setStopping(startedMs + endsMs);
 		const waitUntil = (ms: number): Promise<void> => this.waitFor(startedMs + ms - this.timers.getNow());
 		await this.waitForSuccessor(sign);
 		this.ownView.setLeaving();
-		const saidMs = this.timers.getNow();
 		this.recordProcess('started', 'leaving', sign);
 		void this.fleet.exchangeWithAll();
-		await waitUntil(saidMs - startedMs + servesMs);
+		const takingMs = computeTakingMs(this.environment.leaving, this.timers.getNow() - startedMs);
+		await waitUntil(takingMs);
 		this.ownView.setRefusing();
-		await waitUntil(saidMs - startedMs + listensMs);
+		await waitUntil(takingMs + refusesMs);
 		await Promise.race([this.runs.waitForNone(), waitUntil(endsMs)]);
 		const left = this.runs.count();
 		const closed = [this.callers, this.peerServer, ...this.ports].map(port => port.close());
