Look at a waiting request without copying the line before it

Seen on reading the code: each step through the line copied all items before the one that it looked at. Behaviour is as before; the tests of the scheduler pass unchanged. Not measured.

--- a/src/entry/common/workScheduling/workQueue.ts
+++ b/src/entry/common/workScheduling/workQueue.ts
@@ -41,10 +41,9 @@
 		return [...this.timely.items, ...this.late.items];
 	}
 
-	/** The first in order, `most` of them. */
-	listFirst(most: number): readonly WaitingRequest[] {
-		const timely = this.timely.items.slice(0, most);
-		return timely.length === most ? timely : [...timely, ...this.late.items.slice(0, most - timely.length)];
+	/** The request at a place in order, from 0, or undefined behind the last one. */
+	find(place: number): WaitingRequest | undefined {
+		return this.timely.items[place] ?? this.late.items[place - this.timely.items.length];
 	}
 
 	add(item: WorkItem, nowMs: number): void {
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -276,7 +276,7 @@
 	private startWaiting(nowMs: number): void {
 		let unplaced = 0;
 		while (unplaced < mostUnplaced) {
-			const item = this.queue.listFirst(unplaced + 1)[unplaced];
+			const item = this.queue.find(unplaced);
 			const held = item && this.held.get(item.request.id);
 			if (item === undefined || held === undefined) {
 				return;
