--- a/src/bin/test/docs.test.ts
+++ b/src/bin/test/docs.test.ts
@@ -201,7 +201,9 @@
 	const pages = [
 		'README.md',
 		'CONTRIBUTING.md',
-		...readdirSync(join(root, 'docs')).map(name => `docs/${name}`),
+		...readdirSync(join(root, 'docs'), { recursive: true, encoding: 'utf8' })
+			.filter(name => name.endsWith('.md'))
+			.map(name => `docs/${name}`),
 	];
 
 	it.each(pages)('lead from %s to headings that exist', name => {
