--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -46,7 +46,7 @@
 
 /**
  * How often the lateness of the event loop is sampled, in milliseconds. The library's usual 10 ms wakes an idle
- * process a hundred times a second, which is most of what it costs while nothing is asked of it.
+ * process a hundred times a second, where its own timers wake it some ten times.
  */
 const loopSampleMs = 1_000;
 
--- a/src/core/telemetry/node/logger.ts
+++ b/src/core/telemetry/node/logger.ts
@@ -22,7 +22,7 @@
 
 /**
  * Lines are written together, this many bytes or milliseconds of them at a time. Each write wakes a thread of the
- * pool; one for each of a request's lines is a tenth of what the request costs.
+ * pool: at ten requests a second of five lines each, fifty times a second where two writes hold the same lines.
  */
 const leastWriteBytes = 8_192;
 const longestHoldMs = 1_000;
--- a/src/core/telemetry/test/entryMetrics.test.ts
+++ b/src/core/telemetry/test/entryMetrics.test.ts
@@ -28,8 +28,8 @@
 		expect(page).toContain('anvilroad_info{version="1.2.3",instance="entry-1",region="r",zone="r-a"} 1');
 	});
 
-	// A process that samples its own loop a hundred times a second wakes as often while nothing is asked of it. On
-	// small instances that is most of what an idle entry costs.
+	// A process that samples its own loop a hundred times a second wakes as often while nothing is asked of it. Its
+	// operators pay for an instance that is never at rest.
 	it('samples the event loop no more than twice a second', () => {
 		const monitor = jest.spyOn(perfHooks, 'monitorEventLoopDelay');
 		createMetrics();
--- a/src/entry/common/leaving/planLeaving.ts
+++ b/src/entry/common/leaving/planLeaving.ts
@@ -32,7 +32,7 @@
 	readonly endsMs: number;
 }
 
-/** Answers that take three seconds are common where targets are slow; a grace of eight leaves them five. */
+/** A short question at a target that had turned slow took 3.8 s; a grace of eight seconds leaves such answers five. */
 const takingShare = 0.375;
 const servingShare = 0.25;
 const refusingShare = 0.03;
