Tell the pace of an answer at the end of each attempt

The log said 'had not answered' of a stream that had answered for ten seconds, so nobody could tell a target that never began from one that crawled. The end of an attempt now tells when the answer began, its pieces, its longest pause and how long ago the last one came.

--- a/src/core/explain/common/loggedJournal.ts
+++ b/src/core/explain/common/loggedJournal.ts
@@ -53,7 +53,7 @@
 ]);
 
 /** What an end or an attempt's end says when all went well. */
-const successPattern = /^answered|: answered$/;
+const successPattern = /^answered|: answered;/;
 
 /** Writes to a journal and to the log. */
 export class LoggedJournal implements IRequestJournal {
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -14,6 +14,7 @@
 import type { AnswerReading, ITargetDialect, SentAttempt } from '../../common/dialect/targetDialect';
 import { RequestEvent } from '../../common/requests/requestLife';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
+import { AnswerPace } from '../../common/streams/answerPace';
 import type { IAttempt, IAttemptObserver, ITargetClient } from '../targets/targetClient';
 import type { RequestRun } from './requestRun';
 
@@ -41,6 +42,7 @@
 	private silenceTimer: IDisposable | undefined;
 	private deadlineTimer: IDisposable | undefined;
 	private heardMs = 0;
+	private pace = new AnswerPace(0);
 	private isHandedOver = false;
 	private isPaused = false;
 	private isOver = false;
@@ -62,6 +64,7 @@
 		this.run.life.send(RequestEvent.Start);
 		this.run.noteAttemptStart();
 		this.heardMs = this.timers.getNow();
+		this.pace = new AnswerPace(this.heardMs);
 		this.deadlineTimer = this.timers.schedule(this.run.getRemainingMs(), () => {
 			this.endAtDeadline();
 		});
@@ -77,6 +80,11 @@
 		return !this.isOver;
 	}
 
+	/** How the answer came in so far, for the log. */
+	describePace(): string {
+		return this.pace.describe(this.timers.getNow());
+	}
+
 	/** Ends the attempt from outside; the target's connection is closed. */
 	cancel(error: RequestError): void {
 		this.endEarly(AttemptEnd.Cancelled, error);
@@ -122,6 +130,7 @@
 			return true;
 		}
 		this.heardMs = this.timers.getNow();
+		this.pace.notePiece(this.heardMs);
 		const isReady = this.run.write(chunk);
 		if (!isReady) {
 			this.pauseForReader();
@@ -153,6 +162,7 @@
 	}
 
 	private beginAnswer(head: AnswerHead): void {
+		this.pace.noteHead(this.timers.getNow());
 		this.owner.noteFirstByte(this);
 		const { status, endsWithConnection = false } = head;
 		this.run.begin({ status, lines: this.dialect.listAnswerLines(head), endsWithConnection });
@@ -196,7 +206,7 @@
 	}
 
 	private endAtDeadline(): void {
-		const detail = `${this.target} had not answered`;
+		const detail = `${this.target}: ${this.describePace()}`;
 		const kind = this.isHandedOver ? ErrorKind.DeadlineExceeded : ErrorKind.DeadlineUnreachable;
 		this.endEarly(AttemptEnd.Cancelled, createRequestError(kind, detail));
 	}
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -140,7 +140,7 @@
 		}
 		run.note(
 			JournalStep.AttemptEnded,
-			`${attempt.id}: ${end}${error === undefined ? '' : `; ${error.detail}`}`,
+			`${attempt.id}: ${end}; ${error?.detail ?? `${target}: ${attempt.describePace()}`}`,
 		);
 		this.targets.noteAttemptEnd(target, end, run);
 		if (error?.kind !== ErrorKind.TargetFailed) {
