--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -80,7 +80,7 @@
 		private readonly manifests: HandlerManifests,
 		private readonly fleet: HandlerFleet,
 		private readonly ownView: HandlerOwnView,
-		private readonly sleepDetector: Pick<SleepDetector, 'findHold'>,
+		private readonly holds: Pick<SleepDetector, 'findHold'>,
 		private readonly tickets: TicketService,
 		private readonly router: RequestRouter,
 		private readonly runs: HandlerRuns,
@@ -91,7 +91,7 @@
 	) {}
 
 	findHold(): Promise<void> | undefined {
-		return this.sleepDetector.findHold();
+		return this.holds.findHold();
 	}
 
 	/**
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -44,6 +44,7 @@
 import type { IServicePolicies } from './requests/serviceRunners';
 import { ServiceRunners } from './requests/serviceRunners';
 import { SleepDetector } from './sleepDetector';
+import { StartHold } from './startHold';
 import { createTicketService } from './tickets/createTicketService';
 import type { TicketService } from './tickets/ticketService';
 
@@ -74,6 +75,7 @@
 	private readonly ownView: OwnView;
 	private readonly runs: ActiveRuns;
 	private readonly sleepDetector: SleepDetector;
+	private readonly startHold: StartHold;
 	private readonly tickets: TicketService;
 	private readonly callHandler: CallHandler;
 	private readonly callers: CallerServer;
@@ -141,6 +143,7 @@
 		this.runs = new ActiveRuns(this.journal, this.metrics, this.held, this.timers);
 		this.tickets = createTicketService(settings, this.boot, this.fleet);
 		this.sleepDetector = this.register(this.createSleepDetector());
+		this.startHold = this.register(this.createStartHold());
 		this.callHandler = this.createCallHandler();
 		this.callers = new CallerServer(
 			this.callHandler,
@@ -341,6 +344,14 @@
 		);
 	}
 
+	private createStartHold(): StartHold {
+		const { sources } = this.platform;
+		return new StartHold(
+			() => this.manifests.getCurrent() !== undefined && sources.listMissing().length === 0,
+			this.timers,
+		);
+	}
+
 	private createCallHandler(): CallHandler {
 		const surroundings = new RouterSurroundings(
 			this.settings.instance,
@@ -358,7 +369,7 @@
 			this.manifests,
 			this.fleet,
 			this.ownView,
-			this.sleepDetector,
+			{ findHold: () => this.sleepDetector.findHold() ?? this.startHold.findHold() },
 			this.tickets,
 			router,
 			this.runs,
