Count reading as ahead until it is answered, and what it takes from others

What bound: of 229 long prompts that waited over 300 ms at an engine, half were predicted to wait under a twentieth of that, since a backlog was counted down by the clock as if the engine read for this entry alone; and a region at its peak kept its prompts until they would be late, while its running answers crawled and other regions idled.

--- a/src/entry/common/prompts/promptShape.ts
+++ b/src/entry/common/prompts/promptShape.ts
@@ -21,14 +21,14 @@
 }
 
 /**
- * The part by which requests are brought together: the largest of those that others may share. Undefined
- * where nothing is shared, or where what is shared is so small that reading it again costs less than being
- * bound to a target.
+ * The part by which requests are brought together: the last of those that others may share, since a cache must
+ * hold all parts before it too. Parts near the root are shared by so many that they are soon held everywhere.
+ * Undefined where nothing is shared, or where what is shared is so small that reading it again costs less than
+ * being bound to a target.
  */
 export function findSharedPart({ parts }: PromptShape, leastTokens: number): PromptPart | undefined {
-	const shared = parts.slice(0, -1).filter(({ tokens }) => tokens >= leastTokens);
-	return shared.reduce<PromptPart | undefined>(
-		(largest, part) => (largest === undefined || part.tokens > largest.tokens ? part : largest),
-		undefined,
-	);
+	return parts
+		.slice(0, -1)
+		.filter(({ tokens }) => tokens >= leastTokens)
+		.at(-1);
 }
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -140,6 +140,10 @@
 	readonly freeSlots: number;
 	readonly running: number;
 	readonly queued: number;
+	/** Requests of all entries that run at one target on average, where that is known. */
+	readonly runningPerTarget?: number;
+	/** Reading of the request's prompt at the target that would be chosen for it, in milliseconds. */
+	readonly readingMs?: number;
 	/** Time to the first byte at an idle target that holds none of the request's prompt, where that is known. */
 	readonly unloadedMs?: number;
 	/** Whether a target here is believed to hold the part of the request's prompt that others share. */
--- a/src/entry/common/sendAway/reliefPolicy.ts
+++ b/src/entry/common/sendAway/reliefPolicy.ts
@@ -15,8 +15,12 @@
  * would send everything to the one that looked emptiest.
  */
 
+import { LRUCache } from 'lru-cache';
 import type { IRandom } from '../../../base/common/random';
-import type { InstanceId } from '../../../core/ids/common/ids';
+import type { InstanceId, RegionName } from '../../../core/ids/common/ids';
+import type { PromptPart } from '../prompts/promptShape';
+import { findSharedPart } from '../prompts/promptShape';
+import type { SchedulableRequest, ServiceRoom } from '../scheduling/serviceScheduler';
 import { defaultWorkPolicy } from '../workScheduling/workPolicy';
 import type { ISendAwayPolicy, RemoteOffer, SendAwayAnswer, SendAwayQuestion } from './sendAwayPolicy';
 
@@ -34,13 +38,12 @@
 	readonly usualWorkMs: number;
 	/** The part of a sent request's work that later ones wait for: a region has a few targets. */
 	readonly claimShare: number;
-	/**
-	 * Shared parts from this size on are kept in one region for the whole fleet: reading them takes longer than
-	 * the way there and back, some 110 ms, at 50 tokens a millisecond.
-	 */
-	readonly leastOwnedTokens: number;
+	/** What a further copy of a shared part costs, as a share of the time of reading it. */
+	readonly copyCost: number;
 	/** Prompt tokens that an engine reads in a millisecond, as the work of requests is estimated. */
 	readonly tokensPerMs: number;
+	/** What a millisecond taken from an answer that runs there counts against one of the request's own. */
+	readonly delayCost: number;
 	/** How long a peer that could not be reached is left out, in milliseconds. */
 	readonly avoidMs: number;
 	/** Random part of a cost. */
@@ -54,8 +57,9 @@
 	longestOfferAgeMs: 6_000,
 	usualWorkMs: 100,
 	claimShare: 0.3,
-	leastOwnedTokens: 5_500,
+	copyCost: defaultWorkPolicy.choice.copyCost,
 	tokensPerMs: defaultWorkPolicy.estimate.tokensPerMs,
+	delayCost: defaultWorkPolicy.choice.delayCost,
 	avoidMs: 2_000,
 	jitter: 0.1,
 };
@@ -69,15 +73,26 @@
 
 interface PricedOffer {
 	readonly offer: RemoteOffer;
+	/** Until the first byte of the answer. */
+	readonly firstMs: number;
+	/** The same, and what the request takes from others there. */
 	readonly costMs: number;
 }
 
 /** Two readings of one offer's time differ by rounding only. */
 const sameOfferMs = 150;
 
+/** Shared parts that are remembered with the regions they were sent to; bounds memory. */
+const mostSentParts = 4_000;
+
+function createPartKey(region: RegionName, partId: string): string {
+	return `${region}/${partId}`;
+}
+
 /** Decides for one service at one entry. */
 export class ReliefPolicy implements ISendAwayPolicy {
 	private readonly claims = new Map<InstanceId, Claims>();
+	private readonly sentParts = new LRUCache<string, true>({ max: mostSentParts });
 
 	constructor(
 		private readonly random: IRandom,
@@ -88,26 +103,26 @@
 		const { request, localRoom, isUnservedHere } = question;
 		const leftMs = (request.work?.dueMs ?? request.deadlineMs) - nowMs;
 		const localMs = isUnservedHere ? Number.POSITIVE_INFINITY : localRoom.waitMs;
-		const owner = this.findOwner(question, leftMs, nowMs);
-		if (owner !== undefined) {
-			this.getClaims(owner.offer, nowMs).workMs += this.computeWork(question) * this.figures.claimShare;
-			const costs = `${Math.round(localMs)} ms here, ${Math.round(owner.costMs)} ms where its prompt belongs`;
-			return { sendTo: owner.offer.instance, reason: costs };
-		}
-		if (localMs <= leftMs * this.figures.staysBelow) {
+		const isCopyHere = question.owner?.isOwn !== true && localRoom.holdsSharedPart !== true;
+		const localDelayMs =
+			this.computeDelay(localRoom, localRoom.readingMs ?? 0) +
+			(isCopyHere ? this.computeCopyCost(question) : 0);
+		if (localMs <= leftMs * this.figures.staysBelow && localDelayMs <= this.figures.marginMs) {
 			return { sendTo: undefined, reason: `${Math.round(localMs)} ms here of ${Math.round(leftMs)} ms` };
 		}
 		const best = this.findBest(question, nowMs);
 		if (best === undefined) {
 			return { sendTo: undefined, reason: 'no other region offers room' };
 		}
-		const costs = `${Math.round(localMs)} ms here, ${Math.round(best.costMs)} ms there`;
-		const isInTime = best.costMs <= leftMs * this.figures.goesBelow;
-		const isBetter = isInTime && best.costMs + this.figures.marginMs < localMs;
+		const costs =
+			`${Math.round(localMs)} + ${Math.round(localDelayMs)} ms here, ` +
+			`${Math.round(best.firstMs)} + ${Math.round(best.costMs - best.firstMs)} ms there`;
+		const isInTime = best.firstMs <= leftMs * this.figures.goesBelow;
+		const isBetter = isInTime && best.costMs + this.figures.marginMs < localMs + localDelayMs;
 		if (!isUnservedHere && !isBetter) {
 			return { sendTo: undefined, reason: costs };
 		}
-		this.getClaims(best.offer, nowMs).workMs += this.computeWork(question) * this.figures.claimShare;
+		this.noteSent(question, best.offer, nowMs);
 		return { sendTo: best.offer.instance, reason: costs };
 	}
 
@@ -118,25 +133,7 @@
 		}
 	}
 
-	/**
-	 * An entry of the region where the shared part of the prompt belongs, if it is held there alone, and the
-	 * request can be in time by that way.
-	 */
-	private findOwner(question: SendAwayQuestion, leftMs: number, nowMs: number): PricedOffer | undefined {
-		const { owner, localRoom, offers } = question;
-		if (owner === undefined || owner.isOwn || localRoom.holdsSharedPart === true) {
-			return undefined;
-		}
-		if (owner.tokens < this.figures.leastOwnedTokens) {
-			return undefined;
-		}
-		const there = { ...question, offers: offers.filter(({ region }) => region === owner.region) };
-		const best = this.findBest(there, nowMs, owner.tokens / this.figures.tokensPerMs);
-		return best !== undefined && best.costMs <= leftMs * this.figures.goesBelow ? best : undefined;
-	}
-
-	/** The cheapest offer; `heldMs` of the request's work need not be done there. */
-	private findBest(question: SendAwayQuestion, nowMs: number, heldMs = 0): PricedOffer | undefined {
+	private findBest(question: SendAwayQuestion, nowMs: number): PricedOffer | undefined {
 		let best: PricedOffer | undefined;
 		for (const offer of question.offers) {
 			const claims = this.getClaims(offer, nowMs);
@@ -144,16 +141,62 @@
 				continue;
 			}
 			const waitMs = offer.room.waitMs + claims.workMs;
+			const isHeld = this.isHeldThere(question, offer);
+			const heldMs = isHeld ? this.computeSharedReading(question) : 0;
 			const workMs = Math.max(0, this.computeWork(question) - heldMs);
-			const costMs =
-				(waitMs + 2 * offer.oneWayMs + workMs) * (1 + this.figures.jitter * this.random.pickFraction());
+			const factor = 1 + this.figures.jitter * this.random.pickFraction();
+			const firstMs = (waitMs + 2 * offer.oneWayMs + workMs) * factor;
+			const delayMs = this.computeDelay(offer.room, this.isPrompted(question) ? workMs : 0);
+			const copyMs = isHeld ? 0 : this.computeCopyCost(question);
+			const costMs = firstMs + (delayMs + copyMs) * factor;
 			if (best === undefined || costMs < best.costMs) {
-				best = { offer, costMs };
+				best = { offer, firstMs, costMs };
 			}
 		}
 		return best;
 	}
 
+	/** What reading takes from the answers that run at a region's targets, as far as it counts. */
+	private computeDelay({ runningPerTarget }: ServiceRoom, readingMs: number): number {
+		return this.figures.delayCost * readingMs * (runningPerTarget ?? 0);
+	}
+
+	private isPrompted({ request }: SendAwayQuestion): boolean {
+		return request.work?.prompt !== undefined;
+	}
+
+	/** Whether the shared part of the prompt belongs to a region, or this entry has sent it there. */
+	private isHeldThere({ request, owner }: SendAwayQuestion, { region }: RemoteOffer): boolean {
+		const shared = this.findShared(request);
+		return (
+			owner?.region === region ||
+			(shared !== undefined && this.sentParts.has(createPartKey(region, shared.id)))
+		);
+	}
+
+	private computeSharedReading({ owner }: SendAwayQuestion): number {
+		return (owner?.tokens ?? 0) / this.figures.tokensPerMs;
+	}
+
+	/** A region that reads a part for itself keeps a further copy in place of another part. */
+	private computeCopyCost(question: SendAwayQuestion): number {
+		return this.figures.copyCost * this.computeSharedReading(question);
+	}
+
+	private findShared({ work }: SchedulableRequest): PromptPart | undefined {
+		return work?.prompt && findSharedPart(work.prompt, defaultWorkPolicy.choice.leastSharedTokens);
+	}
+
+	private noteSent(question: SendAwayQuestion, offer: RemoteOffer, nowMs: number): void {
+		const claims = this.getClaims(offer, nowMs);
+		const workMs = this.computeWork(question);
+		claims.workMs += workMs * this.figures.claimShare;
+		const shared = this.findShared(question.request);
+		if (shared !== undefined) {
+			this.sentParts.set(createPartKey(offer.region, shared.id), true);
+		}
+	}
+
 	private computeWork({ localRoom }: SendAwayQuestion): number {
 		return localRoom.unloadedMs ?? this.figures.usualWorkMs;
 	}
--- a/src/entry/common/sendAway/test/reliefPolicy.test.ts
+++ b/src/entry/common/sendAway/test/reliefPolicy.test.ts
@@ -93,4 +93,30 @@
 		const small = createQuestion(200, { owner: { ...owner, tokens: 100 } });
 		expect(createPolicy().decide(small, 0).sendTo).toBeUndefined();
 	});
+
+	// A region's engines answer many short questions when a long prompt comes that would begin in time there. While
+	// it is read all these answers crawl, and callers who had their first words in time wait for the rest.
+	it('sends a long prompt to where it delays fewer answers', () => {
+		const localRoom = { waitMs: 300, freeSlots: 9, running: 9, queued: 0, unloadedMs: 250, readingMs: 200 };
+		const question = createQuestion(300, { request: createPrompted(), localRoom });
+		expect(createPolicy().decide(question, 0).sendTo).toBeUndefined();
+		const busy = { ...question, localRoom: { ...localRoom, runningPerTarget: 20 } };
+		expect(createPolicy().decide(busy, 0).sendTo).toBe('montego-1');
+		const offers = [createOffer('montego-1', 10)].map(offer => ({
+			...offer,
+			room: { ...offer.room, runningPerTarget: 20 },
+		}));
+		expect(createPolicy().decide({ ...busy, offers }, 0).sendTo).toBeUndefined();
+	});
 });
+
+function createPrompted(): SendAwayQuestion['request'] {
+	const { request } = createQuestion(0);
+	const prompt = {
+		parts: [{ id: 'own', tokens: 7_000 }],
+		promptTokens: 7_000,
+		mostOutputTokens: 50,
+		hintedOutputTokens: undefined,
+	};
+	return { ...request, work: { ...request.work!, dueMs: 1_000, prompt } };
+}
--- a/src/entry/common/streams/test/answerPace.test.ts
+++ b/src/entry/common/streams/test/answerPace.test.ts
@@ -25,6 +25,8 @@
 		pace.noteHead(10);
 		expect(pace.describe(400)).toBe('answer began after 10 ms, no piece in 390 ms');
 		pace.notePiece(500);
-		expect(pace.describe(500)).toBe('answer began after 10 ms, 1 pieces, longest pause 490 ms, last 0 ms ago');
+		expect(pace.describe(500)).toBe(
+			'answer began after 10 ms, 1 pieces, longest pause 490 ms, last 0 ms ago',
+		);
 	});
 });
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -19,7 +19,7 @@
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetWork } from './targetWork';
 import type { WorkChoiceFigures, WorkEstimateFigures } from './workPolicy';
-import { getDueMs } from './workQueue';
+import { getDueMs, getUrgency } from './workQueue';
 
 /** What is asked. */
 export interface ChoiceQuestion {
@@ -38,6 +38,8 @@
 	readonly target: TargetWork;
 	/** The target from which this one should fetch the shared part of the prompt. */
 	readonly fetchFrom: TargetId | undefined;
+	/** Tokens of it that are known to be there. */
+	readonly fetchedTokens: number;
 	readonly reason: string;
 }
 
@@ -66,8 +68,8 @@
 		if (isWorthWaiting) {
 			return undefined;
 		}
-		const { target, holder } = bestNow;
-		return { target, fetchFrom: holder?.id, reason: describe(bestNow, nowMs) };
+		const { target, holder, fetchedTokens } = bestNow;
+		return { target, fetchFrom: holder?.id, fetchedTokens, reason: describe(bestNow, nowMs) };
 	}
 
 	private listPriced(
@@ -76,30 +78,34 @@
 		nowMs: number,
 	): PricedTarget[] {
 		const { request, tried, isKeptApart } = question;
+		const urgency = getUrgency(request);
 		const shared = this.findShared(request);
 		const open = targets.filter(target => target.isOpen(nowMs));
-		const owner = shared && findBestRanked(open, shared.id, 1)[0];
+		const [owner, second] = shared === undefined ? [] : findBestRanked(open, shared.id, 2);
 		const holder = shared && open.find(target => target.hasPart(shared.id));
 		return open
 			.filter(target => target.isColdOpen(nowMs) && !tried.includes(target.id))
 			.filter(target => !(isKeptApart && target.hasKeptApart()))
 			.map(target => {
-				const source = holder !== undefined && !target.hasPart(shared?.id ?? '') ? holder : undefined;
-				const firstMs = target.estimateFirstMs(
-					request,
-					nowMs,
-					source === undefined ? 0 : (shared?.tokens ?? 0),
-				);
+				const isHeld = shared !== undefined && target.hasPart(shared.id);
+				const fetchedTokens = isHeld || holder === undefined ? 0 : (shared?.tokens ?? 0);
+				const likelyHolder = holder ?? (target === owner ? second : owner);
+				const source = isHeld ? undefined : likelyHolder;
+				const firstMs = target.estimateFirstMs(request, nowMs, fetchedTokens);
+				const delayMs = target.estimateDelayMs(request, nowMs, fetchedTokens);
 				const isCopy = shared !== undefined && target !== owner && !target.hasPart(shared.id);
-				const copyMs = isCopy ? this.computeCopyCost(shared, source !== undefined) : 0;
-				const { failureCost, jitter } = this.figures;
+				const copyMs = isCopy ? this.computeCopyCost(shared, fetchedTokens > 0) : 0;
+				const { failureCost, jitter, delayCost } = this.figures;
 				const factor = (1 + failureCost * target.failureShare) * (1 + jitter * this.random.pickFraction());
 				const hasRoom =
-					target.hasRoom(question, nowMs) && this.isLeavingRoom(target, open, question, firstMs, nowMs);
+					target.hasRoom({ ...question, urgency }, nowMs) &&
+					this.isLeavingRoom(target, open, question, firstMs, nowMs);
 				return {
 					target,
 					firstMs,
-					costMs: (firstMs + copyMs) * factor,
+					readingMs: target.estimateReadingMs(request, fetchedTokens),
+					fetchedTokens,
+					costMs: (firstMs + copyMs + delayCost * delayMs) * factor,
 					hasRoom,
 					holder: source,
 					owner,
@@ -142,6 +148,8 @@
 interface PricedTarget {
 	readonly target: TargetWork;
 	readonly firstMs: number;
+	readonly readingMs: number;
+	readonly fetchedTokens: number;
 	readonly costMs: number;
 	readonly hasRoom: boolean;
 	/** Which other target the shared part can be fetched from. */
@@ -158,9 +166,14 @@
 	);
 }
 
-function describe({ target, owner, shared, firstMs, holder }: PricedTarget, nowMs: number): string {
+function describe(
+	{ target, owner, shared, firstMs, readingMs, holder }: PricedTarget,
+	nowMs: number,
+): string {
 	const waitMs = Math.round(target.estimateWaitMs(nowMs));
-	const load = `${target.running} running, ${waitMs} ms ahead, first byte in ${Math.round(firstMs)} ms`;
+	const load =
+		`${target.running} of ${Math.round(target.estimateRunning(nowMs))} running, ${waitMs} ms ahead, ` +
+		`${Math.round(readingMs)} ms to read, first byte in ${Math.round(firstMs)} ms`;
 	if (shared === undefined) {
 		return `nothing shared, ${load}`;
 	}
--- a/src/entry/common/workScheduling/targetWork.ts
+++ b/src/entry/common/workScheduling/targetWork.ts
@@ -2,10 +2,8 @@
  * The work at one target as this entry estimates it: how long until a request sent now gives its first byte.
  *
  * An engine reads prompts one after the other, in pieces between the steps of what runs, so a prompt waits
- * for those before it. What is before it is told by no report in time; it is kept as the moment at which the
- * engine will have read all that this entry sent, drawn back whenever an answer shows that it is further.
- * What other entries sent is taken to be as much as this entry's own on average, since they rank targets the
- * same way and callers are spread over them.
+ * for those before it. What is before it is told by no report in time; it is what was sent there and has not
+ * begun to answer.
  *
  * A plain target runs as many requests as it has slots; more wait for one of these to end.
  *
@@ -16,13 +14,14 @@
 
 import type { RequestId, TargetId } from '../../../core/ids/common/ids';
 import type { PromptShape } from '../prompts/promptShape';
-import { FadingSum } from '../scheduling/fadingSum';
 import { computeTextHash } from '../scheduling/prefixRanking';
 import type { ReportedLoad, SchedulableRequest, SchedulableTarget } from '../scheduling/serviceScheduler';
 import { AttemptEnd } from '../scheduling/serviceScheduler';
 import { ColdAllowance } from './coldAllowance';
 import { PromptCache } from './promptCache';
+import { UnansweredReading } from './unansweredReading';
 import type { WorkEstimateFigures, WorkQueueFigures, WorkRetryFigures } from './workPolicy';
+import { getUrgency } from './workQueue';
 
 /** One attempt of this entry at the target. */
 export interface TargetRun {
@@ -33,6 +32,7 @@
 	/** Estimated time to the first byte when it was sent, before the target's slowness. */
 	readonly expectedMs: number;
 	readonly isKeptApart: boolean;
+	readonly urgency: number;
 	hasFirstByte: boolean;
 }
 
@@ -41,6 +41,8 @@
 	readonly isLate: boolean;
 	/** More urgent requests are about. */
 	readonly isYielding: boolean;
+	/** 0 is the most urgent. */
+	readonly urgency: number;
 }
 
 /** Weight of one answer in the share of failures; some ten answers show a target that fails a part. */
@@ -52,9 +54,8 @@
 	readonly idHash: number;
 	private readonly runs = new Map<RequestId, TargetRun>();
 	private readonly cold = new ColdAllowance();
-	private readonly meanAhead: FadingSum;
+	private readonly unanswered: UnansweredReading;
 	private cache: PromptCache;
-	private readUntilMs = 0;
 	private measuredSlowness = 1;
 	private typicalSlowness = 1;
 	private failures = 0;
@@ -71,7 +72,7 @@
 		this.id = described.id;
 		this.idHash = computeTextHash(described.id);
 		this.cache = new PromptCache(described.registered?.cacheTokens ?? 0);
-		this.meanAhead = new FadingSum(estimate.othersFadeMs);
+		this.unanswered = new UnansweredReading(estimate.othersFadeMs);
 	}
 
 	get target(): SchedulableTarget {
@@ -117,7 +118,6 @@
 		this.described = target;
 		if (isOtherStart) {
 			this.cache = new PromptCache(target.registered?.cacheTokens ?? 0);
-			this.readUntilMs = 0;
 			this.measuredSlowness = 1;
 			this.failures = 0;
 			this.failuresInRow = 0;
@@ -154,18 +154,36 @@
 	}
 
 	/** Whether a further request finds room; one that is late already, or less urgent, leaves some to others. */
-	hasRoom({ isLate, isYielding }: RoomQuestion, nowMs: number): boolean {
+	hasRoom({ isLate, isYielding, urgency }: RoomQuestion, nowMs: number): boolean {
 		const { mostAheadMs, yieldingShare, lateShare, beyondSlots, lateReserve } = this.queue;
 		const { slots } = this.described;
-		const inUse = this.runs.size + this.estimateOthers(nowMs);
+		const inUse = this.estimateRunning(nowMs);
 		if (!this.isEngine) {
 			return inUse + 1 <= slots * (isLate ? 1 - lateReserve : 1 + beyondSlots);
 		}
 		const share = (isLate ? lateShare : 1) * (isYielding ? yieldingShare : 1);
-		const aheadMs = this.estimateAhead(nowMs) * this.slowness;
+		const aheadMs = this.estimateAhead(urgency, nowMs) * this.slowness;
 		return inUse < slots * (isLate ? 1 - lateReserve : 1) && aheadMs <= mostAheadMs * share;
 	}
 
+	/** Requests that run there, those of all entries together. */
+	estimateRunning(nowMs: number): number {
+		return this.runs.size + this.estimateOthers(nowMs);
+	}
+
+	/**
+	 * What sending the request there takes from the answers that run there, in milliseconds of all of them
+	 * together: while its prompt is read, each gets a token between two portions in place of one a step.
+	 */
+	estimateDelayMs(request: SchedulableRequest, nowMs: number, fetchedTokens = 0): number {
+		return this.estimateReadingMs(request, fetchedTokens) * this.estimateRunning(nowMs);
+	}
+
+	/** Reading of the request's prompt, in milliseconds; 0 for a plain request. */
+	estimateReadingMs({ work }: SchedulableRequest, fetchedTokens = 0): number {
+		return work?.prompt === undefined ? 0 : this.computeReadingMs(work.prompt, fetchedTokens);
+	}
+
 	/** Free slots as this entry sees them. */
 	countFree(nowMs: number): number {
 		return Math.max(0, this.described.slots - this.runs.size - this.estimateOthers(nowMs));
@@ -176,16 +194,17 @@
 	 * its prompt come from another target.
 	 */
 	estimateFirstMs(request: SchedulableRequest, nowMs: number, fetchedTokens = 0): number {
-		return (this.estimateWaitMs(nowMs) + this.computeUnloadedMs(request, fetchedTokens)) * this.slowness;
+		const waitMs = this.estimateWaitMs(nowMs, getUrgency(request));
+		return (waitMs + this.computeUnloadedMs(request, fetchedTokens)) * this.slowness;
 	}
 
-	/** Milliseconds that a request sent now would wait at the target before it is worked on. */
-	estimateWaitMs(nowMs: number): number {
+	/** Milliseconds that a request sent now would wait at the target before it is worked on; the least urgent if none is given. */
+	estimateWaitMs(nowMs: number, urgency = Number.POSITIVE_INFINITY): number {
 		if (this.isEngine) {
-			const over = Math.max(0, this.runs.size + this.estimateOthers(nowMs) + 1 - this.described.slots);
-			return this.estimateAhead(nowMs) + (over * this.estimate.streamRunMs) / this.described.slots;
+			const over = Math.max(0, this.estimateRunning(nowMs) + 1 - this.described.slots);
+			return this.estimateAhead(urgency, nowMs) + (over * this.estimate.streamRunMs) / this.described.slots;
 		}
-		const inUse = this.runs.size + this.estimateOthers(nowMs);
+		const inUse = this.estimateRunning(nowMs);
 		const over = Math.max(0, inUse + 1 - this.described.slots);
 		return (over * this.estimate.plainRunMs) / this.described.slots;
 	}
@@ -201,16 +220,18 @@
 	noteStart(request: SchedulableRequest, isKeptApart: boolean, fetchedTokens: number, nowMs: number): void {
 		const prompt = request.work?.prompt;
 		const readingMs = prompt === undefined ? 0 : this.computeReadingMs(prompt, fetchedTokens);
-		const expectedMs = this.estimateWaitMs(nowMs) + this.computeUnloadedMs(request, fetchedTokens);
+		const urgency = getUrgency(request);
+		const expectedMs = this.estimateWaitMs(nowMs, urgency) + this.computeUnloadedMs(request, fetchedTokens);
 		this.runs.set(request.id, {
 			requestId: request.id,
 			startedMs: nowMs,
 			readingMs,
 			expectedMs,
 			isKeptApart,
+			urgency,
 			hasFirstByte: false,
 		});
-		this.noteReading(readingMs, nowMs);
+		this.unanswered.noteSent(urgency, readingMs, nowMs);
 		if (prompt !== undefined) {
 			this.cache.noteSent(prompt);
 		}
@@ -229,15 +250,16 @@
 		if (this.isEngine) {
 			this.noteSpeed((nowMs - run.startedMs) / Math.max(1, run.expectedMs));
 		}
-		const waiting = [...this.runs.values()].filter(({ hasFirstByte }) => !hasFirstByte);
-		const leftMs = waiting.reduce((sum, { readingMs }) => sum + readingMs, 0);
-		this.readUntilMs = Math.min(this.readUntilMs, nowMs + leftMs);
+		this.unanswered.noteSettled(run.urgency, run.readingMs, nowMs);
 	}
 
 	/** An attempt ended; one that refused, failed or could not be reached is left alone for a while. */
 	noteEnd(requestId: RequestId, end: AttemptEnd, retry: WorkRetryFigures, nowMs: number): void {
 		const run = this.runs.get(requestId);
 		this.runs.delete(requestId);
+		if (run?.hasFirstByte === false) {
+			this.unanswered.noteSettled(run.urgency, run.readingMs, nowMs);
+		}
 		switch (end) {
 			case AttemptEnd.Answered:
 				this.noteAnswered(run, nowMs);
@@ -288,18 +310,9 @@
 	}
 
 	/** Reading of prompts that stands before a new one, in milliseconds of a target of usual speed. */
-	private estimateAhead(nowMs: number): number {
-		const own = Math.max(0, this.readUntilMs - nowMs);
+	private estimateAhead(urgency: number, nowMs: number): number {
 		const others = 1 / this.described.share - 1;
-		return own + others * (this.meanAhead.getValue(nowMs) / this.estimate.othersFadeMs);
-	}
-
-	/** The mean of what stands ahead: each reading stands there for as long as all up to its end. */
-	private noteReading(readingMs: number, nowMs: number): void {
-		const startMs = Math.max(nowMs, this.readUntilMs);
-		this.readUntilMs = startMs + readingMs;
-		const standsMs = this.readUntilMs - nowMs;
-		this.meanAhead.add(readingMs * Math.max(0, standsMs - readingMs / 2), nowMs);
+		return this.unanswered.sumOwn(urgency) + others * this.unanswered.computeMeanOwn(urgency, nowMs);
 	}
 
 	private computeReadingMs(prompt: PromptShape, fetchedTokens: number): number {
--- a/src/entry/common/workScheduling/test/engineWorld.ts
+++ b/src/entry/common/workScheduling/test/engineWorld.ts
@@ -37,6 +37,8 @@
 	readonly slots: number;
 	readonly tokensPerMs: number;
 	readonly cacheTokens: number;
+	/** Entries that share the engines, each with a scheduler that sees its own requests only; 1 if left out. */
+	readonly entries?: number;
 	/** Factor on the work of an engine, by its place. */
 	readonly slowness?: Readonly<Record<number, number>>;
 }
@@ -65,10 +67,18 @@
 	readUntilMs: number;
 }
 
+interface KnownRequest {
+	readonly request: SchedulableRequest;
+	readonly kind: RequestKind;
+	readonly scheduler: IServiceScheduler;
+}
+
 const firstEventMs = 30;
 /** One engine fetches from another at this rate. */
 const fetchedTokensPerMs = 200;
 const stepMs = 5;
+/** Between the random numbers of two entries. */
+const seedStep = 1_000;
 
 /** Plays arrivals for a while, and lets what is under way end. */
 export function runEngines(
@@ -78,21 +88,24 @@
 	seconds: number,
 	seed: number,
 ): WorldResult {
-	return new EngineWorld(createScheduler(new SeededRandom(seed)), kinds, options, seed).run(seconds);
+	const schedulers = Array.from({ length: options.entries ?? 1 }, (_, place) =>
+		createScheduler(new SeededRandom(seed + place * seedStep)),
+	);
+	return new EngineWorld(schedulers, kinds, options, seed).run(seconds);
 }
 
 class EngineWorld {
 	private readonly timers = new ManualTimerService();
 	private readonly random: SeededRandom;
 	private readonly engines: Engine[];
-	private readonly requests = new Map<RequestId, { request: SchedulableRequest; kind: RequestKind }>();
+	private readonly requests = new Map<RequestId, KnownRequest>();
 	private readonly results = new Map<string, KindResult>();
 	private readonly readSomewhere = new Set<string>();
 	private readAgain = 0;
 	private sent = 0;
 
 	constructor(
-		private readonly scheduler: IServiceScheduler,
+		private readonly schedulers: readonly IServiceScheduler[],
 		private readonly kinds: readonly RequestKind[],
 		private readonly options: EngineOptions,
 		seed: number,
@@ -107,10 +120,12 @@
 		for (const { name } of kinds) {
 			this.results.set(name, { asked: 0, inAim: 0, late: 0, refused: 0, longestRefusalMs: 0 });
 		}
-		scheduler.setTargets(
-			this.engines.map(engine => this.describe(engine)),
-			0,
-		);
+		for (const scheduler of schedulers) {
+			scheduler.setTargets(
+				this.engines.map(engine => this.describe(engine)),
+				0,
+			);
+		}
 	}
 
 	run(seconds: number): WorldResult {
@@ -130,7 +145,7 @@
 			zone: 'kingston-a' as ZoneName,
 			isSameZone: true,
 			slots: this.options.slots,
-			share: 1,
+			share: 1 / this.schedulers.length,
 			isLeaving: false,
 			registered: {
 				generation: 1,
@@ -174,9 +189,10 @@
 				isResumable: false,
 			},
 		};
-		this.requests.set(id, { request, kind });
+		const scheduler = this.schedulers[this.random.pickBelow(this.schedulers.length)]!;
+		this.requests.set(id, { request, kind, scheduler });
 		this.getResult(kind).asked++;
-		this.scheduler.submit(request, nowMs);
+		scheduler.submit(request, nowMs);
 		this.carryOut();
 	}
 
@@ -194,14 +210,20 @@
 	}
 
 	private carryOut(): void {
+		for (const scheduler of this.schedulers) {
+			this.carryOutOf(scheduler);
+		}
+	}
+
+	private carryOutOf(scheduler: IServiceScheduler): void {
 		const nowMs = this.timers.getNow();
-		for (const decision of this.scheduler.advance(nowMs)) {
+		for (const decision of scheduler.advance(nowMs)) {
 			const known = this.requests.get(decision.requestId);
 			if (known === undefined) {
 				continue;
 			}
 			if (decision.kind === ScheduleDecisionKind.Start) {
-				this.start(known.request, known.kind, decision);
+				this.start(known, decision);
 				continue;
 			}
 			const result = this.getResult(known.kind);
@@ -210,7 +232,7 @@
 		}
 	}
 
-	private start(request: SchedulableRequest, kind: RequestKind, { target, fetchFrom }: StartDecision): void {
+	private start({ request, kind, scheduler }: KnownRequest, { target, fetchFrom }: StartDecision): void {
 		const engine = this.engines.find(({ id }) => id === target)!;
 		const holder = this.engines.find(({ id }) => id === fetchFrom);
 		const nowMs = this.timers.getNow();
@@ -218,7 +240,7 @@
 		engine.readUntilMs = Math.max(nowMs, engine.readUntilMs) + readMs;
 		this.timers.schedule(engine.readUntilMs - nowMs + firstEventMs * engine.slowness, () => {
 			const firstMs = this.timers.getNow();
-			this.scheduler.noteFirstByte(request.id, firstMs);
+			scheduler.noteFirstByte(request.id, firstMs);
 			const result = this.getResult(kind);
 			if (firstMs <= request.work!.dueMs) {
 				result.inAim++;
@@ -226,7 +248,7 @@
 				result.late++;
 			}
 			this.timers.schedule(kind.runMs, () => {
-				this.scheduler.noteEnd(request.id, AttemptEnd.Answered, this.timers.getNow());
+				scheduler.noteEnd(request.id, AttemptEnd.Answered, this.timers.getNow());
 				this.carryOut();
 			});
 		});
--- /dev/null
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -0,0 +1,96 @@
+import { SeededRandom } from '../../../../base/common/random';
+import type { OrganisationName, RequestId, TargetId, ZoneName } from '../../../../core/ids/common/ids';
+import { RequestClass } from '../../../../core/requests/common/requestClass';
+import type { SchedulableRequest, SchedulableTarget } from '../../scheduling/serviceScheduler';
+import type { WorkChoice } from '../targetChooser';
+import { WorkTargetChooser } from '../targetChooser';
+import { TargetWork } from '../targetWork';
+import { defaultWorkPolicy } from '../workPolicy';
+
+const { choice, estimate, queue } = defaultWorkPolicy;
+
+function createTarget(id: string): TargetWork {
+	const target: SchedulableTarget = {
+		id: id as TargetId,
+		zone: 'ocho-a' as ZoneName,
+		isSameZone: true,
+		slots: 64,
+		share: 1,
+		isLeaving: false,
+		registered: {
+			generation: 1,
+			coldUntilMs: 0,
+			coldRequestsPerSecond: Infinity,
+			endsMs: Infinity,
+			cacheTokens: 300_000,
+		},
+	};
+	return new TargetWork(target, estimate, queue);
+}
+
+function createDraft(id: string): SchedulableRequest {
+	return {
+		id: id as RequestId,
+		organisation: 'callers' as OrganisationName,
+		requestClass: RequestClass.Normal,
+		arrivedMs: 0,
+		deadlineMs: 10_000,
+		prefixKey: undefined,
+		bodyBytes: 100,
+		isRepeatable: false,
+		work: {
+			dueMs: 1_000,
+			urgency: 1,
+			prompt: {
+				parts: [
+					{ id: 'history', tokens: 13_000 },
+					{ id, tokens: 2_000 },
+				],
+				promptTokens: 15_000,
+				mostOutputTokens: 100,
+				hintedOutputTokens: undefined,
+			},
+			mostAttempts: 1,
+			isResumable: false,
+		},
+	};
+}
+
+function choose(targets: readonly TargetWork[], tried: readonly TargetWork[] = []): WorkChoice | undefined {
+	const chooser = new WorkTargetChooser(choice, estimate, new SeededRandom(1));
+	const question = {
+		request: createDraft('d-1'),
+		tried: tried.map(({ id }) => id),
+		isLate: false,
+		isYielding: false,
+		isKeptApart: false,
+	};
+	return chooser.choose(targets, question, 0);
+}
+
+describe('where a shared part is fetched from', () => {
+	// An entry that has just started has sent nothing, while the others have sent each part to its first engine for
+	// hours. Read anew wherever the entry sends them, parts that lie next door keep engines busy for a third of a
+	// second each, and callers wait behind them.
+	it('is the engine that ranks first for it, where nothing is known of it', () => {
+		const targets = [createTarget('engine-1'), createTarget('engine-2'), createTarget('engine-3')];
+		const first = choose(targets)!.target;
+		const other = choose(targets, [first])!;
+		expect(other.target).not.toBe(first);
+		expect(other.fetchFrom).toBe(first.id);
+	});
+
+	it('is not counted on where nothing is known of it', () => {
+		const targets = [createTarget('engine-1'), createTarget('engine-2')];
+		expect(choose(targets)!.fetchedTokens).toBe(0);
+	});
+
+	it('is the engine that it was sent to', () => {
+		const targets = [createTarget('engine-1'), createTarget('engine-2')];
+		const first = choose(targets)!.target;
+		first.noteStart(createDraft('d-0'), false, 0, 0);
+		const other = choose(targets, [first])!;
+		expect(other.fetchFrom).toBe(first.id);
+		expect(other.fetchedTokens).toBe(13_000);
+	});
+});
--- a/src/entry/common/workScheduling/test/workScheduler.test.ts
+++ b/src/entry/common/workScheduling/test/workScheduler.test.ts
@@ -110,6 +110,18 @@
 	});
 });
 
+describe('engines that several entries share', () => {
+	// Each entry sends long prompts to the engine that it believes to be free, and none sees what the others send.
+	// Counted down by the clock, what stands before an engine looks short to all of them at once: they go on
+	// sending there, and callers wait for seconds while the next engine idles.
+	it('are not sent what another would answer sooner', () => {
+		const shared = { ...engines, entries: 4 };
+		const busy = { ...drafts, perSecond: 8, sharedParts: 60, ownTokens: 6_000 };
+		const results = runWith(createWork, [busy, questions], shared);
+		expect(computeShare(results, questions)).toBeGreaterThan(0.85);
+	});
+});
+
 describe('more work than can be in time', () => {
 	const burst = { ...drafts, perSecond: 60, sharedParts: 200 };
 
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -37,6 +37,11 @@
 	 * another part, which is then read again in its turn.
 	 */
 	readonly copyCost: number;
+	/**
+	 * What a millisecond taken from an answer that runs at a target counts against one of the request's own
+	 * time to the first byte. Most answers bear some delay; what they lose in sum they can't get back.
+	 */
+	readonly delayCost: number;
 	/** An engine is shallow while a request that comes now waits no longer than this, in milliseconds. */
 	readonly shallowMs: number;
 	/** The part of the engines that less urgent requests leave shallow for the more urgent. */
@@ -113,6 +118,7 @@
 	choice: {
 		leastSharedTokens: 256,
 		copyCost: 0.6,
+		delayCost: 0.3,
 		shallowMs: 200,
 		shallowShare: 0.5,
 		failureCost: 4,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -179,7 +179,9 @@
 			return false;
 		}
 		const hasRoom = this.listed.some(
-			target => target.isOpen(nowMs) && target.hasRoom({ isLate: false, isYielding: false }, nowMs),
+			target =>
+				target.isOpen(nowMs) &&
+				target.hasRoom({ isLate: false, isYielding: false, urgency: getUrgency(held.request) }, nowMs),
 		);
 		const after = { ...held, runs: held.runs + 1, mayHaveRun: true };
 		return hasRoom && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
@@ -218,9 +220,18 @@
 			queued: this.queue.size,
 			...(unloaded.length > 0 ? { unloadedMs: Math.max(...unloaded) } : {}),
 			holdsSharedPart: request !== undefined && this.hasSharedPart(open, request),
+			runningPerTarget: this.computeRunningPerTarget(open, nowMs),
+			...(request?.work?.prompt === undefined
+				? {}
+				: { readingMs: Math.min(...unloaded) - this.policy.estimate.firstEventMs }),
 		};
 	}
 
+	private computeRunningPerTarget(open: readonly TargetWork[], nowMs: number): number {
+		const running = open.reduce((sum, target) => sum + target.estimateRunning(nowMs), 0);
+		return running / Math.max(1, open.length);
+	}
+
 	/** Whether a target here is believed to hold the request's shared part, if it has one. */
 	private hasSharedPart(open: readonly TargetWork[], { work }: SchedulableRequest): boolean {
 		const shared = work?.prompt && findSharedPart(work.prompt, this.policy.choice.leastSharedTokens);
@@ -304,10 +315,8 @@
 		const { request } = held;
 		this.queue.remove(request.id);
 		held.running = choice.target;
-		const prompt = request.work?.prompt;
-		const shared = prompt && findSharedPart(prompt, this.policy.choice.leastSharedTokens);
-		const fetchedTokens = choice.fetchFrom === undefined ? 0 : (shared?.tokens ?? 0);
-		choice.target.noteStart(request, request.isKeptApart?.() === true, fetchedTokens, nowMs);
+		const isKeptApart = request.isKeptApart?.() === true;
+		choice.target.noteStart(request, isKeptApart, choice.fetchedTokens, nowMs);
 		this.decided.push({
 			kind: ScheduleDecisionKind.Start,
 			requestId: request.id,
--- a/src/entry/node/fleet/test/fleet.test.ts
+++ b/src/entry/node/fleet/test/fleet.test.ts
@@ -46,7 +46,14 @@
 }
 
 const uint32 = fc.integer({ min: 0, max: 0xffff_ffff });
-const room = fc.record({ waitMs: uint32, freeSlots: uint32, running: uint32, queued: uint32 });
+const runningPerTarget = fc.integer({ min: 0, max: 100_000 }).map(tenths => tenths / 10);
+const room = fc.record({
+	waitMs: uint32,
+	freeSlots: uint32,
+	running: uint32,
+	queued: uint32,
+	runningPerTarget,
+});
 
 const anyView: fc.Arbitrary<EntryView> = fc
 	.record({
--- a/src/entry/node/fleet/viewCodec.ts
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -48,6 +48,8 @@
 	});
 }
 
+const tenthsOfOne = 10;
+
 /** The view that a message carries. */
 export function decodeView(message: WireView): EntryView {
 	return {
@@ -75,11 +77,14 @@
 		freeSlots: toUint32(Math.floor(room.freeSlots)),
 		running: toUint32(room.running),
 		queued: toUint32(room.queued),
+		runningPerTargetTenths: toUint32((room.runningPerTarget ?? 0) * tenthsOfOne),
 	});
 }
 
-function decodeRoom({ service, waitMs, freeSlots, running, queued }: WireRoom): ServiceRoomView {
-	return { service: service as ServiceName, room: { waitMs, freeSlots, running, queued } };
+function decodeRoom({ service, runningPerTargetTenths, ...told }: WireRoom): ServiceRoomView {
+	const { waitMs, freeSlots, running, queued } = told;
+	const runningPerTarget = runningPerTargetTenths / tenthsOfOne;
+	return { service: service as ServiceName, room: { waitMs, freeSlots, running, queued, runningPerTarget } };
 }
 
 function encodeSighting({ fingerprint, target, ageMs }: CrashSightingView): WireSighting {
--- a/src/entry/node/requests/routerSurroundings.ts
+++ b/src/entry/node/requests/routerSurroundings.ts
@@ -12,8 +12,8 @@
 import { ResidencyRule } from '../../../core/manifest/common/manifest';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import { findSharedPart } from '../../common/prompts/promptShape';
-import { defaultReliefFigures } from '../../common/sendAway/reliefPolicy';
 import type { ISendAwayPolicy, OwnerRegion, RemoteOffer } from '../../common/sendAway/sendAwayPolicy';
+import { defaultWorkPolicy } from '../../common/workScheduling/workPolicy';
 import { findRoom } from '../../common/fleetView/entryView';
 import type { KnownInstance } from '../../common/fleetView/fleetView';
 import type { EntryFleet } from '../fleet/entryFleet';
@@ -87,7 +87,7 @@
 
 	findOwnerRegion({ call }: RequestRun): OwnerRegion | undefined {
 		const prompt = call.head.routed?.prompt;
-		const shared = prompt && findSharedPart(prompt, defaultReliefFigures.leastOwnedTokens);
+		const shared = prompt && findSharedPart(prompt, defaultWorkPolicy.choice.leastSharedTokens);
 		if (shared === undefined) {
 			return undefined;
 		}
