Let entries take turns at a cold target

Entries now take turns that are counted back from the end of the cold time, one request a turn. Ruled out: random first times, which still meet by chance.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -68,8 +68,11 @@
 	readonly generation: number;
 	/** Until when it must be spared, in monotonic milliseconds. */
 	readonly coldUntilMs: number;
-	/** Requests a second that this entry may send it until then; infinite where none is asked for. */
+	/** Requests a second that it bears until then from all entries; infinite where it bears any. */
 	readonly coldRequestsPerSecond: number;
+	/** Entries that share it, and the place of this one among them, from 0: they take turns while it is cold. */
+	readonly entries: number;
+	readonly place: number;
 	/** When it will be taken away, in monotonic milliseconds; infinite where nobody has said so. */
 	readonly endsMs: number;
 	/** Tokens of prompts that its memory holds; 0 where it caches none. */
--- a/src/entry/common/workScheduling/targetWork.ts
+++ b/src/entry/common/workScheduling/targetWork.ts
@@ -17,6 +17,7 @@
 import { computeTextHash } from '../scheduling/prefixRanking';
 import type { ReportedLoad, SchedulableRequest, SchedulableTarget } from '../scheduling/serviceScheduler';
 import { AttemptEnd } from '../scheduling/serviceScheduler';
+import type { ColdTurns } from './coldAllowance';
 import { ColdAllowance } from './coldAllowance';
 import { PromptCache } from './promptCache';
 import { UnansweredReading } from './unansweredReading';
@@ -135,14 +136,24 @@
 		return nowMs < (this.described.registered?.coldUntilMs ?? 0);
 	}
 
+	private get coldTurns(): ColdTurns {
+		const {
+			coldUntilMs = 0,
+			coldRequestsPerSecond = Infinity,
+			entries = 1,
+			place = 0,
+		} = this.described.registered ?? {};
+		return { coldUntilMs, requestsPerSecond: coldRequestsPerSecond, entries, place };
+	}
+
 	/** Whether sparing a cold target allows a request now. */
 	isColdOpen(nowMs: number): boolean {
-		return !this.isCold(nowMs) || this.cold.isOpen(nowMs);
+		return !this.isCold(nowMs) || this.cold.isOpen(this.coldTurns, nowMs);
 	}
 
 	/** When a closed target may be open again, in monotonic milliseconds. */
 	getNextOpenMs(nowMs: number): number {
-		return Math.max(this.pausedUntilMs, this.isCold(nowMs) ? this.cold.getNextMs() : 0);
+		return Math.max(this.pausedUntilMs, this.isCold(nowMs) ? this.cold.getNextMs(this.coldTurns, nowMs) : 0);
 	}
 
 	hasKeptApart(): boolean {
@@ -236,7 +247,7 @@
 			this.cache.noteSent(prompt);
 		}
 		if (this.isCold(nowMs)) {
-			this.cold.noteSent(this.described.registered?.coldRequestsPerSecond ?? Infinity, nowMs);
+			this.cold.noteSent(this.coldTurns, nowMs);
 		}
 	}
 
--- a/src/entry/common/workScheduling/test/engineWorld.ts
+++ b/src/entry/common/workScheduling/test/engineWorld.ts
@@ -151,6 +151,8 @@
 				generation: 1,
 				coldUntilMs: 0,
 				coldRequestsPerSecond: Infinity,
+				entries: 1,
+				place: 0,
 				endsMs: Infinity,
 				cacheTokens: this.options.cacheTokens,
 			},
--- a/src/entry/common/workScheduling/test/targetChooser.test.ts
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -21,6 +21,8 @@
 			generation: 1,
 			coldUntilMs: 0,
 			coldRequestsPerSecond: Infinity,
+			entries: 1,
+			place: 0,
 			endsMs: Infinity,
 			cacheTokens: 300_000,
 		},
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -122,7 +122,7 @@
 			new ServiceRunners(
 				this.manifests,
 				targets,
-				() => this.fleet.countLive(region, region),
+				() => this.fleet.describeSharing(region),
 				new CrashWatch(
 					this.quarantine,
 					target => targets.probeDeath(target),
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -25,6 +25,7 @@
 import { defaultFleetViewFigures } from '../../common/scheduling/policy';
 import type { IEntryDirectory, KnownEntry } from '../../common/tickets/ticketRoute';
 import type { PeerClients, PeerConnection } from '../peers/peerClients';
+import type { EntrySharing } from '../targets/targetDirectory';
 import type { ExchangeContact } from './contacts';
 import { Contacts } from './contacts';
 import { FleetSilenceLimits } from './fleetSilenceLimits';
@@ -63,7 +64,7 @@
 	readonly onDidReceive: Stream<EntryView> = this.received.stream;
 
 	constructor(
-		place: FleetPlace,
+		private readonly place: FleetPlace,
 		private readonly describeSelf: DescribeSelf,
 		private readonly peers: PeerClients,
 		private readonly timers: ITimerService,
@@ -153,9 +154,20 @@
 	 * would take too large a part of the targets for itself until it has heard of all.
 	 */
 	countLive(region: RegionName, ownRegion: RegionName): number {
-		const heard = this.listLiveViews(view => view.region === region).length;
-		const silent = this.contacts.listSilent().filter(listed => listed.region === region).length;
-		return heard + silent + (region === ownRegion ? 1 : 0);
+		return this.listOthers(region).length + (region === ownRegion ? 1 : 0);
+	}
+
+	/** How the live entries of this one's region share its targets. */
+	describeSharing(ownRegion: RegionName): EntrySharing {
+		const others = this.listOthers(ownRegion);
+		const place = others.filter(instance => instance < this.place.id).length;
+		return { entries: others.length + 1, place };
+	}
+
+	private listOthers(region: RegionName): InstanceId[] {
+		const heard = this.listLiveViews(view => view.region === region).map(({ view }) => view.instance);
+		const silent = this.contacts.listSilent().filter(listed => listed.region === region);
+		return [...heard, ...silent.map(({ id }) => id)];
 	}
 
 	private isLive({ view, isSuspect }: KnownInstance): boolean {
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -12,7 +12,7 @@
 import type { ISendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
 
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
-import type { ITargetRegistry } from '../targets/targetDirectory';
+import type { EntrySharing, ITargetRegistry } from '../targets/targetDirectory';
 import type { CrashWatch } from './crashWatch';
 import { ServiceRunner } from './serviceRunner';
 
@@ -23,8 +23,8 @@
 	createSendAway(): ISendAwayPolicy;
 }
 
-/** How many live entries share the region's targets, this one included. */
-export type CountSharers = () => number;
+/** How the live entries share the region's targets. */
+export type DescribeSharing = () => EntrySharing;
 
 interface KnownService {
 	readonly runner: ServiceRunner;
@@ -39,7 +39,7 @@
 	constructor(
 		private readonly manifests: ManifestKeeper,
 		private readonly targets: ITargetRegistry,
-		private readonly countSharers: CountSharers,
+		private readonly describeSharing: DescribeSharing,
 		private readonly crashes: CrashWatch,
 		private readonly policies: IServicePolicies,
 		private readonly timers: ITimerService,
@@ -94,8 +94,8 @@
 
 	private update(service: ServiceName): void {
 		const described = this.manifests.getCurrent()?.index.findService(service);
-		const share = 1 / Math.max(1, this.countSharers());
-		const list = described === undefined ? [] : this.targets.listSchedulable(described, share);
+		const list =
+			described === undefined ? [] : this.targets.listSchedulable(described, this.describeSharing());
 		this.services.get(service)?.runner.setTargets(list);
 	}
 }
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -17,7 +17,7 @@
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
 import { TargetClient } from './targetClient';
-import type { DescribedTarget, ITargetRegistry } from './targetDirectory';
+import type { DescribedTarget, EntrySharing, ITargetRegistry } from './targetDirectory';
 import type { Place } from './targetRegistry';
 
 /** A target that has not taken a connection by then is slow or cut off, and a caller is waiting. */
@@ -71,19 +71,21 @@
 		this.emitAll();
 	}
 
-	listSchedulable(service: ManifestService, share: number): readonly SchedulableTarget[] {
+	listSchedulable(service: ManifestService, { entries, place }: EntrySharing): readonly SchedulableTarget[] {
 		const { warmUp, promptCache } = service;
 		return this.listKnown(service.name).map(({ target, coldUntilMs, endsMs, generation }) => ({
 			id: target.id,
 			zone: target.zone,
 			isSameZone: target.zone === this.place.zone,
 			slots: target.slots,
-			share,
+			share: 1 / entries,
 			isLeaving: !this.isUsable(target),
 			registered: {
 				generation,
 				coldUntilMs,
-				coldRequestsPerSecond: warmUp === undefined ? Infinity : warmUp.requestsPerSecond * share,
+				coldRequestsPerSecond: warmUp?.requestsPerSecond ?? Infinity,
+				entries,
+				place,
 				endsMs,
 				cacheTokens: promptCache?.tokens ?? 0,
 			},
--- a/src/entry/node/targets/targetDirectory.ts
+++ b/src/entry/node/targets/targetDirectory.ts
@@ -35,13 +35,21 @@
 	readonly lastSign: string;
 }
 
+/** How the entries of a region share its targets. */
+export interface EntrySharing {
+	/** Live entries, this one included. */
+	readonly entries: number;
+	/** The place of this one among them by their ids, from 0. */
+	readonly place: number;
+}
+
 /** Owns the connections and the lives of the region's targets. */
 export interface ITargetRegistry extends ITargetDirectory, IDisposable {
 	/** A service whose targets, or their usability, changed. */
 	readonly onDidChange: Stream<ServiceName>;
 	setManifest(manifest: IndexedManifest): void;
 	/** The service's targets in this region, as its scheduler sees them. */
-	listSchedulable(service: ManifestService, share: number): readonly SchedulableTarget[];
+	listSchedulable(service: ManifestService, sharing: EntrySharing): readonly SchedulableTarget[];
 	listDescribed(service: ServiceName): readonly DescribedTarget[];
 	/**
 	 * Whether a region may have targets in use. What an entry there said of its room is some seconds old; a zone
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -22,7 +22,7 @@
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
-import type { DescribedTarget, ITargetRegistry } from './targetDirectory';
+import type { DescribedTarget, EntrySharing, ITargetRegistry } from './targetDirectory';
 import { TargetClient } from './targetClient';
 import { isClosing, isTargetDead, probeTarget } from './targetProbe';
 
@@ -113,7 +113,7 @@
 	}
 
 	/** The service's targets in this region, as its scheduler sees them. */
-	listSchedulable(service: ManifestService, share: number): SchedulableTarget[] {
+	listSchedulable(service: ManifestService, { entries }: EntrySharing): SchedulableTarget[] {
 		return this.listOf(service.name)
 			.filter(target => target.role === TargetRole.Serve)
 			.map(target => ({
@@ -121,7 +121,7 @@
 				zone: target.zone,
 				isSameZone: target.zone === this.place.zone,
 				slots: target.slots ?? service.slotsPerTarget,
-				share,
+				share: 1 / entries,
 				isLeaving: !this.lives.isUsable(target.id),
 			}));
 	}
