--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -7,6 +7,7 @@
 import {
 	createName,
 	createSeconds,
+	createShare,
 	createWholeNumber,
 	listenAddress,
 	originUrl,
@@ -70,6 +71,16 @@
 			killed_after_s: createSeconds(1, 600).optional(),
 		})
 		.prefault({}),
+	/** Sends beyond the first of each request that all entries together may make to a service. */
+	retries: z
+		.strictObject({
+			/** As a share of the requests of a window. */
+			ratio: createShare(0, 1).default(0.2),
+			/** Beyond that share. */
+			slack: createWholeNumber(0, 100_000).default(50),
+			window_s: createSeconds(1, 600).default(10),
+		})
+		.prefault({}),
 	limits: z
 		.strictObject({
 			max_head_bytes: createWholeNumber(1_024, mebibyte).default(16_384),
--- a/src/core/settings/common/settingsTypes.ts
+++ b/src/core/settings/common/settingsTypes.ts
@@ -52,6 +52,16 @@
 		.refine(value => value >= least && value <= most, allowed);
 }
 
+/** A share, with fractions, in a range; both ends included. */
+export function createShare(least: number, most: number): z.ZodType<number, string> {
+	const allowed = `a share from ${least} to ${most}`;
+	return z
+		.string()
+		.regex(/^\d+(\.\d+)?$/, allowed)
+		.transform(Number)
+		.refine(value => value >= least && value <= most, allowed);
+}
+
 /** A name as the manifest knows them. */
 export function createName<TName extends string>(): z.ZodType<TName, string> {
 	return z
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -101,6 +101,13 @@
 	readonly retry: WorkRetryFigures;
 }
 
+/** The policy with a deployment's own bounds of repeated sends. */
+export function createWorkPolicy(
+	retries: Pick<WorkRetryFigures, 'ratio' | 'slack' | 'windowMs'>,
+): WorkPolicy {
+	return { ...defaultWorkPolicy, retry: { ...defaultWorkPolicy.retry, ...retries } };
+}
+
 export const defaultWorkPolicy: WorkPolicy = {
 	estimate: {
 		tokensPerMs: 35,
