Remove the room that less urgent prompts left: it was worth nothing

Less urgent requests started only up to a quarter of the reading that others may start, and left half of the engines shallow. Engines admit the more urgent first by themselves, so it only kept drafts waiting at the entry.

--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -27,8 +27,6 @@
 	/** Targets that have been sent it already. */
 	readonly tried: readonly TargetId[];
 	readonly isLate: boolean;
-	/** More urgent requests than this are about, and must find room. */
-	readonly isYielding: boolean;
 	/** It was in flight when a target died, and runs apart from others of that kind. */
 	readonly isKeptApart: boolean;
 }
@@ -97,9 +95,7 @@
 				const copyMs = isCopy ? this.computeCopyCost(shared, fetchedTokens > 0) : 0;
 				const { failureCost, jitter, delayCost } = this.figures;
 				const factor = (1 + failureCost * target.failureShare) * (1 + jitter * this.random.pickFraction());
-				const hasRoom =
-					target.hasRoom({ ...question, urgency }, nowMs) &&
-					this.isLeavingRoom(target, open, question, firstMs, nowMs);
+				const hasRoom = target.hasRoom({ ...question, urgency }, nowMs);
 				return {
 					target,
 					firstMs,
@@ -114,25 +110,6 @@
 			});
 	}
 
-	/**
-	 * Whether enough engines stay at which a more urgent request would begin soon. Long prompts that start at
-	 * all engines within a moment would each be bearable, and together leave a question nowhere to go.
-	 */
-	private isLeavingRoom(
-		target: TargetWork,
-		open: readonly TargetWork[],
-		{ isYielding }: ChoiceQuestion,
-		firstMs: number,
-		nowMs: number,
-	): boolean {
-		const { shallowMs, shallowShare } = this.figures;
-		if (!isYielding || firstMs <= shallowMs || open.length < 2) {
-			return true;
-		}
-		const others = open.filter(other => other !== target && other.estimateWaitMs(nowMs) <= shallowMs);
-		return others.length >= open.length * shallowShare;
-	}
-
 	private findShared({ work }: SchedulableRequest): PromptPart | undefined {
 		return work?.prompt && findSharedPart(work.prompt, this.figures.leastSharedTokens);
 	}
--- a/src/entry/common/workScheduling/targetWork.ts
+++ b/src/entry/common/workScheduling/targetWork.ts
@@ -40,8 +40,6 @@
 /** What is asked of the room at a target. */
 export interface RoomQuestion {
 	readonly isLate: boolean;
-	/** More urgent requests are about. */
-	readonly isYielding: boolean;
 	/** 0 is the most urgent. */
 	readonly urgency: number;
 }
@@ -164,15 +162,15 @@
 		return this.cache.has(id);
 	}
 
-	/** Whether a further request finds room; one that is late already, or less urgent, leaves some to others. */
-	hasRoom({ isLate, isYielding, urgency }: RoomQuestion, nowMs: number): boolean {
-		const { mostAheadMs, yieldingShare, lateShare, beyondSlots, lateReserve } = this.queue;
+	/** Whether a further request finds room; one that is late already leaves some to others. */
+	hasRoom({ isLate, urgency }: RoomQuestion, nowMs: number): boolean {
+		const { mostAheadMs, lateShare, beyondSlots, lateReserve } = this.queue;
 		const { slots } = this.described;
 		const inUse = this.estimateRunning(nowMs);
 		if (!this.isEngine) {
 			return inUse + 1 <= slots * (isLate ? 1 - lateReserve : 1 + beyondSlots);
 		}
-		const share = (isLate ? lateShare : 1) * (isYielding ? yieldingShare : 1);
+		const share = isLate ? lateShare : 1;
 		const aheadMs = this.estimateAhead(urgency, nowMs) * this.slowness;
 		return inUse < slots * (isLate ? 1 - lateReserve : 1) && aheadMs <= mostAheadMs * share;
 	}
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -42,10 +42,6 @@
 	 * time to the first byte. Most answers bear some delay; what they lose in sum they can't get back.
 	 */
 	readonly delayCost: number;
-	/** An engine is shallow while a request that comes now waits no longer than this, in milliseconds. */
-	readonly shallowMs: number;
-	/** The part of the engines that less urgent requests leave shallow for the more urgent. */
-	readonly shallowShare: number;
 	/** Weight of a target's share of failed answers against its speed. */
 	readonly failureCost: number;
 	/** Random part of a cost, so that entries that see the same do not all choose the same. */
@@ -59,11 +55,6 @@
 	 * can no longer be sent elsewhere or overtaken; what does not wait there leaves it idle for a round trip.
 	 */
 	readonly mostAheadMs: number;
-	/**
-	 * The part of that up to which a request starts that is less urgent than others of the service. Its own
-	 * prompt may take as long again, and a question that arrives next waits for both.
-	 */
-	readonly yieldingShare: number;
 	/** The part of that up to which a request that is late already may start. */
 	readonly lateShare: number;
 	/** Requests beyond the slots of a plain target, as a share of these: they cover the way to and fro. */
@@ -126,14 +117,11 @@
 		leastSharedTokens: 256,
 		copyCost: 0.6,
 		delayCost: 0.3,
-		shallowMs: 200,
-		shallowShare: 0.5,
 		failureCost: 4,
 		jitter: 0.05,
 	},
 	queue: {
 		mostAheadMs: 400,
-		yieldingShare: 0.25,
 		lateShare: 0.25,
 		beyondSlots: 0.34,
 		lateReserve: 0.25,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -72,7 +72,6 @@
 	private readonly estimates: LineEstimates;
 	private decided: ScheduleDecision[] = [];
 	private checkedMs = Number.NEGATIVE_INFINITY;
-	private mostUrgent = Number.POSITIVE_INFINITY;
 
 	constructor(
 		random: IRandom,
@@ -107,7 +106,6 @@
 	submit(request: SchedulableRequest, nowMs: number): void {
 		this.retries.noteRequest(nowMs);
 		const item = this.estimates.createItem(request, nowMs);
-		this.noteUrgency(request);
 		const fault = this.findFault(item, nowMs);
 		if (fault !== undefined) {
 			this.refuse(request, fault, 'nothing was sent', false, nowMs);
@@ -180,8 +178,7 @@
 		}
 		const hasRoom = this.listed.some(
 			target =>
-				target.isOpen(nowMs) &&
-				target.hasRoom({ isLate: false, isYielding: false, urgency: getUrgency(held.request) }, nowMs),
+				target.isOpen(nowMs) && target.hasRoom({ isLate: false, urgency: getUrgency(held.request) }, nowMs),
 		);
 		const after = { ...held, runs: held.runs + 1, mayHaveRun: true };
 		return hasRoom && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
@@ -306,8 +303,7 @@
 		const { request, tried } = held;
 		const isKeptApart = request.isKeptApart?.() === true;
 		const isOtherLeft = this.listed.some(({ id, target }) => !target.isLeaving && !tried.includes(id));
-		const isYielding = getUrgency(request) > this.mostUrgent;
-		const question = { request, tried: isOtherLeft ? tried : [], isLate, isYielding, isKeptApart };
+		const question = { request, tried: isOtherLeft ? tried : [], isLate, isKeptApart };
 		return this.chooser.choose(this.listed, question, nowMs);
 	}
 
@@ -346,11 +342,6 @@
 		);
 	}
 
-	/** The most urgent kind of request that the service has: the others leave it room. */
-	private noteUrgency(request: SchedulableRequest): void {
-		this.mostUrgent = Math.min(this.mostUrgent, getUrgency(request));
-	}
-
 	private isBudgetOpen(nowMs: number): boolean {
 		this.retries.setEntries(this.countEntries());
 		return this.retries.isOpen(nowMs);
