--- a/scripts/bundleEntry.mjs
+++ b/scripts/bundleEntry.mjs
@@ -29,4 +29,9 @@
 });
 
 copyFileSync('scripts/entryLoader.cjs', 'target/entry.js');
-execFileSync(process.execPath, [...nodeFlags, 'scripts/cacheEntry.cjs'], { stdio: 'inherit' });
+try {
+	execFileSync(process.execPath, [...nodeFlags, 'scripts/cacheEntry.cjs'], { stdio: 'inherit' });
+} catch (error) {
+	// The entry starts without compiled code as well, only later.
+	process.stderr.write(`no compiled code beside the bundle: ${error.message}\n`);
+}
--- a/src/core/settings/common/settingsTypes.ts
+++ b/src/core/settings/common/settingsTypes.ts
@@ -44,17 +44,15 @@
 
 /** Seconds, with fractions, in a range; both ends included. */
 export function createSeconds(least: number, most: number): z.ZodType<number, string> {
-	const allowed = `seconds from ${least} to ${most}`;
-	return z
-		.string()
-		.regex(/^\d+(\.\d+)?$/, allowed)
-		.transform(Number)
-		.refine(value => value >= least && value <= most, allowed);
+	return createFraction(`seconds from ${least} to ${most}`, least, most);
 }
 
 /** A share, with fractions, in a range; both ends included. */
 export function createShare(least: number, most: number): z.ZodType<number, string> {
-	const allowed = `a share from ${least} to ${most}`;
+	return createFraction(`a share from ${least} to ${most}`, least, most);
+}
+
+function createFraction(allowed: string, least: number, most: number): z.ZodType<number, string> {
 	return z
 		.string()
 		.regex(/^\d+(\.\d+)?$/, allowed)
