Tell no reading of a region that can be sent nothing for the moment

Found on reading the change: where all engines of a region were cold or paused, the reading of a request was taken over no engines, endless, and endless times no running answers is no number. A comparison with it always says no, so requests waited there though another region could have answered them. The test fails on the code before.

--- a/src/core/settings/test/settings.test.ts
+++ b/src/core/settings/test/settings.test.ts
@@ -55,6 +55,25 @@
 		expect(lines.some(line => line.startsWith('[instance] zone is missing'))).toBe(true);
 	});
 
+	// A deployment hands over a bound that can't be read. Taken for the default it would be broken, or leave
+	// callers without the repeats that it allows, and nobody would know.
+	it('names a bound of repeated sends that is none, and takes one that is', () => {
+		const bound = (text: string): string => `${createText()}\n[retries]\n${text}`;
+		const lines = parseSettings(entrySettingsSchema, bound('ratio = 2\nslack = -1\nwindow_s = soon'))
+			._unsafeUnwrapErr()
+			.map(formatSettingsFault);
+		expect(lines).toEqual([
+			'[retries] ratio = 2: a share from 0 to 1',
+			'[retries] slack = -1: a whole number from 0 to 100000',
+			'[retries] window_s = soon: seconds from 1 to 600',
+		]);
+		const { retries } = parseSettings(
+			entrySettingsSchema,
+			bound('ratio = 0.05\nslack = 12\nwindow_s = 10'),
+		)._unsafeUnwrap();
+		expect(retries).toEqual({ ratio: 0.05, slack: 12, window_s: 10 });
+	});
+
 	// An operator mistypes the ticket key's name or cuts its value short, and the fault goes to a log that
 	// many can read. With the value in it, each of them could sign tickets.
 	it('never shows the value of a secret', () => {
--- a/src/entry/common/workScheduling/test/engineWorld.ts
+++ b/src/entry/common/workScheduling/test/engineWorld.ts
@@ -113,6 +113,26 @@
 	};
 }
 
+/** A request for one answer to a prompt. */
+export function createPromptedRequest(
+	id: RequestId,
+	prompt: PromptShape,
+	{ aimMs, deadlineMs, urgency }: Pick<RequestKind, 'aimMs' | 'deadlineMs' | 'urgency'>,
+	nowMs: number,
+): SchedulableRequest {
+	return {
+		id,
+		organisation: 'callers' as OrganisationName,
+		requestClass: RequestClass.Normal,
+		arrivedMs: nowMs,
+		deadlineMs: nowMs + deadlineMs,
+		prefixKey: undefined,
+		bodyBytes: 100,
+		isRepeatable: false,
+		work: { dueMs: nowMs + aimMs, urgency, prompt, mostAttempts: 1, isResumable: false },
+	};
+}
+
 /** Plays arrivals for a while, and lets what is under way end. */
 export function runEngines(
 	createScheduler: (random: SeededRandom) => IServiceScheduler,
@@ -188,23 +208,7 @@
 		const nowMs = this.timers.getNow();
 		this.sent++;
 		const id = `r-${this.sent}` as RequestId;
-		const request: SchedulableRequest = {
-			id,
-			organisation: 'callers' as OrganisationName,
-			requestClass: RequestClass.Normal,
-			arrivedMs: nowMs,
-			deadlineMs: nowMs + kind.deadlineMs,
-			prefixKey: undefined,
-			bodyBytes: 100,
-			isRepeatable: false,
-			work: {
-				dueMs: nowMs + kind.aimMs,
-				urgency: kind.urgency,
-				prompt: this.createPrompt(kind, id),
-				mostAttempts: 1,
-				isResumable: false,
-			},
-		};
+		const request = createPromptedRequest(id, this.createPrompt(kind, id), kind, nowMs);
 		const scheduler = this.schedulers[this.random.pickBelow(this.schedulers.length)]!;
 		this.requests.set(id, { request, kind, scheduler });
 		this.getResult(kind).asked++;
--- a/src/entry/common/workScheduling/test/targetChooser.test.ts
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -1,12 +1,11 @@
 import { SeededRandom } from '../../../../base/common/random';
-import type { OrganisationName, RequestId } from '../../../../core/ids/common/ids';
-import { RequestClass } from '../../../../core/requests/common/requestClass';
+import type { RequestId } from '../../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../../scheduling/serviceScheduler';
 import type { WorkChoice } from '../targetChooser';
 import { WorkTargetChooser } from '../targetChooser';
 import { TargetWork } from '../targetWork';
 import { defaultWorkPolicy } from '../workPolicy';
-import { createEngineTarget } from './engineWorld';
+import { createEngineTarget, createPromptedRequest } from './engineWorld';
 
 const { choice, estimate, queue } = defaultWorkPolicy;
 
@@ -15,31 +14,16 @@
 }
 
 function createDraft(id: string): SchedulableRequest {
-	return {
-		id: id as RequestId,
-		organisation: 'callers' as OrganisationName,
-		requestClass: RequestClass.Normal,
-		arrivedMs: 0,
-		deadlineMs: 10_000,
-		prefixKey: undefined,
-		bodyBytes: 100,
-		isRepeatable: false,
-		work: {
-			dueMs: 1_000,
-			urgency: 1,
-			prompt: {
-				parts: [
-					{ id: 'history', tokens: 13_000 },
-					{ id, tokens: 2_000 },
-				],
-				promptTokens: 15_000,
-				mostOutputTokens: 100,
-				hintedOutputTokens: undefined,
-			},
-			mostAttempts: 1,
-			isResumable: false,
-		},
+	const prompt = {
+		parts: [
+			{ id: 'history', tokens: 13_000 },
+			{ id, tokens: 2_000 },
+		],
+		promptTokens: 15_000,
+		mostOutputTokens: 100,
+		hintedOutputTokens: undefined,
 	};
+	return createPromptedRequest(id as RequestId, prompt, { aimMs: 1_000, deadlineMs: 10_000, urgency: 1 }, 0);
 }
 
 function choose(targets: readonly TargetWork[], tried: readonly TargetWork[] = []): WorkChoice | undefined {
--- a/src/entry/common/workScheduling/test/workScheduler.test.ts
+++ b/src/entry/common/workScheduling/test/workScheduler.test.ts
@@ -1,9 +1,10 @@
-import type { SeededRandom } from '../../../../base/common/random';
+import { SeededRandom } from '../../../../base/common/random';
+import type { RequestId } from '../../../../core/ids/common/ids';
 import { FifoScheduler } from '../../scheduling/fifoScheduler';
 import type { IServiceScheduler } from '../../scheduling/serviceScheduler';
 import { WorkScheduler } from '../workScheduler';
 import type { EngineOptions, KindResult, RequestKind, WorldResult } from './engineWorld';
-import { runEngines } from './engineWorld';
+import { createEngineTarget, createPromptedRequest, runEngines } from './engineWorld';
 
 const seeds = [1, 2, 3];
 const playedSeconds = 12;
@@ -149,3 +150,24 @@
 		expect(longestRefusalMs).toBeLessThan(burst.deadlineMs / 2);
 	});
 });
+
+describe('a region whose engines may not be sent to for the moment', () => {
+	// All engines of a region have just started and bear two requests a second, and the next turn is another
+	// entry's. A room that can't be compared looks like one that is no worse than another region's, and callers
+	// wait for a turn here while engines idle there.
+	it('is told to have an endless wait, and nothing that spoils a comparison', () => {
+		const scheduler = new WorkScheduler(new SeededRandom(1), () => 2);
+		const target = createEngineTarget('engine-1', { slots: 64, cacheTokens: 300_000, entries: 2 });
+		const registered = { ...target.registered!, coldUntilMs: 5_000, coldRequestsPerSecond: 2, place: 1 };
+		scheduler.setTargets([{ ...target, registered }]);
+		const prompt = {
+			parts: [{ id: 'own', tokens: 2_000 }],
+			promptTokens: 2_000,
+			mostOutputTokens: 100,
+			hintedOutputTokens: undefined,
+		};
+		const room = scheduler.measureRoom(0, createPromptedRequest('r-1' as RequestId, prompt, drafts, 0));
+		expect(room.waitMs).toBe(Number.POSITIVE_INFINITY);
+		expect(room.readingMs).toBeUndefined();
+	});
+});
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -218,7 +218,7 @@
 			...(unloaded.length > 0 ? { unloadedMs: Math.max(...unloaded) } : {}),
 			holdsSharedPart: request !== undefined && this.hasSharedPart(open, request),
 			runningPerTarget: this.computeRunningPerTarget(open, nowMs),
-			...(request?.work?.prompt === undefined
+			...(request?.work?.prompt === undefined || unloaded.length === 0
 				? {}
 				: { readingMs: Math.min(...unloaded) - this.policy.estimate.firstEventMs }),
 		};
