Log each failed call to the store with what it asked and how long it hung

An entry's log said that the store was lost or back, but not which calls were made meanwhile, so a watch that was waited out and new calls that failed looked alike after an outage. Each failed call is now one line: list or watch, revision held, wait asked for, time it took, fault. The pauses between failed calls (100 ms and more) bound the lines.

--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -43,6 +43,24 @@
 	readonly awayMs: number;
 }
 
+/** What a call to the store asks. */
+export enum StoreCallKind {
+	List = 'list',
+	Watch = 'watch',
+}
+
+/** How a call to the store ended; told of each call, so that an outage can be followed call by call. */
+export interface StoreCallEnd {
+	readonly call: StoreCallKind;
+	/** The revision up to which all changes were held when the call was made. */
+	readonly heldRevision: number;
+	/** How long the store was asked to hold the call, in milliseconds. */
+	readonly waitMs: number;
+	readonly tookMs: number;
+	/** Why it gave nothing, or undefined for an answer. */
+	readonly fault: StoreFault | undefined;
+}
+
 /** Bounds and times, in milliseconds. */
 export interface FollowerFigures {
 	/** How long a watch hangs. A connection gone silent delays news by as much. */
@@ -72,6 +90,7 @@
 	private readonly mirror = new StoreMirror();
 	private readonly changes = this.register(new Channel<FollowedChange>());
 	private readonly reaches = this.register(new Channel<StoreReach>());
+	private readonly callEnds = this.register(new Channel<StoreCallEnd>());
 	private failures = 0;
 	private reachedMs: number | undefined;
 	private lostMs: number | undefined;
@@ -79,6 +98,7 @@
 
 	readonly onDidChange: Stream<FollowedChange> = this.changes.stream;
 	readonly onDidChangeReach: Stream<StoreReach> = this.reaches.stream;
+	readonly onDidEndCall: Stream<StoreCallEnd> = this.callEnds.stream;
 
 	constructor(
 		private readonly prefix: string,
@@ -131,7 +151,7 @@
 	private async watchOnce(): Promise<Result<MirrorChange, StoreFault>> {
 		const { watchMs } = this.figures;
 		const startedMs = this.timers.getNow();
-		const news = await this.fetchWithin(watchMs, signal =>
+		const news = await this.fetchWithin(StoreCallKind.Watch, watchMs, signal =>
 			this.client.watch(this.prefix, this.mirror.revision, watchMs, signal),
 		);
 		if (news.isErr() && news.error.kind === StoreFaultKind.HistoryGone) {
@@ -150,7 +170,9 @@
 		let revision: number | undefined;
 		for (;;) {
 			const afterKey = items.at(-1)?.key;
-			const page = await this.fetchWithin(0, signal => this.client.list(this.prefix, afterKey, signal));
+			const page = await this.fetchWithin(StoreCallKind.List, 0, signal =>
+				this.client.list(this.prefix, afterKey, signal),
+			);
 			if (page.isErr()) {
 				return err(page.error);
 			}
@@ -164,15 +186,22 @@
 
 	/** A call that is given up when it takes longer than its wait and the margin. */
 	private async fetchWithin<TValue>(
+		call: StoreCallKind,
 		waitMs: number,
-		call: (signal: AbortSignal) => Promise<Result<TValue, StoreFault>>,
+		fetch: (signal: AbortSignal) => Promise<Result<TValue, StoreFault>>,
 	): Promise<Result<TValue, StoreFault>> {
+		const startedMs = this.timers.getNow();
+		const heldRevision = this.mirror.revision;
 		const limit = new AbortController();
 		const timer = this.timers.schedule(waitMs + this.figures.answerMs, () => {
 			limit.abort();
 		});
 		try {
-			return await call(AbortSignal.any([this.abort.signal, limit.signal]));
+			const answer = await fetch(AbortSignal.any([this.abort.signal, limit.signal]));
+			const fault = answer.isErr() ? answer.error : undefined;
+			const tookMs = this.timers.getNow() - startedMs;
+			this.callEnds.emit({ call, heldRevision, waitMs, tookMs, fault });
+			return answer;
 		} finally {
 			timer.dispose();
 		}
--- a/src/core/store/test/storeFollower.test.ts
+++ b/src/core/store/test/storeFollower.test.ts
@@ -12,8 +12,8 @@
 	StorePage,
 } from '../common/storeClient';
 import { StoreChangeKind, StoreFaultKind } from '../common/storeClient';
-import type { FollowedChange, StoreReach } from '../common/storeFollower';
-import { StoreFollower } from '../common/storeFollower';
+import type { FollowedChange, StoreCallEnd, StoreReach } from '../common/storeFollower';
+import { StoreCallKind, StoreFollower } from '../common/storeFollower';
 import { StoreMirror } from '../common/storeMirror';
 
 function createItem(key: string, revision: number): StoreItem {
@@ -81,6 +81,7 @@
 	readonly timers: ManualTimerService;
 	readonly changes: FollowedChange[];
 	readonly reaches: StoreReach[];
+	readonly callEnds: StoreCallEnd[];
 	advance(ms: number): Promise<void>;
 	stop(): void;
 }
@@ -91,8 +92,10 @@
 	const follower = new StoreFollower('servers/', store, timers, new SeededRandom(1));
 	const changes: FollowedChange[] = [];
 	const reaches: StoreReach[] = [];
+	const callEnds: StoreCallEnd[] = [];
 	subscribeTo(follower.onDidChange, change => changes.push(change));
 	subscribeTo(follower.onDidChangeReach, reach => reaches.push(reach));
+	subscribeTo(follower.onDidEndCall, end => callEnds.push(end));
 	void follower.follow();
 	await waitForPromises();
 	return {
@@ -100,6 +103,7 @@
 		timers,
 		changes,
 		reaches,
+		callEnds,
 		advance: async ms => {
 			timers.advance(ms);
 			await waitForPromises();
@@ -181,6 +185,25 @@
 		stop();
 	});
 
+	// The store is lost and an entry goes on with what it holds. Whoever looks into it afterwards must see which
+	// calls were made, what they asked and how long they hung; that the store was lost and is back says neither.
+	it('tells of each call what it asked, how long it took and why it failed', async () => {
+		const { store, advance, callEnds, stop } = await startFollowing();
+		await store.answer({ items: [createItem('servers/a', 3)], hasMore: false, revision: 4 });
+		await advance(300);
+		await store.fail(StoreFaultKind.Refused);
+		expect(callEnds).toMatchObject([
+			{ call: StoreCallKind.List, heldRevision: 0, waitMs: 0, tookMs: 0, fault: undefined },
+			{
+				call: StoreCallKind.Watch,
+				heldRevision: 4,
+				tookMs: 300,
+				fault: { kind: StoreFaultKind.Refused },
+			},
+		]);
+		stop();
+	});
+
 	it('pauses between calls that fail', async () => {
 		const { store, advance, stop } = await startFollowing();
 		await store.fail(StoreFaultKind.Unreachable);
