Let no read of a document hang before one was answered, on the product's own platform

The follower of manifest and instance list had the same fault as that of the store, and waits four times as long: a read begun while the platform was silent hung for 20 s and 3 s more.

Both followers now take their waits and pauses from one pace, and the client its patience; the product's own platform is allowed 9 s. The test's silent publisher serves both. After: at most 9 s in the same test.

--- a/src/core/following/node/platformFollower.ts
+++ b/src/core/following/node/platformFollower.ts
@@ -1,8 +1,6 @@
 /**
  * Follows one of the platform's documents: hangs on a watch for the next version, again and again. When the
- * platform refuses or is away, it waits for a time that doubles up to a limit and is drawn at random up to
- * there, so that a fleet that lost the platform together does not come back to it together and trip its
- * rate limit once more.
+ * platform refuses or is away, it pauses, and hangs again only after an answer.
  */
 
 import type { Stream } from 'most';
@@ -11,6 +9,8 @@
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import { waitFor } from '../../../base/common/waitFor';
+import type { WatchFigures } from '../common/watchPace';
+import { planWatch, WatchPace } from '../common/watchPace';
 import type { PlatformRead } from '../../platformClient/node/platformClient';
 
 /** A document with a version. */
@@ -25,28 +25,28 @@
 	signal: AbortSignal,
 ) => PlatformRead<TDocument>;
 
-/** How long a watch hangs; short enough that a connection gone silent costs little, long enough to be cheap. */
-const watchMs = 20_000;
-const leastBackoffMs = 200;
-const mostBackoffMs = 5_000;
-
 /** Emits each newer version of a document. */
 export class PlatformFollower<TDocument extends IVersioned> extends Disposable {
 	private readonly abort = new AbortController();
 	private readonly documents = this.register(new Channel<TDocument>());
+	private readonly figures: WatchFigures;
+	private readonly pace: WatchPace;
 	private lastVersion = 0;
-	private failures = 0;
 	private reads = 0;
 	private lastReadMs: number | undefined;
 
 	readonly onDidRead: Stream<TDocument> = this.documents.stream;
 
+	/** @param newsWithinMs By how many milliseconds a version may be late once the platform answers. */
 	constructor(
 		private readonly readAfter: ReadAfter<TDocument>,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
+		newsWithinMs: number,
 	) {
 		super();
+		this.figures = planWatch(newsWithinMs);
+		this.pace = new WatchPace(this.figures, random);
 		this.register(
 			toDisposable(() => {
 				this.abort.abort();
@@ -74,38 +74,32 @@
 	private async readOnce(): Promise<void> {
 		this.reads++;
 		const startedMs = this.timers.getNow();
-		const read = await this.readAfter(this.lastVersion, watchMs, this.abort.signal);
+		const waitMs = this.pace.planWaitMs();
+		const read = await this.readAfter(this.lastVersion, waitMs, this.abort.signal);
 		if (read.isErr()) {
-			this.failures++;
-			await waitFor(this.timers, this.computeBackoffMs(read.error.retryAfterMs), this.abort.signal);
+			this.pace.noteFailed();
+			// Told the same time, a fleet that came back exactly then would be refused together again.
+			const pauseMs = (read.error.retryAfterMs ?? 0) + this.pace.computePauseMs();
+			await waitFor(this.timers, pauseMs, this.abort.signal);
 			return;
 		}
-		this.failures = 0;
+		this.pace.noteAnswered();
 		this.lastReadMs = this.timers.getNow();
-		if (read.value === undefined) {
+		if (read.value !== undefined) {
+			this.lastVersion = read.value.version;
+			this.documents.emit(read.value);
+		} else if (waitMs > 0) {
 			await this.waitOutEarlyAnswer(startedMs);
-			return;
 		}
-		this.lastVersion = read.value.version;
-		this.documents.emit(read.value);
 	}
 
 	/** A platform that says "nothing new" at once must not be asked again in a tight loop. */
 	private async waitOutEarlyAnswer(startedMs: number): Promise<void> {
+		const { leastPauseMs } = this.figures;
 		const tookMs = this.timers.getNow() - startedMs;
-		if (tookMs < leastBackoffMs) {
-			await waitFor(
-				this.timers,
-				leastBackoffMs + this.random.pickFraction() * leastBackoffMs,
-				this.abort.signal,
-			);
+		if (tookMs < leastPauseMs) {
+			const drawnMs = this.random.pickFraction() * leastPauseMs;
+			await waitFor(this.timers, leastPauseMs + drawnMs, this.abort.signal);
 		}
 	}
-
-	private computeBackoffMs(retryAfterMs: number | undefined): number {
-		const limitMs = Math.min(mostBackoffMs, leastBackoffMs * 2 ** this.failures);
-		const drawnMs = leastBackoffMs + this.random.pickFraction() * (limitMs - leastBackoffMs);
-		// Told the same time, a fleet that came back exactly then would be refused together again.
-		return (retryAfterMs ?? 0) + drawnMs;
-	}
 }
--- a/src/core/following/test/platformFollower.test.ts
+++ b/src/core/following/test/platformFollower.test.ts
@@ -4,7 +4,10 @@
 import { ManualTimerService } from '../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../base/common/random';
 import type { PlatformFault } from '../../platformClient/node/platformClient';
+import { planWatch } from '../common/watchPace';
 import { PlatformFollower } from '../node/platformFollower';
+import type { Silence } from './silentPublisher';
+import { SilentPublisher } from './silentPublisher';
 
 interface Document {
 	readonly version: number;
@@ -12,6 +15,8 @@
 
 type Answer = Result<Document | undefined, PlatformFault>;
 
+const newsWithinMs = 9_000;
+
 const outage: Answer = err({ detail: 'connect refused', retryAfterMs: undefined });
 
 interface Following {
@@ -36,6 +41,7 @@
 		},
 		timers,
 		new SeededRandom(seed),
+		newsWithinMs,
 	);
 	subscribeTo(follower.onDidRead, ({ version }) => versions.push(version));
 	const advance = async (durationMs: number): Promise<void> => {
@@ -99,4 +105,50 @@
 		following.follower.dispose();
 		expect(following.reads.length).toBeLessThanOrEqual(50);
 	});
+
+	// The platform falls silent for some seconds, and a version is published on its return. A read that was begun
+	// in the silence and is waited out keeps the entry on the version before, seconds longer than the fleet is
+	// given to follow, and callers are served by rules that were replaced.
+	it('has what was published at the end of a silence within the time allowed', async () => {
+		for (let lengthMs = 500; lengthMs <= 30_000; lengthMs += 500) {
+			const delayMs = await measureNewsDelay({ fromMs: 12_000, toMs: 12_000 + lengthMs });
+			expect(delayMs).toBeLessThanOrEqual(newsWithinMs);
+		}
+	});
 });
+
+/** Milliseconds from the end of a silence, when version 2 is published, until a follower has it. */
+async function measureNewsDelay(silence: Silence): Promise<number> {
+	const timers = new ManualTimerService();
+	const publisher = new SilentPublisher(timers, silence);
+	const { answerMs } = planWatch(newsWithinMs);
+	const giveUp = (afterMs: number): Promise<Answer> =>
+		new Promise(resolve => {
+			timers.schedule(afterMs, () => {
+				resolve(outage);
+			});
+		});
+	const follower = new PlatformFollower<Document>(
+		(after, waitMs) => {
+			const read = publisher.read(after, waitMs).then((): Answer => {
+				const { version } = publisher;
+				return ok(version > after ? { version } : undefined);
+			});
+			return Promise.race([read, giveUp(waitMs + answerMs)]);
+		},
+		timers,
+		new SeededRandom(1),
+		newsWithinMs,
+	);
+	let held = 0;
+	subscribeTo(follower.onDidRead, ({ version }) => {
+		held = version;
+	});
+	void follower.follow();
+	while (held < 2) {
+		await new Promise(resolve => setImmediate(resolve));
+		timers.advance(100);
+	}
+	follower.dispose();
+	return timers.getNow() - silence.toMs;
+}
--- a/src/core/platformClient/node/platformClient.ts
+++ b/src/core/platformClient/node/platformClient.ts
@@ -53,9 +53,6 @@
 const statusNotModified = 304;
 const statusNotFound = 404;
 const statusTooManyRequests = 429;
-/** Beyond the wait itself: the platform answers in milliseconds, so this much silence is an outage. */
-const answerMarginMs = 3_000;
-
 /** Documents that are followed by their versions. */
 type FollowedKind = PlatformReadKind.Manifest | PlatformReadKind.Instances;
 
@@ -71,9 +68,15 @@
 	/** The end of each read; one that was given up by its caller is not told. */
 	readonly onDidEndRead: Stream<PlatformReadEnd> = this.ends.stream;
 
-	private readonly agent = new Agent({ pipelining: 1, connect: { timeout: answerMarginMs } });
+	private readonly agent: Agent;
 
-	constructor(private readonly origin: string) {}
+	/** @param answerMs How long an answer may take beyond the wait asked for; silence for longer is an outage. */
+	constructor(
+		private readonly origin: string,
+		private readonly answerMs: number,
+	) {
+		this.agent = new Agent({ pipelining: 1, connect: { timeout: answerMs } });
+	}
 
 	async readManifest(after: number, waitMs: number, signal: AbortSignal): PlatformRead<PlatformDocument> {
 		return this.read(PlatformReadKind.Manifest, after, waitMs, signal);
@@ -112,8 +115,8 @@
 				{
 					dispatcher: this.agent,
 					signal,
-					headersTimeout: waitMs + answerMarginMs,
-					bodyTimeout: answerMarginMs,
+					headersTimeout: waitMs + this.answerMs,
+					bodyTimeout: this.answerMs,
 				},
 			);
 			const bytes = new Uint8Array(await answer.body.arrayBuffer());
--- a/src/core/platformClient/test/platformClient.test.ts
+++ b/src/core/platformClient/test/platformClient.test.ts
@@ -42,7 +42,10 @@
 		});
 		server.listen(0, '127.0.0.1');
 		await once(server, 'listening');
-		const client = new HttpPlatformClient(`http://127.0.0.1:${(server.address() as AddressInfo).port}`);
+		const client = new HttpPlatformClient(
+			`http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+			3_000,
+		);
 		const told: string[] = [];
 		subscribeTo(client.onDidEndRead, ({ kind, result }) => told.push(`${kind} ${result}`));
 		const { signal } = new AbortController();
--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -59,7 +59,7 @@
 		/** What the platform speaks: the product's own interface, or a key-value store. */
 		protocol: z.enum(platformProtocols, platformProtocols.join(', ')).default('native'),
 		/** By how much what the platform publishes may be late once it answers. */
-		news_within_ms: createWholeNumber(200, 600_000).default(5_000),
+		news_within_ms: createWholeNumber(200, 600_000).optional(),
 	}),
 	/** Where callers ask which entries to use, on a platform with a store. */
 	directory: z.strictObject({ listen: listenAddress }).optional(),
--- a/src/core/store/test/storeOutage.test.ts
+++ b/src/core/store/test/storeOutage.test.ts
@@ -1,39 +1,95 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { subscribeTo } from '../../../base/common/channel';
 import { ManualTimerService } from '../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../base/common/random';
+import type { Silence } from '../../following/test/silentPublisher';
+import { SilentPublisher } from '../../following/test/silentPublisher';
+import type { IStoreClient, StoreFault, StoreItem, StoreNews, StorePage } from '../common/storeClient';
+import { StoreChangeKind, StoreFaultKind } from '../common/storeClient';
 import { StoreFollower } from '../common/storeFollower';
-import type { Outage } from './outageStore';
-import { OutageStore } from './outageStore';
 
 /** An entry is held to what was confirmed once the store has been well for this long. */
 const contactMs = 5_000;
 const stepsInBound = 100;
 
+/** A store with one item, written anew when its silence ends. */
+class SilentStore implements IStoreClient {
+	constructor(private readonly publisher: SilentPublisher) {}
+
+	list(
+		_prefix: string,
+		_after: string | undefined,
+		signal: AbortSignal,
+	): Promise<Result<StorePage, StoreFault>> {
+		return withGivingUp(
+			this.publisher.read(0, 0).then(() => {
+				const { version: revision } = this.publisher;
+				return ok({ items: [createItem(revision)], hasMore: false, revision });
+			}),
+			signal,
+		);
+	}
+
+	watch(
+		_prefix: string,
+		after: number,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<Result<StoreNews, StoreFault>> {
+		return withGivingUp(
+			this.publisher.read(after, waitMs).then(() => {
+				const { version: revision } = this.publisher;
+				const change = { kind: StoreChangeKind.Written as const, item: createItem(revision) };
+				return ok({ changes: revision > after ? [change] : [], revision });
+			}),
+			signal,
+		);
+	}
+
+	close(): Promise<void> {
+		return Promise.resolve();
+	}
+}
+
+function createItem(revision: number): StoreItem {
+	return { key: 'op/config', value: Buffer.from(String(revision)), revision };
+}
+
+function withGivingUp<TValue>(
+	answer: Promise<Result<TValue, StoreFault>>,
+	signal: AbortSignal,
+): Promise<Result<TValue, StoreFault>> {
+	const givenUp = new Promise<Result<TValue, StoreFault>>(resolve => {
+		signal.addEventListener('abort', () => {
+			resolve(err({ kind: StoreFaultKind.Unreachable, detail: 'given up' }));
+		});
+	});
+	return Promise.race([answer, givenUp]);
+}
+
 async function waitForPromises(): Promise<void> {
 	for (let turn = 0; turn < 12; turn++) {
 		await Promise.resolve();
 	}
 }
 
-/** Milliseconds from the end of an outage, where an item is written, until a follower has it. */
-async function measureNewsDelay(outage: Outage, newsWithinMs: number, seed: number): Promise<number> {
+/** Milliseconds from the end of a silence, when an item is written anew, until a follower has it. */
+async function measureNewsDelay(silence: Silence, newsWithinMs: number, seed: number): Promise<number> {
 	const timers = new ManualTimerService();
-	const store = new OutageStore(timers, outage);
+	const store = new SilentStore(new SilentPublisher(timers, silence));
 	const follower = new StoreFollower('op/', store, timers, new SeededRandom(seed), newsWithinMs);
 	let heldRevision = 0;
 	subscribeTo(follower.onDidChange, ({ revision }) => {
 		heldRevision = revision;
 	});
-	timers.schedule(outage.toMs, () => {
-		store.write();
-	});
 	void follower.follow();
-	while (heldRevision < 2 && timers.getNow() < outage.toMs + 4 * newsWithinMs) {
+	while (heldRevision < 2 && timers.getNow() < silence.toMs + 4 * newsWithinMs) {
 		await waitForPromises();
 		timers.advance(newsWithinMs / stepsInBound);
 	}
 	follower.dispose();
-	return timers.getNow() - outage.toMs;
+	return timers.getNow() - silence.toMs;
 }
 
 describe('StoreFollower after an outage in which the store is silent', () => {
--- a/src/entry/node/environment/ownEnvironment.ts
+++ b/src/entry/node/environment/ownEnvironment.ts
@@ -20,6 +20,9 @@
 } from './entryEnvironment';
 import { OwnSources } from './ownSources';
 
+/** A manifest is to be in force at all entries within nine seconds. */
+const usualNewsWithinMs = 9_000;
+
 export class OwnEnvironment implements IEntryEnvironment {
 	readonly callers = new OwnCallerDialect();
 	readonly targets = new OwnTargetDialect();
@@ -32,7 +35,8 @@
 	openPlatform(parts: PlatformParts): EntryPlatform {
 		const { region, zone } = this.settings.instance;
 		const targets = new TargetRegistry({ region, zone }, parts.trail, parts.timers);
-		return { targets, sources: new OwnSources(this.settings.platform.url, { ...parts, targets }) };
+		const { url, news_within_ms: newsWithinMs = usualNewsWithinMs } = this.settings.platform;
+		return { targets, sources: new OwnSources(url, newsWithinMs, { ...parts, targets }) };
 	}
 
 	createScheduler({ random }: SchedulerParts): ServiceScheduler {
--- a/src/entry/node/environment/ownSources.ts
+++ b/src/entry/node/environment/ownSources.ts
@@ -7,6 +7,7 @@
 import { Disposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
+import { planWatch } from '../../../core/following/common/watchPace';
 import { PlatformFollower } from '../../../core/following/node/platformFollower';
 import type {
 	PlatformDocument,
@@ -39,12 +40,14 @@
 
 	readonly onDidEndRead: Stream<PlatformReadEnd>;
 
+	/** @param newsWithinMs By how many milliseconds a version may be late once the platform answers. */
 	constructor(
 		url: string,
+		newsWithinMs: number,
 		private readonly parts: OwnSourceParts,
 	) {
 		super();
-		const platform = new HttpPlatformClient(url);
+		const platform = new HttpPlatformClient(url, planWatch(newsWithinMs).answerMs);
 		const { manifests, fleet, targets, timers, random } = parts;
 		this.platform = platform;
 		this.onDidEndRead = platform.onDidEndRead;
@@ -53,6 +56,7 @@
 				(after, waitMs, signal) => platform.readManifest(after, waitMs, signal),
 				timers,
 				random,
+				newsWithinMs,
 			),
 		);
 		this.instanceFollower = this.register(
@@ -60,6 +64,7 @@
 				(after, waitMs, signal) => platform.readInstances(after, waitMs, signal),
 				timers,
 				random,
+				newsWithinMs,
 			),
 		);
 		this.register(
