Take bounds of a deployment that are fractions

On a scaled-down deployment the slack of repeated sends was 37.5. Each of 45 entries ended with code 2 before it listened, at every start; no caller found a connection.

The slack and the time by which news may be late are now numbers with fractions; nothing in the allowance needs a whole one.

--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -6,6 +6,7 @@
 import type { InstanceId, RegionName, ZoneName } from '../../ids/common/ids';
 import {
 	createName,
+	createNumber,
 	createSeconds,
 	createShare,
 	createWholeNumber,
@@ -59,7 +60,7 @@
 		/** What the platform speaks: the product's own interface, or a key-value store. */
 		protocol: z.enum(platformProtocols, platformProtocols.join(', ')).default('native'),
 		/** By how much what the platform publishes may be late once it answers. */
-		news_within_ms: createWholeNumber(200, 600_000).optional(),
+		news_within_ms: createNumber(200, 600_000).optional(),
 	}),
 	/** Where callers ask which entries to use, on a platform with a store. */
 	directory: z.strictObject({ listen: listenAddress }).optional(),
@@ -78,8 +79,8 @@
 		.strictObject({
 			/** As a share of the requests of a window. */
 			ratio: createShare(0, 1).default(0.2),
-			/** Beyond that share. */
-			slack: createWholeNumber(0, 100_000).default(50),
+			/** Beyond that share; a deployment that is scaled down has a fraction. */
+			slack: createNumber(0, 100_000).default(50),
 			window_s: createSeconds(1, 600).default(10),
 		})
 		.prefault({}),
--- a/src/core/settings/common/settingsTypes.ts
+++ b/src/core/settings/common/settingsTypes.ts
@@ -42,6 +42,11 @@
 		.refine(value => value >= least && value <= most, `a whole number from ${least} to ${most}`);
 }
 
+/** A number, with fractions, in a range; both ends included. */
+export function createNumber(least: number, most: number): z.ZodType<number, string> {
+	return createFraction(`a number from ${least} to ${most}`, least, most);
+}
+
 /** Seconds, with fractions, in a range; both ends included. */
 export function createSeconds(least: number, most: number): z.ZodType<number, string> {
 	return createFraction(`seconds from ${least} to ${most}`, least, most);
