Ask the store anew when a process wakes, in place of hanging on

After a sleep an entry holds its first requests until its state is fresh. On a platform with a store nothing was asked for that: the hanging watch was believed to bring each change by itself, which a connection that went away during the sleep never does. The hold ended at once, and the first requests were served by what was true before, for up to 4.9 s.

The watches are given up and begun without a wait; the hold ends with their answers. Found when looking for other places that trust a read which was begun before an outage. The test fails without it: there was nothing to call.

--- a/src/core/following/common/watchPace.ts
+++ b/src/core/following/common/watchPace.ts
@@ -44,6 +44,7 @@
 /** Paces the reads of one follower. */
 export class WatchPace {
 	private failures = 0;
+	private isDoubted = false;
 
 	constructor(
 		private readonly figures: WatchFigures,
@@ -55,11 +56,17 @@
 	 * failure nothing hangs: a read begun in an outage would be waited out past the publisher's return.
 	 */
 	planWaitMs(): number {
-		return this.failures > 0 ? 0 : this.figures.watchMs;
+		return this.failures > 0 || this.isDoubted ? 0 : this.figures.watchMs;
 	}
 
 	noteAnswered(): void {
 		this.failures = 0;
+		this.isDoubted = false;
+	}
+
+	/** What was read may be old, though no read has failed. */
+	noteDoubted(): void {
+		this.isDoubted = true;
 	}
 
 	noteFailed(): void {
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -77,6 +77,9 @@
 	private readonly callEnds = this.register(new Channel<StoreCallEnd>());
 	private readonly figures: WatchFigures;
 	private readonly pace: WatchPace;
+	private hanging: AbortController | undefined;
+	/** Those who wait for the next read to end. */
+	private readonly refreshing: (() => void)[] = [];
 	private reachedMs: number | undefined;
 	private lostMs: number | undefined;
 	private regainedMs = Number.NEGATIVE_INFINITY;
@@ -115,9 +118,29 @@
 		return this.reachedMs === undefined ? undefined : this.timers.getNow() - this.reachedMs;
 	}
 
+	/**
+	 * Asks the store for what there is now in place of hanging on; ends when it has answered or failed to. After
+	 * a sleep the call that hangs may be on a connection that is long gone.
+	 */
+	async refresh(): Promise<void> {
+		this.pace.noteDoubted();
+		await new Promise<void>(resolve => {
+			this.refreshing.push(resolve);
+			this.hanging?.abort();
+		});
+	}
+
 	private async readOnce(): Promise<void> {
+		const refreshing = this.refreshing.splice(0);
+		await this.readAndTell();
+		for (const resolve of refreshing) {
+			resolve();
+		}
+	}
+
+	private async readAndTell(): Promise<void> {
 		const read = this.mirror.revision === 0 ? await this.listAll() : await this.watchOnce();
-		if (this.abort.signal.aborted) {
+		if (this.abort.signal.aborted || (read.isErr() && this.refreshing.length > 0)) {
 			return;
 		}
 		if (read.isErr()) {
@@ -182,6 +205,7 @@
 		const startedMs = this.timers.getNow();
 		const heldRevision = this.mirror.revision;
 		const limit = new AbortController();
+		this.hanging = limit;
 		const timer = this.timers.schedule(waitMs + this.figures.answerMs, () => {
 			limit.abort();
 		});
@@ -192,6 +216,7 @@
 			this.callEnds.emit({ call, heldRevision, waitMs, tookMs, fault });
 			return answer;
 		} finally {
+			this.hanging = undefined;
 			timer.dispose();
 		}
 	}
--- a/src/core/store/test/storeFollower.test.ts
+++ b/src/core/store/test/storeFollower.test.ts
@@ -79,6 +79,7 @@
 }
 
 interface Following {
+	readonly follower: StoreFollower;
 	readonly store: ScriptedStore;
 	readonly timers: ManualTimerService;
 	readonly changes: FollowedChange[];
@@ -101,6 +102,7 @@
 	void follower.follow();
 	await waitForPromises();
 	return {
+		follower,
 		store,
 		timers,
 		changes,
@@ -206,6 +208,25 @@
 		stop();
 	});
 
+	// A process is frozen for some seconds, and the connection on which its watch hangs is gone when it wakes. Left
+	// hanging, it holds the first requests for state that never comes, and serves on by what was true before.
+	it('asks anew in place of hanging on, and tells when it knows', async () => {
+		const { store, follower, changes, reaches, stop } = await startFollowing();
+		await store.answer({ items: [createItem('servers/a', 3)], hasMore: false, revision: 4 });
+		let isRefreshed = false;
+		void follower.refresh().then(() => {
+			isRefreshed = true;
+		});
+		await waitForPromises();
+		expect(store.calls.slice(1)).toEqual(['watch servers/ after 4', 'watch servers/ after 4']);
+		expect(isRefreshed).toBe(false);
+		await store.answer({ changes: [createRemoval('servers/a', 6)], revision: 6 });
+		expect(isRefreshed).toBe(true);
+		expect(changes.at(-1)).toMatchObject({ removed: ['servers/a'] });
+		expect(reaches).toEqual([]);
+		stop();
+	});
+
 	it('pauses between calls that fail', async () => {
 		const { store, advance, stop } = await startFollowing();
 		await store.fail(StoreFaultKind.Unreachable);
