Count each read of the store, also those that bring nothing

The time of the last good read was set by changes alone, so on a platform with a store it grew in a calm as in an outage and could not alert on one.

--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -58,6 +58,8 @@
 	/** How long the store was asked to hold the call, in milliseconds. */
 	readonly waitMs: number;
 	readonly tookMs: number;
+	/** It was answered with items or changes. */
+	readonly hasNews: boolean;
 	/** Why it gave nothing, or undefined for an answer. */
 	readonly fault: StoreFault | undefined;
 }
@@ -163,8 +165,11 @@
 		const { leastPauseMs } = this.figures;
 		const waitMs = this.pace.planWaitMs();
 		const startedMs = this.timers.getNow();
-		const news = await this.fetchWithin(StoreCallKind.Watch, waitMs, signal =>
-			this.client.watch(this.prefix, this.mirror.revision, waitMs, signal),
+		const news = await this.fetchWithin(
+			StoreCallKind.Watch,
+			waitMs,
+			signal => this.client.watch(this.prefix, this.mirror.revision, waitMs, signal),
+			({ changes }) => changes.length > 0,
 		);
 		if (news.isErr() && news.error.kind === StoreFaultKind.HistoryGone) {
 			return this.listAll();
@@ -182,8 +187,11 @@
 		let revision: number | undefined;
 		for (;;) {
 			const afterKey = items.at(-1)?.key;
-			const page = await this.fetchWithin(StoreCallKind.List, 0, signal =>
-				this.client.list(this.prefix, afterKey, signal),
+			const page = await this.fetchWithin(
+				StoreCallKind.List,
+				0,
+				signal => this.client.list(this.prefix, afterKey, signal),
+				({ items: found }) => found.length > 0,
 			);
 			if (page.isErr()) {
 				return err(page.error);
@@ -201,6 +209,7 @@
 		call: StoreCallKind,
 		waitMs: number,
 		fetch: (signal: AbortSignal) => Promise<Result<TValue, StoreFault>>,
+		hasNews: (answer: TValue) => boolean,
 	): Promise<Result<TValue, StoreFault>> {
 		const startedMs = this.timers.getNow();
 		const heldRevision = this.mirror.revision;
@@ -211,9 +220,14 @@
 		});
 		try {
 			const answer = await fetch(AbortSignal.any([this.abort.signal, limit.signal]));
-			const fault = answer.isErr() ? answer.error : undefined;
-			const tookMs = this.timers.getNow() - startedMs;
-			this.callEnds.emit({ call, heldRevision, waitMs, tookMs, fault });
+			this.callEnds.emit({
+				call,
+				heldRevision,
+				waitMs,
+				tookMs: this.timers.getNow() - startedMs,
+				hasNews: answer.isOk() && hasNews(answer.value),
+				fault: answer.isErr() ? answer.error : undefined,
+			});
 			return answer;
 		} finally {
 			this.hanging = undefined;
--- a/src/core/store/test/storeFollower.test.ts
+++ b/src/core/store/test/storeFollower.test.ts
@@ -197,7 +197,7 @@
 		await advance(300);
 		await store.fail(StoreFaultKind.Refused);
 		expect(callEnds).toMatchObject([
-			{ call: StoreCallKind.List, heldRevision: 0, waitMs: 0, tookMs: 0, fault: undefined },
+			{ call: StoreCallKind.List, heldRevision: 0, waitMs: 0, tookMs: 0, hasNews: true, fault: undefined },
 			{
 				call: StoreCallKind.Watch,
 				heldRevision: 4,
