--- a/src/capacity/common/syntheticView.ts
+++ b/src/capacity/common/syntheticView.ts
@@ -38,5 +38,6 @@
 		})),
 		leavingTargets: [],
 		crashSightings: [],
+		processorCores: undefined,
 	};
 }
--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -44,6 +44,8 @@
 	readonly rooms: readonly ServiceRoomView[];
 	readonly leavingTargets: readonly TargetId[];
 	readonly crashSightings: readonly CrashSightingView[];
+	/** What its processor does, in cores at usual speed; undefined where nobody told it. */
+	readonly processorCores: number | undefined;
 }
 
 /** The room that a view tells of a service. */
@@ -52,7 +54,7 @@
 }
 
 /** Tags, lengths and numbers of a view beside its texts. */
-const fixedBytes = 40;
+const fixedBytes = 43;
 const roomBytes = 14;
 const sightingBytes = 10;
 
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -47,6 +47,8 @@
 /** An entry that a lookup can name, with the address that callers use. */
 export interface LookupCandidate extends LookupEntry {
 	readonly callerUrl: string;
+	/** What its processor does, in cores at usual speed; undefined where nobody told it. */
+	readonly processorCores: number | undefined;
 }
 
 const { periodMs } = defaultFleetViewFigures;
@@ -186,6 +188,7 @@
 			region: view.region,
 			zone: view.zone,
 			callerUrl: view.callerUrl,
+			processorCores: view.processorCores,
 			isLeaving: view.isLeaving || state === InstanceState.Leaving || state === InstanceState.ListedLeaving,
 			isSuspect: known.isSuspect || state !== InstanceState.Live,
 			room: service === undefined ? undefined : findRoom(view, service),
@@ -248,5 +251,6 @@
 function createListedCandidate(listed: ListedInstance): LookupCandidate {
 	const { id, region, zone, callerUrl } = listed;
 	const isSuspect = false;
-	return { instance: id, region, zone, callerUrl, isLeaving: false, isSuspect, room: undefined, ageMs: 0 };
+	const unknown = { room: undefined, processorCores: undefined };
+	return { instance: id, region, zone, callerUrl, isLeaving: false, isSuspect, ...unknown, ageMs: 0 };
 }
--- a/src/entry/node/fleet/test/views.ts
+++ b/src/entry/node/fleet/test/views.ts
@@ -22,6 +22,7 @@
 		rooms: [],
 		leavingTargets: [],
 		crashSightings: [],
+		processorCores: undefined,
 		...more,
 	};
 }
