--- a/src/bin/test/calling.test.ts
+++ b/src/bin/test/calling.test.ts
@@ -2,14 +2,11 @@
  * Sends every curl command of docs/CALLING.md, in order, to a running entry before stand-ins.
  */
 
-import type { ChildProcess } from 'node:child_process';
-import { spawn } from 'node:child_process';
-import { once } from 'node:events';
-import { readFileSync, rmSync, writeFileSync } from 'node:fs';
-import { join, resolve } from 'node:path';
-import { createInterface } from 'node:readline';
+import { readFileSync, rmSync } from 'node:fs';
+import { resolve } from 'node:path';
 import { request } from 'undici';
 import { buildSources } from '../../ctl/test/compiledSources';
+import { StartedProgram } from '../../ctl/test/startedProgram';
 import type { CurlCommand } from './curlCommand';
 import { parseCurlCommands } from './curlCommand';
 
@@ -22,48 +19,13 @@
 	readonly text: string;
 }
 
-/** A process of one program, and the JSON lines that it writes. */
-class StartedProgram {
-	private readonly process: ChildProcess;
-	private readonly lines: AsyncIterator<string>;
-
-	constructor(folder: string, name: string, settings: string) {
-		const file = join(folder, `${name}.ini`);
-		writeFileSync(file, settings);
-		const program = spawn(process.execPath, [join(folder, `src/bin/${name}.js`), '--settings', file], {
-			stdio: ['ignore', 'pipe', 'inherit'],
-		});
-		this.process = program;
-		this.lines = createInterface({ input: program.stdout })[Symbol.asyncIterator]();
-	}
-
-	/** The next line that holds a text. */
-	async waitForLine(sign: string): Promise<Record<string, unknown>> {
-		for (;;) {
-			const line = await this.lines.next();
-			if (line.done === true) {
-				throw new Error(`the program ended before it wrote ${sign}`);
-			}
-			if (line.value.includes(sign)) {
-				return JSON.parse(line.value) as Record<string, unknown>;
-			}
-		}
-	}
-
-	async kill(): Promise<void> {
-		const ended = once(this.process, 'exit');
-		this.process.kill('SIGKILL');
-		await ended;
-	}
-}
-
 const page = readFileSync(resolve(__dirname, '../../../docs/CALLING.md'), 'utf8');
 const programs: StartedProgram[] = [];
 let folder = '';
 let entryUrl = '';
 
 function startProgram(name: string, settings: string): StartedProgram {
-	const program = new StartedProgram(folder, name, settings);
+	const program = new StartedProgram(folder, name, name, settings);
 	programs.push(program);
 	return program;
 }
