--- a/src/ctl/test/startedProgram.ts
+++ b/src/ctl/test/startedProgram.ts
@@ -12,7 +12,7 @@
 interface LineWait {
 	readonly sign: string;
 	resolve(line: string): void;
-	reject(reason: Error): void;
+	fail(reason: Error): void;
 }
 
 export class StartedProgram {
@@ -45,7 +45,7 @@
 		const line =
 			written ??
 			(await new Promise<string>((resolve, reject) => {
-				this.waits.add({ sign, resolve, reject });
+				this.waits.add({ sign, resolve, fail: reject });
 			}));
 		return JSON.parse(line) as Record<string, unknown>;
 	}
@@ -76,8 +76,8 @@
 	}
 
 	private failWaits(): void {
-		for (const { sign, reject } of this.waits) {
-			reject(new Error(`the program ended before it wrote ${sign}`));
+		for (const { sign, fail } of this.waits) {
+			fail(new Error(`the program ended before it wrote ${sign}`));
 		}
 		this.waits.clear();
 	}
