Take back the naming of entries by the size of their processors

Small entries wait less (nine in ten within 41 ms in place of 160), but the two large ones of a zone refuse for want of room (234 of the zone's 258): each entry takes the same share of the targets, whatever it is sent.

--- a/src/capacity/common/syntheticView.ts
+++ b/src/capacity/common/syntheticView.ts
@@ -38,6 +38,5 @@
 		})),
 		leavingTargets: [],
 		crashSightings: [],
-		processorCores: undefined,
 	};
 }
--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -52,14 +52,6 @@
 	}),
 	/** Peers whose advertised URL is reached by another one, as through an address translation. */
 	peer_routes: z.record(originUrl, originUrl).default({}),
-	/** What the instance is given; entries of unequal size take callers in proportion. */
-	resources: z
-		.strictObject({
-			/** The share of each core; left out where it is not known. */
-			core_share: createNumber(0.001, 1_024).optional(),
-			cores: createNumber(0.001, 1_024).default(1),
-		})
-		.prefault({}),
 	operators: z.strictObject({ listen: listenAddress, plain: yesOrNo.optional() }),
 	/** Certificates for peers and operators. */
 	tls: tlsSettingsSchema.optional(),
--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -44,8 +44,6 @@
 	readonly rooms: readonly ServiceRoomView[];
 	readonly leavingTargets: readonly TargetId[];
 	readonly crashSightings: readonly CrashSightingView[];
-	/** What its processor does, in cores at usual speed; undefined where nobody told it. */
-	readonly processorCores: number | undefined;
 }
 
 /** The room that a view tells of a service. */
@@ -54,7 +52,7 @@
 }
 
 /** Tags, lengths and numbers of a view beside its texts. */
-const fixedBytes = 43;
+const fixedBytes = 40;
 const roomBytes = 14;
 const sightingBytes = 10;
 
--- a/src/entry/common/fleetView/test/fleetView.test.ts
+++ b/src/entry/common/fleetView/test/fleetView.test.ts
@@ -33,7 +33,6 @@
 		rooms: [{ service, room: { waitMs: 100, freeSlots: 4, running: 2, queued: 0 } }],
 		leavingTargets: [],
 		crashSightings: [],
-		processorCores: undefined,
 		...more,
 	};
 }
--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -33,7 +33,6 @@
 import type { CallPlan, ForwardedFrom } from '../common/placement/callPlan';
 import { checkForwarded, planCall } from '../common/placement/callPlan';
 import { isFinishable } from '../common/leaving/finishable';
-import { listByProcessor } from '../common/lookup/listByProcessor';
 import { listUsable, rankEntries } from '../common/lookup/rankEntries';
 import type { ICallHandler } from './callers/callerServer';
 import type { IEntrySources } from './environment/entryEnvironment';
@@ -183,14 +182,11 @@
 		return ok({ service: question.service, validForMs: lookupValidMs, entries, tickets });
 	}
 
-	/**
-	 * The entries that callers of a host may use from a place, at most `most` names, for those that draw one of
-	 * them by themselves; a larger entry is named more than once.
-	 */
-	listEntriesFor(host: string, region: RegionName, zone: ZoneName, most: number): readonly LookupCandidate[] {
+	/** The entries that callers of a host may use from a place, for those that choose among them by themselves. */
+	listEntriesFor(host: string, region: RegionName, zone: ZoneName): readonly LookupCandidate[] {
 		const homes = this.manifests.getCurrent()?.index.countHomes(host) ?? new Map();
 		const candidates = [this.ownView.describeCandidate(undefined), ...this.fleet.listCandidates(undefined)];
-		return listByProcessor(listUsable(candidates, { region, zone, homes }), most);
+		return listUsable(candidates, { region, zone, homes });
 	}
 
 	exchangeViews(views: readonly EntryView[]): EntryView[] {
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -47,8 +47,6 @@
 /** An entry that a lookup can name, with the address that callers use. */
 export interface LookupCandidate extends LookupEntry {
 	readonly callerUrl: string;
-	/** What its processor does, in cores at usual speed; undefined where nobody told it. */
-	readonly processorCores: number | undefined;
 }
 
 const { periodMs } = defaultFleetViewFigures;
@@ -188,7 +186,6 @@
 			region: view.region,
 			zone: view.zone,
 			callerUrl: view.callerUrl,
-			processorCores: view.processorCores,
 			isLeaving: view.isLeaving || state === InstanceState.Leaving || state === InstanceState.ListedLeaving,
 			isSuspect: known.isSuspect || state !== InstanceState.Live,
 			room: service === undefined ? undefined : findRoom(view, service),
@@ -251,6 +248,5 @@
 function createListedCandidate(listed: ListedInstance): LookupCandidate {
 	const { id, region, zone, callerUrl } = listed;
 	const isSuspect = false;
-	const unknown = { room: undefined, processorCores: undefined };
-	return { instance: id, region, zone, callerUrl, isLeaving: false, isSuspect, ...unknown, ageMs: 0 };
+	return { instance: id, region, zone, callerUrl, isLeaving: false, isSuspect, room: undefined, ageMs: 0 };
 }
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -26,7 +26,6 @@
 
 /** Makes this entry's view; each one made counts the sequence up. */
 export class OwnView {
-	private readonly processorCores: number | undefined;
 	private sequence = 0;
 	private hasLeft = false;
 	private refuses = false;
@@ -36,10 +35,7 @@
 		private readonly settings: EntrySettings,
 		private readonly boot: BootId,
 		private readonly parts: OwnViewParts,
-	) {
-		const { core_share: share, cores } = settings.resources;
-		this.processorCores = share === undefined ? undefined : share * cores;
-	}
+	) {}
 
 	isLeaving(): boolean {
 		return this.hasLeft;
@@ -75,7 +71,6 @@
 			region: instance.region,
 			zone: instance.zone,
 			callerUrl: callers.url,
-			processorCores: this.processorCores,
 			isLeaving: this.hasLeft,
 			isSuspect: false,
 			room: service === undefined ? undefined : this.parts.runners.getRunner(service).measureRoom(),
@@ -105,7 +100,6 @@
 				.map(service => ({ service, room: runners.getRunner(service).measureRoom() })),
 			leavingTargets: [...targets.listLeavingByOwnWord()],
 			crashSightings: [...quarantine.listSightings(timers.getNow())],
-			processorCores: this.processorCores,
 		};
 	}
 }
--- a/src/entry/node/fleet/test/views.ts
+++ b/src/entry/node/fleet/test/views.ts
@@ -22,7 +22,6 @@
 		rooms: [],
 		leavingTargets: [],
 		crashSightings: [],
-		processorCores: undefined,
 		...more,
 	};
 }
--- a/src/entry/node/fleet/viewCodec.ts
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -45,12 +45,10 @@
 		services: view.rooms.map(encodeRoom),
 		leavingTargets: [...view.leavingTargets],
 		crashSightings: view.crashSightings.map(encodeSighting),
-		processorThousandths: toUint32((view.processorCores ?? 0) * thousandthsOfOne),
 	});
 }
 
 const tenthsOfOne = 10;
-const thousandthsOfOne = 1_000;
 
 /** The view that a message carries. */
 export function decodeView(message: WireView): EntryView {
@@ -69,8 +67,6 @@
 		rooms: message.services.map(decodeRoom),
 		leavingTargets: message.leavingTargets as TargetId[],
 		crashSightings: message.crashSightings.map(decodeSighting),
-		processorCores:
-			message.processorThousandths > 0 ? message.processorThousandths / thousandthsOfOne : undefined,
 	};
 }
 
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -86,7 +86,6 @@
 		region,
 		zone,
 		callerUrl: 'http://127.0.0.1:1',
-		processorCores: undefined,
 		isLeaving: isLeaving && instance === own.instance,
 		isSuspect: false,
 		room: undefined,
