Start one request per event-loop turn and refuse requests that waited too long

Cause: the runtime accepts one connection per listening socket in a turn of its event loop. Each turn also started every request that it had read. At a high rate of new connections, turns therefore took 50 to 100 ms and 20 connections a second were accepted while 100 arrived. The rest waited in the kernel's accept queue, where the process can neither measure nor bound the wait. Disconnections of callers are read later still.

Change: RequestIntake starts at most one waiting request per turn, and none in a turn that accepted a connection (at most 16 such turns in a row). A request that finds the queue empty starts immediately. The wait of queued requests is measured and bounded: 600 ms in a burst, 150 ms in a standing queue. Requests that exceed the bound are refused as not run, with a randomised retry delay. A request is not started if its caller has closed the connection or the sending peer has cancelled it. The wait is exported as the histogram anvilroad_start_wait_seconds.

Of twelve callers that disconnect immediately, twelve were served before and one is served now.

Rationale: accepting and reading a connection costs a fraction of starting a request, so the accept queue is emptied faster than it fills. Requests that cannot be served in time are refused explicitly instead of waiting unmeasured.

--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -15,7 +15,9 @@
 import type { EntryView as WireView } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
 import type { EntryView } from '../../entry/common/fleetView/entryView';
+import { RequestIntake } from '../../entry/common/intake/requestIntake';
 import { HeldBytes } from '../../entry/node/callers/bodyReader';
+import { ImmediateTurnScheduler } from '../../entry/node/immediateTurnScheduler';
 import { EntryFleet } from '../../entry/node/fleet/entryFleet';
 import { encodeView } from '../../entry/node/fleet/viewCodec';
 import { PeerClients } from '../../entry/node/peers/peerClients';
@@ -49,6 +51,7 @@
 			this.createHandler(),
 			new HeldBytes(bodyBytes),
 			bodyBytes,
+			new RequestIntake(new ImmediateTurnScheduler(), timers, random, () => undefined),
 			timers,
 			undefined,
 		);
--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -144,6 +144,10 @@
 		createDefinition('answer_gap_seconds', 'Between two pieces of a streaming answer.', 'service', 'class'),
 		gapBuckets,
 	),
+	startWait: withBuckets(
+		createDefinition('start_wait_seconds', 'From the end of reading a request to its start or refusal.'),
+		firstByteBuckets,
+	),
 	queueWait: withBuckets(
 		createDefinition('queue_wait_seconds', 'From submission to the start of an attempt.', 'service', 'class'),
 		firstByteBuckets,
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -88,6 +88,7 @@
 	private readonly firstByte = this.createHistogram(histogramDefinitions.firstByte);
 	private readonly answer = this.createHistogram(histogramDefinitions.answer);
 	private readonly gap = this.createHistogram(histogramDefinitions.gap);
+	private readonly startWait = this.createHistogram(histogramDefinitions.startWait);
 	private readonly queueWait = this.createHistogram(histogramDefinitions.queueWait);
 
 	private services: ReadonlySet<string> = new Set();
@@ -142,6 +143,10 @@
 		this.gap.observe(labels, gapMs / millisecondsPerSecond);
 	}
 
+	noteStartWait(waitedMs: number): void {
+		this.startWait.observe({}, waitedMs / millisecondsPerSecond);
+	}
+
 	noteQueueWait(service: string, requestClass: RequestClass, waitedMs: number): void {
 		const labels = { service: this.findLabel(service), class: requestClass };
 		this.queueWait.observe(labels, waitedMs / millisecondsPerSecond);
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -21,6 +21,7 @@
 import type { LookupAnswer, LookupQuestion } from '../../common/callers/lookupAnswer';
 import { parseLookup } from '../../common/callers/lookupAnswer';
 import type { ICallerDialect } from '../../common/dialect/callerDialect';
+import type { RequestIntake } from '../../common/intake/requestIntake';
 import type { CallPlan } from '../../common/placement/callPlan';
 import type { RefusedCall } from '../requests/activeRuns';
 import type { AcceptedCall } from '../requests/requestRun';
@@ -80,6 +81,7 @@
 		private readonly dialect: ICallerDialect,
 		private readonly held: HeldBytes,
 		private limits: CallerLimits,
+		private readonly intake: RequestIntake,
 		private readonly timers: ITimerService,
 	) {
 		this.server = createServer(
@@ -94,6 +96,9 @@
 			},
 		);
 		this.server.keepAliveTimeout = keepAliveTimeoutMs;
+		this.server.on('connection', () => {
+			this.intake.noteConnection();
+		});
 		this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
 			this.serve(request, response);
 		});
@@ -191,6 +196,12 @@
 			this.refuseBody(sink, call, body.error);
 			return;
 		}
+		const admitted = await this.intake.admit(() => response.destroyed || request.socket.readableEnded);
+		if (admitted?.isErr() === true) {
+			this.held.release(body.value.byteLength);
+			this.refuse(sink, call, head.value.ticket, admitted.error);
+			return;
+		}
 		this.handler.accept(createCall(id, head.value, plan.value, body.value, arrivedMs), sink);
 	}
 
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -1,8 +1,14 @@
 import { once } from 'node:events';
+import { subscribe, unsubscribe } from 'node:diagnostics_channel';
+import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { Agent, request } from 'undici';
 import { DisposableStore, toDisposable } from '../../../../base/common/lifecycle';
+import { SeededRandom } from '../../../../base/common/random';
 import type { RequestId } from '../../../../core/ids/common/ids';
+import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { RequestIntake } from '../../../common/intake/requestIntake';
+import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import type { HandlerWorld } from '../../test/callHandlerFixtures';
 import { createHandlerWorld } from '../../test/callHandlerFixtures';
 import { OwnCallerDialect } from '../../../common/dialect/ownCallerDialect';
@@ -21,6 +27,7 @@
 		new OwnCallerDialect(),
 		world.held,
 		limits,
+		new RequestIntake(new ImmediateTurnScheduler(), world.flow.timers, new SeededRandom(1), () => undefined),
 		world.flow.timers,
 	);
 	const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
@@ -88,3 +95,59 @@
 		await Promise.all([...empty, upload].map(async answer => answer.body.dump()));
 	});
 });
+
+describe('many new connections at once', () => {
+	const callerCount = 12;
+	const requestText =
+		'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\n' +
+		'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork';
+
+	async function openCallers(port: number, afterSend: (socket: Socket) => void): Promise<void> {
+		const sockets = Array.from({ length: callerCount }, () => connect(port, '127.0.0.1'));
+		for (const socket of sockets) {
+			owned.add(toDisposable(() => socket.destroy()));
+			socket.write(requestText, () => {
+				afterSend(socket);
+			});
+		}
+		await Promise.all(sockets.map(async socket => once(socket, 'connect')));
+	}
+
+	async function waitForTurns(turns: number): Promise<void> {
+		for (let turn = 0; turn < turns; turn++) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+	}
+
+	// Guards against connections that wait in the kernel's accept queue while requests of earlier ones are started.
+	it('are accepted before their requests are started', async () => {
+		const world = createHandlerWorld(RepeatRule.Idempotent);
+		const { port } = await startServer(world);
+		let accepted = 0;
+		const acceptedAtStart: number[] = [];
+		const countAccepted = (): void => {
+			accepted++;
+		};
+		const { accept } = world.handler;
+		world.handler.accept = (...args) => {
+			acceptedAtStart.push(accepted);
+			accept.apply(world.handler, args);
+		};
+		subscribe('net.server.socket', countAccepted);
+		await openCallers(port, () => undefined);
+		await waitForTurns(200);
+		unsubscribe('net.server.socket', countAccepted);
+		expect(acceptedAtStart).toEqual(Array.from({ length: callerCount }, () => callerCount));
+	});
+
+	// Guards against sending requests to a target after their callers have disconnected.
+	it('are not served once their callers have disconnected', async () => {
+		const world = createHandlerWorld(RepeatRule.Idempotent);
+		const { port } = await startServer(world);
+		await openCallers(port, socket => {
+			socket.destroy();
+		});
+		await waitForTurns(200);
+		expect(world.flow.attempts.length).toBeLessThanOrEqual(1);
+	});
+});
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -21,6 +21,7 @@
 import { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
 import { computeTakingMs } from '../common/leaving/planLeaving';
+import { RequestIntake } from '../common/intake/requestIntake';
 import { Quarantine } from '../common/quarantine/quarantine';
 import { HeldBytes } from './callers/bodyReader';
 import type { CallerLimits } from './callers/callerServer';
@@ -28,6 +29,7 @@
 import { CallHandler } from './callHandler';
 import { EntryCertificates } from './entryCertificates';
 import { EntryTelemetry } from './entryTelemetry';
+import { ImmediateTurnScheduler } from './immediateTurnScheduler';
 import type { EntryPlatform, IEntryEnvironment, IEntryPort } from './environment/entryEnvironment';
 import { EntryFleet } from './fleet/entryFleet';
 import { OwnView } from './fleet/ownView';
@@ -145,17 +147,22 @@
 		this.sleepDetector = this.register(this.createSleepDetector());
 		this.startHold = this.register(this.createStartHold());
 		this.callHandler = this.createCallHandler();
+		const intake = new RequestIntake(new ImmediateTurnScheduler(), this.timers, this.random, waitedMs => {
+			this.metrics.noteStartWait(waitedMs);
+		});
 		this.callers = new CallerServer(
 			this.callHandler,
 			environment.callers,
 			this.held,
 			{ mostHeadBytes: settings.limits.max_head_bytes, mostBodyBytes: settings.limits.max_body_bytes },
+			intake,
 			this.timers,
 		);
 		this.peerServer = new PeerServer(
 			this.callHandler,
 			this.held,
 			settings.limits.max_body_bytes,
+			intake,
 			this.timers,
 			this.certificates.peers,
 		);
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -38,6 +38,7 @@
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead, RawHead } from '../../common/callers/callHead';
 import { listPassedOn } from '../../common/callers/callHead';
+import type { IsAbandoned, RequestIntake } from '../../common/intake/requestIntake';
 import type { CallPlan, ForwardedFrom } from '../../common/placement/callPlan';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
@@ -70,6 +71,7 @@
 		private readonly handler: IPeerHandler,
 		private readonly held: HeldBytes,
 		private readonly mostBodyBytes: number,
+		private readonly intake: RequestIntake,
 		private readonly timers: ITimerService,
 		certificates: CertificateStore | undefined,
 	) {
@@ -87,6 +89,7 @@
 		this.sessions = new ClosingSessions(timers);
 		this.server.on(certificates === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
 			this.sockets.add(socket);
+			this.intake.noteConnection();
 		});
 		this.server.on('session', session => {
 			setSessionWindow(session);
@@ -132,7 +135,7 @@
 	): AsyncGenerator<ForwardRequestResponse> {
 		const arrivedMs = this.timers.getNow();
 		const iterator = requests[Symbol.asyncIterator]();
-		const accepted = await this.readCall(iterator, arrivedMs);
+		const accepted = await this.readCall(iterator, arrivedMs, () => context.signal.aborted);
 		if (accepted.isErr()) {
 			yield createFaultPart(accepted.error);
 			return;
@@ -148,6 +151,7 @@
 	private async readCall(
 		iterator: AsyncIterator<ForwardRequestRequest>,
 		arrivedMs: number,
+		isAbandoned: IsAbandoned,
 	): Promise<Result<AcceptedCall, RequestError>> {
 		const first = await iterator.next();
 		if (first.done === true || first.value.part.case !== 'head') {
@@ -162,6 +166,11 @@
 			return err(this.createTold(message, plan._unsafeUnwrapErr()));
 		}
 		const body = await this.readParts(iterator);
+		const admitted = body.isErr() ? undefined : await this.intake.admit(isAbandoned);
+		if (body.isOk() && admitted?.isErr() === true) {
+			this.held.release(body.value.byteLength);
+			return err(this.createTold(message, admitted.error));
+		}
 		return body
 			.map(bytes => createForwardedCall(message, head.value, plan.value, bytes, arrivedMs))
 			.mapErr(error => this.createTold(message, error));
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -1,10 +1,18 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
+import { create } from '@bufbuild/protobuf';
+import { ok } from 'neverthrow';
 import { DisposableStore, toDisposable } from '../../../../base/common/lifecycle';
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import { SeededRandom } from '../../../../base/common/random';
+import { ForwardRequestRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import type { CallPlan } from '../../../common/placement/callPlan';
+import { RequestIntake } from '../../../common/intake/requestIntake';
 import { HeldBytes } from '../../callers/bodyReader';
+import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import { lingerMs } from '../lingeringSockets';
+import { PeerClients } from '../peerClients';
 import type { IPeerHandler } from '../peerServer';
 import { PeerServer } from '../peerServer';
 
@@ -32,6 +40,16 @@
 	accept: failCall,
 };
 
+function createServer(peerHandler: IPeerHandler, timers: ManualTimerService): PeerServer {
+	const intake = new RequestIntake(
+		new ImmediateTurnScheduler(),
+		timers,
+		new SeededRandom(1),
+		() => undefined,
+	);
+	return new PeerServer(peerHandler, new HeldBytes(1_024), 1_024, intake, timers, undefined);
+}
+
 /** The start of HTTP/2 as a client sends it: the preface and an empty settings frame. */
 const clientStart = Buffer.concat([
 	Buffer.from('PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n'),
@@ -57,7 +75,7 @@
 		// A peer has lost track of a connection and never closes its end of it. The stopping entry waits for
 		// it, never exits, and operators have to kill it.
 		const timers = new ManualTimerService();
-		const server = new PeerServer(handler, new HeldBytes(1_024), 1_024, timers, undefined);
+		const server = createServer(handler, timers);
 		const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
 		const socket = await openStubbornPeer(port);
 		let isClosed = false;
@@ -71,4 +89,62 @@
 		await closed;
 		expect(socket.destroyed).toBe(false);
 	});
+
+	// Guards against accepting a request that its sender cancelled while it was on hold.
+	test('accepts no request whose sender has cancelled it', async () => {
+		const accepted: string[] = [];
+		let releaseLatest = (): void => undefined;
+		let heldCalls = 0;
+		const holdingHandler: IPeerHandler = {
+			...handler,
+			findHold: () => {
+				heldCalls++;
+				return new Promise(resolve => {
+					releaseLatest = resolve;
+				});
+			},
+			planForwarded: () => ok({} as CallPlan),
+			refuseTicketed: (_, error) => error,
+			accept: ({ id }, sink) => {
+				accepted.push(id);
+				sink.end();
+			},
+		};
+		const server = createServer(holdingHandler, new ManualTimerService());
+		const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
+		const clients = new PeerClients({}, undefined);
+		owned.add(clients);
+		owned.add(toDisposable(() => void server.close()));
+		const { client } = clients.open(`http://127.0.0.1:${port}`);
+		const forward = async (requestId: string, signal: AbortSignal): Promise<void> => {
+			const head = { requestId, requestClass: 'normal', remainingMs: 4_000, hops: 1 };
+			const parts = [create(ForwardRequestRequestSchema, { part: { case: 'head', value: head } })];
+			const sent = (async function* send(): AsyncGenerator<(typeof parts)[0]> {
+				yield* parts;
+				await Promise.resolve();
+			})();
+			for await (const answer of client.forwardRequest(sent, { signal })) {
+				expect(answer.part.case).toBe('end');
+			}
+		};
+		const waitForCalls = async (count: number): Promise<void> => {
+			while (heldCalls < count) {
+				await new Promise(resolve => setImmediate(resolve));
+			}
+		};
+
+		const cancel = new AbortController();
+		const cancelled = forward('cancelled', cancel.signal).catch(() => 'cancelled');
+		await waitForCalls(1);
+		const releaseCancelled = releaseLatest;
+		cancel.abort();
+		await expect(cancelled).resolves.toBe('cancelled');
+		// Both requests share a connection, so the server reads the cancellation before the later request.
+		const later = forward('later', new AbortController().signal);
+		await waitForCalls(2);
+		releaseCancelled();
+		releaseLatest();
+		await later;
+		expect(accepted).toEqual(['later']);
+	});
 });
