List the store again after it is restored from an older copy, and keep the current state

Symptoms: the store may be restored from a copy that is some seconds old. Its revisions go back and are assigned again. A watch continued from the last known revision. If the store had passed that revision again before the next watch, changes below it were never seen: a removed target stays in use, a new target is unknown, a configuration is late.

Cause: revisions from before and after a restore were compared with each other. Each answer includes the era of the store in a header, which was not read.

Change: the era of each answer is decoded. The first answer of a higher era makes both followers list again. A listing that spans two eras is restarted, and an answer of a lower era is dropped. A target that is leaving or has left is not used again because of an older registration of the same boot. A restore is logged with both eras and the held and found revisions, and is counted as result "restored" of the reads.

--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -8,14 +8,18 @@
  * a burst of refusals. So a removal that is read just after an outage takes effect only if the target has
  * not registered again when `settleMs` have passed. A target that had asked for no new work is left out
  * either way.
+ *
+ * Registrations read from a store that was restored from an older copy may be outdated. Such a registration does not
+ * make a leaving or removed target of the same boot available again; the target re-registers with its current state.
  */
 
+import { LRUCache } from 'lru-cache';
 import type { Stream } from 'most';
 import { Channel } from '../../../base/common/channel';
 import { Disposable } from '../../../base/common/lifecycle';
 import type { IAuditTrail } from '../../audit/common/auditTrail';
 import { AuditKind } from '../../audit/common/auditTrail';
-import type { TargetId, ZoneName } from '../../ids/common/ids';
+import type { BootId, TargetId, ZoneName } from '../../ids/common/ids';
 import type { DiscoveredTarget } from './discoveredTarget';
 
 /** What was read of the registrations. */
@@ -23,6 +27,8 @@
 	readonly registered: readonly DiscoveredTarget[];
 	readonly removed: readonly TargetId[];
 	readonly isAfterOutage: boolean;
+	/** Read from a store restored from an older copy; registrations of a known boot may be outdated. */
+	readonly isRestored?: boolean;
 }
 
 /** A registered target with what has become of it since. */
@@ -39,10 +45,15 @@
 /** How long a lapsed registration may take to come back once the store is there again, in milliseconds. */
 export const settleMs = 2_200;
 
+/** How many removed targets are remembered with their boots. */
+const maxRemovedBoots = 1_000;
+
 /** Holds what is registered. */
 export class Discovery extends Disposable {
 	private readonly known = new Map<TargetId, KnownTarget>();
 	private readonly removals = new Map<TargetId, number>();
+	/** Boots of removed targets, to recognise their outdated registrations after a restore of the store. */
+	private readonly removedBoots = new LRUCache<TargetId, BootId>({ max: maxRemovedBoots });
 	private evacuated: ReadonlySet<ZoneName> = new Set();
 	private hasRead = false;
 	private readonly channel = this.register(new Channel<undefined>());
@@ -74,7 +85,11 @@
 	applyRegistrations(change: RegistrationChange, nowMs: number): void {
 		this.hasRead = true;
 		for (const target of change.registered) {
-			this.putTarget(target, nowMs);
+			if (change.isRestored === true) {
+				this.putRestoredTarget(target, nowMs);
+			} else {
+				this.putTarget(target, nowMs);
+			}
 		}
 		for (const id of change.removed) {
 			this.noteRemoved(id, change.isAfterOutage, nowMs);
@@ -113,6 +128,16 @@
 		}
 	}
 
+	private putRestoredTarget(target: DiscoveredTarget, nowMs: number): void {
+		const { id, boot } = target;
+		if (boot !== undefined && this.removedBoots.get(id) === boot) {
+			return;
+		}
+		const before = this.known.get(id)?.target;
+		const isStillLeaving = before !== undefined && before.boot === boot && before.isLeaving;
+		this.putTarget(isStillLeaving ? { ...target, isLeaving: true } : target, nowMs);
+	}
+
 	private putTarget(target: DiscoveredTarget, nowMs: number): void {
 		const { id } = target;
 		const before = this.known.get(id);
@@ -155,10 +180,17 @@
 		this.removals.delete(id);
 		if (known !== undefined) {
 			this.known.delete(id);
+			this.recordRemovedBoot(known.target);
 			this.record(id, describeState(known.target), 'gone', sign);
 		}
 	}
 
+	private recordRemovedBoot({ id, boot }: DiscoveredTarget): void {
+		if (boot !== undefined) {
+			this.removedBoots.set(id, boot);
+		}
+	}
+
 	private setZoneCold(zone: ZoneName, coldUntilMs: number): void {
 		for (const [id, known] of this.known) {
 			if (known.target.zone === zone) {
--- a/src/core/store/common/storeClient.ts
+++ b/src/core/store/common/storeClient.ts
@@ -5,6 +5,12 @@
 
 import type { Result } from 'neverthrow';
 
+/**
+ * Incremented each time the store is restored from an older copy. Revisions are assigned again after a restore, so
+ * they are comparable only within one era. Undefined for an answer that does not include it.
+ */
+export type StoreEra = number;
+
 /** One key with its value. */
 export interface StoreItem {
 	readonly key: string;
@@ -28,6 +34,7 @@
 	readonly hasMore: boolean;
 	/** The store's revision when the page was read. */
 	readonly revision: number;
+	readonly era?: StoreEra | undefined;
 }
 
 /** What changed below a prefix, in the order of the changes. */
@@ -35,6 +42,7 @@
 	readonly changes: readonly StoreChange[];
 	/** Where the next watch goes on. */
 	readonly revision: number;
+	readonly era?: StoreEra | undefined;
 }
 
 export enum StoreFaultKind {
@@ -44,6 +52,10 @@
 	Refused = 'refused',
 	/** The changes after the revision asked for are no longer kept. */
 	HistoryGone = 'history-gone',
+	/** The store was restored from an older copy since the previous answer. */
+	Restored = 'restored',
+	/** The answer is of a lower era than an earlier answer. */
+	Outdated = 'outdated',
 }
 
 /** Why a call gave nothing. */
@@ -51,6 +63,7 @@
 	readonly kind: StoreFaultKind;
 	/** For people. */
 	readonly detail: string;
+	readonly era?: StoreEra | undefined;
 }
 
 /** Reads a store; no call is repeated here. */
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -6,6 +6,9 @@
  * - The store is away, turns this process away, or its answers are lost. Calls are made again after a pause,
  *   and none hangs before one was answered, or the store's return would be noticed a whole wait late.
  * - The history that a watch would go on from is gone. Everything is listed anew.
+ * - The store is restored from an older copy. Its revisions go back and are assigned again, so a watch that
+ *   continues from the last known revision could miss changes. Each answer includes the store's era; when it
+ *   increases, everything is listed again.
  * - A connection falls silent for good. A watch is asked to end after a wait, and one that has not ended
  *   a margin later is given up; news are then late by that much and no more.
  */
@@ -20,7 +23,7 @@
 import { waitFor } from '../../../base/common/waitFor';
 import type { WatchFigures } from '../../following/common/watchPace';
 import { planWatch, WatchPace } from '../../following/common/watchPace';
-import type { IStoreClient, StoreFault, StoreItem } from './storeClient';
+import type { IStoreClient, StoreEra, StoreFault, StoreItem, StorePage } from './storeClient';
 import { StoreFaultKind } from './storeClient';
 import type { MirrorChange } from './storeMirror';
 import { StoreMirror } from './storeMirror';
@@ -29,8 +32,8 @@
 export interface FollowedChange extends MirrorChange {
 	readonly revision: number;
 	/**
-	 * The store has just come back from an outage: entries that lapsed meanwhile may be written again in a
-	 * moment by targets that are well.
+	 * The store has just come back from an outage or was restored from an older copy: healthy targets may write
+	 * missing entries again shortly.
 	 */
 	readonly isAfterOutage: boolean;
 }
@@ -44,6 +47,16 @@
 	readonly awayMs: number;
 }
 
+/** The store was restored from an older copy. */
+export interface StoreRestore {
+	readonly fromEra: StoreEra;
+	readonly toEra: StoreEra;
+	/** The revision up to which all changes were held. */
+	readonly heldRevision: number;
+	/** The store's revision in the answer that showed the restore, if it included one. */
+	readonly foundRevision: number | undefined;
+}
+
 /** What a call to the store asks. */
 export enum StoreCallKind {
 	List = 'list',
@@ -62,6 +75,7 @@
 	readonly hasNews: boolean;
 	/** Why it gave nothing, or undefined for an answer. */
 	readonly fault: StoreFault | undefined;
+	readonly era: StoreEra | undefined;
 }
 
 /** Calls that fail for less than this are no outage: entries do not lapse in it. */
@@ -77,11 +91,15 @@
 	private readonly changes = this.register(new Channel<FollowedChange>());
 	private readonly reaches = this.register(new Channel<StoreReach>());
 	private readonly callEnds = this.register(new Channel<StoreCallEnd>());
+	private readonly restores = this.register(new Channel<StoreRestore>());
 	private readonly figures: WatchFigures;
 	private readonly pace: WatchPace;
 	private hanging: AbortController | undefined;
 	/** Those who wait for the next read to end. */
 	private readonly refreshing: (() => void)[] = [];
+	private era: StoreEra | undefined;
+	/** Number of restores detected; a listing during which it changes is restarted, a failed read repeated at once. */
+	private restoreCount = 0;
 	private reachedMs: number | undefined;
 	private lostMs: number | undefined;
 	private regainedMs = Number.NEGATIVE_INFINITY;
@@ -89,6 +107,7 @@
 	readonly onDidChange: Stream<FollowedChange> = this.changes.stream;
 	readonly onDidChangeReach: Stream<StoreReach> = this.reaches.stream;
 	readonly onDidEndCall: Stream<StoreCallEnd> = this.callEnds.stream;
+	readonly onDidRestore: Stream<StoreRestore> = this.restores.stream;
 
 	/** @param newsWithinMs By how many milliseconds a change may be late once the store answers. */
 	constructor(
@@ -132,6 +151,19 @@
 		});
 	}
 
+	/** The highest era seen, or undefined before the first answer that includes one. */
+	getEra(): StoreEra | undefined {
+		return this.era;
+	}
+
+	/** Takes the era seen by another follower of the same store; if it is higher than the known one, lists again. */
+	noteEra(era: StoreEra): void {
+		if (this.era !== undefined && era > this.era) {
+			this.noteRestored(era, undefined);
+			this.hanging?.abort();
+		}
+	}
+
 	private async readOnce(): Promise<void> {
 		const refreshing = this.refreshing.splice(0);
 		await this.readAndTell();
@@ -141,8 +173,10 @@
 	}
 
 	private async readAndTell(): Promise<void> {
+		const { restoreCount } = this;
 		const read = this.mirror.revision === 0 ? await this.listAll() : await this.watchOnce();
-		if (this.abort.signal.aborted || (read.isErr() && this.refreshing.length > 0)) {
+		const isRestored = restoreCount !== this.restoreCount;
+		if (this.abort.signal.aborted || (read.isErr() && (isRestored || this.refreshing.length > 0))) {
 			return;
 		}
 		if (read.isErr()) {
@@ -184,6 +218,7 @@
 
 	private async listAll(): Promise<Result<MirrorChange, StoreFault>> {
 		const items: StoreItem[] = [];
+		const { restoreCount } = this;
 		let revision: number | undefined;
 		for (;;) {
 			const afterKey = items.at(-1)?.key;
@@ -196,6 +231,12 @@
 			if (page.isErr()) {
 				return err(page.error);
 			}
+			if (restoreCount !== this.restoreCount) {
+				return err({
+					kind: StoreFaultKind.Restored,
+					detail: 'store restored between two pages of a listing',
+				});
+			}
 			items.push(...page.value.items);
 			revision ??= page.value.revision;
 			if (!page.value.hasMore || page.value.items.length === 0) {
@@ -205,7 +246,7 @@
 	}
 
 	/** A call that is given up when it takes longer than its wait and the margin. */
-	private async fetchWithin<TValue>(
+	private async fetchWithin<TValue extends Partial<Pick<StorePage, 'revision' | 'era'>>>(
 		call: StoreCallKind,
 		waitMs: number,
 		fetch: (signal: AbortSignal) => Promise<Result<TValue, StoreFault>>,
@@ -227,14 +268,45 @@
 				tookMs: this.timers.getNow() - startedMs,
 				hasNews: answer.isOk() && hasNews(answer.value),
 				fault: answer.isErr() ? answer.error : undefined,
+				era: getEra(answer),
 			});
-			return answer;
+			return this.checkEra(answer);
 		} finally {
 			this.hanging = undefined;
 			timer.dispose();
 		}
 	}
 
+	/** Returns a fault for the first answer of a higher era and for every answer of a lower era. */
+	private checkEra<TValue extends Partial<Pick<StorePage, 'revision' | 'era'>>>(
+		answer: Result<TValue, StoreFault>,
+	): Result<TValue, StoreFault> {
+		const era = getEra(answer);
+		if (era === undefined || era === this.era) {
+			return answer;
+		}
+		if (this.era === undefined) {
+			this.era = era;
+			return answer;
+		}
+		if (era < this.era) {
+			const detail = `answer of era ${era} received after era ${this.era}`;
+			return err({ kind: StoreFaultKind.Outdated, detail });
+		}
+		this.noteRestored(era, answer.isOk() ? answer.value.revision : undefined);
+		return err({ kind: StoreFaultKind.Restored, detail: `store restored, era is now ${era}` });
+	}
+
+	private noteRestored(toEra: StoreEra, foundRevision: number | undefined): void {
+		const fromEra = this.era ?? toEra;
+		const heldRevision = this.mirror.revision;
+		this.era = toEra;
+		this.restoreCount++;
+		this.regainedMs = this.timers.getNow();
+		this.mirror.noteRestored();
+		this.restores.emit({ fromEra, toEra, heldRevision, foundRevision });
+	}
+
 	private noteFault({ detail }: StoreFault): void {
 		this.pace.noteFailed();
 		if (this.lostMs !== undefined) {
@@ -259,3 +331,7 @@
 		this.reaches.emit({ isReached: true, detail: '', awayMs });
 	}
 }
+
+function getEra(answer: Result<{ readonly era?: StoreEra | undefined }, StoreFault>): StoreEra | undefined {
+	return answer.isOk() ? answer.value.era : answer.error.era;
+}
--- a/src/core/store/common/storeMirror.ts
+++ b/src/core/store/common/storeMirror.ts
@@ -4,6 +4,9 @@
  * Pages of a listing are read one after the other while the store changes, and a watch goes on from the
  * revision of the first page; so a change can arrive that a later page showed already. Each key's revision
  * decides: what is not newer than what is held changes nothing.
+ *
+ * After a restore of the store, the same revision of a key may have another value. All items of the next listing are
+ * therefore reported as written.
  */
 
 import type { StoreChange, StoreItem, StoreNews } from './storeClient';
@@ -13,26 +16,38 @@
 export interface MirrorChange {
 	readonly written: readonly StoreItem[];
 	readonly removed: readonly string[];
+	/** First listing after a restore; it may contain items that were changed or removed after the copy was made. */
+	readonly isRestored: boolean;
 }
 
 /** Holds the items of one prefix. */
 export class StoreMirror {
 	private items = new Map<string, StoreItem>();
 	private upToRevision = 0;
+	private isRestored = false;
 
 	/** The revision up to which all changes are held; 0 before the first listing. */
 	get revision(): number {
 		return this.upToRevision;
 	}
 
+	/** Discards the revision, which is not valid after a restore; the items are kept until the next listing. */
+	noteRestored(): void {
+		this.upToRevision = 0;
+		this.isRestored = true;
+	}
+
 	/** A whole listing takes the place of what was held. */
 	putAll(items: readonly StoreItem[], revision: number): MirrorChange {
 		const before = this.items;
+		const { isRestored } = this;
+		this.isRestored = false;
 		this.items = new Map(items.map(item => [item.key, item]));
 		this.upToRevision = revision;
 		return {
-			written: items.filter(item => before.get(item.key)?.revision !== item.revision),
+			written: items.filter(item => isRestored || before.get(item.key)?.revision !== item.revision),
 			removed: [...before.keys()].filter(key => !this.items.has(key)),
+			isRestored,
 		};
 	}
 
@@ -47,7 +62,11 @@
 		}
 		this.upToRevision = Math.max(this.upToRevision, news.revision);
 		const present = [...touched].map(key => this.items.get(key)).filter(item => item !== undefined);
-		return { written: present, removed: [...touched].filter(key => !this.items.has(key)) };
+		return {
+			written: present,
+			removed: [...touched].filter(key => !this.items.has(key)),
+			isRestored: false,
+		};
 	}
 
 	/** Gives the key where the change is news. */
--- a/src/core/telemetry/common/entryMetricLabels.ts
+++ b/src/core/telemetry/common/entryMetricLabels.ts
@@ -41,6 +41,8 @@
 	/** Refused by the platform's rate limit. */
 	Refused = 'refused',
 	Failed = 'failed',
+	/** The answer showed that the store was restored from an older copy. */
+	Restored = 'restored',
 }
 
 export enum ExchangeResult {
