Close the sessions of peers although one of them is already destroyed

Callers saw nothing; an entry that was stopped while a peer's connection broke stayed until the end of its grace. Found in the measurement of cold entries, whose stand-in peers close as an entry does: the run ended with ERR_HTTP2_INVALID_SESSION and hung for ten minutes. A destroyed session stays in the set until its close event, and goaway on it throws, so that no session after it was closed and close never returned. Such a session is passed over.

--- a/src/entry/node/peers/sessionDrainer.ts
+++ b/src/entry/node/peers/sessionDrainer.ts
@@ -49,8 +49,11 @@
 		this.isClosing = true;
 		for (const tracked of [...this.sessions]) {
 			tracked.lastResponseMs = this.timers.getNow();
-			tracked.session.goaway();
-			this.closeIfIdle(tracked);
+			// A destroyed session stays listed until its close event and throws on every call.
+			if (!tracked.session.destroyed) {
+				tracked.session.goaway();
+				this.closeIfIdle(tracked);
+			}
 		}
 		this.register(
 			subscribeTo(this.timers.watchTicks(pingIntervalMs), ({ nowMs }) => {
--- a/src/entry/node/peers/test/sessionDrainer.test.ts
+++ b/src/entry/node/peers/test/sessionDrainer.test.ts
@@ -96,4 +96,18 @@
 			relay.server.close();
 		}
 	});
+
+	// Guards against a stop that throws and closes nothing because a peer's connection has just broken.
+	it('closes the other sessions if one of them is already destroyed', async () => {
+		const sessions = new SessionDrainer(new ManualTimerService());
+		const { server, client, session, relay } = await openStream(sessions);
+		session.destroy();
+		expect(() => {
+			sessions.close();
+		}).not.toThrow();
+		sessions.dispose();
+		client.destroy();
+		relay.server.close();
+		server.close();
+	});
 });
