--- a/src/capacity/common/syntheticFleet.ts
+++ b/src/capacity/common/syntheticFleet.ts
@@ -22,7 +22,7 @@
 const maxOrganisationWeight = 3;
 
 /** The zones of the fleet with their regions: 7 zones in 3 regions. */
-const zones = [
+export const syntheticZones = [
 	{ region: 'north', zone: 'north-a' },
 	{ region: 'north', zone: 'north-b' },
 	{ region: 'north', zone: 'north-c' },
@@ -32,7 +32,7 @@
 	{ region: 'south', zone: 'south-b' },
 ] as const;
 
-const regions = [...new Set(zones.map(({ region }) => region))];
+const regions = [...new Set(syntheticZones.map(({ region }) => region))];
 
 /** Returns the entry with this index. Index 0 is the measured entry. */
 export function createSyntheticInstance(index: number): SyntheticInstance {
@@ -44,7 +44,7 @@
 	return JSON.stringify({
 		regions: regions.map(name => ({
 			name,
-			zones: zones.filter(({ region }) => region === name).map(({ zone }) => zone),
+			zones: syntheticZones.filter(({ region }) => region === name).map(({ zone }) => zone),
 		})),
 		links: [createLink('north', 'middle'), createLink('north', 'south'), createLink('middle', 'south')],
 		organisations: createList(size.organisations, index => ({
@@ -74,7 +74,7 @@
 const firstTargetPort = 40_000;
 
 function pickZone(index: number): { readonly region: string; readonly zone: string } {
-	const { region, zone } = zones[index % zones.length] ?? zones[0];
+	const { region, zone } = syntheticZones[index % syntheticZones.length] ?? syntheticZones[0];
 	return { region, zone };
 }
 
--- a/src/capacity/common/syntheticView.ts
+++ b/src/capacity/common/syntheticView.ts
@@ -15,10 +15,16 @@
 import { createSyntheticInstance } from './syntheticFleet';
 
 const serviceCount = 7;
+const defaultServices = Array.from({ length: serviceCount }, (_, service) => `service-${service}`);
 const firstManifestVersion = 1 as ManifestVersion;
 
-/** Returns a view of the entry with this index, with the first manifest version. */
-export function createSyntheticView(index: number, sequence: number, peerUrl: string): EntryView {
+/** Returns a view of the entry with this index, with the first manifest version and capacity for the services. */
+export function createSyntheticView(
+	index: number,
+	sequence: number,
+	peerUrl: string,
+	services: readonly string[] = defaultServices,
+): EntryView {
 	const { id, region, zone } = createSyntheticInstance(index);
 	return {
 		instance: id as InstanceId,
@@ -32,8 +38,8 @@
 		manifestVersion: firstManifestVersion,
 		manifestDigest: '0123456789abcdef',
 		ageMs: 0,
-		rooms: Array.from({ length: serviceCount }, (_, service) => ({
-			service: `service-${service}` as ServiceName,
+		rooms: services.map(service => ({
+			service: service as ServiceName,
 			room: { waitMs: 12, freeSlots: 40, running: 24, queued: 3 },
 		})),
 		leavingTargets: [],
--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -44,6 +44,7 @@
 		private readonly timers: SystemTimerService,
 		private readonly random: IRandom,
 		private readonly observeViews: (views: readonly WireView[]) => void,
+		private readonly services: readonly string[] | undefined,
 	) {
 		super();
 		this.instance = createSyntheticInstance(index);
@@ -79,7 +80,7 @@
 
 	createNextView(): EntryView {
 		this.sequence++;
-		return createSyntheticView(this.index, this.sequence, this.peerUrl);
+		return createSyntheticView(this.index, this.sequence, this.peerUrl, this.services);
 	}
 
 	createInstanceListItem(): object {
@@ -124,17 +125,18 @@
 	private readonly initialExchangeClients = new PeerClients({}, undefined);
 	private exchangeCount = 0;
 
-	/** `measuredInstanceId` is the entry whose exchanges are counted. */
+	/** `measuredInstanceId` is the entry whose exchanges are counted; `services` are those in the views. */
 	constructor(
 		count: number,
 		private readonly measuredInstanceId: string,
+		services?: readonly string[],
 	) {
 		const countExchange = (views: readonly WireView[]): void => {
 			this.exchangeCount += views[0]?.instanceId === this.measuredInstanceId ? 1 : 0;
 		};
 		this.peers = Array.from(
 			{ length: count },
-			(_, index) => new FakePeer(index + 1, this.timers, this.random, countExchange),
+			(_, index) => new FakePeer(index + 1, this.timers, this.random, countExchange, services),
 		);
 	}
 
--- a/src/capacity/node/measuredEntry.ts
+++ b/src/capacity/node/measuredEntry.ts
@@ -28,6 +28,16 @@
 const callerPortPattern = /"callers":(\d+)/;
 const manifestVersionPattern = /"audit":\{.*"kind":"manifest".*"to":"[^"]*?(\d+)"/;
 
+/** How the entry is started. */
+export interface EntryLaunch {
+	/** Options of Node, before the program. */
+	readonly nodeOptions: readonly string[];
+	/** Creates the contents of the settings file from the port for peers and the URL of the platform. */
+	readonly formatSettings: (peerPort: number, platformUrl: string) => string;
+}
+
+const defaultLaunch: EntryLaunch = { nodeOptions: [], formatSettings };
+
 /** An `anvilroad-entry` child process with temporary settings. */
 export class MeasuredEntry {
 	private readonly folder = mkdtempSync(join(tmpdir(), 'anvilroad-capacity-'));
@@ -41,14 +51,15 @@
 	constructor(
 		private readonly program: string,
 		private readonly readProcessorSeconds: ReadProcessorSeconds,
+		private readonly launch: EntryLaunch = defaultLaunch,
 	) {}
 
 	async start(platformUrl: string): Promise<void> {
 		const port = await findFreePort();
 		this.peerUrl = `http://127.0.0.1:${port}`;
 		const file = join(this.folder, 'entry.ini');
-		writeFileSync(file, formatSettings(port, platformUrl));
-		const child = spawn(process.execPath, [this.program, '--settings', file], {
+		writeFileSync(file, this.launch.formatSettings(port, platformUrl));
+		const child = spawn(process.execPath, [...this.launch.nodeOptions, this.program, '--settings', file], {
 			stdio: ['ignore', 'pipe', 'inherit'],
 		});
 		this.child = child;
@@ -72,9 +83,14 @@
 		});
 	}
 
+	/** Returns the URL at which callers send requests. */
+	getCallersUrl(): string {
+		return `http://127.0.0.1:${this.callerPort}`;
+	}
+
 	/** Returns the URL at which callers look up the entries of a service. */
 	getLookupUrl(service: string): string {
-		return `http://127.0.0.1:${this.callerPort}/v1/entries?service=${service}`;
+		return `${this.getCallersUrl()}/v1/entries?service=${service}`;
 	}
 
 	async readUsage(): Promise<ProcessUsage> {
@@ -92,6 +108,17 @@
 		};
 	}
 
+	/** Stops the process gracefully, so that Node writes the profile that it was asked for. */
+	async stopGracefully(): Promise<void> {
+		const { child } = this;
+		if (child?.exitCode === null) {
+			const ended = new Promise(resolve => child.once('exit', resolve));
+			child.kill('SIGTERM');
+			await ended;
+		}
+		await this.stop();
+	}
+
 	/** Kills the process without a graceful shutdown, because it serves no requests. */
 	async stop(): Promise<void> {
 		const { child } = this;
