Keep an answer whose target pauses until another target can go on with it

The attempt at a silent target now ends only if another target could take the request at that moment; until then the target is paused for new requests, the attempt is kept and checked again every 200 ms. A request whose answer has begun is no longer refused for its wait in the queue, only when its deadline cannot be met. Timers run before sockets are read, so after a long turn of the event loop a target is not taken for silent before its bytes were read; that part is by reading the code, no trace shows it.

Tests: four fail without the change (silentTargets.test.ts, and requestFlow.test.ts: the rest of an answer is delivered after a pause of its only target).

--- a/src/bench/common/baselines.ts
+++ b/src/bench/common/baselines.ts
@@ -105,6 +105,11 @@
 		return false;
 	}
 
+	/** The next attempt finds another target, or waits for one. */
+	noteSilence(): boolean {
+		return true;
+	}
+
 	noteLoad(id: TargetId, load: { running: number; waiting: number }): void {
 		const target = this.targets.find(known => known.id === id);
 		if (target !== undefined) {
--- a/src/entry/common/scheduling/fifoScheduler.ts
+++ b/src/entry/common/scheduling/fifoScheduler.ts
@@ -78,6 +78,11 @@
 		return false;
 	}
 
+	/** The next attempt finds another target, or waits for one. */
+	noteSilence(): boolean {
+		return true;
+	}
+
 	noteLoad(): void {
 		return;
 	}
--- a/src/entry/common/scheduling/scheduler.ts
+++ b/src/entry/common/scheduling/scheduler.ts
@@ -151,6 +151,11 @@
 		return false;
 	}
 
+	/** The next attempt finds another target, or waits for one. */
+	noteSilence(): boolean {
+		return true;
+	}
+
 	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void {
 		this.pool.noteLoad(target, load, nowMs);
 	}
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -201,6 +201,12 @@
 	noteEnd(requestId: RequestId, end: AttemptEnd, nowMs: number): boolean;
 	/** Whether the request of the running attempt would be retried if the target answered with an error. */
 	isRetriable(requestId: RequestId, nowMs: number): boolean;
+	/**
+	 * Records that the target of the running attempt has sent nothing for too long, and returns whether the attempt
+	 * should end. It should not if no other target could take the request now: the target may only be busy, and the
+	 * answer would be lost.
+	 */
+	noteSilence(requestId: RequestId, nowMs: number): boolean;
 	/** Records a load report of a target. */
 	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void;
 	/** Removes a waiting request. Running requests are removed by `noteEnd`. */
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -298,6 +298,12 @@
 		}
 	}
 
+	/** Records that the target does not answer an attempt that is kept nevertheless. */
+	noteSilence(retry: WorkRetryParameters, nowMs: number): void {
+		this.noteFailure();
+		this.pause(retry, nowMs);
+	}
+
 	noteLoad(load: ReportedLoad, nowMs: number): void {
 		this.reportedOtherRequests = Math.max(0, load.running + load.waiting - this.attempts.size);
 		this.reportTimeMs = nowMs - load.ageMs;
--- /dev/null
+++ b/src/entry/common/workScheduling/test/silentTargets.test.ts
@@ -0,0 +1,57 @@
+import { SeededRandom } from '../../../../base/common/random';
+import type { RequestId } from '../../../../core/ids/common/ids';
+import type { SchedulableRequest, SchedulableTarget } from '../../scheduling/serviceScheduler';
+import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
+import { WorkScheduler } from '../workScheduler';
+import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+
+const id = 'draft-1' as RequestId;
+const deadlineMs = 6_200;
+
+function createResumableDraft(): SchedulableRequest {
+	const prompt = {
+		parts: [{ id: 'own', tokens: 2_000 }],
+		promptTokens: 2_000,
+		maxOutputTokens: 100,
+		hintedOutputTokens: undefined,
+	};
+	const request = createPromptedRequest(id, prompt, { dueAfterMs: 800, deadlineMs, urgency: 1 }, 0);
+	return { ...request, isRepeatable: true, work: { ...request.work!, maxAttempts: 2, isResumable: true } };
+}
+
+function createEngine(name: string, slots = 12): SchedulableTarget {
+	return createEngineTarget(name, { slots, cacheTokens: 300_000 });
+}
+
+/** Starts a draft whose first byte arrives after 500 ms. */
+function startDraft(targets: readonly SchedulableTarget[]): WorkScheduler {
+	const scheduler = new WorkScheduler(new SeededRandom(1), () => 1);
+	scheduler.setTargets(targets);
+	scheduler.submit(createResumableDraft(), 0);
+	expect(scheduler.advance(0)).toMatchObject([{ kind: ScheduleDecisionKind.Start, requestId: id }]);
+	scheduler.noteFirstByte(id, 500);
+	return scheduler;
+}
+
+describe('WorkScheduler with a silent target', () => {
+	// Guards against answers that are cut off because a busy engine pauses while no other engine has capacity.
+	it('keeps the attempt while no other target could take the request', () => {
+		expect(startDraft([createEngine('busy')]).noteSilence(id, 1_400)).toBe(false);
+		expect(startDraft([createEngine('busy'), createEngine('full', 0)]).noteSilence(id, 1_400)).toBe(false);
+	});
+
+	it('ends the attempt if another target could take the request', () => {
+		expect(startDraft([createEngine('dark'), createEngine('free')]).noteSilence(id, 1_400)).toBe(true);
+	});
+
+	// Guards against answers that are cut off by the limit of the wait in the queue, seconds before their deadline.
+	it('refuses an interrupted answer only when it cannot be resumed by its deadline', () => {
+		const scheduler = startDraft([createEngine('crashed')]);
+		expect(scheduler.noteEnd(id, AttemptEnd.Failed, 1_400)).toBe(true);
+		scheduler.setTargets([createEngine('crashed', 0)]);
+		for (let nowMs = 1_400; nowMs < deadlineMs - 200; nowMs += 20) {
+			expect(scheduler.advance(nowMs)).toEqual([]);
+		}
+		expect(scheduler.advance(deadlineMs + 20)).toMatchObject([{ kind: ScheduleDecisionKind.Refuse }]);
+	});
+});
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -173,14 +173,31 @@
 	}
 
 	isRetriable(requestId: RequestId, nowMs: number): boolean {
+		const tracked = this.requests.get(requestId);
+		return tracked !== undefined && this.isPlaceable(tracked, this.targetList, nowMs);
+	}
+
+	noteSilence(requestId: RequestId, nowMs: number): boolean {
 		const tracked = this.requests.get(requestId);
 		if (tracked === undefined) {
-			return false;
+			return true;
 		}
-		const hasCapacity = this.targetList.some(
-			target =>
-				target.isAvailable(nowMs) &&
-				target.hasCapacity({ isLate: false, urgency: getUrgency(tracked.request) }, nowMs),
+		const { runningOn, triedTargets } = tracked;
+		const others = this.targetList.filter(
+			target => target !== runningOn && !triedTargets.includes(target.id),
+		);
+		const canMove = this.isPlaceable(tracked, others, nowMs);
+		if (!canMove) {
+			runningOn?.noteSilence(this.policy.retry, nowMs);
+		}
+		return canMove;
+	}
+
+	/** Whether the request may run again after its current attempt, and one of the targets could take it now. */
+	private isPlaceable(tracked: TrackedRequest, targets: readonly TargetLoadModel[], nowMs: number): boolean {
+		const urgency = getUrgency(tracked.request);
+		const hasCapacity = targets.some(
+			target => target.isAvailable(nowMs) && target.hasCapacity({ isLate: false, urgency }, nowMs),
 		);
 		const after = { ...tracked, possibleRuns: tracked.possibleRuns + 1, mayHaveRun: true };
 		return hasCapacity && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
@@ -274,7 +291,9 @@
 		const hasUsableTarget = this.hasUsableTarget();
 		for (const { request, idleFirstByteMs, enqueuedMs } of this.queue.list()) {
 			const maxWaitMs = (request.deadlineMs - enqueuedMs) * this.policy.queue.maxWaitShare;
-			const hasWaitedEnough = nowMs - enqueuedMs > maxWaitMs;
+			// Refusing a request whose answer has begun would cut off the answer.
+			const hasBegun = this.requests.get(request.id)?.hasFirstByte === true;
+			const hasWaitedEnough = !hasBegun && nowMs - enqueuedMs > maxWaitMs;
 			if (!hasUsableTarget || hasWaitedEnough || nowMs + idleFirstByteMs > request.deadlineMs) {
 				this.refuseWaiting(request, nowMs);
 			}
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -28,12 +28,18 @@
 	noteAnswerHead(attempt: AttemptRun, head: AnswerHead, reading: AnswerMetadata): void;
 	/** Whether the request would be retried if the target answered with a server error. */
 	isRetryAllowed(attempt: AttemptRun): boolean;
+	/** Called while the target is silent. Returns whether the attempt should end. */
+	noteSilence(attempt: AttemptRun): boolean;
 	/** Called once. `error` is the error for the caller if there is no further attempt. */
 	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void;
 }
 
 const minServerErrorStatus = 500;
 const statusOk = 200;
+/** Delay after which the event loop has read the sockets that were ready. */
+const socketReadMs = 1;
+/** How often the attempt at a silent target is checked for another target that could take the request. */
+const silenceRecheckMs = 200;
 
 /** An attempt in progress. */
 export class AttemptRun implements IAttemptObserver {
@@ -195,23 +201,44 @@
 	}
 
 	/**
-	 * Ends the attempt when the target sends nothing for `limitMs`. The timer is rescheduled only when it fires,
+	 * Checks the attempt when the target has sent nothing for `limitMs`. The timer is rescheduled only when it fires,
 	 * because a stream of many chunks would otherwise create and cancel a timer for each chunk.
 	 */
 	private watchSilence(limitMs: number): void {
-		const silentMs = this.isPaused ? 0 : this.timers.getNow() - this.lastActivityMs;
-		this.silenceTimer = this.timers.schedule(limitMs - silentMs, () => {
-			const isSilent = !this.isPaused && this.timers.getNow() - this.lastActivityMs >= limitMs;
-			if (isSilent) {
-				this.endSilent(limitMs);
+		const firstCheckMs = limitMs - socketReadMs;
+		this.scheduleSilenceCheck(firstCheckMs - this.computeSilentMs(), () => {
+			if (this.computeSilentMs() < firstCheckMs) {
+				this.watchSilence(limitMs);
 				return;
 			}
-			this.watchSilence(limitMs);
+			// Timers run before sockets are read. After a long turn of the event loop, what the target sent is unread.
+			this.scheduleSilenceCheck(socketReadMs, () => {
+				this.handleSilence(limitMs);
+			});
 		});
 	}
 
-	private endSilent(limitMs: number): void {
+	private scheduleSilenceCheck(delayMs: number, check: () => void): void {
+		this.silenceTimer = this.timers.schedule(delayMs, check);
+	}
+
+	private computeSilentMs(): number {
+		return this.isPaused ? 0 : this.timers.getNow() - this.lastActivityMs;
+	}
+
+	/** Ends the attempt if the request can go on elsewhere, and otherwise checks again soon. */
+	private handleSilence(limitMs: number): void {
+		if (this.computeSilentMs() < limitMs) {
+			this.watchSilence(limitMs);
+			return;
+		}
 		this.client.renewConnections();
+		if (!this.owner.noteSilence(this)) {
+			this.scheduleSilenceCheck(silenceRecheckMs, () => {
+				this.handleSilence(limitMs);
+			});
+			return;
+		}
 		const detail = `${this.target} was silent for ${limitMs} ms`;
 		this.endClosingConnection(AttemptEnd.Silent, createRequestError(ErrorKind.TargetSilent, detail));
 	}
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -134,6 +134,10 @@
 		return this.scheduler.isRetriable(run.call.id, this.timers.getNow());
 	}
 
+	noteSilence({ run }: AttemptRun): boolean {
+		return this.scheduler.noteSilence(run.call.id, this.timers.getNow());
+	}
+
 	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void {
 		const { run, target } = attempt;
 		if (!this.states.has(run.call.id)) {
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -23,6 +23,7 @@
 import { Quarantine } from '../../../common/quarantine/quarantine';
 import { RequestEvent, RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import { ServiceScheduler } from '../../../common/scheduling/scheduler';
+import type { IServiceScheduler } from '../../../common/scheduling/serviceScheduler';
 import type { AttemptRequest, IAttempt, IAttemptObserver, ITargetClient } from '../../targets/targetClient';
 import { CrashDetector } from '../crashDetector';
 import type { AcceptedCall, IRunObserver, RequestEnd } from '../requestRun';
@@ -149,7 +150,11 @@
 }
 
 /** Creates a runner with the given number of scripted targets. */
-export function createFlow(targets: number, repeat = RepeatRule.Idempotent): Flow {
+export function createFlow(
+	targets: number,
+	repeat = RepeatRule.Idempotent,
+	scheduler: IServiceScheduler = new ServiceScheduler(new SeededRandom(7)),
+): Flow {
 	const timers = new ManualTimerService();
 	const attempts: CapturedAttempt[] = [];
 	const renewedTargets: TargetId[] = [];
@@ -174,7 +179,6 @@
 		noteAnswerHead: () => undefined,
 		noteAttemptEnd: () => undefined,
 	};
-	const scheduler = new ServiceScheduler(new SeededRandom(7));
 	const runner = new ServiceRunner(scheduler, directory, crashDetector, new NativeTargetDialect(), timers);
 	const zone = 'kingston-a' as ZoneName;
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
--- a/src/entry/node/requests/test/requestFlow.test.ts
+++ b/src/entry/node/requests/test/requestFlow.test.ts
@@ -1,6 +1,8 @@
+import { SeededRandom } from '../../../../base/common/random';
 import { ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { WorkScheduler } from '../../../common/workScheduling/workScheduler';
 import { beginAnswer, createFlow, getAttemptId } from './flowFixtures';
 
 describe('request flow through an entry', () => {
@@ -88,6 +90,20 @@
 		expect(sink).toMatchObject({ text: 'in time', hasEnded: true });
 	});
 
+	// Guards against answers that are cut off because their target pauses and no other could go on with them.
+	it('delivers the rest of an answer after a pause of its only target', () => {
+		const flow = createFlow(1, RepeatRule.Idempotent, new WorkScheduler(new SeededRandom(7), () => 1));
+		const sink = flow.submit();
+		const attempt = flow.attempts[0]!;
+		attempt.observer.noteHandedOver();
+		beginAnswer(attempt, 'first, ');
+		flow.timers.advance(14_000);
+		attempt.observer.receiveData(Buffer.from('second'));
+		attempt.observer.noteCompleted();
+		expect(attempt.cancelled).toBeUndefined();
+		expect(sink).toMatchObject({ text: 'first, second', hasEnded: true, isCut: false });
+	});
+
 	it('does not treat a slow caller as a silent target', () => {
 		// A caller on a slow link reads more slowly than the target sends. Reading from the target is paused, so
 		// no data arrives meanwhile. An idle timeout would cut off an answer that the caller is still reading.
