Show starting entries their whole region before traffic arrives

Messages listed the views of the receiver's zone first, and 13 of these fill every message of six views, so that other zones were heard of only from their own entries. And an entry that knows more than 64 others answers within the budget of a large fleet, which is its own view alone; the seeds are the first to know so many, and a new entry asks only the seeds.

Views are now drawn with as much weight on the zone as on the others together, and the first answer to a boot may take 4,000 bytes, with the weight on its region. The test fails without the change (60 and 85 entries).

--- a/src/entry/common/fleetView/exchangePlanner.ts
+++ b/src/entry/common/fleetView/exchangePlanner.ts
@@ -16,6 +16,7 @@
 import type { EntryView } from './entryView';
 import { estimateViewBytes } from './entryView';
 import type { FleetView, KnownInstance } from './fleetView';
+import type { TrackedInstance } from './trustedInstances';
 
 /** The location of this entry. */
 export interface ExchangeLocation {
@@ -56,29 +57,48 @@
 	}
 
 	/**
-	 * Returns the views to send to a peer: this entry's own view, then views of instances that are not suspected,
-	 * those in the peer's zone first and otherwise in random order, until the byte limit of a message is reached.
+	 * Returns the views to send to a peer: this entry's own view, then random views of instances that are not suspected,
+	 * until the byte limit of a message is reached. Each one is as likely to be of the peer's zone as of the others. With
+	 * the zone first, the zone fills all messages of a large fleet, and its entries hear of no others for minutes. The
+	 * first answer to a peer prefers its region instead, because the entries of a region share its targets.
+	 *
+	 * @param isPeerNew Whether this answers the first exchange of a boot of the peer. It may know next to no other entries,
+	 * and a message within the budget of a large fleet would contain hardly more than this entry's own view.
 	 */
-	listViews(own: EntryView, peer: InstanceId | undefined, nowMs: number): readonly EntryView[] {
-		const peerZone = peer === undefined ? undefined : this.fleet.find(peer, nowMs)?.view.zone;
-		const others = this.fleet
-			.list(nowMs)
-			.filter(({ view, isSuspect }) => !isSuspect && view.instance !== peer)
-			.map(known => ({ known, key: this.random.pickFraction() + (known.view.zone === peerZone ? 0 : 1) }))
+	listViews(
+		own: EntryView,
+		peer: InstanceId | undefined,
+		nowMs: number,
+		isPeerNew = false,
+	): readonly EntryView[] {
+		const maxBytes = isPeerNew ? newPeerMessageBytes : this.computeMaxMessageBytes();
+		const peerView = peer === undefined ? undefined : this.fleet.find(peer, nowMs)?.view;
+		const others = this.fleet.listTrusted(nowMs).filter(({ view }) => view.instance !== peer);
+		const isNear = ({ view }: TrackedInstance): boolean =>
+			isPeerNew ? view.region === peerView?.region : view.zone === peerView?.zone;
+		const near = others.filter(isNear).length;
+		const nearWeight = Math.max(1, (others.length - near) / Math.max(1, near));
+		const ordered = others
+			.map(known => ({ known, key: this.pickKey(isNear(known) ? nearWeight : 1) }))
 			.sort((left, right) => left.key - right.key);
 		const views = [own];
 		let bytes = estimateViewBytes(own);
-		for (const { known } of others) {
+		for (const { known } of ordered) {
 			const viewBytes = estimateViewBytes(known.view);
-			if (bytes + viewBytes > this.computeMaxMessageBytes()) {
+			if (bytes + viewBytes > maxBytes) {
 				break;
 			}
 			bytes += viewBytes;
-			views.push({ ...known.view, ageMs: Math.round(known.ageMs) });
+			views.push({ ...known.view, ageMs: Math.round(nowMs - known.reportedMs) });
 		}
 		return views;
 	}
 
+	/** Items sorted by these keys are in the order of a random draw without replacement by their weights. */
+	private pickKey(weight: number): number {
+		return -Math.log(1 - this.random.pickFraction()) / weight;
+	}
+
 	/**
 	 * Maximum bytes of one message. A node sends and receives a message in each exchange that it starts and in each
 	 * that a peer starts, so the budget of a period is divided among all of these.
@@ -108,5 +128,8 @@
 	}
 }
 
+/** Maximum bytes of the first answer to a peer. */
+const newPeerMessageBytes = 4_000;
+
 /** Share of the exchanges in which suspected peers are candidates too, because they may be reachable again. */
 const suspectRetryShare = 0.1;
--- /dev/null
+++ b/src/entry/common/fleetView/test/fleetDiscovery.test.ts
@@ -0,0 +1,103 @@
+import { SeededRandom } from '../../../../base/common/random';
+import type {
+	BootId,
+	InstanceId,
+	ManifestVersion,
+	RegionName,
+	ServiceName,
+	ZoneName,
+} from '../../../../core/ids/common/ids';
+import type { EntryView } from '../entryView';
+import { ExchangePlanner } from '../exchangePlanner';
+import { FleetView } from '../fleetView';
+
+const regions = ['khomas', 'erongo', 'oshana'];
+const zonesPerRegion = 2;
+const zoneCount = regions.length * zonesPerRegion;
+const seedCount = 3;
+/** Traffic may reach a fleet this many exchange periods after its machines have started. */
+const startPeriods = 16;
+
+function createView(index: number, sequence: number): EntryView {
+	const zone = index % zoneCount;
+	const region = regions[zone % regions.length]!;
+	const room = { waitMs: 10, freeSlots: 4, running: 2, queued: 0 };
+	return {
+		instance: `front-${region}-${zone}-${index}` as InstanceId,
+		bootId: `boot-of-${index}` as BootId,
+		sequence,
+		region: region as RegionName,
+		zone: `${region}-${zone}` as ZoneName,
+		callerUrl: `http://10.1.0.${index}:8144`,
+		peerUrl: `http://10.1.0.${index}:8146`,
+		isLeaving: false,
+		manifestVersion: 1 as ManifestVersion,
+		manifestDigest: '0123456789abcdef',
+		ageMs: 0,
+		rooms: ['report-writer', 'tenant-ledger'].map(service => ({ service: service as ServiceName, room })),
+		leavingTargets: [],
+		crashSightings: [],
+	};
+}
+
+/** A fleet whose entries start at once and know only the seeds. */
+class StartingFleet {
+	private readonly views: EntryView[];
+	private readonly fleetViews: FleetView[];
+	private readonly planners: ExchangePlanner[];
+	/** Pairs of entries of which the first has answered the second. */
+	private readonly answered = new Set<string>();
+
+	constructor(size: number, seed: number) {
+		const random = new SeededRandom(seed);
+		this.views = Array.from({ length: size }, (_, index) => createView(index, 1));
+		this.fleetViews = this.views.map(({ instance }) => new FleetView(instance));
+		this.planners = this.views.map(
+			(view, index) => new ExchangePlanner(view, this.fleetViews[index]!, random),
+		);
+		for (const fleet of this.fleetViews) {
+			fleet.merge(this.views.slice(0, seedCount), 0);
+		}
+	}
+
+	advance(nowMs: number): void {
+		this.planners.forEach((planner, from) => {
+			for (const { view } of planner.pickPeers(nowMs)) {
+				const to = this.views.findIndex(({ instance }) => instance === view.instance);
+				const isNew = !this.answered.has(`${to} ${from}`);
+				this.answered.add(`${to} ${from}`);
+				this.fleetViews[to]!.merge(this.listViews(from, to, nowMs), nowMs);
+				this.fleetViews[from]!.merge(this.listViews(to, from, nowMs, isNew), nowMs);
+			}
+		});
+	}
+
+	/** The smallest share of the other entries of its region that any entry knows. */
+	computeLeastKnownShare(): number {
+		const shares = this.views.map((view, index) => {
+			const others = this.views.filter(other => other.region === view.region && other !== view);
+			const known = others.filter(({ instance }) => this.fleetViews[index]!.has(instance));
+			return known.length / others.length;
+		});
+		return Math.min(...shares);
+	}
+
+	private listViews(from: number, to: number, nowMs: number, isNew = false): readonly EntryView[] {
+		const own = { ...this.views[from]!, sequence: this.views[from]!.sequence + 1 };
+		this.views[from] = own;
+		return this.planners[from]!.listViews(own, this.views[to]!.instance, nowMs, isNew);
+	}
+}
+
+describe('the discovery of a starting fleet', () => {
+	// Guards against entries that know their own zone only, take too large a share of each target and overrun it.
+	it.each([10, 60, 85])('shows all of %i entries nearly all of their region before traffic starts', size => {
+		for (const seed of [1, 2, 3]) {
+			const fleet = new StartingFleet(size, seed);
+			for (let period = 1; period <= startPeriods; period++) {
+				fleet.advance(period * 1_000);
+			}
+			expect(fleet.computeLeastKnownShare()).toBeGreaterThanOrEqual(0.9);
+		}
+	});
+});
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -10,7 +10,7 @@
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { IAuditTrail } from '../../../core/audit/common/auditTrail';
-import type { InstanceId, RegionName, ServiceName, ZoneName } from '../../../core/ids/common/ids';
+import type { BootId, InstanceId, RegionName, ServiceName, ZoneName } from '../../../core/ids/common/ids';
 import { InstanceState } from '../../../core/instances/common/instanceLifecycle';
 import { InstanceLifecycles } from '../../../core/instances/common/instanceLifecycles';
 import type { InstanceList, ListedInstance } from '../../../core/platformClient/common/instanceList';
@@ -61,6 +61,8 @@
 	private readonly contacts: PeerContacts;
 	private readonly lifecycles: InstanceLifecycles;
 	private readonly liveEntries: LiveEntries;
+	/** Boots whose first exchange with this entry was answered. */
+	private readonly answeredBoots = new Set<BootId>();
 	private readonly viewReceived = this.register(new Channel<EntryView>());
 
 	/** Emits each view that is newer than the stored one, with its age on arrival. */
@@ -124,9 +126,13 @@
 	/** Merges views received from a peer, and returns the views to answer with. */
 	receiveViews(messages: readonly WireView[]): WireView[] {
 		const views = messages.map(decodeView);
-		const sender = views[0]?.instance;
-		this.mergeViews(views, sender ?? 'unknown');
-		return this.listViewsFor(sender);
+		const sender = views[0];
+		this.mergeViews(views, sender?.instance ?? 'unknown');
+		const isNew = sender !== undefined && !this.answeredBoots.has(sender.bootId);
+		if (isNew) {
+			this.answeredBoots.add(sender.bootId);
+		}
+		return this.listViewsFor(sender?.instance, isNew);
 	}
 
 	/** Exchanges views with all contacts immediately, for example when this entry starts to leave. */
@@ -234,6 +240,11 @@
 	private expire(nowMs: number): void {
 		this.lifecycles.expire(nowMs);
 		this.fleetView.expire(nowMs);
+		for (const boot of this.answeredBoots) {
+			if (this.lifecycles.findBoot(boot) === undefined) {
+				this.answeredBoots.delete(boot);
+			}
+		}
 		this.peers.closeAbsent(new Set(this.contacts.listAll(nowMs).map(({ peerUrl }) => peerUrl)));
 	}
 
@@ -263,8 +274,9 @@
 		}
 	}
 
-	private listViewsFor(peer: InstanceId | undefined): WireView[] {
-		return this.exchangePlan.listViews(this.createOwnView(), peer, this.timers.getNow()).map(encodeView);
+	private listViewsFor(peer: InstanceId | undefined, isPeerNew = false): WireView[] {
+		const own = this.createOwnView();
+		return this.exchangePlan.listViews(own, peer, this.timers.getNow(), isPeerNew).map(encodeView);
 	}
 }
 
