--- a/scripts/bundleEntry.mjs
+++ b/scripts/bundleEntry.mjs
@@ -10,7 +10,7 @@
 import { build } from 'esbuild';
 
 /** Must be the flags of the deploy file: Node accepts a code cache only with the flags that it was created with. */
-const nodeFlags = ['--max-old-space-size=200'];
+const nodeFlags = ['--max-old-space-size=200', '--single-threaded-gc', '--interrupt-budget=600000'];
 
 rmSync('target/entryBundle.js.cache', { force: true });
 
