Pause a silent target once for an attempt that is kept

That the cause is this was not traced: the check that is repeated every 200 ms paused the target each time, for up to 2 s, so that one paused answer kept an engine from all new requests.

The test fails without the change.

--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -36,6 +36,8 @@
 	readonly isIsolated: boolean;
 	readonly urgency: number;
 	hasFirstByte: boolean;
+	/** Whether the target was silent for too long during this attempt. */
+	isSilent: boolean;
 }
 
 /** A request for which capacity is checked. */
@@ -248,6 +250,7 @@
 			isIsolated,
 			urgency,
 			hasFirstByte: false,
+			isSilent: false,
 		});
 		this.pendingPrefill.noteSent(urgency, prefillMs, nowMs);
 		if (prompt !== undefined) {
@@ -298,10 +301,14 @@
 		}
 	}
 
-	/** Records that the target does not answer an attempt that is kept nevertheless. */
-	noteSilence(retry: WorkRetryParameters, nowMs: number): void {
-		this.noteFailure();
-		this.pause(retry, nowMs);
+	/** Records that the target does not answer an attempt that is kept nevertheless; counts once for each attempt. */
+	noteSilence(requestId: RequestId, retry: WorkRetryParameters, nowMs: number): void {
+		const attempt = this.attempts.get(requestId);
+		if (attempt?.isSilent === false) {
+			attempt.isSilent = true;
+			this.noteFailure();
+			this.pause(retry, nowMs);
+		}
 	}
 
 	noteLoad(load: ReportedLoad, nowMs: number): void {
--- a/src/entry/common/workScheduling/test/silentTargets.test.ts
+++ b/src/entry/common/workScheduling/test/silentTargets.test.ts
@@ -44,6 +44,16 @@
 		expect(startDraft([createEngine('dark'), createEngine('free')]).noteSilence(id, 1_400)).toBe(true);
 	});
 
+	// Guards against a busy target that receives nothing for seconds because one of its answers pauses.
+	it('pauses the target only once for an attempt that is kept', () => {
+		const scheduler = startDraft([createEngine('busy')]);
+		for (let nowMs = 1_400; nowMs <= 3_400; nowMs += 200) {
+			scheduler.noteSilence(id, nowMs);
+		}
+		scheduler.submit({ ...createResumableDraft(), id: 'draft-2' as RequestId, arrivedMs: 3_400 }, 3_400);
+		expect(scheduler.advance(3_400)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
+	});
+
 	// Guards against answers that are cut off by the limit of the wait in the queue, seconds before their deadline.
 	it('refuses an interrupted answer only when it cannot be resumed by its deadline', () => {
 		const scheduler = startDraft([createEngine('crashed')]);
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -188,7 +188,7 @@
 		);
 		const canMove = this.isPlaceable(tracked, others, nowMs);
 		if (!canMove) {
-			runningOn?.noteSilence(this.policy.retry, nowMs);
+			runningOn?.noteSilence(requestId, this.policy.retry, nowMs);
 		}
 		return canMove;
 	}
