--- a/src/bin/capacity.ts
+++ b/src/bin/capacity.ts
@@ -14,9 +14,8 @@
 import { measureControlPlane } from '../capacity/node/measureControlPlane';
 import { renderTable } from '../base/common/textTable';
 import { readProcessorSeconds } from '../load/node/processorTime';
+import { endOnSignals } from './endOnSignals';
 
-/** By convention, 128 plus the signal number of SIGINT. */
-const exitCodeInterrupted = 130;
 const defaultOrganisations = 540;
 const defaultTargets = 30;
 const defaultPeers = 7;
@@ -178,13 +177,7 @@
 	}
 }
 
-/** By default, Node runs no exit handlers on these signals, and the measured entry process would keep running. */
-for (const signal of ['SIGINT', 'SIGTERM'] as const) {
-	process.once(signal, () => {
-		process.exit(exitCodeInterrupted);
-	});
-}
-
+endOnSignals();
 void runCapacity().catch((error: unknown) => {
 	process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
 	process.exitCode = 1;
--- a/src/bin/coldEntry.ts
+++ b/src/bin/coldEntry.ts
@@ -22,6 +22,7 @@
 import { planArrivals } from '../load/common/arrivalPlan';
 import { ArrivalProfile } from '../load/common/loadOptions';
 import { readProcessorSeconds } from '../load/node/processorTime';
+import { endOnSignals } from './endOnSignals';
 
 const plainTargetCount = 6;
 const connections = 15;
@@ -48,6 +49,8 @@
 	readonly requestMs: number;
 	readonly residentMegabytes: number;
 	readonly answered: number;
+	/** When the first request was sent, on the monotonic clock of the machine in microseconds. */
+	readonly loadStartUs: number;
 }
 
 function formatSettings(peerPort: number, storeUrl: string): string {
@@ -114,6 +117,7 @@
 		const rested = await entry.readUsage();
 		const restMsPerSecond = (1_000_000 * (rested.processorSeconds - settled.processorSeconds)) / restMs;
 		const sendStartMs = performance.now();
+		const loadStartUs = Number(process.hrtime.bigint()) / 1_000;
 		const answered = await sendRequests(entry.getCallersUrl(), options);
 		const sendSeconds = (performance.now() - sendStartMs) / 1_000;
 		const loaded = await entry.readUsage();
@@ -124,6 +128,7 @@
 			requestMs: (loadedMs - restMsPerSecond * sendSeconds) / options.requests,
 			residentMegabytes: loaded.residentMegabytes,
 			answered,
+			loadStartUs,
 		};
 	} finally {
 		await entry.stopGracefully();
@@ -148,10 +153,11 @@
 	process.stdout.write(`${renderTable(headings, [figures.map(String)])}\n`);
 }
 
-function printProfile(folder: string, top: number): void {
+/** Prints the self times since the first request was sent. */
+function printProfile(folder: string, loadStartUs: number, top: number): void {
 	for (const file of readdirSync(folder)) {
 		const profile = JSON.parse(readFileSync(join(folder, file), 'utf8')) as CpuProfile;
-		const rows = computeSelfTimes(profile)
+		const rows = computeSelfTimes(profile, (loadStartUs - profile.startTime) / 1_000)
 			.slice(0, top)
 			.map(({ name, selfMs }) => [selfMs.toFixed(1), name]);
 		process.stdout.write(`\n${renderTable(['self ms', 'function'], rows)}\n`);
@@ -175,13 +181,15 @@
 		.parseAsync();
 	const folder = mkdtempSync(join(tmpdir(), 'anvilroad-profile-'));
 	try {
-		printCost(await measure(options, folder), options);
-		printProfile(folder, options.top);
+		const cost = await measure(options, folder);
+		printCost(cost, options);
+		printProfile(folder, cost.loadStartUs, options.top);
 	} finally {
 		rmSync(folder, { recursive: true, force: true });
 	}
 }
 
+endOnSignals();
 void runColdEntry().catch((error: unknown) => {
 	process.stderr.write(`${error instanceof Error ? (error.stack ?? error.message) : String(error)}\n`);
 	process.exitCode = exitCodeFailed;
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -108,7 +108,8 @@
 	})._unsafeUnwrap();
 }
 
-function createPlan(repeat: RepeatRule): AcceptedCall['plan'] {
+/** Creates the plan of a call to the service of `createFlowManifest`. */
+export function createPlan(repeat: RepeatRule): AcceptedCall['plan'] {
 	const manifest = createFlowManifest(repeat);
 	const call = {
 		service: 'bookings' as ServiceName,
@@ -216,7 +217,8 @@
 	};
 }
 
-function createObserver(ends: RequestEnd[], observations: string[]): IRunObserver {
+/** Creates an observer that records into the two lists. */
+export function createObserver(ends: RequestEnd[], observations: string[]): IRunObserver {
 	return {
 		noteQueueWait: (_, waitedMs) => observations.push(`waited ${waitedMs}`),
 		noteAttemptEnd: (_, end) => observations.push(`attempt ${end}`),
@@ -225,7 +227,13 @@
 	};
 }
 
-function createCall(id: RequestId, plan: AcceptedCall['plan'], body: string, nowMs: number): AcceptedCall {
+/** Creates a call with a deadline of 30 seconds. */
+export function createCall(
+	id: RequestId,
+	plan: AcceptedCall['plan'],
+	body: string,
+	nowMs: number,
+): AcceptedCall {
 	return {
 		id,
 		head: {
