Replace the connections to a silent target once for each pause

Since an attempt at a silent target is kept and checked every 200 ms, and each check also replaced the connection pool of the target: every request to it opened a new connection, and idle ones were thrown away five times a second for each paused answer. Before that happened once for an attempt. The connections are now replaced once, when the silence is noticed.

The test fails without the change: the pool is replaced over and over in 14 s in place of once.

--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -213,6 +213,9 @@
 			}
 			// Timers run before sockets are read. After a long turn of the event loop, what the target sent is unread.
 			this.scheduleSilenceCheck(socketReadMs, () => {
+				if (this.computeSilentMs() >= limitMs) {
+					this.client.renewConnections();
+				}
 				this.handleSilence(limitMs);
 			});
 		});
@@ -232,7 +235,6 @@
 			this.watchSilence(limitMs);
 			return;
 		}
-		this.client.renewConnections();
 		if (!this.owner.noteSilence(this)) {
 			this.scheduleSilenceCheck(silenceRecheckMs, () => {
 				this.handleSilence(limitMs);
--- a/src/entry/node/requests/test/requestFlow.test.ts
+++ b/src/entry/node/requests/test/requestFlow.test.ts
@@ -104,6 +104,17 @@
 		expect(sink).toMatchObject({ text: 'first, second', hasEnded: true, isCut: false });
 	});
 
+	// Guards against new connections for every request to a target while one of its answers pauses.
+	it('replaces the connections to a silent target once for a pause', () => {
+		const flow = createFlow(1, RepeatRule.Idempotent, new WorkScheduler(new SeededRandom(7), () => 1));
+		flow.submit();
+		const attempt = flow.attempts[0]!;
+		attempt.observer.noteHandedOver();
+		beginAnswer(attempt, 'first, ');
+		flow.timers.advance(14_000);
+		expect(flow.renewedTargets).toEqual([attempt.target]);
+	});
+
 	it('does not treat a slow caller as a silent target', () => {
 		// A caller on a slow link reads more slowly than the target sends. Reading from the target is paused, so
 		// no data arrives meanwhile. An idle timeout would cut off an answer that the caller is still reading.
