Give long answers only to entries that have just started

Found on reading the change once more. In a fleet of hundreds an entry meets a new peer in most exchanges for minutes, so the byte budget was exceeded long after the start, and a set of answered boots was kept and pruned to know it. An entry is new by the number of views it has created, which each view carries: its first 40 views are answered long, later ones within the budget, and nothing is kept.

The new test of the budget fails without the change (3,872 bytes, allowed 400). Tests of this folder share one fixture of views.

--- a/src/entry/common/fleetView/exchangePlanner.ts
+++ b/src/entry/common/fleetView/exchangePlanner.ts
@@ -60,10 +60,10 @@
 	 * Returns the views to send to a peer: this entry's own view, then random views of instances that are not suspected,
 	 * until the byte limit of a message is reached. Each one is as likely to be of the peer's zone as of the others. With
 	 * the zone first, the zone fills all messages of a large fleet, and its entries hear of no others for minutes. The
-	 * first answer to a peer prefers its region instead, because the entries of a region share its targets.
+	 * answer to a new peer prefers its region instead, because the entries of a region share its targets.
 	 *
-	 * @param isPeerNew Whether this answers the first exchange of a boot of the peer. It may know next to no other entries,
-	 * and a message within the budget of a large fleet would contain hardly more than this entry's own view.
+	 * @param isPeerNew Whether this answers a peer that has just started. It may know next to no other entries, and a message
+	 * within the budget of a large fleet would contain hardly more than this entry's own view.
 	 */
 	listViews(
 		own: EntryView,
@@ -128,8 +128,16 @@
 	}
 }
 
-/** Maximum bytes of the first answer to a peer. */
+/** Maximum bytes of an answer to a peer that has just started. */
 const newPeerMessageBytes = 4_000;
 
+/** Number of views after which the entry that created them no longer counts as just started. */
+const newPeerViews = 40;
+
+/** Whether the entry that sent this view of itself has just started. */
+export function isFromNewPeer({ sequence }: EntryView): boolean {
+	return sequence <= newPeerViews;
+}
+
 /** Share of the exchanges in which suspected peers are candidates too, because they may be reachable again. */
 const suspectRetryShare = 0.1;
--- a/src/entry/common/fleetView/test/fleetDiscovery.test.ts
+++ b/src/entry/common/fleetView/test/fleetDiscovery.test.ts
@@ -1,15 +1,9 @@
 import { SeededRandom } from '../../../../base/common/random';
-import type {
-	BootId,
-	InstanceId,
-	ManifestVersion,
-	RegionName,
-	ServiceName,
-	ZoneName,
-} from '../../../../core/ids/common/ids';
+import type { BootId, RegionName, ServiceName, ZoneName } from '../../../../core/ids/common/ids';
 import type { EntryView } from '../entryView';
-import { ExchangePlanner } from '../exchangePlanner';
+import { ExchangePlanner, isFromNewPeer } from '../exchangePlanner';
 import { FleetView } from '../fleetView';
+import { createView } from './views';
 
 const regions = ['khomas', 'erongo', 'oshana'];
 const zonesPerRegion = 2;
@@ -18,26 +12,18 @@
 /** Traffic may reach a fleet this many exchange periods after its machines have started. */
 const startPeriods = 16;
 
-function createView(index: number, sequence: number): EntryView {
+function createViewOf(index: number): EntryView {
 	const zone = index % zoneCount;
 	const region = regions[zone % regions.length]!;
 	const room = { waitMs: 10, freeSlots: 4, running: 2, queued: 0 };
-	return {
-		instance: `front-${region}-${zone}-${index}` as InstanceId,
+	return createView(`front-${region}-${zone}-${index}`, {
 		bootId: `boot-of-${index}` as BootId,
-		sequence,
 		region: region as RegionName,
 		zone: `${region}-${zone}` as ZoneName,
 		callerUrl: `http://10.1.0.${index}:8144`,
 		peerUrl: `http://10.1.0.${index}:8146`,
-		isLeaving: false,
-		manifestVersion: 1 as ManifestVersion,
-		manifestDigest: '0123456789abcdef',
-		ageMs: 0,
-		rooms: ['report-writer', 'tenant-ledger'].map(service => ({ service: service as ServiceName, room })),
-		leavingTargets: [],
-		crashSightings: [],
-	};
+		rooms: ['report-writer', 'tenant-ledger'].map(name => ({ service: name as ServiceName, room })),
+	});
 }
 
 /** A fleet whose entries start at once and know only the seeds. */
@@ -45,12 +31,10 @@
 	private readonly views: EntryView[];
 	private readonly fleetViews: FleetView[];
 	private readonly planners: ExchangePlanner[];
-	/** Pairs of entries of which the first has answered the second. */
-	private readonly answered = new Set<string>();
 
 	constructor(size: number, seed: number) {
 		const random = new SeededRandom(seed);
-		this.views = Array.from({ length: size }, (_, index) => createView(index, 1));
+		this.views = Array.from({ length: size }, (_, index) => createViewOf(index));
 		this.fleetViews = this.views.map(({ instance }) => new FleetView(instance));
 		this.planners = this.views.map(
 			(view, index) => new ExchangePlanner(view, this.fleetViews[index]!, random),
@@ -64,10 +48,9 @@
 		this.planners.forEach((planner, from) => {
 			for (const { view } of planner.pickPeers(nowMs)) {
 				const to = this.views.findIndex(({ instance }) => instance === view.instance);
-				const isNew = !this.answered.has(`${to} ${from}`);
-				this.answered.add(`${to} ${from}`);
-				this.fleetViews[to]!.merge(this.listViews(from, to, nowMs), nowMs);
-				this.fleetViews[from]!.merge(this.listViews(to, from, nowMs, isNew), nowMs);
+				const sent = this.listViews(from, to, nowMs);
+				this.fleetViews[to]!.merge(sent, nowMs);
+				this.fleetViews[from]!.merge(this.listViews(to, from, nowMs, isFromNewPeer(sent[0]!)), nowMs);
 			}
 		});
 	}
--- a/src/entry/common/fleetView/test/fleetView.test.ts
+++ b/src/entry/common/fleetView/test/fleetView.test.ts
@@ -5,7 +5,6 @@
 	InstanceId,
 	ManifestVersion,
 	RegionName,
-	ServiceName,
 	ZoneName,
 } from '../../../../core/ids/common/ids';
 import { defaultFleetViewParameters } from '../../scheduling/policy';
@@ -13,29 +12,9 @@
 import { estimateViewBytes } from '../entryView';
 import { ExchangePlanner } from '../exchangePlanner';
 import { FleetView } from '../fleetView';
+import { createView, service } from './views';
 
 const self = 'entry-self' as InstanceId;
-const service = 'report-writer' as ServiceName;
-
-function createView(instance: string, more: Partial<EntryView> = {}): EntryView {
-	return {
-		instance: instance as InstanceId,
-		bootId: 'boot-1' as BootId,
-		sequence: 1,
-		region: 'khomas' as RegionName,
-		zone: 'khomas-a' as ZoneName,
-		callerUrl: 'http://10.0.0.1:7001',
-		peerUrl: 'http://10.0.0.1:7002',
-		isLeaving: false,
-		manifestVersion: 1 as ManifestVersion,
-		manifestDigest: '0123456789abcdef',
-		ageMs: 0,
-		rooms: [{ service, room: { waitMs: 100, freeSlots: 4, running: 2, queued: 0 } }],
-		leavingTargets: [],
-		crashSightings: [],
-		...more,
-	};
-}
 
 function createRoomView(instance: string, freeSlots: number): EntryView {
 	return createView(instance, {
--- a/src/entry/common/fleetView/test/trustedInstances.test.ts
+++ b/src/entry/common/fleetView/test/trustedInstances.test.ts
@@ -1,31 +1,17 @@
 import * as fc from 'fast-check';
-import type {
-	BootId,
-	InstanceId,
-	ManifestVersion,
-	RegionName,
-	ZoneName,
-} from '../../../../core/ids/common/ids';
+import type { BootId, InstanceId, RegionName, ZoneName } from '../../../../core/ids/common/ids';
 import type { EntryView } from '../entryView';
 import { FleetView } from '../fleetView';
+import { createView } from './views';
 
-function createView(index: number, sequence: number, ageMs: number, boot = 0): EntryView {
-	return {
-		instance: `entry-${index}` as InstanceId,
+function createViewOf(index: number, sequence: number, ageMs: number, boot: number): EntryView {
+	return createView(`entry-${index}`, {
 		bootId: `boot-${index}-${boot}` as BootId,
 		sequence,
 		region: `region-${index % 3}` as RegionName,
 		zone: `zone-${index % 6}` as ZoneName,
-		callerUrl: '',
-		peerUrl: '',
-		isLeaving: false,
-		manifestVersion: 1 as ManifestVersion,
-		manifestDigest: '',
 		ageMs,
-		rooms: [],
-		leavingTargets: [],
-		crashSightings: [],
-	};
+	});
 }
 
 type Step = (fleet: FleetView, nowMs: number, sequence: number) => void;
@@ -35,7 +21,7 @@
 	fc
 		.record({ index, ageMs: fc.nat({ max: 12_000 }), boot: fc.nat({ max: 2 }) })
 		.map(({ index: of, ageMs, boot }): Step => (fleet, nowMs, sequence) => {
-			fleet.merge([createView(of, sequence, ageMs, boot)], nowMs);
+			fleet.merge([createViewOf(of, sequence, ageMs, boot)], nowMs);
 		}),
 	fc.record({ index, isReached: fc.boolean() }).map(({ index: of, isReached }): Step => fleet => {
 		fleet.recordExchange(`entry-${of}` as InstanceId, isReached);
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -10,7 +10,7 @@
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { IAuditTrail } from '../../../core/audit/common/auditTrail';
-import type { BootId, InstanceId, RegionName, ServiceName, ZoneName } from '../../../core/ids/common/ids';
+import type { InstanceId, RegionName, ServiceName, ZoneName } from '../../../core/ids/common/ids';
 import { InstanceState } from '../../../core/instances/common/instanceLifecycle';
 import { InstanceLifecycles } from '../../../core/instances/common/instanceLifecycles';
 import type { InstanceList, ListedInstance } from '../../../core/platformClient/common/instanceList';
@@ -18,7 +18,7 @@
 import type { EntryView as WireView } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import type { EntryView } from '../../common/fleetView/entryView';
 import { findRoom } from '../../common/fleetView/entryView';
-import { ExchangePlanner } from '../../common/fleetView/exchangePlanner';
+import { ExchangePlanner, isFromNewPeer } from '../../common/fleetView/exchangePlanner';
 import type { KnownInstance } from '../../common/fleetView/fleetView';
 import { FleetView } from '../../common/fleetView/fleetView';
 import type { CandidateEntry as LookupEntry } from '../../common/lookup/rankEntries';
@@ -61,8 +61,6 @@
 	private readonly contacts: PeerContacts;
 	private readonly lifecycles: InstanceLifecycles;
 	private readonly liveEntries: LiveEntries;
-	/** Boots whose first exchange with this entry was answered. */
-	private readonly answeredBoots = new Set<BootId>();
 	private readonly viewReceived = this.register(new Channel<EntryView>());
 
 	/** Emits each view that is newer than the stored one, with its age on arrival. */
@@ -128,11 +126,7 @@
 		const views = messages.map(decodeView);
 		const sender = views[0];
 		this.mergeViews(views, sender?.instance ?? 'unknown');
-		const isNew = sender !== undefined && !this.answeredBoots.has(sender.bootId);
-		if (isNew) {
-			this.answeredBoots.add(sender.bootId);
-		}
-		return this.listViewsFor(sender?.instance, isNew);
+		return this.listViewsFor(sender?.instance, sender !== undefined && isFromNewPeer(sender));
 	}
 
 	/** Exchanges views with all contacts immediately, for example when this entry starts to leave. */
@@ -240,11 +234,6 @@
 	private expire(nowMs: number): void {
 		this.lifecycles.expire(nowMs);
 		this.fleetView.expire(nowMs);
-		for (const boot of this.answeredBoots) {
-			if (this.lifecycles.findBoot(boot) === undefined) {
-				this.answeredBoots.delete(boot);
-			}
-		}
 		this.peers.closeAbsent(new Set(this.contacts.listAll(nowMs).map(({ peerUrl }) => peerUrl)));
 	}
 
--- a/src/entry/node/fleet/test/fleet.test.ts
+++ b/src/entry/node/fleet/test/fleet.test.ts
@@ -5,6 +5,8 @@
 import type { InstanceId, ManifestVersion, ZoneName } from '../../../../core/ids/common/ids';
 import { parseInstanceList } from '../../../../core/platformClient/common/instanceList';
 import type { EntryView } from '../../../common/fleetView/entryView';
+import { estimateViewBytes } from '../../../common/fleetView/entryView';
+import { defaultFleetViewParameters } from '../../../common/scheduling/policy';
 import { PeerClients } from '../../peers/peerClients';
 import type { PeerConnection } from '../../peers/peerClients';
 import { EntryFleet } from '../entryFleet';
@@ -136,6 +138,29 @@
 	});
 });
 
+describe('the answer to an exchange in a large fleet', () => {
+	const { bytesPerSecond } = defaultFleetViewParameters;
+
+	/** Counts the bytes of the answer to an entry's first exchange, by a fleet that knows 100 others. */
+	function countAnswerBytes(sequence: number): number {
+		const fleet = createFleet();
+		for (let index = 0; index < 100; index++) {
+			fleet.receiveViews([encodeView(createView(`entry-${index}`, { sequence: 1_000 }))]);
+		}
+		const answer = fleet.receiveViews([encodeView(createView('asking', { sequence }))]);
+		return answer.map(decodeView).reduce((sum, view) => sum + estimateViewBytes(view), 0);
+	}
+
+	// Guards against a byte budget that is exceeded until each entry has met each other one, for minutes in a large fleet.
+	it('keeps to the budget for an entry that has run for some time, also the first time', () => {
+		expect(countAnswerBytes(1_000)).toBeLessThanOrEqual(bytesPerSecond / 4);
+	});
+
+	it('shows an entry that has just started many others', () => {
+		expect(countAnswerBytes(1)).toBeGreaterThan(bytesPerSecond);
+	});
+});
+
 describe('ManifestFetcher', () => {
 	function createFetcher(): {
 		readonly fetcher: ManifestFetcher;
