--- a/src/capacity/node/measuredEntry.ts
+++ b/src/capacity/node/measuredEntry.ts
@@ -110,21 +110,19 @@
 
 	/** Stops the process gracefully, so that Node writes the profile that it was asked for. */
 	async stopGracefully(): Promise<void> {
-		const { child } = this;
-		if (child?.exitCode === null) {
-			const ended = new Promise(resolve => child.once('exit', resolve));
-			child.kill('SIGTERM');
-			await ended;
-		}
-		await this.stop();
+		await this.endWith('SIGTERM');
 	}
 
 	/** Kills the process without a graceful shutdown, because it serves no requests. */
 	async stop(): Promise<void> {
+		await this.endWith('SIGKILL');
+	}
+
+	private async endWith(signal: NodeJS.Signals): Promise<void> {
 		const { child } = this;
 		if (child?.exitCode === null) {
 			const ended = new Promise(resolve => child.once('exit', resolve));
-			child.kill('SIGKILL');
+			child.kill(signal);
 			await ended;
 		}
 		process.removeListener('exit', this.killAndCleanUp);
--- /dev/null
+++ b/src/entry/common/workScheduling/trackedRequest.ts
@@ -0,0 +1,57 @@
+/**
+ * What the scheduler keeps of a request between its submission and its last attempt, and whether the request may be
+ * attempted once more.
+ */
+
+import type { ErrorKind } from '../../../core/errors/common/errorKinds';
+import type { TargetId } from '../../../core/ids/common/ids';
+import type { SchedulableRequest } from '../scheduling/serviceScheduler';
+import { AttemptEnd } from '../scheduling/serviceScheduler';
+import type { TargetLoadModel } from './targetLoadModel';
+
+/** A request that waits here or runs on a target. */
+export interface TrackedRequest {
+	readonly request: SchedulableRequest;
+	readonly triedTargets: TargetId[];
+	/** Attempts that the target may have executed. */
+	possibleRuns: number;
+	/** Whether any attempt may have been executed; a refusal then reports an unknown outcome. */
+	mayHaveRun: boolean;
+	runningOn: TargetLoadModel | undefined;
+	hasFirstByte: boolean;
+	lastErrorKind: ErrorKind | undefined;
+}
+
+/** Attempts allowed beyond the maximum of the route, because targets may refuse attempts without executing them. */
+const maxExtraRefusedSends = 2;
+
+/** Starts to track a request that was not sent to any target yet. */
+export function createTrackedRequest(request: SchedulableRequest): TrackedRequest {
+	return {
+		request,
+		triedTargets: [],
+		possibleRuns: 0,
+		mayHaveRun: false,
+		runningOn: undefined,
+		hasFirstByte: false,
+		lastErrorKind: undefined,
+	};
+}
+
+/** Whether a request may be attempted again after an attempt that ended so, apart from the budget of retries. */
+export function isRepeatAllowed(
+	tracked: TrackedRequest,
+	end: AttemptEnd,
+	minRemainingMs: number,
+	nowMs: number,
+): boolean {
+	const { request } = tracked;
+	if (end === AttemptEnd.Answered || end === AttemptEnd.Cancelled) {
+		return false;
+	}
+	const maxAttempts = request.work?.maxAttempts ?? 1;
+	const isRunAllowed = tracked.mayHaveRun ? request.isRepeatable && tracked.possibleRuns < maxAttempts : true;
+	const isPartlyAnswered = tracked.hasFirstByte && request.work?.isResumable !== true;
+	const isSentTooOften = tracked.triedTargets.length >= maxAttempts + maxExtraRefusedSends;
+	return isRunAllowed && !isPartlyAnswered && !isSentTooOften && request.deadlineMs - nowMs > minRemainingMs;
+}
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -27,27 +27,13 @@
 import type { TargetChoice } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { TargetLoadModel } from './targetLoadModel';
+import type { TrackedRequest } from './trackedRequest';
+import { createTrackedRequest, isRepeatAllowed } from './trackedRequest';
 import type { WorkPolicy } from './workPolicy';
 import { defaultWorkPolicy } from './workPolicy';
 import type { WaitingRequest, WorkItem } from './workQueue';
 import { getUrgency, isDueTimeMissed, WorkQueue } from './workQueue';
 
-/** A request that waits here or runs on a target. */
-interface TrackedRequest {
-	readonly request: SchedulableRequest;
-	readonly triedTargets: TargetId[];
-	/** Attempts that the target may have executed. */
-	possibleRuns: number;
-	/** Whether any attempt may have been executed; a refusal then reports an unknown outcome. */
-	mayHaveRun: boolean;
-	runningOn: TargetLoadModel | undefined;
-	hasFirstByte: boolean;
-	lastErrorKind: ErrorKind | undefined;
-}
-
-/** Attempts allowed beyond the maximum of the route, because targets may refuse attempts without executing them. */
-const maxExtraRefusedSends = 2;
-
 /**
  * Maximum number of waiting requests without a target in one pass over the queue. What blocks these mostly blocks the
  * others too, and without the limit every answer would scan a queue of up to thousands of requests.
@@ -112,15 +98,7 @@
 			this.refuse(request, errorKind, 'not sent to any target', false, nowMs);
 			return;
 		}
-		this.requests.set(request.id, {
-			request,
-			triedTargets: [],
-			possibleRuns: 0,
-			mayHaveRun: false,
-			runningOn: undefined,
-			hasFirstByte: false,
-			lastErrorKind: undefined,
-		});
+		this.requests.set(request.id, createTrackedRequest(request));
 		this.queue.add(item, nowMs);
 	}
 
@@ -362,22 +340,8 @@
 	}
 
 	private isRetryAllowed(tracked: TrackedRequest, end: AttemptEnd, nowMs: number): boolean {
-		const { request } = tracked;
-		if (end === AttemptEnd.Answered || end === AttemptEnd.Cancelled) {
-			return false;
-		}
-		const maxAttempts = request.work?.maxAttempts ?? 1;
-		const isRepeatAllowed = tracked.mayHaveRun
-			? request.isRepeatable && tracked.possibleRuns < maxAttempts
-			: true;
-		const isPartlyAnswered = tracked.hasFirstByte && request.work?.isResumable !== true;
-		const isSentTooOften = tracked.triedTargets.length >= maxAttempts + maxExtraRefusedSends;
-		const leftMs = request.deadlineMs - nowMs;
 		return (
-			isRepeatAllowed &&
-			!isPartlyAnswered &&
-			!isSentTooOften &&
-			leftMs > this.policy.retry.minRemainingMs &&
+			isRepeatAllowed(tracked, end, this.policy.retry.minRemainingMs, nowMs) &&
 			(end === AttemptEnd.NotConnected || this.isRetryBudgetAvailable(nowMs))
 		);
 	}
