Exchange views with a few peers after a new manifest, with all only after the first

Cause: the entry exchanged with all contacts whenever a manifest was accepted, while the reason given holds for the first one only: views sent before it report no capacity. A later manifest reaches each entry from the platform or, through any one peer that has it, from the next exchange.

A later manifest is now shared with eight random contacts, which are all contacts of a small fleet. The exchanges that an entry starts and receives for a change no longer grow with the fleet.

immediateExchanges.test.ts: "starts no more exchanges in a fleet of hundreds than in one of dozens" fails with exchanges with all (300 in place of 8).

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -300,8 +300,7 @@
 		this.register(
 			subscribeTo(this.manifests.onDidAccept, ({ manifest }) => {
 				this.callers.setLimits(this.createCallerLimits(manifest.callerLimits));
-				// Views sent before the first manifest report no capacity, so peers would not forward requests here.
-				void this.fleet.exchangeWithAll();
+				void this.fleet.shareManifest();
 			}),
 		);
 		this.register(
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -53,6 +53,8 @@
 
 const { periodMs } = defaultFleetViewParameters;
 const exchangeTimeoutMs = 2_000;
+/** Includes all contacts of a small fleet. In a large one, exchanges of all with all would occupy the processors. */
+const maxManifestExchanges = 8;
 
 /** Exchanges views with the other entries and provides their state. */
 export class EntryFleet extends Disposable implements IEntryDirectory {
@@ -61,6 +63,7 @@
 	private readonly contacts: PeerContacts;
 	private readonly lifecycles: InstanceLifecycles;
 	private readonly liveEntries: LiveEntries;
+	private hasSharedManifest = false;
 	private readonly viewReceived = this.register(new Channel<EntryView>());
 
 	/** Emits each view that is newer than the stored one, with its age on arrival. */
@@ -135,6 +138,20 @@
 		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
 	}
 
+	/**
+	 * Exchanges views immediately after a manifest was accepted: with all contacts after the first one, because earlier
+	 * views of this entry report no capacity, and later with a few, because all entries accept a manifest at the same time.
+	 */
+	async shareManifest(): Promise<void> {
+		if (!this.hasSharedManifest) {
+			this.hasSharedManifest = true;
+			await this.exchangeWithAll();
+			return;
+		}
+		const contacts = this.contacts.pickSome(maxManifestExchanges, this.timers.getNow());
+		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
+	}
+
 	/** Exchanges views with the live entries of a region immediately. */
 	async exchangeWithRegion(region: RegionName): Promise<void> {
 		const regionPeers = this.listLiveIn(region);
--- a/src/entry/node/fleet/peerContacts.ts
+++ b/src/entry/node/fleet/peerContacts.ts
@@ -84,6 +84,16 @@
 		return [...withView, ...this.listWithoutView().map(createListedContact), ...this.listSeeds(nowMs)];
 	}
 
+	/** Selects up to `count` random contacts. */
+	pickSome(count: number, nowMs: number): readonly ExchangeContact[] {
+		const remaining = [...this.listAll(nowMs)];
+		const picked: ExchangeContact[] = [];
+		while (picked.length < count && remaining.length > 0) {
+			picked.push(...remaining.splice(this.random.pickBelow(remaining.length), 1));
+		}
+		return picked;
+	}
+
 	findUrl(instance: InstanceId, nowMs: number): string | undefined {
 		const viewUrl = this.fleetView.find(instance, nowMs)?.view.peerUrl;
 		return viewUrl ?? this.listedInstances.find(({ id }) => id === instance)?.peerUrl;
