Report crashes of targets in one message to each entry of the region

Cause: an entry exchanged views with all entries of its region for each target whose crash it saw, and held the retries of the requests meanwhile.

An entry now reports only the requests that it saw itself, in a message of their own. The first crash is reported at once, crashes within the next second are collected in one report, and no request waits for a collected report. A crash that makes a request refused is reported at once as before, since that is what stops a request that crashes its targets. Entries of the code before do not know the message; they get the sightings with the views, as do entries that could not be reached.

--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -100,6 +100,7 @@
 				return this.fleet?.receiveViews(views) ?? [];
 			},
 			findHold: () => undefined,
+			receiveCrashReport: () => undefined,
 			describeManifest: () => create(FetchManifestResponseSchema, {}),
 			planForwarded: () => err(createRequestError(ErrorKind.Leaving, 'fake peers do not accept requests')),
 			refuseTicketedCall: (_, error) => error,
--- /dev/null
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -0,0 +1,92 @@
+/**
+ * Decides when the crashes that this entry saw are reported to the other entries of its region.
+ *
+ * A request that crashes targets does so one after the other, and each report has to arrive before the request is
+ * sent again. When many targets crash at once, for example with a rack, every entry of the region sees every crash. A
+ * report of each entry to each other entry for each crash would occupy their processors for seconds, in which they read
+ * answers, disconnects and deadlines late.
+ *
+ * Therefore the first crash is reported at once, and crashes that follow shortly are collected in one report for which
+ * no request waits. A crash that leads to the refusal of a request is always reported at once.
+ */
+
+import type { IDisposable } from '../../../base/common/lifecycle';
+import { Disposable, toDisposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { Fingerprint, TargetId } from '../../../core/ids/common/ids';
+import type { CrashSighting } from './quarantine';
+
+/** Sends sightings to the other entries of the region; resolves when they have received them. */
+export type SendSightings = (sightings: readonly CrashSighting[]) => Promise<void>;
+
+/** A target that crashed with requests in flight. */
+export interface ObservedCrash {
+	readonly target: TargetId;
+	readonly fingerprints: readonly Fingerprint[];
+	/** Whether one of the requests is refused from now on. */
+	readonly isRequestRefused: boolean;
+}
+
+interface UnsentSighting {
+	readonly fingerprint: Fingerprint;
+	readonly target: TargetId;
+	readonly seenMs: number;
+}
+
+/** Minimum time between two reports without a refused request. */
+const minReportIntervalMs = 1_000;
+
+/** Reports the crashes that one entry sees. */
+export class CrashReporter extends Disposable {
+	private unsent: UnsentSighting[] = [];
+	private lastReportMs = Number.NEGATIVE_INFINITY;
+	private reportInProgress: Promise<void> = Promise.resolve();
+	private reportTimer: IDisposable | undefined;
+
+	constructor(
+		private readonly sendSightings: SendSightings,
+		private readonly timers: ITimerService,
+	) {
+		super();
+		this.register(
+			toDisposable(() => {
+				this.reportTimer?.dispose();
+			}),
+		);
+	}
+
+	/** Resolves when the other entries have received the crash, or immediately if it is reported later. */
+	async share({ target, fingerprints, isRequestRefused }: ObservedCrash): Promise<void> {
+		const nowMs = this.timers.getNow();
+		this.unsent.push(...fingerprints.map(fingerprint => ({ fingerprint, target, seenMs: nowMs })));
+		const waitMs = this.lastReportMs + minReportIntervalMs - nowMs;
+		if (!isRequestRefused && waitMs > 0) {
+			this.scheduleReport(waitMs);
+			return;
+		}
+		// Crashes seen while a report is on its way are sent together in the next one.
+		await this.reportInProgress;
+		await this.sendUnsent();
+	}
+
+	private scheduleReport(delayMs: number): void {
+		this.reportTimer ??= this.timers.schedule(delayMs, () => {
+			void this.sendUnsent();
+		});
+	}
+
+	private sendUnsent(): Promise<void> {
+		const nowMs = this.timers.getNow();
+		const sightings = this.unsent.map(({ fingerprint, target, seenMs }) => {
+			return { fingerprint, target, ageMs: nowMs - seenMs };
+		});
+		if (sightings.length > 0) {
+			this.unsent = [];
+			this.lastReportMs = nowMs;
+			this.reportInProgress = this.sendSightings(sightings);
+		}
+		this.reportTimer?.dispose();
+		this.reportTimer = undefined;
+		return this.reportInProgress;
+	}
+}
--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -24,7 +24,11 @@
 import type { Readiness } from '../../core/status/common/entryStatus';
 import { TicketResult } from '../../core/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
-import type { EntryView, FetchManifestResponse } from '../../gen/anvilroad/peer/v1/peer_pb';
+import type {
+	EntryView,
+	FetchManifestResponse,
+	ShareCrashesRequest,
+} from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
 import type { IAnswerSink } from '../common/callers/answerSink';
 import type { CallHead, RawHead } from '../common/callers/callHead';
@@ -51,7 +55,7 @@
 
 /** The subsets of other components that the handler uses. */
 export type CallHandlerManifests = Pick<ManifestKeeper, 'getCurrent'>;
-export type CallHandlerFleet = Pick<EntryFleet, 'listCandidates' | 'receiveViews'>;
+export type CallHandlerFleet = Pick<EntryFleet, 'listCandidates' | 'receiveViews' | 'receiveCrashReport'>;
 export type CallHandlerOwnView = Pick<
 	OwnView,
 	'describeCandidate' | 'isLeaving' | 'isRefusing' | 'getLatestEndMs'
@@ -203,6 +207,10 @@
 		return this.fleet.receiveViews(views);
 	}
 
+	receiveCrashReport(report: ShareCrashesRequest): void {
+		this.fleet.receiveCrashReport(report);
+	}
+
 	describeManifest(): FetchManifestResponse {
 		const accepted = this.manifests.getCurrent()?.accepted;
 		return create(FetchManifestResponseSchema, {
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -22,6 +22,7 @@
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
 import { computeAcceptMs } from '../common/leaving/shutdownPlan';
 import { RequestIntake } from '../common/intake/requestIntake';
+import { CrashReporter } from '../common/quarantine/crashReporter';
 import { Quarantine } from '../common/quarantine/quarantine';
 import { HeldBytes } from './callers/bodyReader';
 import type { CallerLimits } from './callers/callerServer';
@@ -120,6 +121,9 @@
 		);
 		this.platform = this.openPlatform();
 		const { targets } = this.platform;
+		const crashReporter = this.register(
+			new CrashReporter(sightings => this.fleet.sendCrashReport(region, sightings), this.timers),
+		);
 		this.runners = this.register(
 			new ServiceRunners(
 				this.manifests,
@@ -128,7 +132,7 @@
 				new CrashDetector(
 					this.quarantine,
 					target => targets.probeForCrash(target),
-					() => this.fleet.exchangeWithRegion(region),
+					crash => crashReporter.share(crash),
 					this.timers,
 				),
 				this.createPolicies(),
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -4,6 +4,7 @@
  * this module connects those decisions to the network, the instance list and the instance lifecycles.
  */
 
+import { create } from '@bufbuild/protobuf';
 import type { Stream } from 'most';
 import { Channel, subscribeTo } from '../../../base/common/channel';
 import { Disposable } from '../../../base/common/lifecycle';
@@ -15,8 +16,9 @@
 import { InstanceLifecycles } from '../../../core/instances/common/instanceLifecycles';
 import type { InstanceList, ListedInstance } from '../../../core/platformClient/common/instanceList';
 import { ListedState } from '../../../core/platformClient/common/instanceList';
-import type { EntryView as WireView } from '../../../gen/anvilroad/peer/v1/peer_pb';
-import type { EntryView } from '../../common/fleetView/entryView';
+import type { EntryView as WireView, ShareCrashesRequest } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import { ShareCrashesRequestSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { CrashSightingView, EntryView } from '../../common/fleetView/entryView';
 import { findRoom } from '../../common/fleetView/entryView';
 import { ExchangePlanner, isFromNewPeer } from '../../common/fleetView/exchangePlanner';
 import type { KnownInstance } from '../../common/fleetView/fleetView';
@@ -31,7 +33,7 @@
 import { PeerContacts } from './peerContacts';
 import { FleetSilenceLimits } from './fleetSilenceLimits';
 import { LiveEntries } from './liveEntries';
-import { decodeView, encodeView } from './viewCodec';
+import { decodeSighting, decodeView, encodeSighting, encodeView } from './viewCodec';
 
 /** Creates the current view of this entry. */
 export type CreateOwnView = () => EntryView;
@@ -51,6 +53,12 @@
 	readonly callerUrl: string;
 }
 
+/** Crashes of targets of a region, as reported by another entry. */
+export interface CrashReport {
+	readonly region: RegionName;
+	readonly sightings: readonly CrashSightingView[];
+}
+
 const { periodMs } = defaultFleetViewParameters;
 const exchangeTimeoutMs = 2_000;
 /** Includes all contacts of a small fleet. In a large one, exchanges of all with all would occupy the processors. */
@@ -69,6 +77,11 @@
 	/** Emits each view that is newer than the stored one, with its age on arrival. */
 	readonly onDidReceive: Stream<EntryView> = this.viewReceived.stream;
 
+	private readonly crashesReported = this.register(new Channel<CrashReport>());
+
+	/** Emits the crashes that other entries report. */
+	readonly onDidReportCrashes: Stream<CrashReport> = this.crashesReported.stream;
+
 	constructor(
 		localEntry: LocalEntry,
 		private readonly createOwnView: CreateOwnView,
@@ -152,12 +165,22 @@
 		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
 	}
 
-	/** Exchanges views with the live entries of a region immediately. */
-	async exchangeWithRegion(region: RegionName): Promise<void> {
-		const regionPeers = this.listLiveIn(region);
-		await Promise.all(
-			regionPeers.map(({ view }) => this.exchangeWith({ instance: view.instance, peerUrl: view.peerUrl })),
-		);
+	/**
+	 * Reports crashes of targets to the live entries of their region; resolves when these have answered. The sightings are
+	 * also part of the next views, for entries that cannot be reached now.
+	 */
+	async sendCrashReport(region: RegionName, sightings: readonly CrashSightingView[]): Promise<void> {
+		const report = create(ShareCrashesRequestSchema, {
+			region,
+			crashSightings: sightings.map(encodeSighting),
+		});
+		await Promise.all(this.listLiveIn(region).map(({ view }) => this.sendReport(view.peerUrl, report)));
+	}
+
+	/** Records crashes that another entry reported. */
+	receiveCrashReport({ region, crashSightings }: ShareCrashesRequest): void {
+		const sightings = crashSightings.map(decodeSighting);
+		this.crashesReported.emit({ region: region as RegionName, sightings });
 	}
 
 	/** Lists all stored views with their current age. */
@@ -274,6 +297,14 @@
 		}
 	}
 
+	private async sendReport(peerUrl: string, report: ShareCrashesRequest): Promise<void> {
+		try {
+			await this.peers.open(peerUrl).client.shareCrashes(report, { timeoutMs: exchangeTimeoutMs });
+		} catch {
+			// The exchanges of views detect unreachable peers, and bring the sightings to those that do not know the call.
+		}
+	}
+
 	private recordExchange(instance: InstanceId | undefined, isSuccessful: boolean): void {
 		if (instance !== undefined) {
 			this.fleetView.recordExchange(instance, isSuccessful);
--- a/src/entry/node/fleet/test/immediateExchanges.test.ts
+++ b/src/entry/node/fleet/test/immediateExchanges.test.ts
@@ -1,8 +1,16 @@
+import { create } from '@bufbuild/protobuf';
+import { subscribeTo } from '../../../../base/common/channel';
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
 import { RingAuditTrail } from '../../../../core/audit/common/ringAuditTrail';
-import type { InstanceId, ZoneName } from '../../../../core/ids/common/ids';
+import type { InstanceId, TargetId, ZoneName } from '../../../../core/ids/common/ids';
+import { ShareCrashesRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import { CrashReporter } from '../../../common/quarantine/crashReporter';
+import { Quarantine } from '../../../common/quarantine/quarantine';
 import type { PeerClients } from '../../peers/peerClients';
+import { CrashDetector } from '../../requests/crashDetector';
+import type { AcceptedCall } from '../../requests/requestRun';
+import type { CrashReport } from '../entryFleet';
 import { EntryFleet } from '../entryFleet';
 import { encodeView } from '../viewCodec';
 import { createView, region } from './views';
@@ -10,12 +18,16 @@
 /** A fleet view of one entry, and the addresses of the peers that it has called. */
 interface RecordedFleet {
 	readonly fleet: EntryFleet;
+	readonly timers: ManualTimerService;
 	/** Returns the peers with which views were exchanged since the last call. */
 	takeContacted(): readonly string[];
+	/** The peers to which crashes were reported. */
+	readonly reportedTo: readonly string[];
 }
 
 function createRecordedFleet(others: number): RecordedFleet {
 	const contacted: string[] = [];
+	const reportedTo: string[] = [];
 	const peers = {
 		open: (peerUrl: string) => ({
 			client: {
@@ -23,6 +35,10 @@
 					contacted.push(peerUrl);
 					return Promise.resolve({ views: [] });
 				},
+				shareCrashes: () => {
+					reportedTo.push(peerUrl);
+					return Promise.resolve({});
+				},
 			},
 		}),
 		closeAbsent: () => undefined,
@@ -44,7 +60,17 @@
 		new RingAuditTrail(100, () => new Date(0)),
 	);
 	fleet.receiveViews(Array.from({ length: others }, (_, index) => encodeView(createView(`entry-${index}`))));
-	return { fleet, takeContacted: () => contacted.splice(0) };
+	return { fleet, timers, takeContacted: () => contacted.splice(0), reportedTo };
+}
+
+function createTargetId(index: number): TargetId {
+	return `engine-${index}` as TargetId;
+}
+
+/** Creates the parts of a call that identify it after a crash. */
+function createCall(body: string): AcceptedCall {
+	const head = { service: 'report-writer', organisation: 'default', method: 'POST', path: '/v1/run' };
+	return { head, body: Buffer.from(body) } as unknown as AcceptedCall;
 }
 
 describe('a new manifest', () => {
@@ -74,3 +100,49 @@
 		expect(await listContactedAfter(300, 1)).toHaveLength(300);
 	});
 });
+
+describe('targets that crash at the same time', () => {
+	const crashCount = 18;
+
+	/** Counts the reports to each other entry until some seconds after the crash. */
+	async function countReportsByPeer(others: number): Promise<ReadonlyMap<string, number>> {
+		const { fleet, timers, takeContacted, reportedTo } = createRecordedFleet(others);
+		const reporter = new CrashReporter(sightings => fleet.sendCrashReport(region, sightings), timers);
+		const detector = new CrashDetector(
+			new Quarantine(),
+			() => Promise.resolve(true),
+			crash => reporter.share(crash),
+			timers,
+		);
+		const calls = Array.from({ length: crashCount }, (_, index) => createCall(`prompt ${index}`));
+		await Promise.all(calls.map((call, index) => detector.checkForCrash(createTargetId(index), [call])));
+		expect(takeContacted()).toEqual([]);
+		timers.advance(5_000);
+		const counts = new Map<string, number>();
+		for (const url of reportedTo) {
+			counts.set(url, (counts.get(url) ?? 0) + 1);
+		}
+		reporter.dispose();
+		return counts;
+	}
+
+	// Guards against event loops that are seconds late after the loss of a rack, because each entry calls each other
+	// entry of its region for each target.
+	it('cause at most two reports to each other entry of the region', async () => {
+		const counts = await countReportsByPeer(27);
+		expect(counts.size).toBe(27);
+		expect(Math.max(...counts.values())).toBeLessThanOrEqual(2);
+	});
+});
+
+describe('a crash report', () => {
+	it('reaches the entries that receive it', () => {
+		const { fleet } = createRecordedFleet(1);
+		const received: CrashReport[] = [];
+		const subscription = subscribeTo(fleet.onDidReportCrashes, report => received.push(report));
+		const crashSightings = [{ fingerprint: 'f', target: 'engine-1', ageMs: 7 }];
+		fleet.receiveCrashReport(create(ShareCrashesRequestSchema, { region, crashSightings }));
+		subscription.dispose();
+		expect(received).toEqual([{ region, sightings: crashSightings }]);
+	});
+});
--- a/src/entry/node/fleet/viewCodec.ts
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -87,11 +87,13 @@
 	return { service: service as ServiceName, room: { waitMs, freeSlots, running, queued, runningPerTarget } };
 }
 
-function encodeSighting({ fingerprint, target, ageMs }: CrashSightingView): WireSighting {
+/** Encodes a crash sighting as a protocol message. */
+export function encodeSighting({ fingerprint, target, ageMs }: CrashSightingView): WireSighting {
 	return create(CrashSightingSchema, { fingerprint, target, ageMs: toUint32(ageMs) });
 }
 
-function decodeSighting({ fingerprint, target, ageMs }: WireSighting): CrashSightingView {
+/** Decodes the crash sighting in a protocol message. */
+export function decodeSighting({ fingerprint, target, ageMs }: WireSighting): CrashSightingView {
 	return { fingerprint: fingerprint as Fingerprint, target: target as TargetId, ageMs };
 }
 
--- a/src/entry/node/peerViewListener.ts
+++ b/src/entry/node/peerViewListener.ts
@@ -7,7 +7,7 @@
 import { Disposable } from '../../base/common/lifecycle';
 import type { ITimerService } from '../../base/common/timerService';
 import type { RegionName } from '../../core/ids/common/ids';
-import type { EntryView } from '../common/fleetView/entryView';
+import type { CrashSightingView, EntryView } from '../common/fleetView/entryView';
 import type { Quarantine } from '../common/quarantine/quarantine';
 import type { EntryFleet } from './fleet/entryFleet';
 import { ManifestFetcher } from './fleet/manifestFetcher';
@@ -42,6 +42,11 @@
 				this.applyView(view);
 			}),
 		);
+		this.register(
+			subscribeTo(fleet.onDidReportCrashes, report => {
+				this.applyCrashSightings(report.region, report.sightings, 0);
+			}),
+		);
 	}
 
 	private applyManifest(): void {
@@ -53,7 +58,7 @@
 
 	private applyView(view: EntryView): void {
 		this.components.targets.noteLeavingReportedByPeer(view.leavingTargets);
-		this.applyCrashSightings(view);
+		this.applyCrashSightings(view.region, view.crashSightings, view.ageMs);
 		const peer = this.components.fleet.findPeer(view.instance);
 		if (peer !== undefined) {
 			void this.manifestFetcher.fetch(view.instance, view.manifestVersion, peer);
@@ -61,13 +66,18 @@
 	}
 
 	/** Ignores crash sightings from other regions, because each target belongs to one region. */
-	private applyCrashSightings(view: EntryView): void {
-		const { quarantine, region, timers } = this.components;
-		if (view.region !== region) {
+	private applyCrashSightings(
+		region: RegionName,
+		sightings: readonly CrashSightingView[],
+		reportAgeMs: number,
+	): void {
+		const { quarantine, region: ownRegion, timers } = this.components;
+		if (region !== ownRegion) {
 			return;
 		}
-		for (const { fingerprint, target, ageMs } of view.crashSightings) {
-			quarantine.noteCrashSighting({ fingerprint, target, ageMs: ageMs + view.ageMs }, timers.getNow());
+		const nowMs = timers.getNow();
+		for (const { fingerprint, target, ageMs } of sightings) {
+			quarantine.noteCrashSighting({ fingerprint, target, ageMs: ageMs + reportAgeMs }, nowMs);
 		}
 	}
 }
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -33,8 +33,13 @@
 	ForwardHead,
 	ForwardRequestRequest,
 	ForwardRequestResponse,
+	ShareCrashesRequest,
+} from '../../../gen/anvilroad/peer/v1/peer_pb';
+import {
+	ExchangeViewsResponseSchema,
+	PeerService,
+	ShareCrashesResponseSchema,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
-import { ExchangeViewsResponseSchema, PeerService } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead, RawHead } from '../../common/callers/callHead';
 import { listForwardedLines } from '../../common/callers/callHead';
@@ -50,6 +55,7 @@
 /** The operations of the entry that the server uses. */
 export interface IPeerHandler {
 	exchangeViews(views: readonly EntryView[]): EntryView[];
+	receiveCrashReport(report: ShareCrashesRequest): void;
 	describeManifest(): FetchManifestResponse;
 	/** Undefined, or a promise that new calls must wait for after startup or a suspension of the process. */
 	findHold(): Promise<void> | undefined;
@@ -80,6 +86,10 @@
 			router.service(PeerService, {
 				exchangeViews: ({ views }) =>
 					create(ExchangeViewsResponseSchema, { views: this.handler.exchangeViews(views) }),
+				shareCrashes: report => {
+					this.handler.receiveCrashReport(report);
+					return create(ShareCrashesResponseSchema);
+				},
 				fetchManifest: () => this.handler.describeManifest(),
 				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
 			});
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -32,6 +32,7 @@
 
 const handler: IPeerHandler = {
 	exchangeViews: failCall,
+	receiveCrashReport: failCall,
 	describeManifest: failCall,
 	planForwarded: failCall,
 	findHold: () => undefined,
--- a/src/entry/node/requests/crashDetector.ts
+++ b/src/entry/node/requests/crashDetector.ts
@@ -9,14 +9,15 @@
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import type { Fingerprint, TargetId } from '../../../core/ids/common/ids';
 import { encodeCallIdentity } from '../../common/atMostOnce/callFingerprint';
+import type { ObservedCrash } from '../../common/quarantine/crashReporter';
 import type { Quarantine } from '../../common/quarantine/quarantine';
 import type { AcceptedCall } from './requestRun';
 
 /** Opens a new connection to the target to determine whether the target is down. */
 export type ProbeForCrash = (target: TargetId) => Promise<boolean>;
 
-/** Sends the recorded crashes to the other entries of the region; resolves when they have received them. */
-export type ShareCrashes = () => Promise<void>;
+/** Reports a crash to the other entries of the region; resolves when requests need not wait for the report any more. */
+export type ShareCrash = (crash: ObservedCrash) => Promise<void>;
 
 const hexRadix = 16;
 
@@ -41,7 +42,7 @@
 	constructor(
 		private readonly quarantine: Quarantine,
 		private readonly probeForCrash: ProbeForCrash,
-		private readonly shareCrashes: ShareCrashes,
+		private readonly shareCrash: ShareCrash,
 		private readonly timers: ITimerService,
 	) {}
 
@@ -89,8 +90,12 @@
 		const hasCrashed = await this.probeForCrash(target);
 		if (hasCrashed) {
 			const fingerprints = inFlight.map(call => this.getFingerprint(call));
-			this.quarantine.noteTargetCrash(target, fingerprints, this.timers.getNow());
-			await this.waitForSharing();
+			const nowMs = this.timers.getNow();
+			this.quarantine.noteTargetCrash(target, fingerprints, nowMs);
+			const isRequestRefused = fingerprints.some(
+				fingerprint => this.quarantine.findRefusal(fingerprint, nowMs) !== undefined,
+			);
+			await this.waitForSharing({ target, fingerprints, isRequestRefused });
 		}
 	}
 
@@ -99,10 +104,10 @@
 	 * the request to another entry as soon as it is answered here. If that entry received the crash only with the
 	 * next periodic exchange of views, a second later, the request could crash one more target.
 	 */
-	private async waitForSharing(): Promise<void> {
+	private async waitForSharing(crash: ObservedCrash): Promise<void> {
 		await new Promise<void>(resolve => {
 			const limit = this.timers.schedule(maxShareWaitMs, resolve);
-			void this.shareCrashes().then(() => {
+			void this.shareCrash(crash).then(() => {
 				limit.dispose();
 				resolve();
 			});
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -95,7 +95,11 @@
 		{ id: own.instance, region, zone, boot: own.boot },
 		new NativeCallerDialect(),
 		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
-		{ listCandidates: () => [createCandidate(neighbour.own.instance)], receiveViews: () => [] },
+		{
+			listCandidates: () => [createCandidate(neighbour.own.instance)],
+			receiveViews: () => [],
+			receiveCrashReport: () => undefined,
+		},
 		{
 			describeCandidate: () => createCandidate(own.instance),
 			isLeaving: () => isLeaving,
