Refuse a request at once when no target can begin its answer by the deadline

A start was placed by the cost of a target alone; the deadline was compared with the time of an idle target only, by a check on a timer, and another attempt needed 30 ms to be left whatever its forecast.

Placing now leaves out targets whose forecast lies after the deadline. If none is left, neither now nor at the end of its pause, the request is refused in the same step: a forecast shrinks no faster than the time that is left. Two exceptions: an answer that has begun is not cut off, and an idle target that was slow may be tried at its usual speed, since only a run can correct the estimate.

startDeadline.test.ts: three of its six tests fail before (the late start, the late retry, the pause that ends too late); the other three hold before and after. Format, types, lint of the folder; tests of workScheduling and of node/requests.

--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -59,10 +59,14 @@
 	/**
 	 * Returns the target with the lowest cost, or undefined if the request should wait. A request waits for a target
 	 * without capacity that is cheaper than all targets with capacity and can still meet the due time: another target
-	 * would have to process the whole prompt and evict a cached part.
+	 * would have to process the whole prompt and evict a cached part. Targets that would begin the answer after its
+	 * deadline are left out, because the run would be cancelled.
 	 */
 	choose(targets: readonly TargetLoadModel[], query: TargetQuery, nowMs: number): TargetChoice | undefined {
-		const candidates = this.listCandidates(targets, query, nowMs);
+		const candidates = this.listCandidates(targets, query, nowMs).filter(
+			({ target, firstByteMs }) =>
+				nowMs + firstByteMs <= query.request.deadlineMs || isUntested(target, query.request, nowMs),
+		);
 		const best = findCheapest(candidates);
 		const bestNow = findCheapest(candidates.filter(({ hasCapacity }) => hasCapacity));
 		if (best === undefined || bestNow === undefined) {
@@ -79,6 +83,22 @@
 		return { target, fetchFrom: fetchSource?.id, fetchedTokens, reason: describeChoice(bestNow, nowMs) };
 	}
 
+	/** Whether a target could begin the answer by the deadline, now or at the end of its current pause. */
+	hasTargetInTime(
+		targets: readonly TargetLoadModel[],
+		{ request, triedTargets }: TargetQuery,
+		nowMs: number,
+	): boolean {
+		const shared = this.findSharedPart(request);
+		return targets
+			.filter(({ id, description }) => !description.isLeaving && !triedTargets.includes(id))
+			.some(target => {
+				const startMs = Math.max(nowMs, target.getNextAvailableMs(nowMs));
+				const firstByteMs = target.estimateFirstByteMs(request, nowMs, shared?.tokens);
+				return startMs + firstByteMs <= request.deadlineMs || isUntested(target, request, startMs);
+			});
+	}
+
 	private listCandidates(
 		targets: readonly TargetLoadModel[],
 		query: TargetQuery,
@@ -152,6 +172,14 @@
 	);
 }
 
+/**
+ * Whether the target runs nothing of this entry and would begin the answer in time at its usual speed. Only a run can
+ * correct the estimate of a target that has been slow, so without this it would never be used again.
+ */
+function isUntested(target: TargetLoadModel, request: SchedulableRequest, nowMs: number): boolean {
+	return target.running === 0 && nowMs + target.computeIdleFirstByteMs(request) <= request.deadlineMs;
+}
+
 function describeChoice(
 	{ target, owner, shared, firstByteMs, prefillMs, fetchSource }: TargetCandidate,
 	nowMs: number,
--- /dev/null
+++ b/src/entry/common/workScheduling/test/startDeadline.test.ts
@@ -0,0 +1,135 @@
+import { SeededRandom } from '../../../../base/common/random';
+import { ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
+import { Outcome } from '../../../../core/errors/common/outcome';
+import type { RequestId, TargetId } from '../../../../core/ids/common/ids';
+import type { PromptShape } from '../../prompts/promptShape';
+import type {
+	SchedulableRequest,
+	ScheduleDecision,
+	SchedulableTarget,
+} from '../../scheduling/serviceScheduler';
+import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
+import { WorkScheduler } from '../workScheduler';
+import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+
+/** Takes 343 ms to process at the assumed speed of an engine. */
+const longTokens = 12_000;
+/** Takes 57 ms to process, and 45 ms more until its first byte. */
+const shortTokens = 2_000;
+
+function createPrompt(id: string, tokens: number): PromptShape {
+	const parts = [{ id: `own-${id}`, tokens }];
+	return { parts, promptTokens: tokens, maxOutputTokens: 100, hintedOutputTokens: undefined };
+}
+
+function createRequest(id: string, tokens: number, deadlineMs: number, nowMs = 0): SchedulableRequest {
+	const kind = { dueAfterMs: 100, deadlineMs, urgency: 1 };
+	const request = createPromptedRequest(id as RequestId, createPrompt(id, tokens), kind, nowMs);
+	return { ...request, isRepeatable: true, work: { ...request.work!, maxAttempts: 3 } };
+}
+
+function createEngines(count: number): SchedulableTarget[] {
+	return Array.from({ length: count }, (_, index) =>
+		createEngineTarget(`engine-${index + 1}`, { slots: 64, cacheTokens: 300_000 }),
+	);
+}
+
+function createScheduler(engines: number): WorkScheduler {
+	const scheduler = new WorkScheduler(new SeededRandom(1), () => 1);
+	scheduler.setTargets(createEngines(engines));
+	return scheduler;
+}
+
+/** Sends a long prompt to each engine, so that the next request waits 343 ms for the first byte of its own. */
+function sendLongPrompts(scheduler: WorkScheduler, engines: number, nowMs = 0): TargetId[] {
+	return Array.from({ length: engines }, (_, index) => {
+		scheduler.submit(createRequest(`long-${index}`, longTokens, 10_000, nowMs), nowMs);
+		const decision = scheduler.advance(nowMs)[0];
+		expect(decision).toMatchObject({ kind: ScheduleDecisionKind.Start });
+		return (decision as Extract<ScheduleDecision, { target: TargetId }>).target;
+	});
+}
+
+function getRefusal(
+	decisions: readonly ScheduleDecision[],
+): { kind: ErrorKind; outcome: Outcome } | undefined {
+	const refusal = decisions.find(decision => decision.kind === ScheduleDecisionKind.Refuse);
+	return refusal && { kind: refusal.error.kind, outcome: getOutcomeOf(refusal.error) };
+}
+
+describe('a request whose first byte is expected after its deadline', () => {
+	// Guards against work for an answer that nobody waits for: the engine still runs the request at its deadline.
+	it('is refused at once as not run', () => {
+		const scheduler = createScheduler(1);
+		sendLongPrompts(scheduler, 1);
+		scheduler.submit(createRequest('short', shortTokens, 300), 1);
+		expect(getRefusal(scheduler.advance(1))).toEqual({
+			kind: ErrorKind.DeadlineUnreachable,
+			outcome: Outcome.NotRun,
+		});
+	});
+
+	// Guards against a retry that the deadline cuts off, sent because only a fixed minimum of time had to be left.
+	it('is not sent to a second target after the first has refused it', () => {
+		const scheduler = createScheduler(2);
+		const request = createRequest('short', shortTokens, 900);
+		scheduler.submit(request, 0);
+		const first = scheduler.advance(0)[0] as Extract<ScheduleDecision, { target: TargetId }>;
+		scheduler.setTargets(
+			createEngines(2).map(engine => ({ ...engine, isLeaving: engine.id === first.target })),
+		);
+		sendLongPrompts(scheduler, 1, 600);
+		expect(scheduler.noteEnd(request.id, AttemptEnd.TargetRefused, 610)).toBe(true);
+		expect(getRefusal(scheduler.advance(610))).toEqual({
+			kind: ErrorKind.TargetRefused,
+			outcome: Outcome.NotRun,
+		});
+	});
+
+	// Guards against waiting for a pause that ends too late, until the caller's time has run out.
+	it('is refused at once if its only target stays paused for too long', () => {
+		const scheduler = createScheduler(1);
+		const request = createRequest('short', shortTokens, 250);
+		scheduler.submit(request, 0);
+		scheduler.advance(0);
+		expect(scheduler.noteEnd(request.id, AttemptEnd.TargetRefused, 60)).toBe(true);
+		expect(getRefusal(scheduler.advance(60))).toMatchObject({ outcome: Outcome.NotRun });
+	});
+});
+
+describe('a request that one of the targets can answer by its deadline', () => {
+	it('is sent to that target', () => {
+		const scheduler = createScheduler(2);
+		const [busy] = sendLongPrompts(scheduler, 1);
+		scheduler.submit(createRequest('short', shortTokens, 300), 1);
+		const [decision] = scheduler.advance(1);
+		expect(decision).toMatchObject({ kind: ScheduleDecisionKind.Start });
+		expect(decision).not.toMatchObject({ target: busy });
+	});
+
+	// Guards against refusals in the pause of a target that would end in time.
+	it('waits for the end of a pause', () => {
+		const scheduler = createScheduler(1);
+		const request = createRequest('short', shortTokens, 2_000);
+		scheduler.submit(request, 0);
+		scheduler.advance(0);
+		scheduler.noteEnd(request.id, AttemptEnd.TargetRefused, 60);
+		expect(scheduler.advance(60)).toEqual([]);
+		expect(scheduler.advance(200)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
+	});
+
+	// Guards against a region that refuses everything for good: without a run, no estimate of a slow target improves.
+	it('is sent to an idle target that was slow before', () => {
+		const scheduler = createScheduler(1);
+		for (let index = 0; index < 100; index++) {
+			const nowMs = index * 10_000;
+			const request = createRequest(`slow-${index}`, shortTokens, 9_000, nowMs);
+			scheduler.submit(request, nowMs);
+			expect(scheduler.advance(nowMs)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
+			scheduler.noteFirstByte(request.id, nowMs + 3_000);
+			scheduler.noteEnd(request.id, AttemptEnd.Answered, nowMs + 3_100);
+		}
+		scheduler.submit(createRequest('next', shortTokens, 500, 1_000_000), 1_000_000);
+		expect(scheduler.advance(1_000_000)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
+	});
+});
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -24,7 +24,7 @@
 import { AttemptEnd, ScheduleDecisionKind } from '../scheduling/serviceScheduler';
 import { QueueEstimates } from './queueEstimates';
 import { FleetRetryBudget } from './fleetRetryBudget';
-import type { TargetChoice } from './targetChooser';
+import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { TargetLoadModel } from './targetLoadModel';
 import type { TrackedRequest } from './trackedRequest';
@@ -294,28 +294,30 @@
 			if (item === undefined || tracked === undefined) {
 				return;
 			}
-			const choice = this.chooseTarget(tracked, item, nowMs);
-			if (choice === undefined) {
+			const query = this.createQuery(tracked, item);
+			const choice = this.targetChooser.choose(this.targetList, query, nowMs);
+			if (choice !== undefined) {
+				this.start(tracked, item, choice, nowMs);
+			} else if (this.isAnswerableInTime(tracked, query, nowMs)) {
 				unplaced++;
 			} else {
-				this.start(tracked, item, choice, nowMs);
+				this.refuseWaiting(item.request, nowMs);
 			}
 		}
 	}
 
 	/** Excludes targets that were already tried, unless no other target remains. */
-	private chooseTarget(
-		tracked: TrackedRequest,
-		{ isLate }: WaitingRequest,
-		nowMs: number,
-	): TargetChoice | undefined {
-		const { request, triedTargets } = tracked;
+	private createQuery({ request, triedTargets }: TrackedRequest, { isLate }: WaitingRequest): TargetQuery {
 		const isIsolated = request.isKeptApart?.() === true;
 		const hasUntriedTarget = this.targetList.some(
 			({ id, description }) => !description.isLeaving && !triedTargets.includes(id),
 		);
-		const query = { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
-		return this.targetChooser.choose(this.targetList, query, nowMs);
+		return { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
+	}
+
+	/** Always true once the answer has begun, because a refusal would cut it off. */
+	private isAnswerableInTime({ hasFirstByte }: TrackedRequest, query: TargetQuery, nowMs: number): boolean {
+		return hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs);
 	}
 
 	private start(
