Cancel the run of a disconnected caller in the turn that reads the close

Targets went on with requests whose callers had left. The sink watched the event "close" of the response. At an entry whose turns take a second, that is a second of work for nobody. The sink now watches the end of the socket too, and takes its listener off when the response is closed.

--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -68,11 +68,18 @@
 	}
 
 	watchAbandoned(notify: () => void): void {
-		this.response.once('close', () => {
+		const { socket } = this.request;
+		const handleClose = (): void => {
 			if (!this.isEnded) {
 				this.isEnded = true;
 				notify();
 			}
+		};
+		// The response emits its event only after the server has closed its side too, in a later turn of the event loop.
+		socket.once('end', handleClose);
+		this.response.once('close', () => {
+			socket.removeListener('end', handleClose);
+			handleClose();
 		});
 	}
 
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -156,3 +156,32 @@
 		expect(fixture.flow.attempts.length).toBeLessThanOrEqual(1);
 	});
 });
+
+describe('a caller that closes its connection', () => {
+	// Guards against a target that goes on until the next turn of a slow event loop after the close has been read.
+	it('has its running request cancelled in the turn that reads the close', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { port } = await startServer(fixture);
+		const accepted: Socket[] = [];
+		const addAccepted = (message: unknown): void => {
+			accepted.push((message as { socket: Socket }).socket);
+		};
+		subscribe('net.server.socket', addAccepted);
+		const caller = connect(port, '127.0.0.1');
+		owned.add(toDisposable(() => caller.destroy()));
+		caller.write(
+			'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\n' +
+				'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork',
+		);
+		while (fixture.flow.attempts.length === 0) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		unsubscribe('net.server.socket', addAccepted);
+		const attempt = fixture.flow.attempts[0]!;
+		attempt.observer.noteHandedOver();
+		const closeRead = once(accepted[0]!, 'end').then(async () => new Promise(setImmediate));
+		caller.end();
+		await closeRead;
+		expect(attempt.cancelled).toBeDefined();
+	});
+});
