--- /dev/null
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -0,0 +1,221 @@
+import { SeededRandom } from '../../../../base/common/random';
+import { createRequestError, ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
+import { Outcome } from '../../../../core/errors/common/outcome';
+import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
+import type { InstanceId, ManifestVersion, RegionName, RequestId } from '../../../../core/ids/common/ids';
+import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import type {
+	ForwardRequestRequest,
+	ForwardRequestResponse,
+} from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
+import type { RemoteOffer } from '../../../common/sendAway/sendAwayPolicy';
+import { WorkScheduler } from '../../../common/workScheduling/workScheduler';
+import type { PeerConnection } from '../../peers/peerClients';
+import { createFaultMessage } from '../../peers/peerSink';
+import type { TicketService } from '../../tickets/ticketService';
+import type { IRouterContext } from '../requestRouter';
+import { RequestRouter } from '../requestRouter';
+import type { AcceptedCall, RequestEnd } from '../requestRun';
+import { RequestRun } from '../requestRun';
+import type { Flow } from './flowFixtures';
+import { CapturingSink, createCall, createFlow, createObserver, createPlan } from './flowFixtures';
+
+const region = 'kingston' as RegionName;
+const peerInstance = 'entry-9' as InstanceId;
+const timeLimitMs = 1_500;
+
+const offer: RemoteOffer = {
+	instance: peerInstance,
+	region: 'montego' as RegionName,
+	room: { waitMs: 10, freeSlots: 4, running: 0, queued: 0 },
+	ageMs: 0,
+	oneWayMs: 55,
+	linkBytesPerMs: 100,
+};
+
+/** A peer that connects and answers when the test says so. */
+interface ScriptedPeer {
+	readonly connection: PeerConnection;
+	readonly requests: ForwardRequestRequest[];
+	acceptConnection(): void;
+	answer(message: ForwardRequestResponse): void;
+	isCancelled(): boolean;
+}
+
+function createPeer(): ScriptedPeer {
+	const requests: ForwardRequestRequest[] = [];
+	let resolveConnect: (state: string) => void = () => undefined;
+	let resolveAnswer: (message: ForwardRequestResponse) => void = () => undefined;
+	let isCancelled = false;
+	const connected = new Promise<string>(resolve => {
+		resolveConnect = resolve;
+	});
+	const forwardRequest = async function* forward(
+		sent: AsyncIterable<ForwardRequestRequest>,
+		{ signal }: { signal: AbortSignal },
+	): AsyncGenerator<ForwardRequestResponse> {
+		for await (const message of sent) {
+			requests.push(message);
+		}
+		yield await new Promise<ForwardRequestResponse>((resolve, reject) => {
+			resolveAnswer = resolve;
+			signal.addEventListener('abort', () => {
+				isCancelled = true;
+				reject(new Error('cancelled'));
+			});
+		});
+	};
+	return {
+		connection: {
+			session: { connect: () => connected },
+			client: { forwardRequest },
+		} as unknown as PeerConnection,
+		requests,
+		acceptConnection: () => {
+			resolveConnect('open');
+		},
+		answer: message => {
+			resolveAnswer(message);
+		},
+		isCancelled: () => isCancelled,
+	};
+}
+
+interface ForwardFixture {
+	readonly flow: Flow;
+	readonly peer: ScriptedPeer;
+	readonly ends: RequestEnd[];
+	/** Dispatches a request that the policy sends to the peer. */
+	dispatch(): CapturingSink;
+	/** Advances the clock, then lets pending promises run. */
+	advance(durationMs: number): Promise<void>;
+}
+
+function createFixture(): ForwardFixture {
+	const flow = createFlow(1, RepeatRule.Idempotent, new WorkScheduler(new SeededRandom(7), () => 1));
+	const { timers } = flow;
+	const peer = createPeer();
+	const ends: RequestEnd[] = [];
+	const journal = new RingRequestJournal(100, () => new Date(0));
+	const context = {
+		getRunner: () => flow.runner,
+		getSendAwayPolicy: () => ({
+			decide: () => ({ sendTo: peerInstance, reason: 'sooner there' }),
+			recordEnd: () => undefined,
+		}),
+		listOffers: () => [offer],
+		findOwnerRegion: () => undefined,
+		findPeer: () => peer.connection,
+		findRegion: () => undefined,
+		describeSender: () => ({
+			instance: 'entry-1' as InstanceId,
+			region,
+			manifestVersion: 1 as ManifestVersion,
+		}),
+		openRun: (call: AcceptedCall, sink: CapturingSink) => {
+			journal.open(call.id, { service: 'bookings', organisation: 'a', requestClass: 'normal' }, 0);
+			return new RequestRun(call, new RequestLifecycle(), sink, journal, timers, createObserver(ends, []));
+		},
+	} as unknown as IRouterContext;
+	const router = new RequestRouter(context, {} as unknown as TicketService, timers);
+	const plan = { ...createPlan(RepeatRule.Idempotent), homeRegion: undefined };
+	return {
+		flow,
+		peer,
+		ends,
+		dispatch: () => {
+			const sink = new CapturingSink();
+			const nowMs = timers.getNow();
+			const call = createCall('forwarded-1' as RequestId, plan, 'work', nowMs);
+			router.dispatch({ ...call, deadlineMs: nowMs + timeLimitMs }, sink);
+			return sink;
+		},
+		advance: async durationMs => {
+			timers.advance(durationMs);
+			await flow.waitForPromises();
+		},
+	};
+}
+
+function createGiveBack(): ForwardRequestResponse {
+	return createFaultMessage(
+		createRequestError(ErrorKind.DeadlineUnreachable, 'no target had capacity in time'),
+	);
+}
+
+describe('a request that was forwarded to a peer', () => {
+	// Guards against a run at home after the deadline, when no connection to the peer came about until then.
+	it('is refused at its deadline as not run while the connection is still being opened', async () => {
+		const { flow, dispatch, advance } = createFixture();
+		const sink = dispatch();
+		await advance(timeLimitMs - 5);
+		flow.submit();
+		const startedBefore = flow.attempts.length;
+		await advance(5);
+		expect(flow.attempts).toHaveLength(startedBefore);
+		expect(sink.refusal && getOutcomeOf(sink.refusal)).toBe(Outcome.NotRun);
+	});
+
+	// Guards against a run that is cut off by the deadline, after a peer that is behind has given the request back late.
+	it('is refused at once as not run if too little time is left when it is given back', async () => {
+		const { flow, peer, dispatch, advance } = createFixture();
+		const sink = dispatch();
+		peer.acceptConnection();
+		await advance(timeLimitMs - 60);
+		flow.submit();
+		const startedBefore = flow.attempts.length;
+		await advance(10);
+		peer.answer(createGiveBack());
+		await advance(0);
+		expect(flow.attempts).toHaveLength(startedBefore);
+		expect(sink.refusal && getOutcomeOf(sink.refusal)).toBe(Outcome.NotRun);
+	});
+
+	it('is run at home if enough time is left when it is given back', async () => {
+		const { flow, peer, dispatch, advance } = createFixture();
+		dispatch();
+		peer.acceptConnection();
+		await advance(100);
+		peer.answer(createGiveBack());
+		await advance(0);
+		expect(flow.attempts).toHaveLength(1);
+	});
+
+	// Guards against a caller that gets no answer at its deadline because the peer is behind.
+	it('is refused and cancelled at its deadline while the peer does not answer', async () => {
+		const { flow, peer, dispatch, advance } = createFixture();
+		const sink = dispatch();
+		peer.acceptConnection();
+		await advance(0);
+		await advance(timeLimitMs);
+		expect(sink.refusal?.kind).toBe(ErrorKind.DeadlineExceeded);
+		expect(peer.isCancelled()).toBe(true);
+		expect(flow.attempts).toEqual([]);
+	});
+
+	// Guards against a run at home for a caller that left while the peer kept the request.
+	it('is not run at home if its caller left before it was given back', async () => {
+		const { flow, peer, ends, dispatch, advance } = createFixture();
+		const sink = dispatch();
+		peer.acceptConnection();
+		await advance(100);
+		sink.abandon?.();
+		expect(peer.isCancelled()).toBe(true);
+		peer.answer(createGiveBack());
+		await advance(100);
+		expect(flow.attempts).toEqual([]);
+		expect(ends[0]?.errorKind).toBe(ErrorKind.CallerGone);
+	});
+
+	it('is not sent if its caller leaves while the connection is being opened', async () => {
+		const { flow, peer, dispatch, advance } = createFixture();
+		const sink = dispatch();
+		await advance(100);
+		sink.abandon?.();
+		peer.acceptConnection();
+		await advance(100);
+		expect(peer.requests).toEqual([]);
+		expect(flow.attempts).toEqual([]);
+	});
+});
