Tell a peer in what time it has to start a forwarded request

A peer kept what it could not start for four tenths of the time that was left, whatever the sender's region could have done meanwhile, and the sender waited up to 2 s for a connection.

A forwarded request now carries the time in which the peer has to start it: no longer than the sender's region would have needed, less the round trip, and early enough that this region can still answer. Without such time (the region cannot serve it, or not any more) there is no limit, as before. The peer refuses as not run what is not started by then, and at once what its queue already delays further; it keeps what may have run, because the sender would count its attempts anew. The sender waits no longer for a connection either. Senders and receivers of the code before understand each other: the field is optional.

Fail before: two tests of startDeadline.test.ts, two of forwardedRequests.test.ts (one waited 2 s for a connection). The test of a connection that is pending at the deadline now uses a request too short for a run at home; it still fails on. Types, lint and the tests of scheduling, requests and peers.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -17,6 +17,8 @@
 	readonly requestClass: RequestClass;
 	readonly arrivedMs: number;
 	readonly deadlineMs: number;
+	/** When a request of another region has to be refused unless it has started. */
+	readonly startByMs?: number;
 	/** Identifies the prompt prefix shared with other requests, if the caller gave one. */
 	readonly prefixKey: string | undefined;
 	readonly bodyBytes: number;
--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -6,7 +6,7 @@
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
-import type { WorkItem, WorkQueue } from './workQueue';
+import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
 import { getUrgency } from './workQueue';
 
 /** Bounds of the retry delay of refused callers, in milliseconds. */
@@ -71,6 +71,16 @@
 		return this.queue.sumWorkAheadMs(getUrgency(request), isLate) / (availableTargets * share);
 	}
 
+	/** Whether a waiting request of another region is expected to start by the time at which it is given back. */
+	isStartExpectedInTime({ request, workMs, isLate }: WaitingRequest, nowMs: number): boolean {
+		if (request.startByMs === undefined) {
+			return true;
+		}
+		const available = this.targets.filter(target => target.isAvailable(nowMs));
+		const othersMs = this.queue.sumWorkAheadMs(getUrgency(request), isLate) - workMs;
+		return nowMs + othersMs / Math.max(1, available.length) <= request.startByMs;
+	}
+
 	/** Returns the delay until the current queue is served or the first target accepts requests, if that is later. */
 	computeRetryAfterMs(request: SchedulableRequest, nowMs: number): number {
 		const queueWaitMs = this.estimateWaitMs(request, true, nowMs);
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -107,6 +107,7 @@
 			this.lastCheckMs = nowMs;
 			this.updateTypicalSlowness();
 			this.checkWaiting(nowMs);
+			this.refuseUnstarted(nowMs);
 		}
 		this.startWaiting(nowMs);
 		const { decisions } = this;
@@ -278,6 +279,16 @@
 		}
 	}
 
+	/** Refuses requests of other regions that could not be started in time, so that these regions can serve them. */
+	private refuseUnstarted(nowMs: number): void {
+		for (const { request } of this.queue.list()) {
+			const mayHaveRun = this.requests.get(request.id)?.mayHaveRun === true;
+			if (!mayHaveRun && request.startByMs !== undefined && nowMs > request.startByMs) {
+				this.refuseWaiting(request, nowMs);
+			}
+		}
+	}
+
 	private refuseWaiting(request: SchedulableRequest, nowMs: number): void {
 		const tracked = this.requests.get(request.id);
 		this.queue.remove(request.id);
@@ -298,7 +309,7 @@
 			const choice = this.targetChooser.choose(this.targetList, query, nowMs);
 			if (choice !== undefined) {
 				this.start(tracked, item, choice, nowMs);
-			} else if (this.isAnswerableInTime(tracked, query, nowMs)) {
+			} else if (this.isWorthKeeping(tracked, item, query, nowMs)) {
 				unplaced++;
 			} else {
 				this.refuseWaiting(item.request, nowMs);
@@ -315,9 +326,21 @@
 		return { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
 	}
 
-	/** Always true once the answer has begun, because a refusal would cut it off. */
-	private isAnswerableInTime({ hasFirstByte }: TrackedRequest, query: TargetQuery, nowMs: number): boolean {
-		return hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs);
+	/**
+	 * Whether a request without a target is expected to start and to be answered in time. A request that may have run is
+	 * not given back to its region, which could run it more often than allowed, and an answer that has begun is not cut
+	 * off.
+	 */
+	private isWorthKeeping(
+		{ mayHaveRun, hasFirstByte }: TrackedRequest,
+		item: WaitingRequest,
+		query: TargetQuery,
+		nowMs: number,
+	): boolean {
+		const isStartExpected = mayHaveRun || this.estimates.isStartExpectedInTime(item, nowMs);
+		return (
+			isStartExpected && (hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs))
+		);
 	}
 
 	private start(
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -26,6 +26,8 @@
 	readonly to: InstanceId;
 	readonly peer: PeerConnection;
 	readonly reason: string;
+	/** When the peer has to give the request back unless it has started it, in monotonic milliseconds. */
+	readonly startByMs?: number;
 }
 
 /** The forwarding entry and its manifest version. */
@@ -115,7 +117,8 @@
 	 * the request would wait past its deadline, its caller would get no answer and a leaving entry could not stop.
 	 */
 	private async openConnection(): Promise<ConnectState> {
-		const limitMs = Math.min(maxConnectMs, this.run.getRemainingMs());
+		const startLimitMs = this.computeStartLimitMs() ?? Number.POSITIVE_INFINITY;
+		const limitMs = Math.min(maxConnectMs, this.run.getRemainingMs(), startLimitMs);
 		return new Promise(resolve => {
 			const limit = this.timers.schedule(limitMs, () => {
 				resolve('error');
@@ -221,8 +224,15 @@
 		await Promise.resolve();
 	}
 
+	/** Returns the time left for the peer to start the request, or undefined if it is unlimited. */
+	private computeStartLimitMs(): number | undefined {
+		const { startByMs } = this.route;
+		return startByMs === undefined ? undefined : Math.max(0, startByMs - this.timers.getNow());
+	}
+
 	private createHead(): ForwardRequestRequest {
 		const { id, head } = this.run.call;
+		const startWithinMs = this.computeStartLimitMs();
 		return create(ForwardRequestRequestSchema, {
 			part: {
 				case: 'head',
@@ -244,6 +254,7 @@
 					manifestVersion: BigInt(this.sender.manifestVersion),
 					host: head.routed?.host ?? '',
 					lastEventId: this.run.getLastEventId() ?? '',
+					...(startWithinMs === undefined ? {} : { startWithinMs: Math.floor(startWithinMs) }),
 				},
 			},
 		});
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -252,6 +252,7 @@
 		arrivedMs,
 		deadlineMs: arrivedMs + message.remainingMs,
 		isDeadlineGiven: message.isDeadlineGiven,
+		...(message.startWithinMs === undefined ? {} : { startByMs: arrivedMs + message.startWithinMs }),
 		origin: { instance: message.fromInstance as InstanceId, region: message.fromRegion as RegionName },
 	};
 }
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -13,6 +13,7 @@
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import { isAllowedRegion } from '../../common/placement/callPlan';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
+import { computeRemoteStartLimitMs } from '../../common/sendAway/remoteStartLimit';
 import type {
 	ISendAwayPolicy,
 	OwnerRegion,
@@ -148,7 +149,21 @@
 		if (decision.sendTo === undefined || peer === undefined) {
 			return false;
 		}
-		void this.sendAway(run, { to: decision.sendTo, peer, reason: decision.reason }, triedEntries);
+		const oneWayMs = question.offers.find(({ instance }) => instance === decision.sendTo)?.oneWayMs ?? 0;
+		const startLimitMs = question.isUnservedHere
+			? undefined
+			: computeRemoteStartLimitMs({
+					remainingMs: run.getRemainingMs(),
+					localFirstByteMs: question.localRoom.waitMs,
+					oneWayMs,
+				});
+		const route = {
+			to: decision.sendTo,
+			peer,
+			reason: decision.reason,
+			...(startLimitMs === undefined ? {} : { startByMs: this.timers.getNow() + startLimitMs }),
+		};
+		void this.sendAway(run, route, triedEntries);
 		return true;
 	}
 
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -37,6 +37,8 @@
 	/** Whether the caller set the deadline. A default deadline never cuts off an answer that has started. */
 	readonly isDeadlineGiven: boolean;
 	readonly origin: ForwardOrigin | undefined;
+	/** When a request that was forwarded to this entry has to be given back unless it has started. */
+	readonly startByMs?: number;
 }
 
 /** How a request ended, for the metrics. */
--- a/src/entry/node/requests/schedulableRequest.ts
+++ b/src/entry/node/requests/schedulableRequest.ts
@@ -9,7 +9,7 @@
 
 /** Creates the scheduler's representation of a request. */
 export function createSchedulable(run: RequestRun): SchedulableRequest {
-	const { id, head, plan, body, arrivedMs, deadlineMs } = run.call;
+	const { id, head, plan, body, arrivedMs, deadlineMs, startByMs } = run.call;
 	const { routed } = head;
 	return {
 		id,
@@ -21,6 +21,7 @@
 		bodyBytes: body.byteLength,
 		isRepeatable: plan.repeat === RepeatRule.Idempotent,
 		organisationWeight: plan.organisation.weight,
+		...(startByMs === undefined ? {} : { startByMs }),
 		...(routed === undefined ? {} : { work: createWork(routed, arrivedMs) }),
 	};
 }
