Read the sockets once more before requests are started by an event loop that is behind

Targets received requests of callers that had left over half a second before. A process that is short of processor time reads everything late, in the order that Node has: timers, then sockets, and of each socket one piece. So a timer or the end of another request started what was waiting although the caller's close was readable.

While a timer is over 100 ms late, runners and the router now wait for one more poll before they start, forward or retry anything. The closes and deadlines that were due by then have been handled. An event loop that keeps up starts requests at once, as before; the lag is taken from the tick that the detection of suspensions has already.

Open: one poll is waited for, not several, and a connection to a target that comes about in a late turn is written to at once. Types, lint and the tests of requests and callers.

--- /dev/null
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -0,0 +1,89 @@
+/**
+ * Delays the start of requests while the event loop is behind, until it has read its sockets once more.
+ *
+ * A process short of processor time reads everything late. After a turn of two seconds, a timer or the end of another
+ * request starts a waiting request although the caller has closed its connection a second ago: the close is readable,
+ * but its socket is read later in the turn or, if the request itself was read in this turn, in the next one. The target
+ * then begins to work for nobody. Starting after one more poll lets the closes go first.
+ */
+
+import { subscribeTo } from '../../../base/common/channel';
+import { Disposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { ITurnScheduler } from './requestIntake';
+
+/** Delays starts while the event loop is behind. */
+export interface IStartGate {
+	/** Calls `start` immediately, or once the sockets have been read again if the event loop is behind. */
+	run(start: () => void): void;
+}
+
+/** Shared with the detection of suspensions, which checks the clock at the same interval. */
+const checkIntervalMs = 250;
+/** A timer that is late by more than this shows that the event loop is behind. */
+const maxLagMs = 100;
+
+/** Measures the lag of the event loop by a timer. */
+export class LoopLagGate extends Disposable implements IStartGate {
+	private lastTickMs: number;
+	private isBehind = false;
+	private readonly waiting: (() => void)[] = [];
+
+	constructor(
+		private readonly turnScheduler: ITurnScheduler,
+		private readonly timers: ITimerService,
+	) {
+		super();
+		this.lastTickMs = timers.getNow();
+		this.register(
+			subscribeTo(timers.watchTicks(checkIntervalMs), ({ nowMs }) => {
+				this.checkLag();
+				this.lastTickMs = nowMs;
+			}),
+		);
+	}
+
+	run(start: () => void): void {
+		this.checkLag();
+		if (!this.isBehind) {
+			start();
+			return;
+		}
+		this.waiting.push(start);
+		if (this.waiting.length === 1) {
+			this.waitForPoll(() => {
+				this.startWaiting();
+			});
+		}
+	}
+
+	private checkLag(): void {
+		const lagMs = this.timers.getNow() - this.lastTickMs - checkIntervalMs;
+		if (lagMs > maxLagMs && !this.isBehind) {
+			this.isBehind = true;
+			this.waitForPoll(() => {
+				this.isBehind = false;
+			});
+		}
+	}
+
+	private startWaiting(): void {
+		for (const start of this.waiting.splice(0)) {
+			start();
+		}
+	}
+
+	/** The first of the two callbacks may follow a poll that has begun already. */
+	private waitForPoll(run: () => void): void {
+		this.turnScheduler.schedule(() => {
+			this.turnScheduler.schedule(run);
+		});
+	}
+}
+
+/** Delays nothing. */
+export const openStartGate: IStartGate = {
+	run: start => {
+		start();
+	},
+};
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -21,6 +21,7 @@
 import { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
 import { computeAcceptMs } from '../common/leaving/shutdownPlan';
+import { LoopLagGate } from '../common/intake/loopLagGate';
 import { RequestIntake } from '../common/intake/requestIntake';
 import { Quarantine } from '../common/quarantine/quarantine';
 import { HeldBytes } from './callers/bodyReader';
@@ -73,6 +74,7 @@
 	private readonly manifests: ManifestKeeper;
 	private readonly peers: PeerClients;
 	private readonly fleet: EntryFleet;
+	private readonly startGate: LoopLagGate;
 	private readonly runners: ServiceRunners;
 	private readonly ownView: OwnView;
 	private readonly activeRuns: ActiveRuns;
@@ -120,6 +122,8 @@
 		);
 		this.platform = this.openPlatform();
 		const { targets } = this.platform;
+		const turnScheduler = new ImmediateTurnScheduler();
+		this.startGate = this.register(new LoopLagGate(turnScheduler, this.timers));
 		this.runners = this.register(
 			new ServiceRunners(
 				this.manifests,
@@ -133,6 +137,7 @@
 				),
 				this.createPolicies(),
 				this.timers,
+				this.startGate,
 			),
 		);
 		this.ownView = new OwnView(settings, this.bootId, {
@@ -147,7 +152,7 @@
 		this.sleepDetector = this.register(this.createSleepDetector());
 		this.startHold = this.register(this.createStartHold());
 		this.callHandler = this.createCallHandler();
-		const intake = new RequestIntake(new ImmediateTurnScheduler(), this.timers, this.random, waitedMs => {
+		const intake = new RequestIntake(turnScheduler, this.timers, this.random, waitedMs => {
 			this.metrics.noteStartWait(waitedMs);
 		});
 		this.callers = new CallerServer(
@@ -376,7 +381,7 @@
 			this.metrics,
 			this.timers,
 		);
-		const router = new RequestRouter(context, this.tickets, this.timers);
+		const router = new RequestRouter(context, this.tickets, this.timers, this.startGate);
 		return new CallHandler(
 			{ ...this.settings.instance, boot: this.bootId },
 			this.environment.callers,
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -11,6 +11,7 @@
 import { RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
 import type { IAnswerSink } from '../../common/callers/answerSink';
+import type { IStartGate } from '../../common/intake/loopLagGate';
 import { isAllowedRegion } from '../../common/placement/callPlan';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import { computeRemoteStartLimitMs } from '../../common/sendAway/remoteStartLimit';
@@ -66,6 +67,7 @@
 		private readonly context: IRouterContext,
 		tickets: TicketService,
 		private readonly timers: ITimerService,
+		private readonly startGate: IStartGate,
 	) {
 		this.tickets = new TicketRouter(context, tickets, this, timers);
 	}
@@ -107,6 +109,15 @@
 
 	/** Routes a request that has no ticket, or needs none because it may be repeated. */
 	private dispatchUnticketed(run: RequestRun): void {
+		this.startGate.run(() => {
+			this.sendUnticketed(run);
+		});
+	}
+
+	private sendUnticketed(run: RequestRun): void {
+		if (run.hasEnded()) {
+			return;
+		}
 		const { plan, origin } = run.call;
 		const mayLeaveRegion = plan.homeRegion === undefined && origin === undefined;
 		if (mayLeaveRegion && this.startSendAway(run, [])) {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -11,6 +11,7 @@
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { RequestId, TargetId } from '../../../core/ids/common/ids';
 import type { AnswerHead } from '../../common/callers/answerSink';
+import type { IStartGate } from '../../common/intake/loopLagGate';
 import type { AnswerMetadata, ITargetDialect } from '../../common/dialect/targetDialect';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import type {
@@ -44,6 +45,7 @@
 	private dueTimer: IDisposable | undefined;
 	private hasUsableTarget = false;
 	private isAdvancing = false;
+	private isAdvancePending = false;
 	private mustAdvanceAgain = false;
 
 	constructor(
@@ -52,6 +54,7 @@
 		private readonly crashDetector: CrashDetector,
 		private readonly dialect: ITargetDialect,
 		private readonly timers: ITimerService,
+		private readonly startGate: IStartGate,
 	) {
 		super();
 	}
@@ -213,11 +216,23 @@
 		return `${room.queued} waiting, ${room.running} running, ${Math.round(room.waitMs)} ms predicted wait`;
 	}
 
+	/** Advances the scheduler, or does so once the sockets have been read if the event loop is behind. */
+	private advance(): void {
+		if (this.isAdvancePending) {
+			return;
+		}
+		this.isAdvancePending = true;
+		this.startGate.run(() => {
+			this.isAdvancePending = false;
+			this.advanceNow();
+		});
+	}
+
 	/**
 	 * Applies the scheduler's decisions until none is left. Applying a decision can call this method again, and
 	 * such a nested call only makes the outer loop run once more.
 	 */
-	private advance(): void {
+	private advanceNow(): void {
 		if (this.isAdvancing) {
 			this.mustAdvanceAgain = true;
 			return;
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -6,6 +6,7 @@
 import { subscribeTo } from '../../../base/common/channel';
 import { Disposable, DisposableStore } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
+import type { IStartGate } from '../../common/intake/loopLagGate';
 import type { ServiceName } from '../../../core/ids/common/ids';
 import type { ITargetDialect } from '../../common/dialect/targetDialect';
 import type { IServiceScheduler } from '../../common/scheduling/serviceScheduler';
@@ -44,6 +45,7 @@
 		private readonly crashDetector: CrashDetector,
 		private readonly policies: IServicePolicies,
 		private readonly timers: ITimerService,
+		private readonly startGate: IStartGate,
 	) {
 		super();
 		this.register(
@@ -85,6 +87,7 @@
 				this.crashDetector,
 				this.policies.targets,
 				this.timers,
+				this.startGate,
 			),
 		);
 		const opened = { runner, sendAway: this.policies.createSendAway() };
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -18,6 +18,8 @@
 import { RequestClass } from '../../../../core/requests/common/requestClass';
 import type { AnswerHead, IAnswerSink } from '../../../common/callers/answerSink';
 import { NativeTargetDialect } from '../../../common/dialect/nativeTargetDialect';
+import type { IStartGate } from '../../../common/intake/loopLagGate';
+import { openStartGate } from '../../../common/intake/loopLagGate';
 import { planCall } from '../../../common/placement/callPlan';
 import { ManifestIndex } from '../../../common/placement/manifestIndex';
 import { Quarantine } from '../../../common/quarantine/quarantine';
@@ -155,8 +157,9 @@
 	targets: number,
 	repeat = RepeatRule.Idempotent,
 	scheduler: IServiceScheduler = new ServiceScheduler(new SeededRandom(7)),
+	timers = new ManualTimerService(),
+	startGate: IStartGate = openStartGate,
 ): Flow {
-	const timers = new ManualTimerService();
 	const attempts: CapturedAttempt[] = [];
 	const renewedTargets: TargetId[] = [];
 	const crashedTargets = new Set<TargetId>();
@@ -180,7 +183,14 @@
 		noteAnswerHead: () => undefined,
 		noteAttemptEnd: () => undefined,
 	};
-	const runner = new ServiceRunner(scheduler, directory, crashDetector, new NativeTargetDialect(), timers);
+	const runner = new ServiceRunner(
+		scheduler,
+		directory,
+		crashDetector,
+		new NativeTargetDialect(),
+		timers,
+		startGate,
+	);
 	const zone = 'kingston-a' as ZoneName;
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
 	const journal = new RingRequestJournal(100, () => new Date(0));
--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -9,6 +9,7 @@
 	ForwardRequestRequest,
 	ForwardRequestResponse,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import { openStartGate } from '../../../common/intake/loopLagGate';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import type { RemoteOffer } from '../../../common/sendAway/sendAwayPolicy';
 import { WorkScheduler } from '../../../common/workScheduling/workScheduler';
@@ -93,7 +94,7 @@
 	advance(durationMs: number): Promise<void>;
 }
 
-function createFixture(): ForwardFixture {
+function createFixture(startGate = openStartGate): ForwardFixture {
 	const flow = createFlow(1, RepeatRule.Idempotent, new WorkScheduler(new SeededRandom(7), () => 1));
 	const { timers } = flow;
 	const peer = createPeer();
@@ -119,7 +120,7 @@
 			return new RequestRun(call, new RequestLifecycle(), sink, journal, timers, createObserver(ends, []));
 		},
 	} as unknown as IRouterContext;
-	const router = new RequestRouter(context, {} as unknown as TicketService, timers);
+	const router = new RequestRouter(context, {} as unknown as TicketService, timers, startGate);
 	const plan = { ...createPlan(RepeatRule.Idempotent), homeRegion: undefined };
 	return {
 		flow,
@@ -243,4 +244,21 @@
 		await advance(200);
 		expect(flow.attempts).toHaveLength(1);
 	});
+
+	// Guards against forwarding a request whose caller has left, when an entry that is behind reads the close last.
+	it('is not sent if its caller leaves before an entry that is behind has read its sockets', async () => {
+		let release = (): void => undefined;
+		const { peer, dispatch, advance } = createFixture({
+			run: start => {
+				release = start;
+			},
+		});
+		const sink = dispatch();
+		peer.acceptConnection();
+		await advance(0);
+		sink.abandon?.();
+		release();
+		await advance(0);
+		expect(peer.requests).toEqual([]);
+	});
 });
--- a/src/entry/node/requests/test/requestRouter.test.ts
+++ b/src/entry/node/requests/test/requestRouter.test.ts
@@ -2,6 +2,7 @@
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
 import type { InstanceId, RegionName, RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { openStartGate } from '../../../common/intake/loopLagGate';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import type { RemoteOffer, SendAwayContext, SendAwayDecision } from '../../../common/sendAway/sendAwayPolicy';
 import type { TicketService } from '../../tickets/ticketService';
@@ -59,7 +60,7 @@
 			);
 		},
 	} as unknown as IRouterContext;
-	const router = new RequestRouter(context, {} as unknown as TicketService, timers);
+	const router = new RequestRouter(context, {} as unknown as TicketService, timers, openStartGate);
 	const plan = { ...createPlan(RepeatRule.Idempotent), homeRegion: undefined };
 	for (let index = 0; index < requests; index++) {
 		router.dispatch(createCall(`request-${index}` as RequestId, plan, 'work', 0), new CapturingSink());
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -22,6 +22,7 @@
 import type { CallHead } from '../../common/callers/callHead';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
 import type { LookupCandidate } from '../fleet/entryFleet';
+import { openStartGate } from '../../common/intake/loopLagGate';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { NeverSendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
 import { formatTicket } from '../../common/tickets/ticket';
@@ -77,7 +78,7 @@
 		new AtMostOnceLedger(own, { maxAnswerBytes: 1_000, maxTickets: 10 }),
 		{ findEntry: instance => (instance === neighbour.own.instance ? neighbour : undefined) },
 	);
-	const router = new RequestRouter(createRouterContext(flow, runs, metrics), tickets, timers);
+	const router = new RequestRouter(createRouterContext(flow, runs, metrics), tickets, timers, openStartGate);
 	let isLeaving = false;
 	const manifest = createFlowManifest(repeat);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
