Answer at the deadline while the check for a crash is pending

Callers whose connection to a target broke shortly before their deadline got their answer up to a second after it. The request then waits for the check whether the target has crashed (up to 0.5 s) and until the other entries have received the crash (up to 0.5 s more), and the end of the attempt had stopped its deadline timer. The check keeps a timer of its own now; when it ends, the request has ended and is not attempted again.

The test in requestFlow.test.ts fails without the change: no answer at the deadline.

--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -155,9 +155,22 @@
 			this.finishAttempt(attempt, end, error);
 			return;
 		}
-		void this.crashDetector.checkForCrash(target, this.listInFlight(target)).then(() => {
-			this.finishAttempt(attempt, end, error);
+		void this.finishAfterCrashCheck(attempt, end, error);
+	}
+
+	/** The check takes up to a second. The caller is answered at its deadline all the same. */
+	private async finishAfterCrashCheck(
+		attempt: AttemptRun,
+		end: AttemptEnd,
+		error: RequestError,
+	): Promise<void> {
+		const { run, target } = attempt;
+		const deadline = this.timers.schedule(run.getRemainingMs(), () => {
+			endUnanswered(run, error);
 		});
+		await this.crashDetector.checkForCrash(target, this.listInFlight(target));
+		deadline.dispose();
+		this.finishAttempt(attempt, end, error);
 	}
 
 	/** Lists the calls in flight at a target, including those whose connection just broke. */
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -91,6 +91,8 @@
 	readonly attempts: CapturedAttempt[];
 	readonly renewedTargets: TargetId[];
 	readonly crashedTargets: Set<TargetId>;
+	/** How long the check whether a target has crashed takes. */
+	probeMs: number;
 	/** The number of attempts so far, each time a crash was shared with the region. */
 	readonly attemptCountsWhenShared: number[];
 	readonly ends: RequestEnd[];
@@ -170,7 +172,12 @@
 	const clients = new Map(ids.map(id => [id, createClient(id, attempts, renewedTargets)]));
 	const crashDetector = new CrashDetector(
 		new Quarantine(),
-		target => Promise.resolve(crashedTargets.has(target)),
+		async target => {
+			if (flow.probeMs > 0) {
+				await new Promise<void>(resolve => timers.schedule(flow.probeMs, resolve));
+			}
+			return crashedTargets.has(target);
+		},
 		() => {
 			attemptCountsWhenShared.push(attempts.length);
 			return Promise.resolve();
@@ -213,18 +220,20 @@
 	const waitForPromises = async (): Promise<void> => {
 		await new Promise(resolve => setImmediate(resolve));
 	};
-	return {
+	const flow: Flow = {
 		timers,
 		runner,
 		attempts,
 		renewedTargets,
 		crashedTargets,
+		probeMs: 0,
 		attemptCountsWhenShared,
 		ends,
 		observations,
 		submit,
 		waitForPromises,
 	};
+	return flow;
 }
 
 /** Creates an observer that records into the two lists. */
--- a/src/entry/node/requests/test/requestFlow.test.ts
+++ b/src/entry/node/requests/test/requestFlow.test.ts
@@ -142,6 +142,22 @@
 		expect(flow.runner.measureRoom().running).toBe(0);
 	});
 
+	// Guards against an answer that comes a second after the deadline, when the connection to the target breaks before.
+	it('answers at the deadline while the check for a crash is pending', async () => {
+		const flow = createFlow(2);
+		const sink = flow.submit();
+		flow.timers.advance(29_900);
+		flow.probeMs = 500;
+		flow.attempts[0]!.observer.noteHandedOver();
+		flow.attempts[0]!.observer.noteFailed(new Error('reset'));
+		flow.timers.advance(100);
+		expect(sink.refusal && getOutcomeOf(sink.refusal)).toBe(Outcome.Unknown);
+		flow.timers.advance(400);
+		await flow.waitForPromises();
+		expect(flow.attempts).toHaveLength(1);
+		expect(flow.runner.measureRoom().running).toBe(0);
+	});
+
 	it('never sends a payment a second time', async () => {
 		// The connection breaks after the payment was handed over, so the service may have run it.
 		const flow = createFlow(3, RepeatRule.AtMostOnce);
