Leave both ways of the link out of the time that a peer gets for a forwarded request

The deadline of a forwarded request was the peer's time of reading plus all that was left at the sender. It lay later than the caller's by one way of the link, the target was told so, and what the peer sent in that time and the way back before it came too late for the caller. The time in the message now ends when the answer has to be on its way back. The delay with which a busy peer reads the message isn't in it.

The new test of forwardedRequests.test.ts fails without the change: 110 ms over a deadline of 1,500 ms with 55 ms each way. Types, lint, tests of src/entry/node.

--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -26,6 +26,8 @@
 	readonly to: InstanceId;
 	readonly peer: PeerConnection;
 	readonly reason: string;
+	/** One-way latency of the link to the peer, in milliseconds. */
+	readonly oneWayMs?: number;
 	/** When the peer has to give the request back unless it has started it, in monotonic milliseconds. */
 	readonly startByMs?: number;
 }
@@ -230,6 +232,11 @@
 		return startByMs === undefined ? undefined : Math.max(0, startByMs - this.timers.getNow());
 	}
 
+	/** Returns the time for the peer from its reading of the request to its last byte, without both ways of the link. */
+	private computePeerTimeMs(): number {
+		return Math.max(0, this.run.getRemainingMs() - 2 * (this.route.oneWayMs ?? 0));
+	}
+
 	private createHead(): ForwardRequestRequest {
 		const { id, head } = this.run.call;
 		const startWithinMs = this.computeStartLimitMs();
@@ -244,7 +251,7 @@
 					method: head.method,
 					path: head.path,
 					headers: head.forwardedLines.map(({ name, value }) => ({ name, value })),
-					remainingMs: Math.min(maxUint32, Math.floor(this.run.getRemainingMs())),
+					remainingMs: Math.min(maxUint32, Math.floor(this.computePeerTimeMs())),
 					isDeadlineGiven: this.run.call.isDeadlineGiven,
 					prefixKey: head.prefixKey ?? '',
 					ticket: head.ticket ?? '',
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -172,6 +172,7 @@
 			to: decision.sendTo,
 			peer,
 			reason: decision.reason,
+			oneWayMs,
 			...(startLimitMs === undefined ? {} : { startByMs: this.timers.getNow() + startLimitMs }),
 		};
 		void this.sendAway(run, route, triedEntries);
--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -261,4 +261,16 @@
 		await advance(0);
 		expect(peer.requests).toEqual([]);
 	});
+
+	// Guards against runs that go on after the deadline because the peer counts the time left from its own reading.
+	it('has to be answered by the peer in time for the way back', async () => {
+		const { flow, peer, dispatch, advance } = createFixture();
+		dispatch();
+		await advance(10);
+		peer.acceptConnection();
+		await advance(0);
+		const { remainingMs } = peer.requests[0]!.part.value as ForwardHead;
+		const readMs = flow.timers.getNow() + offer.oneWayMs;
+		expect(readMs + remainingMs + offer.oneWayMs).toBeLessThanOrEqual(timeLimitMs);
+	});
 });
