Count the deadline of a late read request from its arrival

A deadline was counted from when the head of a request was read. Callers of an entry that is two seconds behind got their answer, or a refusal, up to two seconds after the timeout of their route, and targets were told that time is left. The same at peers: a forwarded request lived longer by the peer's lag, and so did the time in which it has to be started.

The arrival is now estimated as the time of reading less the lag of the event loop, by at most half of the request's time: a caller that is still there after a suspension may have just come. The lag is that of the tick on which LoopLagGate relies, and counts for what is read until one more poll is done. It is known too low by up to the interval of the tick (250 ms), and for connections that the kernel accepted during the lag and the entry only some turns later.

"keeps the deadline of its caller" (callerServer.test.ts) fails without the change: a deadline 7,000 ms after sending, of 5,000.

--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -15,6 +15,7 @@
 import type { EntryView as WireView } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
 import type { EntryView } from '../../entry/common/fleetView/entryView';
+import { noLoopLag } from '../../entry/common/intake/loopLagGate';
 import { RequestIntake } from '../../entry/common/intake/requestIntake';
 import { HeldBytes } from '../../entry/node/callers/bodyReader';
 import { ImmediateTurnScheduler } from '../../entry/node/immediateTurnScheduler';
@@ -54,6 +55,7 @@
 			maxBodyBytes,
 			new RequestIntake(new ImmediateTurnScheduler(), timers, random, () => undefined),
 			timers,
+			noLoopLag,
 			undefined,
 		);
 	}
--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -18,15 +18,22 @@
 	run(start: () => void): void;
 }
 
+/** Tells how long what is being read may have waited. */
+export interface ILoopLag {
+	/** Returns 0 while the event loop keeps up, and otherwise how far it is behind, in milliseconds. */
+	getLagMs(): number;
+}
+
 /** Shared with the detection of suspensions, which checks the clock at the same interval. */
 const checkIntervalMs = 250;
 /** A timer that is late by more than this shows that the event loop is behind. */
 const maxLagMs = 100;
 
 /** Measures the lag of the event loop by a timer. */
-export class LoopLagGate extends Disposable implements IStartGate {
+export class LoopLagGate extends Disposable implements IStartGate, ILoopLag {
 	private lastTickMs: number;
-	private isBehind = false;
+	/** 0 if the event loop keeps up. */
+	private lagMs = 0;
 	private readonly waiting: (() => void)[] = [];
 
 	constructor(
@@ -43,9 +50,13 @@
 		);
 	}
 
-	run(start: () => void): void {
+	getLagMs(): number {
 		this.checkLag();
-		if (!this.isBehind) {
+		return this.lagMs;
+	}
+
+	run(start: () => void): void {
+		if (this.getLagMs() === 0) {
 			start();
 			return;
 		}
@@ -59,12 +70,15 @@
 
 	private checkLag(): void {
 		const lagMs = this.timers.getNow() - this.lastTickMs - checkIntervalMs;
-		if (lagMs > maxLagMs && !this.isBehind) {
-			this.isBehind = true;
+		if (lagMs <= maxLagMs) {
+			return;
+		}
+		if (this.lagMs === 0) {
 			this.waitForPoll(() => {
-				this.isBehind = false;
+				this.lagMs = 0;
 			});
 		}
+		this.lagMs = Math.max(this.lagMs, lagMs);
 	}
 
 	private startWaiting(): void {
@@ -81,6 +95,9 @@
 	}
 }
 
+/** The event loop of a process that always keeps up. */
+export const noLoopLag: ILoopLag = { getLagMs: () => 0 };
+
 /** Delays nothing. */
 export const openStartGate: IStartGate = {
 	run: start => {
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -22,6 +22,9 @@
 import type { LookupAnswer, LookupRequest } from '../../common/callers/lookup';
 import { parseLookup } from '../../common/callers/lookup';
 import type { ICallerDialect } from '../../common/dialect/callerDialect';
+import type { ReadTime } from '../../common/intake/arrivalTime';
+import { estimateArrivalMs } from '../../common/intake/arrivalTime';
+import type { ILoopLag } from '../../common/intake/loopLagGate';
 import type { RequestIntake } from '../../common/intake/requestIntake';
 import type { CallPlan } from '../../common/placement/callPlan';
 import type { RefusedCall } from '../requests/activeRuns';
@@ -84,6 +87,7 @@
 		private limits: CallerLimits,
 		private readonly intake: RequestIntake,
 		private readonly timers: ITimerService,
+		private readonly loopLag: ILoopLag,
 	) {
 		this.server = createServer(
 			{
@@ -172,7 +176,8 @@
 	}
 
 	private async serveCall(raw: RawHead, request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const arrivedMs = this.timers.getNow();
+		const readMs = this.timers.getNow();
+		const lagMs = this.loopLag.getLagMs();
 		const id = this.handler.createRequestId(this.dialect.findRequestId(raw));
 		const sink = this.createSink(id, request, response);
 		const hold = this.handler.findHold();
@@ -180,7 +185,7 @@
 			await hold;
 		}
 		const head = this.readHead(raw);
-		const call = { id, head: head.unwrapOr(undefined), line: `${raw.method} ${raw.url}`, arrivedMs };
+		const call = { id, head: head.unwrapOr(undefined), line: `${raw.method} ${raw.url}`, arrivedMs: readMs };
 		if (head.isErr()) {
 			this.refuse(sink, call, findHeader(raw.lines, headers.ticket), head.error);
 			return;
@@ -204,7 +209,7 @@
 			this.refuse(sink, call, head.value.ticket, admitted.error);
 			return;
 		}
-		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, arrivedMs), sink);
+		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, { readMs, lagMs }), sink);
 	}
 
 	private readHead(raw: RawHead): Result<CallHead, RequestError> {
@@ -269,9 +274,10 @@
 	head: CallHead,
 	plan: CallPlan,
 	body: Uint8Array,
-	arrivedMs: number,
+	readTime: ReadTime,
 ): AcceptedCall {
 	const timeLimitMs = head.deadlineMs ?? plan.classes[head.requestClass].defaultDeadlineMs;
+	const arrivedMs = estimateArrivalMs(readTime, timeLimitMs);
 	return {
 		id,
 		head,
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -7,6 +7,8 @@
 import { SeededRandom } from '../../../../base/common/random';
 import type { RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { LoopLagGate, noLoopLag } from '../../../common/intake/loopLagGate';
+import type { ILoopLag } from '../../../common/intake/loopLagGate';
 import { RequestIntake } from '../../../common/intake/requestIntake';
 import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import type { HandlerFixture } from '../../test/callHandlerFixtures';
@@ -20,7 +22,10 @@
 	owned.dispose();
 });
 
-async function startServer(fixture: HandlerFixture): Promise<{ url: string; port: number; agent: Agent }> {
+async function startServer(
+	fixture: HandlerFixture,
+	loopLag: ILoopLag = noLoopLag,
+): Promise<{ url: string; port: number; agent: Agent }> {
 	const limits = { maxHeadBytes: 2_048, maxBodyBytes: 100 };
 	const server = new CallerServer(
 		fixture.handler,
@@ -34,6 +39,7 @@
 			() => undefined,
 		),
 		fixture.flow.timers,
+		loopLag,
 	);
 	const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
 	const agent = new Agent({ connections: 1, pipelining: 1 });
@@ -185,3 +191,31 @@
 		expect(attempt.cancelled).toBeDefined();
 	});
 });
+
+describe('a request that is read by an entry that is two seconds behind', () => {
+	// Guards against answers and runs long after the caller's deadline, which would be counted from the late reading.
+	it('keeps the deadline of its caller', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { timers } = fixture.flow;
+		const loopLag = new LoopLagGate(new ImmediateTurnScheduler(), timers);
+		const { url, agent } = await startServer(fixture, loopLag);
+		const sentMs = timers.getNow();
+		const timeLimitMs = 5_000;
+		let deadlineMs = Number.POSITIVE_INFINITY;
+		fixture.handler.accept = (call, sink) => {
+			({ deadlineMs } = call);
+			sink.end();
+		};
+		timers.advanceWithoutTimers(2_000);
+		const answer = await request(`${url}/v1/services/bookings/run`, {
+			dispatcher: agent,
+			method: 'POST',
+			headers: { 'anvilroad-organisation': 'harbour-hotel', 'anvilroad-deadline-ms': String(timeLimitMs) },
+			body: 'work',
+		});
+		await answer.body.dump();
+		// An answer may come half a second after the deadline.
+		expect(deadlineMs).toBeLessThanOrEqual(sentMs + timeLimitMs + 500);
+		expect(deadlineMs).toBeGreaterThanOrEqual(sentMs + timeLimitMs);
+	});
+});
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -162,6 +162,7 @@
 			{ maxHeadBytes: settings.limits.max_head_bytes, maxBodyBytes: settings.limits.max_body_bytes },
 			intake,
 			this.timers,
+			this.startGate,
 		);
 		this.peerServer = new PeerServer(
 			this.callHandler,
@@ -169,6 +170,7 @@
 			settings.limits.max_body_bytes,
 			intake,
 			this.timers,
+			this.startGate,
 			this.certificates.peers,
 		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -38,6 +38,9 @@
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead, RawHead } from '../../common/callers/callHead';
 import { listForwardedLines } from '../../common/callers/callHead';
+import { estimateArrivalMs } from '../../common/intake/arrivalTime';
+import type { ReadTime } from '../../common/intake/arrivalTime';
+import type { ILoopLag } from '../../common/intake/loopLagGate';
 import type { IsAbandoned, RequestIntake } from '../../common/intake/requestIntake';
 import type { CallPlan, ForwardOrigin } from '../../common/placement/callPlan';
 import type { HeldBytes } from '../callers/bodyReader';
@@ -73,6 +76,7 @@
 		private readonly maxBodyBytes: number,
 		private readonly intake: RequestIntake,
 		private readonly timers: ITimerService,
+		private readonly loopLag: ILoopLag,
 		certificates: CertificateStore | undefined,
 	) {
 		super();
@@ -133,9 +137,10 @@
 		requests: AsyncIterable<ForwardRequestRequest>,
 		context: HandlerContext,
 	): AsyncGenerator<ForwardRequestResponse> {
-		const arrivedMs = this.timers.getNow();
+		const readMs = this.timers.getNow();
+		const lagMs = this.loopLag.getLagMs();
 		const iterator = requests[Symbol.asyncIterator]();
-		const accepted = await this.readForwardedCall(iterator, arrivedMs, () => context.signal.aborted);
+		const accepted = await this.readForwardedCall(iterator, { readMs, lagMs }, () => context.signal.aborted);
 		if (accepted.isErr()) {
 			yield createFaultMessage(accepted.error);
 			return;
@@ -150,7 +155,7 @@
 
 	private async readForwardedCall(
 		iterator: AsyncIterator<ForwardRequestRequest>,
-		arrivedMs: number,
+		readTime: ReadTime,
 		isAbandoned: IsAbandoned,
 	): Promise<Result<AcceptedCall, RequestError>> {
 		const first = await iterator.next();
@@ -174,7 +179,7 @@
 			return err(this.createReportedError(message, admitted.error));
 		}
 		return body
-			.map(bytes => createForwardedCall(message, head.value, plan.value, bytes, arrivedMs))
+			.map(bytes => createForwardedCall(message, head.value, plan.value, bytes, readTime))
 			.mapErr(error => this.createReportedError(message, error));
 	}
 
@@ -242,8 +247,9 @@
 	head: CallHead,
 	plan: CallPlan,
 	body: Uint8Array,
-	arrivedMs: number,
+	readTime: ReadTime,
 ): AcceptedCall {
+	const arrivedMs = estimateArrivalMs(readTime, message.remainingMs);
 	return {
 		id: message.requestId as RequestId,
 		head,
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -8,6 +8,7 @@
 import { SeededRandom } from '../../../../base/common/random';
 import { ForwardRequestRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import type { CallPlan } from '../../../common/placement/callPlan';
+import { noLoopLag } from '../../../common/intake/loopLagGate';
 import { RequestIntake } from '../../../common/intake/requestIntake';
 import { HeldBytes } from '../../callers/bodyReader';
 import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
@@ -40,14 +41,18 @@
 	accept: failCall,
 };
 
-function createServer(peerHandler: IPeerHandler, timers: ManualTimerService): PeerServer {
+function createServer(
+	peerHandler: IPeerHandler,
+	timers: ManualTimerService,
+	loopLag = noLoopLag,
+): PeerServer {
 	const intake = new RequestIntake(
 		new ImmediateTurnScheduler(),
 		timers,
 		new SeededRandom(1),
 		() => undefined,
 	);
-	return new PeerServer(peerHandler, new HeldBytes(1_024), 1_024, intake, timers, undefined);
+	return new PeerServer(peerHandler, new HeldBytes(1_024), 1_024, intake, timers, loopLag, undefined);
 }
 
 /** The bytes that start an HTTP/2 connection on the client: the preface and an empty SETTINGS frame. */
