Give up an attempt only for one that can begin by the deadline

Callers lost answers to attempts that their deadline cut off. Whether an error of a target is retried, and whether an attempt at a silent target is ended, was decided by the capacity of another target and 30 ms of time. The second attempt was then stopped by the deadline, and since requests without a target in time are refused at once, refused: in place of the target's own error, or of the rest of an answer. Both decisions now ask for a target whose forecast lies before the deadline.

Two new tests of silentTargets.test.ts fail without the change.

--- a/src/entry/common/workScheduling/test/silentTargets.test.ts
+++ b/src/entry/common/workScheduling/test/silentTargets.test.ts
@@ -23,12 +23,17 @@
 	return createEngineTarget(name, { slots, cacheTokens: 300_000 });
 }
 
-/** Starts a draft whose first byte arrives after 500 ms. */
-function startDraft(targets: readonly SchedulableTarget[]): WorkScheduler {
+function startUnanswered(targets: readonly SchedulableTarget[]): WorkScheduler {
 	const scheduler = new WorkScheduler(new SeededRandom(1), () => 1);
 	scheduler.setTargets(targets);
 	scheduler.submit(createResumableDraft(), 0);
 	expect(scheduler.advance(0)).toMatchObject([{ kind: ScheduleDecisionKind.Start, requestId: id }]);
+	return scheduler;
+}
+
+/** Starts a draft whose first byte arrives after 500 ms. */
+function startDraft(targets: readonly SchedulableTarget[]): WorkScheduler {
+	const scheduler = startUnanswered(targets);
 	scheduler.noteFirstByte(id, 500);
 	return scheduler;
 }
@@ -44,6 +49,19 @@
 		expect(startDraft([createEngine('dark'), createEngine('free')]).noteSilence(id, 1_400)).toBe(true);
 	});
 
+	// Guards against answers that are cut off for another attempt that the deadline cuts off in turn.
+	it('keeps the attempt while no other target could begin by the deadline', () => {
+		const scheduler = startDraft([createEngine('dark'), createEngine('free')]);
+		expect(scheduler.noteSilence(id, deadlineMs - 50)).toBe(false);
+	});
+
+	// Guards against a refusal in place of a target's own error, which is ready while a second answer would be late.
+	it('does not count an error as retriable if no target could begin by the deadline', () => {
+		const scheduler = startUnanswered([createEngine('failing'), createEngine('free')]);
+		expect(scheduler.isRetriable(id, 1_400)).toBe(true);
+		expect(scheduler.isRetriable(id, deadlineMs - 50)).toBe(false);
+	});
+
 	// Guards against a busy target that receives nothing for seconds because one of its answers pauses.
 	it('pauses the target only once for an attempt that is kept', () => {
 		const scheduler = startDraft([createEngine('busy')]);
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -172,11 +172,15 @@
 		return canMove;
 	}
 
-	/** Whether the request may run again after its current attempt, and one of the targets could take it now. */
+	/** Whether the request may run again after its current attempt, and one of the targets could take it in time now. */
 	private isPlaceable(tracked: TrackedRequest, targets: readonly TargetLoadModel[], nowMs: number): boolean {
-		const urgency = getUrgency(tracked.request);
+		const { request } = tracked;
+		const urgency = getUrgency(request);
 		const hasCapacity = targets.some(
-			target => target.isAvailable(nowMs) && target.hasCapacity({ isLate: false, urgency }, nowMs),
+			target =>
+				target.isAvailable(nowMs) &&
+				target.hasCapacity({ isLate: false, urgency }, nowMs) &&
+				nowMs + target.estimateFirstByteMs(request, nowMs) <= request.deadlineMs,
 		);
 		const after = { ...tracked, possibleRuns: tracked.possibleRuns + 1, mayHaveRun: true };
 		return hasCapacity && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
