Refuse at the deadline a caller that does not finish its body

A caller whose upload stalls got no answer at its deadline: nothing watched the deadline before the request was complete, and an upload may take two minutes. It is refused as not run at its deadline now, and its ticket stays unused, as that of other incomplete bodies.

--- a/src/entry/node/callers/bodyReader.ts
+++ b/src/entry/node/callers/bodyReader.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 
@@ -36,17 +37,26 @@
 	}
 }
 
+/** The limits of one body. */
+export interface BodyLimits {
+	readonly maxBytes: number;
+	/** The deadline of the request, in monotonic milliseconds. */
+	readonly deadlineMs: number;
+}
+
 /** Reads a body. Its bytes stay reserved in `heldBytes` until the caller of this function releases them. */
 export async function readBody(
 	request: IncomingMessage,
-	maxBytes: number,
+	limits: BodyLimits,
 	heldBytes: HeldBytes,
+	timers: ITimerService,
 ): Promise<Result<Uint8Array, RequestError>> {
 	const declaredBytes = Number(request.headers['content-length'] ?? 0);
-	if (declaredBytes > maxBytes) {
-		return err(createRequestError(ErrorKind.BodyTooLarge, `${declaredBytes} bytes, at most ${maxBytes}`));
+	if (declaredBytes > limits.maxBytes) {
+		const detail = `${declaredBytes} bytes, at most ${limits.maxBytes}`;
+		return err(createRequestError(ErrorKind.BodyTooLarge, detail));
 	}
-	const reader = new BodyReader(request, maxBytes, heldBytes);
+	const reader = new BodyReader(request, limits, heldBytes, timers);
 	return reader.read();
 }
 
@@ -56,13 +66,15 @@
 
 	constructor(
 		private readonly request: IncomingMessage,
-		private readonly maxBytes: number,
+		private readonly limits: BodyLimits,
 		private readonly heldBytes: HeldBytes,
+		private readonly timers: ITimerService,
 	) {}
 
 	async read(): Promise<Result<Uint8Array, RequestError>> {
 		return new Promise(resolve => {
 			const finish = (result: Result<Uint8Array, RequestError>): void => {
+				deadline.dispose();
 				this.request.removeAllListeners('data');
 				if (result.isErr()) {
 					this.heldBytes.release(this.receivedBytes);
@@ -70,6 +82,11 @@
 				}
 				resolve(result);
 			};
+			const leftMs = this.limits.deadlineMs - this.timers.getNow();
+			const deadline = this.timers.schedule(leftMs, () => {
+				const detail = `${this.receivedBytes} bytes received by the deadline`;
+				finish(err(createRequestError(ErrorKind.DeadlineUnreachable, detail)));
+			});
 			this.request.on('data', (chunk: Buffer) => {
 				const error = this.addChunk(chunk);
 				if (error !== undefined) {
@@ -90,8 +107,8 @@
 	}
 
 	private addChunk(chunk: Buffer): RequestError | undefined {
-		if (this.receivedBytes + chunk.byteLength > this.maxBytes) {
-			return createRequestError(ErrorKind.BodyTooLarge, `at most ${this.maxBytes} bytes`);
+		if (this.receivedBytes + chunk.byteLength > this.limits.maxBytes) {
+			return createRequestError(ErrorKind.BodyTooLarge, `at most ${this.limits.maxBytes} bytes`);
 		}
 		if (!this.heldBytes.reserve(chunk.byteLength)) {
 			return createRequestError(
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -73,6 +73,11 @@
 const headerOverflowCode = 'HPE_HEADER_OVERFLOW';
 /** The caller did not send a complete head in time, so there is no request to answer. */
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Errors of a body of which the rest did not come. */
+const incompleteBodyKinds: ReadonlySet<ErrorKind> = new Set([
+	ErrorKind.BodyIncomplete,
+	ErrorKind.DeadlineUnreachable,
+]);
 /** Interval at which Node checks connections for timeouts. */
 const timeoutCheckIntervalMs = 1_000;
 
@@ -198,7 +203,9 @@
 		if (request.headers.expect !== undefined) {
 			response.writeContinue();
 		}
-		const body = await readBody(request, this.limits.maxBodyBytes, this.heldBytes);
+		const times = computeTimes(head.value, plan.value, { readMs, lagMs });
+		const bodyLimits = { maxBytes: this.limits.maxBodyBytes, deadlineMs: times.deadlineMs };
+		const body = await readBody(request, bodyLimits, this.heldBytes, this.timers);
 		if (body.isErr()) {
 			this.refuseBody(sink, call, body.error);
 			return;
@@ -209,7 +216,7 @@
 			this.refuse(sink, call, head.value.ticket, admitted.error);
 			return;
 		}
-		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, { readMs, lagMs }), sink);
+		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, times), sink);
 	}
 
 	private readHead(raw: RawHead): Result<CallHead, RequestError> {
@@ -223,7 +230,7 @@
 
 	/** An incomplete body leaves its ticket unused, so that a resend of the call can run. */
 	private refuseBody(sink: CallerSink, call: RefusedCall, error: RequestError): void {
-		const ticket = error.kind === ErrorKind.BodyIncomplete ? undefined : call.head?.ticket;
+		const ticket = incompleteBodyKinds.has(error.kind) ? undefined : call.head?.ticket;
 		this.refuse(sink, call, ticket, error);
 	}
 
@@ -269,22 +276,27 @@
 	return { method: request.method ?? 'GET', url: request.url ?? '/', lines };
 }
 
+type CallTimes = Pick<AcceptedCall, 'arrivedMs' | 'deadlineMs'>;
+
+function computeTimes(head: CallHead, plan: CallPlan, readTime: ReadTime): CallTimes {
+	const timeLimitMs = head.deadlineMs ?? plan.classes[head.requestClass].defaultDeadlineMs;
+	const arrivedMs = estimateArrivalMs(readTime, timeLimitMs);
+	return { arrivedMs, deadlineMs: arrivedMs + timeLimitMs };
+}
+
 function createAcceptedCall(
 	id: RequestId,
 	head: CallHead,
 	plan: CallPlan,
 	body: Uint8Array,
-	readTime: ReadTime,
+	times: CallTimes,
 ): AcceptedCall {
-	const timeLimitMs = head.deadlineMs ?? plan.classes[head.requestClass].defaultDeadlineMs;
-	const arrivedMs = estimateArrivalMs(readTime, timeLimitMs);
 	return {
 		id,
 		head,
 		plan,
 		body,
-		arrivedMs,
-		deadlineMs: arrivedMs + timeLimitMs,
+		...times,
 		isDeadlineGiven: head.deadlineMs !== undefined,
 		origin: undefined,
 	};
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -219,3 +219,33 @@
 		expect(deadlineMs).toBeGreaterThanOrEqual(sentMs + timeLimitMs);
 	});
 });
+
+describe('a caller that does not finish its body', () => {
+	// Guards against callers without any answer at their deadline, up to the two minutes that an upload may take.
+	it('is refused as not run at its deadline', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { port } = await startServer(fixture);
+		let plannedHeads = 0;
+		const { plan } = fixture.handler;
+		fixture.handler.plan = head => {
+			plannedHeads++;
+			return plan.call(fixture.handler, head);
+		};
+		const caller = connect(port, '127.0.0.1');
+		owned.add(toDisposable(() => caller.destroy()));
+		caller.write(
+			'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\nanvilroad-deadline-ms: 1000\r\n' +
+				'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwo',
+		);
+		while (plannedHeads === 0) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		await new Promise(resolve => setImmediate(resolve));
+		const answered = once(caller, 'data');
+		fixture.flow.timers.advance(1_000);
+		const [answer] = (await answered) as [Buffer];
+		expect(answer.toString()).toContain('"error":"deadline-unreachable","outcome":"not-run"');
+		expect(fixture.heldBytes.getTotal()).toBe(0);
+		expect(fixture.flow.attempts).toEqual([]);
+	});
+});
