--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -6,6 +6,7 @@
 import { DisposableStore, toDisposable } from '../../../../base/common/lifecycle';
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
+import type { ForwardRequestRequest } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import type { CallPlan } from '../../../common/placement/callPlan';
 import { noLoopLag } from '../../../common/intake/loopLagGate';
@@ -14,6 +15,7 @@
 import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import { lingerMs } from '../lingeringSockets';
 import { PeerClients } from '../peerClients';
+import type { AcceptedCall } from '../../requests/requestRun';
 import type { IPeerHandler } from '../peerServer';
 import { PeerServer } from '../peerServer';
 
@@ -152,4 +154,39 @@
 		await later;
 		expect(accepted).toEqual(['later']);
 	});
+
+	// Guards against a peer that is behind and keeps a request as long as if it had just been sent.
+	test('counts the times of a forwarded request from its arrival', async () => {
+		const timers = new ManualTimerService(10_000);
+		const calls: AcceptedCall[] = [];
+		const acceptingHandler: IPeerHandler = {
+			...handler,
+			planForwarded: () => ok({} as CallPlan),
+			accept: (call, sink) => {
+				calls.push(call);
+				sink.end();
+			},
+		};
+		const server = createServer(acceptingHandler, timers, { getLagMs: () => 1_500 });
+		const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
+		const clients = new PeerClients({}, undefined);
+		owned.add(clients);
+		owned.add(toDisposable(() => void server.close()));
+		const head = {
+			requestId: 'late',
+			requestClass: 'normal',
+			remainingMs: 4_000,
+			startWithinMs: 600,
+			hops: 1,
+		};
+		const sent = (async function* send(): AsyncGenerator<ForwardRequestRequest> {
+			yield create(ForwardRequestRequestSchema, { part: { case: 'head', value: head } });
+			await Promise.resolve();
+		})();
+		const { client } = clients.open(`http://127.0.0.1:${port}`);
+		for await (const answer of client.forwardRequest(sent)) {
+			expect(answer.part.case).toBe('end');
+		}
+		expect(calls).toMatchObject([{ arrivedMs: 8_500, deadlineMs: 12_500, startByMs: 9_100 }]);
+	});
 });
