--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -24,7 +24,7 @@
 import { AttemptEnd, ScheduleDecisionKind } from '../scheduling/serviceScheduler';
 import { QueueEstimates } from './queueEstimates';
 import { FleetRetryBudget } from './fleetRetryBudget';
-import type { TargetChoice } from './targetChooser';
+import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { TargetLoadModel } from './targetLoadModel';
 import type { TrackedRequest } from './trackedRequest';
@@ -107,6 +107,7 @@
 			this.lastCheckMs = nowMs;
 			this.updateTypicalSlowness();
 			this.checkWaiting(nowMs);
+			this.refuseUnstarted(nowMs);
 		}
 		this.startWaiting(nowMs);
 		const { decisions } = this;
@@ -171,11 +172,15 @@
 		return canMove;
 	}
 
-	/** Whether the request may run again after its current attempt, and one of the targets could take it now. */
+	/** Whether the request may run again after its current attempt, and one of the targets could take it in time now. */
 	private isPlaceable(tracked: TrackedRequest, targets: readonly TargetLoadModel[], nowMs: number): boolean {
-		const urgency = getUrgency(tracked.request);
+		const { request } = tracked;
+		const urgency = getUrgency(request);
 		const hasCapacity = targets.some(
-			target => target.isAvailable(nowMs) && target.hasCapacity({ isLate: false, urgency }, nowMs),
+			target =>
+				target.isAvailable(nowMs) &&
+				target.hasCapacity({ isLate: false, urgency }, nowMs) &&
+				nowMs + target.estimateFirstByteMs(request, nowMs) <= request.deadlineMs,
 		);
 		const after = { ...tracked, possibleRuns: tracked.possibleRuns + 1, mayHaveRun: true };
 		return hasCapacity && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
@@ -278,6 +283,16 @@
 		}
 	}
 
+	/** Refuses requests of other regions that could not be started in time, so that these regions can serve them. */
+	private refuseUnstarted(nowMs: number): void {
+		for (const { request } of this.queue.list()) {
+			const mayHaveRun = this.requests.get(request.id)?.mayHaveRun === true;
+			if (!mayHaveRun && request.startByMs !== undefined && nowMs > request.startByMs) {
+				this.refuseWaiting(request, nowMs);
+			}
+		}
+	}
+
 	private refuseWaiting(request: SchedulableRequest, nowMs: number): void {
 		const tracked = this.requests.get(request.id);
 		this.queue.remove(request.id);
@@ -294,28 +309,42 @@
 			if (item === undefined || tracked === undefined) {
 				return;
 			}
-			const choice = this.chooseTarget(tracked, item, nowMs);
-			if (choice === undefined) {
+			const query = this.createQuery(tracked, item);
+			const choice = this.targetChooser.choose(this.targetList, query, nowMs);
+			if (choice !== undefined) {
+				this.start(tracked, item, choice, nowMs);
+			} else if (this.isWorthKeeping(tracked, item, query, nowMs)) {
 				unplaced++;
 			} else {
-				this.start(tracked, item, choice, nowMs);
+				this.refuseWaiting(item.request, nowMs);
 			}
 		}
 	}
 
 	/** Excludes targets that were already tried, unless no other target remains. */
-	private chooseTarget(
-		tracked: TrackedRequest,
-		{ isLate }: WaitingRequest,
-		nowMs: number,
-	): TargetChoice | undefined {
-		const { request, triedTargets } = tracked;
+	private createQuery({ request, triedTargets }: TrackedRequest, { isLate }: WaitingRequest): TargetQuery {
 		const isIsolated = request.isKeptApart?.() === true;
 		const hasUntriedTarget = this.targetList.some(
 			({ id, description }) => !description.isLeaving && !triedTargets.includes(id),
 		);
-		const query = { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
-		return this.targetChooser.choose(this.targetList, query, nowMs);
+		return { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
+	}
+
+	/**
+	 * Whether a request without a target is expected to start and to be answered in time. A request that may have run is
+	 * not given back to its region, which could run it more often than allowed, and an answer that has begun is not cut
+	 * off.
+	 */
+	private isWorthKeeping(
+		{ mayHaveRun, hasFirstByte }: TrackedRequest,
+		item: WaitingRequest,
+		query: TargetQuery,
+		nowMs: number,
+	): boolean {
+		const isStartExpected = mayHaveRun || this.estimates.isStartExpectedInTime(item, nowMs);
+		return (
+			isStartExpected && (hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs))
+		);
 	}
 
 	private start(
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -22,6 +22,9 @@
 import type { LookupAnswer, LookupRequest } from '../../common/callers/lookup';
 import { parseLookup } from '../../common/callers/lookup';
 import type { ICallerDialect } from '../../common/dialect/callerDialect';
+import type { ReadTime } from '../../common/intake/arrivalTime';
+import { estimateArrivalMs } from '../../common/intake/arrivalTime';
+import type { ILoopLag } from '../../common/intake/loopLagGate';
 import type { RequestIntake } from '../../common/intake/requestIntake';
 import type { CallPlan } from '../../common/placement/callPlan';
 import type { RefusedCall } from '../requests/activeRuns';
@@ -70,6 +73,11 @@
 const headerOverflowCode = 'HPE_HEADER_OVERFLOW';
 /** The caller did not send a complete head in time, so there is no request to answer. */
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+/** Errors of a body of which the rest did not come. */
+const incompleteBodyKinds: ReadonlySet<ErrorKind> = new Set([
+	ErrorKind.BodyIncomplete,
+	ErrorKind.DeadlineUnreachable,
+]);
 /** Interval at which Node checks connections for timeouts. */
 const timeoutCheckIntervalMs = 1_000;
 
@@ -84,6 +92,7 @@
 		private limits: CallerLimits,
 		private readonly intake: RequestIntake,
 		private readonly timers: ITimerService,
+		private readonly loopLag: ILoopLag,
 	) {
 		this.server = createServer(
 			{
@@ -172,7 +181,8 @@
 	}
 
 	private async serveCall(raw: RawHead, request: IncomingMessage, response: ServerResponse): Promise<void> {
-		const arrivedMs = this.timers.getNow();
+		const readMs = this.timers.getNow();
+		const lagMs = this.loopLag.getLagMs();
 		const id = this.handler.createRequestId(this.dialect.findRequestId(raw));
 		const sink = this.createSink(id, request, response);
 		const hold = this.handler.findHold();
@@ -180,7 +190,7 @@
 			await hold;
 		}
 		const head = this.readHead(raw);
-		const call = { id, head: head.unwrapOr(undefined), line: `${raw.method} ${raw.url}`, arrivedMs };
+		const call = { id, head: head.unwrapOr(undefined), line: `${raw.method} ${raw.url}`, arrivedMs: readMs };
 		if (head.isErr()) {
 			this.refuse(sink, call, findHeader(raw.lines, headers.ticket), head.error);
 			return;
@@ -193,7 +203,9 @@
 		if (request.headers.expect !== undefined) {
 			response.writeContinue();
 		}
-		const body = await readBody(request, this.limits.maxBodyBytes, this.heldBytes);
+		const times = computeTimes(head.value, plan.value, { readMs, lagMs });
+		const bodyLimits = { maxBytes: this.limits.maxBodyBytes, deadlineMs: times.deadlineMs };
+		const body = await readBody(request, bodyLimits, this.heldBytes, this.timers);
 		if (body.isErr()) {
 			this.refuseBody(sink, call, body.error);
 			return;
@@ -204,7 +216,7 @@
 			this.refuse(sink, call, head.value.ticket, admitted.error);
 			return;
 		}
-		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, arrivedMs), sink);
+		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, times), sink);
 	}
 
 	private readHead(raw: RawHead): Result<CallHead, RequestError> {
@@ -218,7 +230,7 @@
 
 	/** An incomplete body leaves its ticket unused, so that a resend of the call can run. */
 	private refuseBody(sink: CallerSink, call: RefusedCall, error: RequestError): void {
-		const ticket = error.kind === ErrorKind.BodyIncomplete ? undefined : call.head?.ticket;
+		const ticket = incompleteBodyKinds.has(error.kind) ? undefined : call.head?.ticket;
 		this.refuse(sink, call, ticket, error);
 	}
 
@@ -264,21 +276,27 @@
 	return { method: request.method ?? 'GET', url: request.url ?? '/', lines };
 }
 
+type CallTimes = Pick<AcceptedCall, 'arrivedMs' | 'deadlineMs'>;
+
+function computeTimes(head: CallHead, plan: CallPlan, readTime: ReadTime): CallTimes {
+	const timeLimitMs = head.deadlineMs ?? plan.classes[head.requestClass].defaultDeadlineMs;
+	const arrivedMs = estimateArrivalMs(readTime, timeLimitMs);
+	return { arrivedMs, deadlineMs: arrivedMs + timeLimitMs };
+}
+
 function createAcceptedCall(
 	id: RequestId,
 	head: CallHead,
 	plan: CallPlan,
 	body: Uint8Array,
-	arrivedMs: number,
+	times: CallTimes,
 ): AcceptedCall {
-	const timeLimitMs = head.deadlineMs ?? plan.classes[head.requestClass].defaultDeadlineMs;
 	return {
 		id,
 		head,
 		plan,
 		body,
-		arrivedMs,
-		deadlineMs: arrivedMs + timeLimitMs,
+		...times,
 		isDeadlineGiven: head.deadlineMs !== undefined,
 		origin: undefined,
 	};
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -7,6 +7,8 @@
 import { SeededRandom } from '../../../../base/common/random';
 import type { RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { LoopLagGate, noLoopLag } from '../../../common/intake/loopLagGate';
+import type { ILoopLag } from '../../../common/intake/loopLagGate';
 import { RequestIntake } from '../../../common/intake/requestIntake';
 import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import type { HandlerFixture } from '../../test/callHandlerFixtures';
@@ -20,7 +22,10 @@
 	owned.dispose();
 });
 
-async function startServer(fixture: HandlerFixture): Promise<{ url: string; port: number; agent: Agent }> {
+async function startServer(
+	fixture: HandlerFixture,
+	loopLag: ILoopLag = noLoopLag,
+): Promise<{ url: string; port: number; agent: Agent }> {
 	const limits = { maxHeadBytes: 2_048, maxBodyBytes: 100 };
 	const server = new CallerServer(
 		fixture.handler,
@@ -34,6 +39,7 @@
 			() => undefined,
 		),
 		fixture.flow.timers,
+		loopLag,
 	);
 	const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
 	const agent = new Agent({ connections: 1, pipelining: 1 });
@@ -156,3 +162,90 @@
 		expect(fixture.flow.attempts.length).toBeLessThanOrEqual(1);
 	});
 });
+
+describe('a caller that closes its connection', () => {
+	// Guards against a target that goes on until the next turn of a slow event loop after the close has been read.
+	it('has its running request cancelled in the turn that reads the close', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { port } = await startServer(fixture);
+		const accepted: Socket[] = [];
+		const addAccepted = (message: unknown): void => {
+			accepted.push((message as { socket: Socket }).socket);
+		};
+		subscribe('net.server.socket', addAccepted);
+		const caller = connect(port, '127.0.0.1');
+		owned.add(toDisposable(() => caller.destroy()));
+		caller.write(
+			'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\n' +
+				'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork',
+		);
+		while (fixture.flow.attempts.length === 0) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		unsubscribe('net.server.socket', addAccepted);
+		const attempt = fixture.flow.attempts[0]!;
+		attempt.observer.noteHandedOver();
+		const closeRead = once(accepted[0]!, 'end').then(async () => new Promise(setImmediate));
+		caller.end();
+		await closeRead;
+		expect(attempt.cancelled).toBeDefined();
+	});
+});
+
+describe('a request that is read by an entry that is two seconds behind', () => {
+	// Guards against answers and runs long after the caller's deadline, which would be counted from the late reading.
+	it('keeps the deadline of its caller', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { timers } = fixture.flow;
+		const loopLag = new LoopLagGate(new ImmediateTurnScheduler(), timers);
+		const { url, agent } = await startServer(fixture, loopLag);
+		const sentMs = timers.getNow();
+		const timeLimitMs = 5_000;
+		let deadlineMs = Number.POSITIVE_INFINITY;
+		fixture.handler.accept = (call, sink) => {
+			({ deadlineMs } = call);
+			sink.end();
+		};
+		timers.advanceWithoutTimers(2_000);
+		const answer = await request(`${url}/v1/services/bookings/run`, {
+			dispatcher: agent,
+			method: 'POST',
+			headers: { 'anvilroad-organisation': 'harbour-hotel', 'anvilroad-deadline-ms': String(timeLimitMs) },
+			body: 'work',
+		});
+		await answer.body.dump();
+		// An answer may come half a second after the deadline.
+		expect(deadlineMs).toBeLessThanOrEqual(sentMs + timeLimitMs + 500);
+		expect(deadlineMs).toBeGreaterThanOrEqual(sentMs + timeLimitMs);
+	});
+});
+
+describe('a caller that does not finish its body', () => {
+	// Guards against callers without any answer at their deadline, up to the two minutes that an upload may take.
+	it('is refused as not run at its deadline', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { port } = await startServer(fixture);
+		let plannedHeads = 0;
+		const { plan } = fixture.handler;
+		fixture.handler.plan = head => {
+			plannedHeads++;
+			return plan.call(fixture.handler, head);
+		};
+		const caller = connect(port, '127.0.0.1');
+		owned.add(toDisposable(() => caller.destroy()));
+		caller.write(
+			'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\nanvilroad-deadline-ms: 1000\r\n' +
+				'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwo',
+		);
+		while (plannedHeads === 0) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		await new Promise(resolve => setImmediate(resolve));
+		const answered = once(caller, 'data');
+		fixture.flow.timers.advance(1_000);
+		const [answer] = (await answered) as [Buffer];
+		expect(answer.toString()).toContain('"error":"deadline-unreachable","outcome":"not-run"');
+		expect(fixture.heldBytes.getTotal()).toBe(0);
+		expect(fixture.flow.attempts).toEqual([]);
+	});
+});
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -21,6 +21,7 @@
 import { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
 import { computeAcceptMs } from '../common/leaving/shutdownPlan';
+import { LoopLagGate } from '../common/intake/loopLagGate';
 import { RequestIntake } from '../common/intake/requestIntake';
 import { CrashReporter } from '../common/quarantine/crashReporter';
 import { Quarantine } from '../common/quarantine/quarantine';
@@ -74,6 +75,7 @@
 	private readonly manifests: ManifestKeeper;
 	private readonly peers: PeerClients;
 	private readonly fleet: EntryFleet;
+	private readonly startGate: LoopLagGate;
 	private readonly runners: ServiceRunners;
 	private readonly ownView: OwnView;
 	private readonly activeRuns: ActiveRuns;
@@ -124,6 +126,8 @@
 		const crashReporter = this.register(
 			new CrashReporter(sightings => this.fleet.sendCrashReport(region, sightings), this.timers),
 		);
+		const turnScheduler = new ImmediateTurnScheduler();
+		this.startGate = this.register(new LoopLagGate(turnScheduler, this.timers));
 		this.runners = this.register(
 			new ServiceRunners(
 				this.manifests,
@@ -137,6 +141,7 @@
 				),
 				this.createPolicies(),
 				this.timers,
+				this.startGate,
 			),
 		);
 		this.ownView = new OwnView(settings, this.bootId, {
@@ -151,7 +156,7 @@
 		this.sleepDetector = this.register(this.createSleepDetector());
 		this.startHold = this.register(this.createStartHold());
 		this.callHandler = this.createCallHandler();
-		const intake = new RequestIntake(new ImmediateTurnScheduler(), this.timers, this.random, waitedMs => {
+		const intake = new RequestIntake(turnScheduler, this.timers, this.random, waitedMs => {
 			this.metrics.noteStartWait(waitedMs);
 		});
 		this.callers = new CallerServer(
@@ -161,6 +166,7 @@
 			{ maxHeadBytes: settings.limits.max_head_bytes, maxBodyBytes: settings.limits.max_body_bytes },
 			intake,
 			this.timers,
+			this.startGate,
 		);
 		this.peerServer = new PeerServer(
 			this.callHandler,
@@ -168,6 +174,7 @@
 			settings.limits.max_body_bytes,
 			intake,
 			this.timers,
+			this.startGate,
 			this.certificates.peers,
 		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
@@ -379,7 +386,7 @@
 			this.metrics,
 			this.timers,
 		);
-		const router = new RequestRouter(context, this.tickets, this.timers);
+		const router = new RequestRouter(context, this.tickets, this.timers, this.startGate);
 		return new CallHandler(
 			{ ...this.settings.instance, boot: this.bootId },
 			this.environment.callers,
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -26,6 +26,10 @@
 	readonly to: InstanceId;
 	readonly peer: PeerConnection;
 	readonly reason: string;
+	/** One-way latency of the link to the peer, in milliseconds. */
+	readonly oneWayMs?: number;
+	/** When the peer has to give the request back unless it has started it, in monotonic milliseconds. */
+	readonly startByMs?: number;
 }
 
 /** The forwarding entry and its manifest version. */
@@ -115,7 +119,8 @@
 	 * the request would wait past its deadline, its caller would get no answer and a leaving entry could not stop.
 	 */
 	private async openConnection(): Promise<ConnectState> {
-		const limitMs = Math.min(maxConnectMs, this.run.getRemainingMs());
+		const startLimitMs = this.computeStartLimitMs() ?? Number.POSITIVE_INFINITY;
+		const limitMs = Math.min(maxConnectMs, this.run.getRemainingMs(), startLimitMs);
 		return new Promise(resolve => {
 			const limit = this.timers.schedule(limitMs, () => {
 				resolve('error');
@@ -221,8 +226,20 @@
 		await Promise.resolve();
 	}
 
+	/** Returns the time left for the peer to start the request, or undefined if it is unlimited. */
+	private computeStartLimitMs(): number | undefined {
+		const { startByMs } = this.route;
+		return startByMs === undefined ? undefined : Math.max(0, startByMs - this.timers.getNow());
+	}
+
+	/** Returns the time for the peer from its reading of the request to its last byte, without both ways of the link. */
+	private computePeerTimeMs(): number {
+		return Math.max(0, this.run.getRemainingMs() - 2 * (this.route.oneWayMs ?? 0));
+	}
+
 	private createHead(): ForwardRequestRequest {
 		const { id, head } = this.run.call;
+		const startWithinMs = this.computeStartLimitMs();
 		return create(ForwardRequestRequestSchema, {
 			part: {
 				case: 'head',
@@ -234,7 +251,7 @@
 					method: head.method,
 					path: head.path,
 					headers: head.forwardedLines.map(({ name, value }) => ({ name, value })),
-					remainingMs: Math.min(maxUint32, Math.floor(this.run.getRemainingMs())),
+					remainingMs: Math.min(maxUint32, Math.floor(this.computePeerTimeMs())),
 					isDeadlineGiven: this.run.call.isDeadlineGiven,
 					prefixKey: head.prefixKey ?? '',
 					ticket: head.ticket ?? '',
@@ -244,6 +261,7 @@
 					manifestVersion: BigInt(this.sender.manifestVersion),
 					host: head.routed?.host ?? '',
 					lastEventId: this.run.getLastEventId() ?? '',
+					...(startWithinMs === undefined ? {} : { startWithinMs: Math.floor(startWithinMs) }),
 				},
 			},
 		});
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -11,8 +11,10 @@
 import { RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
 import type { IAnswerSink } from '../../common/callers/answerSink';
+import type { IStartGate } from '../../common/intake/loopLagGate';
 import { isAllowedRegion } from '../../common/placement/callPlan';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
+import { computeRemoteStartLimitMs } from '../../common/sendAway/remoteStartLimit';
 import type {
 	ISendAwayPolicy,
 	OwnerRegion,
@@ -65,6 +67,7 @@
 		private readonly context: IRouterContext,
 		tickets: TicketService,
 		private readonly timers: ITimerService,
+		private readonly startGate: IStartGate,
 	) {
 		this.tickets = new TicketRouter(context, tickets, this, timers);
 	}
@@ -106,6 +109,15 @@
 
 	/** Routes a request that has no ticket, or needs none because it may be repeated. */
 	private dispatchUnticketed(run: RequestRun): void {
+		this.startGate.run(() => {
+			this.sendUnticketed(run);
+		});
+	}
+
+	private sendUnticketed(run: RequestRun): void {
+		if (run.hasEnded()) {
+			return;
+		}
 		const { plan, origin } = run.call;
 		const mayLeaveRegion = plan.homeRegion === undefined && origin === undefined;
 		if (mayLeaveRegion && this.startSendAway(run, [])) {
@@ -148,7 +160,22 @@
 		if (decision.sendTo === undefined || peer === undefined) {
 			return false;
 		}
-		void this.sendAway(run, { to: decision.sendTo, peer, reason: decision.reason }, triedEntries);
+		const oneWayMs = question.offers.find(({ instance }) => instance === decision.sendTo)?.oneWayMs ?? 0;
+		const startLimitMs = question.isUnservedHere
+			? undefined
+			: computeRemoteStartLimitMs({
+					remainingMs: run.getRemainingMs(),
+					localFirstByteMs: question.localRoom.waitMs,
+					oneWayMs,
+				});
+		const route = {
+			to: decision.sendTo,
+			peer,
+			reason: decision.reason,
+			oneWayMs,
+			...(startLimitMs === undefined ? {} : { startByMs: this.timers.getNow() + startLimitMs }),
+		};
+		void this.sendAway(run, route, triedEntries);
 		return true;
 	}
 
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -18,6 +18,8 @@
 import { RequestClass } from '../../../../core/requests/common/requestClass';
 import type { AnswerHead, IAnswerSink } from '../../../common/callers/answerSink';
 import { NativeTargetDialect } from '../../../common/dialect/nativeTargetDialect';
+import type { IStartGate } from '../../../common/intake/loopLagGate';
+import { openStartGate } from '../../../common/intake/loopLagGate';
 import { planCall } from '../../../common/placement/callPlan';
 import { ManifestIndex } from '../../../common/placement/manifestIndex';
 import { Quarantine } from '../../../common/quarantine/quarantine';
@@ -89,6 +91,8 @@
 	readonly attempts: CapturedAttempt[];
 	readonly renewedTargets: TargetId[];
 	readonly crashedTargets: Set<TargetId>;
+	/** How long the check whether a target has crashed takes. */
+	probeMs: number;
 	/** The number of attempts so far, each time a crash was shared with the region. */
 	readonly attemptCountsWhenShared: number[];
 	readonly ends: RequestEnd[];
@@ -155,8 +159,9 @@
 	targets: number,
 	repeat = RepeatRule.Idempotent,
 	scheduler: IServiceScheduler = new ServiceScheduler(new SeededRandom(7)),
+	timers = new ManualTimerService(),
+	startGate: IStartGate = openStartGate,
 ): Flow {
-	const timers = new ManualTimerService();
 	const attempts: CapturedAttempt[] = [];
 	const renewedTargets: TargetId[] = [];
 	const crashedTargets = new Set<TargetId>();
@@ -167,7 +172,12 @@
 	const clients = new Map(ids.map(id => [id, createClient(id, attempts, renewedTargets)]));
 	const crashDetector = new CrashDetector(
 		new Quarantine(),
-		target => Promise.resolve(crashedTargets.has(target)),
+		async target => {
+			if (flow.probeMs > 0) {
+				await new Promise<void>(resolve => timers.schedule(flow.probeMs, resolve));
+			}
+			return crashedTargets.has(target);
+		},
 		() => {
 			attemptCountsWhenShared.push(attempts.length);
 			return Promise.resolve();
@@ -180,7 +190,14 @@
 		noteAnswerHead: () => undefined,
 		noteAttemptEnd: () => undefined,
 	};
-	const runner = new ServiceRunner(scheduler, directory, crashDetector, new NativeTargetDialect(), timers);
+	const runner = new ServiceRunner(
+		scheduler,
+		directory,
+		crashDetector,
+		new NativeTargetDialect(),
+		timers,
+		startGate,
+	);
 	const zone = 'kingston-a' as ZoneName;
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
 	const journal = new RingRequestJournal(100, () => new Date(0));
@@ -203,18 +220,20 @@
 	const waitForPromises = async (): Promise<void> => {
 		await new Promise(resolve => setImmediate(resolve));
 	};
-	return {
+	const flow: Flow = {
 		timers,
 		runner,
 		attempts,
 		renewedTargets,
 		crashedTargets,
+		probeMs: 0,
 		attemptCountsWhenShared,
 		ends,
 		observations,
 		submit,
 		waitForPromises,
 	};
+	return flow;
 }
 
 /** Creates an observer that records into the two lists. */
