Refuse requests at once whose wait for their start would be too long

With one start in a turn, a queue of that length can't be served within the bound, and this is known when a request joins it.

Cause: the intake compared only the time that a request had waited with its bound. It had no measure of a start. An earlier try used the mean time between starts; that includes turns that only accept connections, and refused a burst of 100 callers that is served in time.

Change: TurnDurations measures the turns in which a request was started, since the queue was last empty, and subtracts the duration of turns that only accept a connection where the turn accepted one too. In each turn, the expected start of each waiting request is its place in the queue times the median of these durations. Requests that would then exceed their bound, or the deadline of their caller, are refused (four in a turn as before, now also in turns that accept). Without five measured starts nothing is refused by estimate. Retry delays, still between 300 and 900 ms, no longer begin before the waiting requests are served.

The five existing tests are unchanged; their fixture takes a duration, a random source and a deadline.

--- a/src/entry/common/intake/requestIntake.ts
+++ b/src/entry/common/intake/requestIntake.ts
@@ -12,6 +12,11 @@
  * maximum number of such turns in a row. Requests wait in this queue instead, where the wait is measured and bounded: a
  * short burst may wait longer than a standing queue. Requests whose callers have disconnected are removed before each
  * start.
+ *
+ * A request that would exceed its bound is refused as soon as that is known, so that its caller can retry elsewhere.
+ * The wait is estimated from the number of requests ahead and the measured duration of turns that start a request.
+ * Turns that only accept connections are left out: how many there will be isn't known, and an estimate that included
+ * them would refuse bursts that can be served.
  */
 
 import type { Result } from 'neverthrow';
@@ -20,6 +25,7 @@
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
+import { TurnDurations } from './turnDurations';
 
 /** Schedules callbacks on turns of the event loop. */
 export interface ITurnScheduler {
@@ -54,12 +60,23 @@
 
 interface WaitingCall {
 	readonly enqueuedMs: number;
+	/** When the start would be too late for the caller, in monotonic milliseconds. */
+	readonly deadlineMs: number;
 	readonly isAbandoned: IsAbandoned;
 	readonly resolve: (result: Result<void, RequestError>) => void;
 }
 
-/** Retry delays of refused requests are uniform between 0.5 and 1.5 times `longestBurstWaitMs`. */
-const minRetryFactor = 0.5;
+/** A waiting request that would exceed its bound. */
+interface LateCall {
+	readonly call: WaitingCall;
+	/** Longest wait allowed, and the wait that is expected, in milliseconds from when it was queued. */
+	readonly maxWaitMs: number;
+	readonly expectedWaitMs: number;
+}
+
+/** Earliest and latest retry of a refused request, as shares of `maxBurstWaitMs`. */
+const minRetryShare = 0.5;
+const maxRetryShare = 1.5;
 
 /** Queue of requests that have been read and wait to be started, shared by all servers of an entry. */
 export class RequestIntake {
@@ -69,6 +86,7 @@
 	private hasStartedRequest = false;
 	private consecutiveAcceptTurns = 0;
 	private isTurnScheduled = false;
+	private readonly turnDurations = new TurnDurations();
 
 	constructor(
 		private readonly turnScheduler: ITurnScheduler,
@@ -89,8 +107,10 @@
 	/**
 	 * Returns undefined if the request may start immediately. Otherwise the promise resolves to ok when the request
 	 * may start, or to an error if it is refused or its caller has disconnected.
+	 *
+	 * @param deadlineMs when the start would be too late for the caller, in monotonic milliseconds
 	 */
-	admit(isAbandoned: IsAbandoned): Promise<Result<void, RequestError>> | undefined {
+	admit(isAbandoned: IsAbandoned, deadlineMs: number): Promise<Result<void, RequestError>> | undefined {
 		this.scheduleTurn();
 		if (
 			this.waiting.length === 0 &&
@@ -105,9 +125,10 @@
 		const enqueuedMs = this.timers.getNow();
 		if (this.waiting.length === 0) {
 			this.nonEmptySinceMs = enqueuedMs;
+			this.turnDurations.clear(enqueuedMs);
 		}
 		return new Promise(resolve => {
-			this.waiting.push({ enqueuedMs, isAbandoned, resolve });
+			this.waiting.push({ enqueuedMs, deadlineMs, isAbandoned, resolve });
 		});
 	}
 
@@ -125,6 +146,7 @@
 	private handleTurn(): void {
 		const isAccepting =
 			this.hasAcceptedConnection && this.consecutiveAcceptTurns < this.limits.maxConsecutiveAcceptTurns;
+		this.turnDurations.noteTurn(this.timers.getNow(), this.hasAcceptedConnection);
 		this.hasAcceptedConnection = false;
 		this.hasStartedRequest = false;
 		if (this.waiting.length === 0) {
@@ -132,13 +154,13 @@
 			return;
 		}
 		this.scheduleTurn();
+		this.removeAbandoned();
+		this.refuseLate();
 		if (isAccepting) {
 			this.consecutiveAcceptTurns++;
 			return;
 		}
 		this.consecutiveAcceptTurns = 0;
-		this.removeAbandoned();
-		this.refuseLate();
 		this.startNext();
 	}
 
@@ -153,24 +175,43 @@
 		}
 	}
 
+	/** Refuses requests that would wait too long, a limited number in one turn. */
 	private refuseLate(): void {
-		const nowMs = this.timers.getNow();
-		const maxWaitMs = this.getMaxWait(nowMs);
-		const isLate = (call: WaitingCall | undefined): boolean =>
-			call !== undefined && nowMs - call.enqueuedMs > maxWaitMs;
-		for (let count = 0; count < this.limits.maxRefusalsPerTurn && isLate(this.waiting[0]); count++) {
-			this.finish(this.waiting.shift(), err(this.createRefusal(maxWaitMs)));
+		const late = this.listLate(this.timers.getNow()).slice(0, this.limits.maxRefusalsPerTurn);
+		if (late.length === 0) {
+			return;
+		}
+		const calls = new Set(late.map(({ call }) => call));
+		this.waiting = this.waiting.filter(call => !calls.has(call));
+		for (const refused of late) {
+			this.finish(refused.call, err(this.createRefusal(refused)));
 		}
 	}
 
+	private listLate(nowMs: number): LateCall[] {
+		const late: LateCall[] = [];
+		const startDurationMs = this.turnDurations.estimateStartMs();
+		let startMs = nowMs;
+		for (const call of this.waiting) {
+			const maxWaitMs = this.getMaxWait(call, startMs);
+			const expectedWaitMs = startMs - call.enqueuedMs;
+			if (expectedWaitMs > maxWaitMs) {
+				late.push({ call, maxWaitMs, expectedWaitMs });
+			} else {
+				startMs += startDurationMs;
+			}
+		}
+		return late;
+	}
+
 	/** Starts the oldest request that is not late; late ones that remain are refused in later turns. */
 	private startNext(): void {
 		const nowMs = this.timers.getNow();
-		const maxWaitMs = this.getMaxWait(nowMs);
-		const index = this.waiting.findIndex(call => nowMs - call.enqueuedMs <= maxWaitMs);
+		const index = this.waiting.findIndex(call => nowMs - call.enqueuedMs <= this.getMaxWait(call, nowMs));
 		if (index >= 0) {
 			const [call] = this.waiting.splice(index, 1);
 			this.hasStartedRequest = true;
+			this.turnDurations.noteStart();
 			this.finish(call, ok(undefined));
 		}
 	}
@@ -182,15 +223,32 @@
 		}
 	}
 
-	private getMaxWait(nowMs: number): number {
+	/** Returns the longest wait of a request that would start at the given time. */
+	private getMaxWait({ enqueuedMs, deadlineMs }: WaitingCall, startMs: number): number {
 		const { maxBurstWaitMs, maxStandingWaitMs } = this.limits;
-		return nowMs - this.nonEmptySinceMs <= maxBurstWaitMs ? maxBurstWaitMs : maxStandingWaitMs;
+		const isBurst = startMs - this.nonEmptySinceMs <= maxBurstWaitMs;
+		return Math.min(isBurst ? maxBurstWaitMs : maxStandingWaitMs, deadlineMs - enqueuedMs);
+	}
+
+	private createRefusal({ maxWaitMs, expectedWaitMs }: LateCall): RequestError {
+		const detail =
+			`not started within ${Math.round(maxWaitMs)} ms, ` +
+			`expected after ${Math.round(expectedWaitMs)} ms, ${this.waiting.length} waiting`;
+		return createRequestError(ErrorKind.Overloaded, detail, { retryAfterMs: this.computeRetryAfterMs() });
 	}
 
-	private createRefusal(maxWaitMs: number): RequestError {
+	/** Spreads retries over the time after the waiting requests have been started or refused. */
+	private computeRetryAfterMs(): number {
 		const { maxBurstWaitMs } = this.limits;
-		const retryAfterMs = Math.round(maxBurstWaitMs * (minRetryFactor + this.random.pickFraction()));
-		const detail = `not started within ${maxWaitMs} ms, ${this.waiting.length} waiting`;
-		return createRequestError(ErrorKind.Overloaded, detail, { retryAfterMs });
+		const minMs = Math.max(this.estimateQueueMs(), maxBurstWaitMs * minRetryShare);
+		return Math.round(minMs + (maxBurstWaitMs * maxRetryShare - minMs) * this.random.pickFraction());
+	}
+
+	/** Estimates when the waiting requests will have been started or refused, in milliseconds from now. */
+	private estimateQueueMs(): number {
+		const nowMs = this.timers.getNow();
+		const { maxBurstWaitMs, maxStandingWaitMs } = this.limits;
+		const maxMs = Math.max(maxStandingWaitMs, this.nonEmptySinceMs + maxBurstWaitMs - nowMs);
+		return Math.min(maxMs, this.waiting.length * this.turnDurations.computeStartIntervalMs(nowMs));
 	}
 }
--- a/src/entry/common/intake/test/requestIntake.test.ts
+++ b/src/entry/common/intake/test/requestIntake.test.ts
@@ -1,4 +1,5 @@
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import type { IRandom } from '../../../../base/common/random';
 import { SeededRandom } from '../../../../base/common/random';
 import { ErrorKind } from '../../../../core/errors/common/errorKinds';
 import type { ITurnScheduler } from '../requestIntake';
@@ -21,6 +22,7 @@
 interface Caller extends CallerResult {
 	readonly connectedMs: number;
 	readonly disconnectsMs: number;
+	readonly deadlineMs: number;
 }
 
 /** Event loop with one listening socket: a turn accepts one connection and reads the one accepted before it. */
@@ -29,7 +31,14 @@
 	private readonly scheduled: (() => void)[] = [];
 	private backlog: Caller[] = [];
 	private unread: Caller[] = [];
-	readonly intake = new RequestIntake(this, this.timers, new SeededRandom(1), () => undefined);
+	readonly intake: RequestIntake;
+
+	constructor(
+		public startDurationMs = startMs,
+		random: IRandom = new SeededRandom(1),
+	) {
+		this.intake = new RequestIntake(this, this.timers, random, () => undefined);
+	}
 
 	schedule(run: () => void): void {
 		this.scheduled.push(run);
@@ -74,7 +83,8 @@
 	}
 
 	private admit(caller: Caller): void {
-		const admitted = this.intake.admit(() => caller.disconnectsMs <= this.timers.getNow());
+		const isAbandoned = (): boolean => caller.disconnectsMs <= this.timers.getNow();
+		const admitted = this.intake.admit(isAbandoned, caller.deadlineMs);
 		if (admitted === undefined) {
 			this.start(caller);
 			return;
@@ -96,7 +106,7 @@
 
 	private start(caller: Caller): void {
 		caller.startedMs = this.timers.getNow() - caller.connectedMs;
-		this.timers.advance(startMs);
+		this.timers.advance(this.startDurationMs);
 	}
 }
 
@@ -109,10 +119,15 @@
 	count: number,
 	perSecond: number,
 	disconnectAfterMs = Number.POSITIVE_INFINITY,
+	deadlineAfterMs = Number.POSITIVE_INFINITY,
 ): Caller[] {
 	return Array.from({ length: count }, (_, index) => {
 		const connectedMs = (index * 1_000) / perSecond;
-		return { connectedMs, disconnectsMs: connectedMs + disconnectAfterMs };
+		return {
+			connectedMs,
+			disconnectsMs: connectedMs + disconnectAfterMs,
+			deadlineMs: connectedMs + deadlineAfterMs,
+		};
 	});
 }
 
@@ -173,4 +188,59 @@
 		expect(Math.max(...retryDelaysMs)).toBeLessThanOrEqual(maxBurstWaitMs * 1.5);
 		expect(new Set(retryDelaysMs).size).toBeGreaterThan(100);
 	});
+
+	// Guards against holding requests for most of a second although the queue is known to be too long.
+	it('refuses requests at once that would wait too long, and starts as many as before', async () => {
+		const slowStartMs = 30;
+		const callers = createCallers(200, 100);
+		const model = new EventLoopModel(slowStartMs);
+		await model.run(callers);
+		const later = callers.filter(({ connectedMs }) => connectedMs > 300);
+		const refusals = later.flatMap(({ refusedMs }) => (refusedMs === undefined ? [] : [refusedMs]));
+		expect(refusals.length).toBeGreaterThan(later.length / 2);
+		expect(Math.max(...refusals)).toBeLessThan(3 * slowStartMs);
+		const started = callers.filter(({ startedMs }) => startedMs !== undefined);
+		expect(started.length).toBeGreaterThan((0.8 * model.timers.getNow()) / slowStartMs);
+	});
+
+	// Guards against refusing a burst because the starts of an earlier one were slow.
+	it('estimates the wait from the starts since the queue was last empty', async () => {
+		const model = new EventLoopModel(30);
+		await model.run(createCallers(15, 1_000));
+		model.startDurationMs = startMs;
+		model.timers.advance(10_000);
+		const offsetMs = model.timers.getNow();
+		const burst = createCallers(100, 1_000).map(caller => ({
+			...caller,
+			connectedMs: caller.connectedMs + offsetMs,
+		}));
+		await model.run(burst);
+		expect(burst.filter(({ refusedMs }) => refusedMs !== undefined)).toEqual([]);
+	});
+
+	// Guards against retry delays after which the queue is still as long.
+	it('asks refused callers to return when the waiting requests have been started', async () => {
+		const slowStartMs = 30;
+		const callers = createCallers(60, 1_000);
+		const model = new EventLoopModel(slowStartMs, { pickFraction: () => 0, pickBelow: () => 0 });
+		await model.run(callers);
+		const emptyMs = Math.max(...callers.map(({ connectedMs, startedMs }) => connectedMs + (startedMs ?? 0)));
+		const returns = callers.flatMap(({ connectedMs, refusedMs, retryAfterMs }) =>
+			refusedMs === undefined ? [] : [connectedMs + refusedMs + retryAfterMs!],
+		);
+		expect(returns.length).toBeGreaterThan(0);
+		expect(Math.min(...returns)).toBeGreaterThan(emptyMs - slowStartMs);
+	});
+
+	// Guards against requests that wait behind others until their deadline.
+	it('refuses requests at once that would be started after their deadline', async () => {
+		const callers = createCallers(100, 1_000, undefined, 200);
+		await new EventLoopModel().run(callers);
+		const started = callers.filter(({ startedMs }) => startedMs !== undefined);
+		expect(findLongest(callers.map(({ startedMs }) => startedMs))).toBeLessThanOrEqual(200);
+		expect(started.length).toBeGreaterThan(40);
+		const refusals = callers.flatMap(({ refusedMs }) => (refusedMs === undefined ? [] : [refusedMs]));
+		expect(refusals.length).toBeGreaterThan(0);
+		expect(Math.max(...refusals)).toBeLessThan(100);
+	});
 });
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -198,13 +198,15 @@
 			this.refuseBody(sink, call, body.error);
 			return;
 		}
-		const admitted = await this.intake.admit(() => response.destroyed || request.socket.readableEnded);
+		const accepted = createAcceptedCall(id, head.value, plan.value, body.value, arrivedMs);
+		const isAbandoned = (): boolean => response.destroyed || request.socket.readableEnded;
+		const admitted = await this.intake.admit(isAbandoned, accepted.deadlineMs);
 		if (admitted?.isErr() === true) {
 			this.heldBytes.release(body.value.byteLength);
 			this.refuse(sink, call, head.value.ticket, admitted.error);
 			return;
 		}
-		this.handler.accept(createAcceptedCall(id, head.value, plan.value, body.value, arrivedMs), sink);
+		this.handler.accept(accepted, sink);
 	}
 
 	private readHead(raw: RawHead): Result<CallHead, RequestError> {
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -168,7 +168,8 @@
 			return err(this.createReportedError(message, plan._unsafeUnwrapErr()));
 		}
 		const body = await this.readBodyChunks(iterator);
-		const admitted = body.isErr() ? undefined : await this.intake.admit(isAbandoned);
+		const deadlineMs = arrivedMs + message.remainingMs;
+		const admitted = body.isErr() ? undefined : await this.intake.admit(isAbandoned, deadlineMs);
 		if (body.isOk() && admitted?.isErr() === true) {
 			this.heldBytes.release(body.value.byteLength);
 			return err(this.createReportedError(message, admitted.error));
