Refuse requests at once that no target can begin to answer by their deadline

A request for which every engine had a longer backlog than the time it had left was admitted and waited for two fifths of its time before it was refused; after a refused attempt it joined the queue again and waited as long once more. A request with little time left, such as one that a peer returns, was started at an engine that couldn't process its prompt in time.

Cause: the admission looked only at the work in this entry's queue. The prompts pending at the engines and the request's own prefill weren't counted, the check of waiting requests counted only the own prefill (every 20 ms, by an estimate of when the request was queued), and the retry path had no check.

Change: a queue item carries the least time to the first byte over all targets: the time until the target accepts requests (pause, cold turns), its backlog and the request's prefill. As estimates are wrong by a factor of two in both directions, only half of the estimated time is counted, and what the target may have processed since it began is subtracted. If this and half of the on-time work ahead exceed the time left, the request is refused on arrival, on a retry whose answer has not begun, or in the periodic check.

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -3,10 +3,11 @@
  * after which delay a refused caller should retry.
  */
 
+import type { TargetId } from '../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
-import type { WorkItem, WorkQueue } from './workQueue';
+import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
 import { getUrgency } from './workQueue';
 
 /** Bounds of the retry delay of refused callers, in milliseconds. */
@@ -35,38 +36,90 @@
 		return this.queue.sumWorkAheadMs(urgency, false) / Math.max(1, available.length);
 	}
 
-	/** Creates the queue item of a request, with its work at the target that would answer it first. */
-	createItem(request: SchedulableRequest, nowMs: number): WorkItem {
-		const soonest = this.findSoonest(request, nowMs);
+	/**
+	 * Creates the queue item of a request, with its work at the target that would answer it first.
+	 *
+	 * @param excluded targets to which the request is not sent
+	 */
+	createItem(request: SchedulableRequest, nowMs: number, excluded: readonly TargetId[] = []): WorkItem {
+		const { soonest, minFirstByteMs } = this.findSoonest(request, excluded, nowMs);
 		if (soonest === undefined) {
 			const { plainRunMs } = this.policy.estimate;
-			return { request, idleFirstByteMs: 0, workMs: plainRunMs };
+			return { request, idleFirstByteMs: 0, workMs: plainRunMs, minFirstByteMs };
 		}
 		const idleFirstByteMs = soonest.computeIdleFirstByteMs(request);
 		const workMs = soonest.isEngine
 			? idleFirstByteMs - this.policy.estimate.idleFirstEventMs
 			: idleFirstByteMs / soonest.description.slots;
-		return { request, idleFirstByteMs, workMs };
+		return { request, idleFirstByteMs, workMs, minFirstByteMs };
 	}
 
-	private findSoonest(request: SchedulableRequest, nowMs: number): TargetLoadModel | undefined {
+	/** Whether the answer to a request that joins the queue now can't begin by its deadline. */
+	isDeadlineUnreachable({ request, minFirstByteMs }: WorkItem, nowMs: number): boolean {
+		const queuedMs = this.queue.sumWorkAheadMs(getUrgency(request), false) / this.countAvailable(nowMs);
+		return this.isTooLong(queuedMs * this.policy.queue.minFirstByteShare + minFirstByteMs, request, nowMs);
+	}
+
+	/** Lists the waiting requests whose answers can't begin by their deadline. */
+	listUnreachable(nowMs: number): readonly WaitingRequest[] {
+		const { minFirstByteShare } = this.policy.queue;
+		const availableTargets = this.countAvailable(nowMs);
+		const targetWaits = new Map<number, number>();
+		let queuedMs = 0;
+		return this.queue.list().filter(({ request, idleFirstByteMs, workMs, isLate }) => {
+			const urgency = getUrgency(request);
+			const targetWaitMs = targetWaits.get(urgency) ?? this.computeMinTargetWaitMs(urgency, nowMs);
+			targetWaits.set(urgency, targetWaitMs);
+			const minMs = (queuedMs / availableTargets + idleFirstByteMs) * minFirstByteShare + targetWaitMs;
+			queuedMs += isLate ? 0 : workMs;
+			return this.isTooLong(minMs, request, nowMs);
+		});
+	}
+
+	/** An infinite time means that no target is known to accept requests later; another one may still join. */
+	private isTooLong(minFirstByteMs: number, { deadlineMs }: SchedulableRequest, nowMs: number): boolean {
+		return Number.isFinite(minFirstByteMs) && nowMs + minFirstByteMs > deadlineMs;
+	}
+
+	private countAvailable(nowMs: number): number {
+		return Math.max(1, this.targets.filter(target => target.isAvailable(nowMs)).length);
+	}
+
+	/** Returns the shortest wait at any target, in milliseconds. */
+	private computeMinTargetWaitMs(urgency: number, nowMs: number): number {
+		const { minFirstByteShare } = this.policy.queue;
+		const waits = this.targets.map(target =>
+			target.estimateRestMs(target.estimateBacklogMs(urgency, nowMs), urgency, minFirstByteShare, nowMs),
+		);
+		return Math.min(...waits);
+	}
+
+	private findSoonest(
+		request: SchedulableRequest,
+		excluded: readonly TargetId[],
+		nowMs: number,
+	): { readonly soonest: TargetLoadModel | undefined; readonly minFirstByteMs: number } {
+		const { minFirstByteShare } = this.policy.queue;
 		let soonest: TargetLoadModel | undefined;
 		let soonestMs = Number.POSITIVE_INFINITY;
+		let minFirstByteMs = Number.POSITIVE_INFINITY;
 		for (const target of this.targets) {
-			const firstByteMs = target.isAvailable(nowMs)
-				? target.estimateFirstByteMs(request, nowMs)
-				: Number.POSITIVE_INFINITY;
-			if (firstByteMs < soonestMs) {
+			const firstByteMs = target.estimateFirstByteMs(request, nowMs);
+			if (firstByteMs < soonestMs && target.isAvailable(nowMs)) {
 				soonest = target;
 				soonestMs = firstByteMs;
 			}
+			if (!excluded.includes(target.id)) {
+				const restMs = target.estimateRestMs(firstByteMs, getUrgency(request), minFirstByteShare, nowMs);
+				minFirstByteMs = Math.min(minFirstByteMs, restMs);
+			}
 		}
-		return soonest;
+		return { soonest, minFirstByteMs };
 	}
 
 	/** Estimates how long a request that arrives now would wait in the queue, in milliseconds. */
 	estimateWaitMs(request: SchedulableRequest, isLate: boolean, nowMs: number): number {
-		const availableTargets = Math.max(1, this.targets.filter(target => target.isAvailable(nowMs)).length);
+		const availableTargets = this.countAvailable(nowMs);
 		const share = isLate ? this.policy.queue.latePrefillShare : 1;
 		return this.queue.sumWorkAheadMs(getUrgency(request), isLate) / (availableTargets * share);
 	}
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -133,6 +133,14 @@
 		return !isLeaving && nowMs >= this.pausedUntilMs && nowMs < (registered?.endsMs ?? Infinity);
 	}
 
+	/** Returns the time until the target accepts a request, in milliseconds; infinite if it is leaving or has ended. */
+	estimateAvailableInMs(nowMs: number): number {
+		const { isLeaving, registered } = this.current;
+		const availableMs = Math.max(nowMs, this.getNextAvailableMs(nowMs));
+		const isEnding = isLeaving || availableMs >= (registered?.endsMs ?? Infinity);
+		return isEnding ? Number.POSITIVE_INFINITY : availableMs - nowMs;
+	}
+
 	isCold(nowMs: number): boolean {
 		return nowMs < (this.current.registered?.coldUntilMs ?? 0);
 	}
@@ -214,6 +222,31 @@
 		return (waitMs + this.computeIdleFirstByteMs(request, fetchedTokens)) * this.slowness;
 	}
 
+	/** Estimates the wait of a request at the target in milliseconds, with the slowness of the target. */
+	estimateBacklogMs(urgency: number, nowMs: number): number {
+		return this.estimateWaitMs(nowMs, urgency) * this.slowness;
+	}
+
+	/**
+	 * Returns the least time from now for work that takes `durationMs` by estimate and begins with the backlog of the
+	 * urgency, if it takes only a share of the estimate: without what may be done already, and with the time until the
+	 * target accepts requests.
+	 */
+	estimateRestMs(durationMs: number, urgency: number, share: number, nowMs: number): number {
+		const restMs = durationMs * share - this.estimateProgressMs(urgency, share, nowMs);
+		return this.estimateAvailableInMs(nowMs) + Math.max(0, restMs);
+	}
+
+	/** Estimates the most that is done of the prompt which the target processes, in milliseconds. */
+	private estimateProgressMs(urgency: number, share: number, nowMs: number): number {
+		for (const attempt of this.attempts.values()) {
+			if (!attempt.hasFirstByte && attempt.urgency <= urgency) {
+				return Math.min(nowMs - attempt.startedMs, attempt.prefillMs * this.slowness * share);
+			}
+		}
+		return 0;
+	}
+
 	/**
 	 * Estimates the time in milliseconds that a request sent now would wait at the target before its processing begins.
 	 * Without an urgency, the request is taken to be the least urgent.
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -64,6 +64,11 @@
 	readonly lateSlotReserveShare: number;
 	/** Share of the time to the deadline that a request may wait in the queue; the rest is for its run and retries. */
 	readonly maxWaitShare: number;
+	/**
+	 * Share of an estimated time to the first byte that an answer takes at least. Requests are refused before their
+	 * deadline only if even this time is longer than the time that they have left.
+	 */
+	readonly minFirstByteShare: number;
 	/** Interval at which queued requests are checked for missed due times and deadlines, in milliseconds. */
 	readonly recheckIntervalMs: number;
 	/** Maximum number of queued requests of one service at one entry; bounds memory. */
@@ -128,6 +133,7 @@
 		slotOvercommitShare: 0.34,
 		lateSlotReserveShare: 0.25,
 		maxWaitShare: 0.4,
+		minFirstByteShare: 0.5,
 		recheckIntervalMs: 20,
 		maxWaitingRequests: 2_000,
 	},
--- a/src/entry/common/workScheduling/workQueue.ts
+++ b/src/entry/common/workScheduling/workQueue.ts
@@ -19,6 +19,8 @@
 	readonly idleFirstByteMs: number;
 	/** Time for which the request delays others on that target, in milliseconds. */
 	readonly workMs: number;
+	/** Least time to the first byte with the load of the targets, without the queue. */
+	readonly minFirstByteMs: number;
 }
 
 /** A queued request. */
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -143,10 +143,15 @@
 			this.requests.delete(requestId);
 			return false;
 		}
+		const item = this.estimates.createItem(tracked.request, nowMs, this.listExcluded(tracked));
+		if (!tracked.hasFirstByte && this.estimates.isDeadlineUnreachable(item, nowMs)) {
+			this.requests.delete(requestId);
+			return false;
+		}
 		if (end !== AttemptEnd.NotConnected) {
 			this.retryBudget.noteRetry(nowMs);
 		}
-		this.queue.add(this.estimates.createItem(tracked.request, nowMs), nowMs);
+		this.queue.add(item, nowMs);
 		return true;
 	}
 
@@ -246,6 +251,9 @@
 		if (this.queue.size >= this.policy.queue.maxWaitingRequests) {
 			return ErrorKind.Overloaded;
 		}
+		if (this.estimates.isDeadlineUnreachable(item, nowMs)) {
+			return ErrorKind.DeadlineUnreachable;
+		}
 		const leftMs = item.request.deadlineMs - nowMs;
 		const waitMs = this.estimates.estimateWaitMs(item.request, isDueTimeMissed(item, nowMs), nowMs);
 		return waitMs > leftMs * this.policy.queue.maxWaitShare ? ErrorKind.Overloaded : undefined;
@@ -276,6 +284,11 @@
 				this.refuseWaiting(request, nowMs);
 			}
 		}
+		for (const { request } of this.estimates.listUnreachable(nowMs)) {
+			if (this.requests.get(request.id)?.hasFirstByte !== true) {
+				this.refuseWaiting(request, nowMs);
+			}
+		}
 	}
 
 	private refuseWaiting(request: SchedulableRequest, nowMs: number): void {
@@ -303,19 +316,23 @@
 		}
 	}
 
-	/** Excludes targets that were already tried, unless no other target remains. */
 	private chooseTarget(
 		tracked: TrackedRequest,
 		{ isLate }: WaitingRequest,
 		nowMs: number,
 	): TargetChoice | undefined {
-		const { request, triedTargets } = tracked;
+		const { request } = tracked;
 		const isIsolated = request.isKeptApart?.() === true;
+		const query = { request, triedTargets: this.listExcluded(tracked), isLate, isIsolated };
+		return this.targetChooser.choose(this.targetList, query, nowMs);
+	}
+
+	/** Excludes targets that were already tried, unless no other target remains. */
+	private listExcluded({ triedTargets }: TrackedRequest): readonly TargetId[] {
 		const hasUntriedTarget = this.targetList.some(
 			({ id, description }) => !description.isLeaving && !triedTargets.includes(id),
 		);
-		const query = { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
-		return this.targetChooser.choose(this.targetList, query, nowMs);
+		return hasUntriedTarget ? triedTargets : [];
 	}
 
 	private start(
