Name a retry delay after which a target can begin the request

Refused callers were asked to return after 100 ms although every engine had seconds of prompts pending: the delay counted the queue of this entry and pauses of targets, not their backlog. Since requests are refused on arrival when only that backlog is too long, this was the usual case there (in engineSimulation, 40 drafts/s at 12 entries, the median delay was 100 ms). All of them were asked to return at the same time.

The delay is now the time until the queue is served and the first target has processed its backlog, with up to a quarter more at random.

Test: "asks refused callers to return after the backlog, at different times" fails with the delay of before (100 ms against 2,857 ms of backlog).

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -3,6 +3,7 @@
  * after which delay a refused caller should retry.
  */
 
+import type { IRandom } from '../../../base/common/random';
 import type { TargetId } from '../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
@@ -10,10 +11,13 @@
 import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
 import { getUrgency } from './workQueue';
 
-/** Bounds of the retry delay of refused callers, in milliseconds. */
+/** Bounds of the retry delay of refused callers without its random part, in milliseconds. */
 const minRetryAfterMs = 100;
 const maxRetryAfterMs = 5_000;
 
+/** Largest random part of the retry delay, as a share of it. */
+const retrySpreadShare = 0.25;
+
 /** Computes estimates from the queue and the targets of one service. */
 export class QueueEstimates {
 	private targets: readonly TargetLoadModel[] = [];
@@ -21,6 +25,7 @@
 	constructor(
 		private readonly queue: WorkQueue,
 		private readonly policy: WorkPolicy,
+		private readonly random: IRandom,
 	) {}
 
 	setTargets(targets: readonly TargetLoadModel[]): void {
@@ -124,11 +129,19 @@
 		return this.queue.sumWorkAheadMs(getUrgency(request), isLate) / (availableTargets * share);
 	}
 
-	/** Returns the delay until the current queue is served or the first target accepts requests, if that is later. */
+	/**
+	 * Returns the delay until the current queue is served and a target can begin a request, in milliseconds. A random
+	 * part keeps refused callers from returning at the same time.
+	 */
 	computeRetryAfterMs(request: SchedulableRequest, nowMs: number): number {
+		const urgency = getUrgency(request);
+		const waits = this.targets.map(
+			target => target.estimateAvailableInMs(nowMs) + target.estimateBacklogMs(urgency, nowMs),
+		);
+		const targetWaitMs = Math.min(...waits);
 		const queueWaitMs = this.estimateWaitMs(request, true, nowMs);
-		const unavailableMsByTarget = this.targets.map(target => target.getNextAvailableMs(nowMs) - nowMs);
-		const unavailableMs = unavailableMsByTarget.length === 0 ? 0 : Math.min(...unavailableMsByTarget);
-		return Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, queueWaitMs, unavailableMs));
+		const waitMs = queueWaitMs + (Number.isFinite(targetWaitMs) ? targetWaitMs : 0);
+		const delayMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
+		return Math.round(delayMs * (1 + retrySpreadShare * this.random.pickFraction()));
 	}
 }
--- a/src/entry/common/workScheduling/test/unservableRequests.test.ts
+++ b/src/entry/common/workScheduling/test/unservableRequests.test.ts
@@ -7,6 +7,7 @@
 	SchedulableTarget,
 } from '../../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
+import { defaultWorkPolicy } from '../workPolicy';
 import { WorkScheduler } from '../workScheduler';
 import { createEngineTarget, createPromptedRequest } from './engineSimulation';
 
@@ -132,4 +133,21 @@
 			{ kind: ScheduleDecisionKind.Refuse, requestId: 'returned' },
 		]);
 	});
+
+	// Guards against callers that return while the backlog is as long as before, all of them at the same time.
+	it('asks refused callers to return after the backlog, at different times', () => {
+		const scheduler = createBusyScheduler(100_000);
+		const backlogMs = 100_000 / defaultWorkPolicy.estimate.prefillTokensPerMs;
+		for (let index = 0; index < 20; index++) {
+			scheduler.submit(createRequest(`short-${index}`, 500, 500), 0);
+		}
+		const delaysMs = scheduler
+			.advance(0)
+			.flatMap(decision =>
+				decision.kind === ScheduleDecisionKind.Refuse ? [decision.error.retryAfterMs!] : [],
+			);
+		expect(delaysMs.length).toBe(20);
+		expect(Math.min(...delaysMs)).toBeGreaterThanOrEqual(Math.floor(backlogMs));
+		expect(new Set(delaysMs).size).toBeGreaterThan(10);
+	});
 });
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -68,7 +68,7 @@
 	) {
 		this.targetChooser = new WorkTargetChooser(policy.choice, policy.estimate, random);
 		this.retryBudget = new FleetRetryBudget(policy.retry);
-		this.estimates = new QueueEstimates(this.queue, policy);
+		this.estimates = new QueueEstimates(this.queue, policy, random);
 	}
 
 	setTargets(targets: readonly SchedulableTarget[]): void {
