Merge the refusal of requests that are known to be unservable

The merge takes half of the forecast for both: on arrival, in each check and when a target is chosen. An idle target that has been slow counts at its usual speed in all of them, since only a run corrects its estimate. Whether an attempt is given up for another still goes by the full forecast.

A request whose target refused it and that no other can answer in time is refused in the same step with a retry delay of its own.

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -3,16 +3,21 @@
  * after which delay a refused caller should retry.
  */
 
+import type { IRandom } from '../../../base/common/random';
+import type { TargetId } from '../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
 import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
 import { getUrgency } from './workQueue';
 
-/** Bounds of the retry delay of refused callers, in milliseconds. */
+/** Bounds of the retry delay of refused callers without its random part, in milliseconds. */
 const minRetryAfterMs = 100;
 const maxRetryAfterMs = 5_000;
 
+/** Largest random part of the retry delay, as a share of it. */
+const retrySpreadShare = 0.25;
+
 /** Computes estimates from the queue and the targets of one service. */
 export class QueueEstimates {
 	private targets: readonly TargetLoadModel[] = [];
@@ -20,6 +25,7 @@
 	constructor(
 		private readonly queue: WorkQueue,
 		private readonly policy: WorkPolicy,
+		private readonly random: IRandom,
 	) {}
 
 	setTargets(targets: readonly TargetLoadModel[]): void {
@@ -35,38 +41,90 @@
 		return this.queue.sumWorkAheadMs(urgency, false) / Math.max(1, available.length);
 	}
 
-	/** Creates the queue item of a request, with its work at the target that would answer it first. */
-	createItem(request: SchedulableRequest, nowMs: number): WorkItem {
-		const soonest = this.findSoonest(request, nowMs);
+	/**
+	 * Creates the queue item of a request, with its work at the target that would answer it first.
+	 *
+	 * @param excluded targets to which the request is not sent
+	 */
+	createItem(request: SchedulableRequest, nowMs: number, excluded: readonly TargetId[] = []): WorkItem {
+		const { soonest, minFirstByteMs } = this.findSoonest(request, excluded, nowMs);
 		if (soonest === undefined) {
 			const { plainRunMs } = this.policy.estimate;
-			return { request, idleFirstByteMs: 0, workMs: plainRunMs };
+			return { request, idleFirstByteMs: 0, workMs: plainRunMs, minFirstByteMs };
 		}
 		const idleFirstByteMs = soonest.computeIdleFirstByteMs(request);
 		const workMs = soonest.isEngine
 			? idleFirstByteMs - this.policy.estimate.idleFirstEventMs
 			: idleFirstByteMs / soonest.description.slots;
-		return { request, idleFirstByteMs, workMs };
+		return { request, idleFirstByteMs, workMs, minFirstByteMs };
+	}
+
+	/** Whether the answer to a request that joins the queue now can't begin by its deadline. */
+	isDeadlineUnreachable({ request, minFirstByteMs }: WorkItem, nowMs: number): boolean {
+		const queuedMs = this.queue.sumWorkAheadMs(getUrgency(request), false) / this.countAvailable(nowMs);
+		return this.isTooLong(queuedMs * this.policy.queue.minFirstByteShare + minFirstByteMs, request, nowMs);
+	}
+
+	/** Lists the waiting requests whose answers can't begin by their deadline. */
+	listUnreachable(nowMs: number): readonly WaitingRequest[] {
+		const { minFirstByteShare } = this.policy.queue;
+		const availableTargets = this.countAvailable(nowMs);
+		const targetWaits = new Map<number, number>();
+		let queuedMs = 0;
+		return this.queue.list().filter(({ request, idleFirstByteMs, workMs, isLate }) => {
+			const urgency = getUrgency(request);
+			const targetWaitMs = targetWaits.get(urgency) ?? this.computeMinTargetWaitMs(urgency, nowMs);
+			targetWaits.set(urgency, targetWaitMs);
+			const minMs = (queuedMs / availableTargets + idleFirstByteMs) * minFirstByteShare + targetWaitMs;
+			queuedMs += isLate ? 0 : workMs;
+			return this.isTooLong(minMs, request, nowMs);
+		});
+	}
+
+	/** An infinite time means that no target is known to accept requests later; another one may still join. */
+	private isTooLong(minFirstByteMs: number, { deadlineMs }: SchedulableRequest, nowMs: number): boolean {
+		return Number.isFinite(minFirstByteMs) && nowMs + minFirstByteMs > deadlineMs;
+	}
+
+	private countAvailable(nowMs: number): number {
+		return Math.max(1, this.targets.filter(target => target.isAvailable(nowMs)).length);
 	}
 
-	private findSoonest(request: SchedulableRequest, nowMs: number): TargetLoadModel | undefined {
+	/** Returns the shortest wait at any target, in milliseconds. */
+	private computeMinTargetWaitMs(urgency: number, nowMs: number): number {
+		const { minFirstByteShare } = this.policy.queue;
+		const waits = this.targets.map(target =>
+			target.estimateRestMs(target.estimateBacklogMs(urgency, nowMs), urgency, minFirstByteShare, nowMs),
+		);
+		return Math.min(...waits);
+	}
+
+	private findSoonest(
+		request: SchedulableRequest,
+		excluded: readonly TargetId[],
+		nowMs: number,
+	): { readonly soonest: TargetLoadModel | undefined; readonly minFirstByteMs: number } {
+		const { minFirstByteShare } = this.policy.queue;
 		let soonest: TargetLoadModel | undefined;
 		let soonestMs = Number.POSITIVE_INFINITY;
+		let minFirstByteMs = Number.POSITIVE_INFINITY;
 		for (const target of this.targets) {
-			const firstByteMs = target.isAvailable(nowMs)
-				? target.estimateFirstByteMs(request, nowMs)
-				: Number.POSITIVE_INFINITY;
-			if (firstByteMs < soonestMs) {
+			const firstByteMs = target.estimateFirstByteMs(request, nowMs);
+			if (firstByteMs < soonestMs && target.isAvailable(nowMs)) {
 				soonest = target;
 				soonestMs = firstByteMs;
 			}
+			if (!excluded.includes(target.id)) {
+				const minMs = target.computeMinFirstByteMs(request, firstByteMs, minFirstByteShare, nowMs);
+				minFirstByteMs = Math.min(minFirstByteMs, minMs);
+			}
 		}
-		return soonest;
+		return { soonest, minFirstByteMs };
 	}
 
 	/** Estimates how long a request that arrives now would wait in the queue, in milliseconds. */
 	estimateWaitMs(request: SchedulableRequest, isLate: boolean, nowMs: number): number {
-		const availableTargets = Math.max(1, this.targets.filter(target => target.isAvailable(nowMs)).length);
+		const availableTargets = this.countAvailable(nowMs);
 		const share = isLate ? this.policy.queue.latePrefillShare : 1;
 		return this.queue.sumWorkAheadMs(getUrgency(request), isLate) / (availableTargets * share);
 	}
@@ -76,16 +134,23 @@
 		if (request.startByMs === undefined) {
 			return true;
 		}
-		const available = this.targets.filter(target => target.isAvailable(nowMs));
 		const othersMs = this.queue.sumWorkAheadMs(getUrgency(request), isLate) - workMs;
-		return nowMs + othersMs / Math.max(1, available.length) <= request.startByMs;
+		return nowMs + othersMs / this.countAvailable(nowMs) <= request.startByMs;
 	}
 
-	/** Returns the delay until the current queue is served or the first target accepts requests, if that is later. */
+	/**
+	 * Returns the delay until the current queue is served and a target can begin a request, in milliseconds. A random
+	 * part keeps refused callers from returning at the same time.
+	 */
 	computeRetryAfterMs(request: SchedulableRequest, nowMs: number): number {
+		const urgency = getUrgency(request);
+		const waits = this.targets.map(
+			target => target.estimateAvailableInMs(nowMs) + target.estimateBacklogMs(urgency, nowMs),
+		);
+		const targetWaitMs = Math.min(...waits);
 		const queueWaitMs = this.estimateWaitMs(request, true, nowMs);
-		const unavailableMsByTarget = this.targets.map(target => target.getNextAvailableMs(nowMs) - nowMs);
-		const unavailableMs = unavailableMsByTarget.length === 0 ? 0 : Math.min(...unavailableMsByTarget);
-		return Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, queueWaitMs, unavailableMs));
+		const waitMs = queueWaitMs + (Number.isFinite(targetWaitMs) ? targetWaitMs : 0);
+		const delayMs = Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, waitMs));
+		return Math.round(delayMs * (1 + retrySpreadShare * this.random.pickFraction()));
 	}
 }
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -24,7 +24,7 @@
 import { findBestRanked } from '../scheduling/prefixRanking';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
-import type { WorkChoiceParameters, WorkEstimateParameters } from './workPolicy';
+import type { WorkPolicy } from './workPolicy';
 import { getDueMs, getUrgency } from './workQueue';
 
 /** A request for which a target is to be chosen. */
@@ -51,21 +51,19 @@
 /** Chooses targets for the requests of one service. */
 export class WorkTargetChooser {
 	constructor(
-		private readonly parameters: WorkChoiceParameters,
-		private readonly estimateParameters: WorkEstimateParameters,
+		private readonly policy: WorkPolicy,
 		private readonly random: IRandom,
 	) {}
 
 	/**
 	 * Returns the target with the lowest cost, or undefined if the request should wait. A request waits for a target
 	 * without capacity that is cheaper than all targets with capacity and can still meet the due time: another target
-	 * would have to process the whole prompt and evict a cached part. Targets that would begin the answer after its
+	 * would have to process the whole prompt and evict a cached part. Targets that cannot begin the answer by its
 	 * deadline are left out, because the run would be cancelled.
 	 */
 	choose(targets: readonly TargetLoadModel[], query: TargetQuery, nowMs: number): TargetChoice | undefined {
-		const candidates = this.listCandidates(targets, query, nowMs).filter(
-			({ target, firstByteMs }) =>
-				nowMs + firstByteMs <= query.request.deadlineMs || isUntested(target, query.request, nowMs),
+		const candidates = this.listCandidates(targets, query, nowMs).filter(({ target, firstByteMs }) =>
+			this.isAnswerPossible(target, query.request, firstByteMs, nowMs),
 		);
 		const best = findCheapest(candidates);
 		const bestNow = findCheapest(candidates.filter(({ hasCapacity }) => hasCapacity));
@@ -93,12 +91,23 @@
 		return targets
 			.filter(({ id, description }) => !description.isLeaving && !triedTargets.includes(id))
 			.some(target => {
-				const startMs = Math.max(nowMs, target.getNextAvailableMs(nowMs));
 				const firstByteMs = target.estimateFirstByteMs(request, nowMs, shared?.tokens);
-				return startMs + firstByteMs <= request.deadlineMs || isUntested(target, request, startMs);
+				return this.isAnswerPossible(target, request, firstByteMs, nowMs);
 			});
 	}
 
+	/** Whether the answer could begin by the deadline if the target took the least time that its estimate allows. */
+	private isAnswerPossible(
+		target: TargetLoadModel,
+		request: SchedulableRequest,
+		firstByteMs: number,
+		nowMs: number,
+	): boolean {
+		const { minFirstByteShare } = this.policy.queue;
+		const minMs = target.computeMinFirstByteMs(request, firstByteMs, minFirstByteShare, nowMs);
+		return nowMs + minMs <= request.deadlineMs;
+	}
+
 	private listCandidates(
 		targets: readonly TargetLoadModel[],
 		query: TargetQuery,
@@ -122,7 +131,7 @@
 				const delayMs = target.estimateAddedDelayMs(request, nowMs, fetchedTokens);
 				const isCopy = shared !== undefined && target !== owner && !target.hasPart(shared.id);
 				const copyMs = isCopy ? this.computeCopyCostMs(shared, fetchedTokens > 0) : 0;
-				const { failureCost, jitter, delayCost } = this.parameters;
+				const { failureCost, jitter, delayCost } = this.policy.choice;
 				const factor = (1 + failureCost * target.failureRate) * (1 + jitter * this.random.pickFraction());
 				const hasCapacity = target.hasCapacity({ ...query, urgency }, nowMs);
 				return {
@@ -140,13 +149,13 @@
 	}
 
 	private findSharedPart({ work }: SchedulableRequest): PromptPart | undefined {
-		return work?.prompt && findSharedPart(work.prompt, this.parameters.minSharedTokens);
+		return work?.prompt && findSharedPart(work.prompt, this.policy.choice.minSharedTokens);
 	}
 
 	/** A copy evicts another part, which must later be processed or fetched again. */
 	private computeCopyCostMs({ tokens }: PromptPart, isFetched: boolean): number {
-		const { prefillTokensPerMs, fetchedTokensPerMs } = this.estimateParameters;
-		return (this.parameters.copyCost * tokens) / (isFetched ? fetchedTokensPerMs : prefillTokensPerMs);
+		const { prefillTokensPerMs, fetchedTokensPerMs } = this.policy.estimate;
+		return (this.policy.choice.copyCost * tokens) / (isFetched ? fetchedTokensPerMs : prefillTokensPerMs);
 	}
 }
 
@@ -172,14 +181,6 @@
 	);
 }
 
-/**
- * Whether the target runs nothing of this entry and would begin the answer in time at its usual speed. Only a run can
- * correct the estimate of a target that has been slow, so without this it would never be used again.
- */
-function isUntested(target: TargetLoadModel, request: SchedulableRequest, nowMs: number): boolean {
-	return target.running === 0 && nowMs + target.computeIdleFirstByteMs(request) <= request.deadlineMs;
-}
-
 function describeChoice(
 	{ target, owner, shared, firstByteMs, prefillMs, fetchSource }: TargetCandidate,
 	nowMs: number,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -66,9 +66,9 @@
 		private readonly countEntries: () => number,
 		private readonly policy: WorkPolicy = defaultWorkPolicy,
 	) {
-		this.targetChooser = new WorkTargetChooser(policy.choice, policy.estimate, random);
+		this.targetChooser = new WorkTargetChooser(policy, random);
 		this.retryBudget = new FleetRetryBudget(policy.retry);
-		this.estimates = new QueueEstimates(this.queue, policy);
+		this.estimates = new QueueEstimates(this.queue, policy, random);
 	}
 
 	setTargets(targets: readonly SchedulableTarget[]): void {
@@ -144,10 +144,11 @@
 			this.requests.delete(requestId);
 			return false;
 		}
+		const item = this.estimates.createItem(tracked.request, nowMs, this.listExcluded(tracked));
 		if (end !== AttemptEnd.NotConnected) {
 			this.retryBudget.noteRetry(nowMs);
 		}
-		this.queue.add(this.estimates.createItem(tracked.request, nowMs), nowMs);
+		this.queue.add(item, nowMs);
 		return true;
 	}
 
@@ -251,6 +252,9 @@
 		if (this.queue.size >= this.policy.queue.maxWaitingRequests) {
 			return ErrorKind.Overloaded;
 		}
+		if (this.estimates.isDeadlineUnreachable(item, nowMs)) {
+			return ErrorKind.DeadlineUnreachable;
+		}
 		const leftMs = item.request.deadlineMs - nowMs;
 		const waitMs = this.estimates.estimateWaitMs(item.request, isDueTimeMissed(item, nowMs), nowMs);
 		return waitMs > leftMs * this.policy.queue.maxWaitShare ? ErrorKind.Overloaded : undefined;
@@ -281,6 +285,11 @@
 				this.refuseWaiting(request, nowMs);
 			}
 		}
+		for (const { request } of this.estimates.listUnreachable(nowMs)) {
+			if (this.requests.get(request.id)?.hasFirstByte !== true) {
+				this.refuseWaiting(request, nowMs);
+			}
+		}
 	}
 
 	/** Refuses requests of other regions that could not be started in time, so that these regions can serve them. */
@@ -321,13 +330,18 @@
 		}
 	}
 
-	/** Excludes targets that were already tried, unless no other target remains. */
-	private createQuery({ request, triedTargets }: TrackedRequest, { isLate }: WaitingRequest): TargetQuery {
+	private createQuery(tracked: TrackedRequest, { isLate }: WaitingRequest): TargetQuery {
+		const { request } = tracked;
 		const isIsolated = request.isKeptApart?.() === true;
+		return { request, triedTargets: this.listExcluded(tracked), isLate, isIsolated };
+	}
+
+	/** Excludes targets that were already tried, unless no other target remains. */
+	private listExcluded({ triedTargets }: TrackedRequest): readonly TargetId[] {
 		const hasUntriedTarget = this.targetList.some(
 			({ id, description }) => !description.isLeaving && !triedTargets.includes(id),
 		);
-		return { request, triedTargets: hasUntriedTarget ? triedTargets : [], isLate, isIsolated };
+		return hasUntriedTarget ? triedTargets : [];
 	}
 
 	/**
