Log what the event loop was busy with when it was late

Answers of a whole entry were late by up to 1.2 s, and nothing that the entry wrote said why: the exported delay of the event loop names no reason, and the steps of a request only show that it waited.

The check of the event loop every 250 ms, which the gate of late starts and the detection of suspensions use too, now writes a line `event loop late` when it is over 100 ms late, the bound of that gate: length of the window, lateness, processor time, idle time, and what ran in it: exchanges of views started and received, crash reports, requests and attempts started, chunks of answers, closes of callers, accepted connections, updates of targets. At most one line a second; the next one has the number of those left out. No timer is added, and a counted event costs an increment. anvilroad_event_loop_late_seconds has the lateness of every late window.

eventLoopMonitor.test.ts, on a virtual clock: when a line is written, what it has, what is left out. The counts of the fleet, the requests and the intake have a test each. metrics.test.ts now freezes the loop of two real entries and expects metric and line. By hand, an idle entry stopped with SIGSTOP for 0.8 and 3 s: lines with windowMs 840, cpuMs 1, idleMs 839 and 3013, 2, 3013.

--- a/src/bin/test/metrics.test.ts
+++ b/src/bin/test/metrics.test.ts
@@ -10,6 +10,7 @@
 import { DisposableStore } from '../../base/common/lifecycle';
 import { SystemTimerService } from '../../base/node/systemTimerService';
 import { findFreePorts } from '../../demo/node/freePorts';
+import type { LateWindow } from '../../entry/common/eventLoop/eventLoopMonitor';
 import { Entry } from '../../entry/node/entry';
 import { NativeEnvironment } from '../../entry/node/environment/nativeEnvironment';
 import { entrySettingsSchema } from '../../core/settings/common/entrySettings';
@@ -21,11 +22,14 @@
 /** Includes starting the entries, their discovery of each other and their shutdown on a busy machine. */
 const timeoutMs = 40_000;
 const pollMs = 50;
+/** Longer than the interval between two checks of the event loop and the lateness that is recorded. */
+const freezeMs = 500;
 
 interface RunningEntry {
 	readonly entry: Entry;
 	readonly callers: string;
 	readonly operators: string;
+	readonly logLines: readonly string[];
 }
 
 const owned = new DisposableStore();
@@ -78,7 +82,12 @@
 	const line = lines.find(text => text.includes('"listening"')) ?? '';
 	const { callers, operators } = JSON.parse(line) as { callers: number; operators: number };
 	const address = 'http://127.0.0.1';
-	entries.push({ entry, callers: `${address}:${callers}`, operators: `${address}:${operators}` });
+	entries.push({
+		entry,
+		callers: `${address}:${callers}`,
+		operators: `${address}:${operators}`,
+		logLines: lines,
+	});
 }
 
 async function fetchText(url: string): Promise<string> {
@@ -103,6 +112,11 @@
 	return answer.statusCode;
 }
 
+/** Keeps the event loop of all entries from running, like work that takes too long. */
+function freezeEventLoop(): void {
+	Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, freezeMs);
+}
+
 async function waitUntil(isMet: () => Promise<boolean>): Promise<void> {
 	while (!(await isMet())) {
 		await new Promise(resolve => setTimeout(resolve, pollMs));
@@ -150,6 +164,8 @@
 			const [ticket] = (JSON.parse(lookup) as { tickets: string[] }).tickets;
 			expect(await sendCall(here!, '/run/pay', ticket)).toBe(200);
 			await waitUntil(async () => hasSamples(await fetchMetrics(), 'anvilroad_targets'));
+			freezeEventLoop();
+			await waitUntil(async () => hasSamples(await fetchMetrics(), 'anvilroad_event_loop_late_seconds'));
 			const page = await fetchMetrics();
 			const unrecorded = listEntryMetrics()
 				.map(({ name }) => name)
@@ -161,3 +177,29 @@
 		timeoutMs,
 	);
 });
+
+describe('the log of entries', () => {
+	// Guards against requests that wait at a busy entry while nothing that it writes names the work it was busy with.
+	it(
+		'has the requests that were served while the event loop was late',
+		async () => {
+			const [here] = entries;
+			await waitUntil(async () => {
+				await sendCall(here!, '/bytes?n=20000');
+				freezeEventLoop();
+				return here!.logLines.some(hasRequestWork);
+			});
+		},
+		timeoutMs,
+	);
+});
+
+/** Returns whether a line of the log reports a late event loop and work for requests. */
+function hasRequestWork(line: string): boolean {
+	const { eventLoop, msg } = JSON.parse(line) as { eventLoop?: LateWindow; msg: string };
+	if (eventLoop === undefined || msg !== 'event loop late') {
+		return false;
+	}
+	const { requestsStarted, attemptsStarted, answerChunks } = eventLoop.work;
+	return requestsStarted > 0 && attemptsStarted > 0 && answerChunks > 0;
+}
--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -44,6 +44,9 @@
 /** In seconds; from short requests to drafts that run for many minutes. */
 const answerBuckets = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60, 120, 300, 600];
 
+/** In seconds; begins above the smallest lateness that is recorded. */
+const eventLoopLateBuckets = [0.15, 0.2, 0.3, 0.5, 0.75, 1, 2, 5, 15];
+
 export const counterDefinitions = {
 	requests: createDefinition(
 		'requests_total',
@@ -148,6 +151,13 @@
 		createDefinition('start_wait_seconds', 'From the end of reading a request to its start or refusal.'),
 		firstByteBuckets,
 	),
+	eventLoopLate: withBuckets(
+		createDefinition(
+			'event_loop_late_seconds',
+			'By how much the check of the event loop every 250 ms was late, where it was over 0.1 s late.',
+		),
+		eventLoopLateBuckets,
+	),
 	queueWait: withBuckets(
 		createDefinition('queue_wait_seconds', 'From submission to the start of an attempt.', 'service', 'class'),
 		firstByteBuckets,
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -89,6 +89,7 @@
 	private readonly answer = this.createHistogram(histogramDefinitions.answer);
 	private readonly gap = this.createHistogram(histogramDefinitions.gap);
 	private readonly startWait = this.createHistogram(histogramDefinitions.startWait);
+	private readonly eventLoopLate = this.createHistogram(histogramDefinitions.eventLoopLate);
 	private readonly queueWait = this.createHistogram(histogramDefinitions.queueWait);
 
 	private services: ReadonlySet<string> = new Set();
@@ -147,6 +148,10 @@
 		this.startWait.observe({}, waitedMs / millisecondsPerSecond);
 	}
 
+	noteEventLoopLate(lateMs: number): void {
+		this.eventLoopLate.observe({}, lateMs / millisecondsPerSecond);
+	}
+
 	noteQueueWait(service: string, requestClass: RequestClass, waitedMs: number): void {
 		const labels = { service: this.findServiceLabel(service), class: requestClass };
 		this.queueWait.observe(labels, waitedMs / millisecondsPerSecond);
--- a/src/core/telemetry/test/entryMetrics.test.ts
+++ b/src/core/telemetry/test/entryMetrics.test.ts
@@ -18,7 +18,9 @@
 		metrics.noteRequest('bookings', RequestClass.Urgent, Outcome.NotRun, ErrorKind.Overloaded);
 		metrics.noteFirstByte('bookings', RequestClass.Urgent, 600);
 		metrics.noteTicket(TicketResult.Issued, 4);
+		metrics.noteEventLoopLate(950);
 		const page = await metrics.render();
+		expect(page).toContain('anvilroad_event_loop_late_seconds_sum 0.95');
 		expect(page).toContain('anvilroad_tickets_total{result="issued"} 4');
 		expect(page).toContain(
 			'anvilroad_requests_total{service="bookings",class="urgent",outcome="not-run",error="overloaded"} 1',
--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -25,9 +25,9 @@
 }
 
 /** Shared with the detection of suspensions, which checks the clock at the same interval. */
-const checkIntervalMs = 250;
+export const checkIntervalMs = 250;
 /** A timer that is late by more than this shows that the event loop is behind. */
-const maxLagMs = 100;
+export const maxLagMs = 100;
 
 /** Measures the lag of the event loop by a timer. */
 export class LoopLagGate extends Disposable implements IStartGate, ILoopLag {
--- a/src/entry/common/intake/requestIntake.ts
+++ b/src/entry/common/intake/requestIntake.ts
@@ -66,6 +66,7 @@
 	private waiting: WaitingCall[] = [];
 	private nonEmptySinceMs: number;
 	private hasAcceptedConnection = false;
+	private acceptedConnections = 0;
 	private hasStartedRequest = false;
 	private consecutiveAcceptTurns = 0;
 	private isTurnScheduled = false;
@@ -80,8 +81,14 @@
 		this.nonEmptySinceMs = timers.getNow();
 	}
 
+	/** Number of connections accepted so far. */
+	get connectionCount(): number {
+		return this.acceptedConnections;
+	}
+
 	/** Records an accepted connection, which delays starts because the accept queue may hold more. */
 	noteConnection(): void {
+		this.acceptedConnections++;
 		this.hasAcceptedConnection = true;
 		this.scheduleTurn();
 	}
--- a/src/entry/common/intake/test/requestIntake.test.ts
+++ b/src/entry/common/intake/test/requestIntake.test.ts
@@ -161,6 +161,12 @@
 		expect(callers.some(({ hasDisconnected }) => hasDisconnected === true)).toBe(true);
 	});
 
+	it('counts accepted connections', async () => {
+		const model = new EventLoopModel();
+		await model.run(createCallers(2_000, 500, 100));
+		expect(model.intake.connectionCount).toBe(2_000);
+	});
+
 	// Guards against refused callers that all retry at the same time.
 	it('spreads the retry delays of refused requests', async () => {
 		const callers = createCallers(2_000, 500);
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -20,6 +20,8 @@
 import type { EntrySettings } from '../../core/settings/common/entrySettings';
 import { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
+import { EventLoopMonitor } from '../common/eventLoop/eventLoopMonitor';
+import type { WorkCounts } from '../common/eventLoop/workCounts';
 import { computeAcceptMs } from '../common/leaving/shutdownPlan';
 import { LoopLagGate } from '../common/intake/loopLagGate';
 import { RequestIntake } from '../common/intake/requestIntake';
@@ -41,6 +43,7 @@
 import { PeerClients } from './peers/peerClients';
 import { PeerViewListener } from './peerViewListener';
 import { PeerServer } from './peers/peerServer';
+import { readProcessUsage } from './processUsage';
 import { ActiveRuns } from './requests/activeRuns';
 import { CrashDetector } from './requests/crashDetector';
 import { RequestRouter } from './requests/requestRouter';
@@ -83,6 +86,7 @@
 	private readonly startHold: StartHold;
 	private readonly tickets: TicketService;
 	private readonly callHandler: CallHandler;
+	private readonly intake: RequestIntake;
 	private readonly callers: CallerServer;
 	private readonly peerServer: PeerServer;
 	private readonly operators: OperatorsServer;
@@ -156,7 +160,7 @@
 		this.sleepDetector = this.register(this.createSleepDetector());
 		this.startHold = this.register(this.createStartHold());
 		this.callHandler = this.createCallHandler();
-		const intake = new RequestIntake(turnScheduler, this.timers, this.random, waitedMs => {
+		this.intake = new RequestIntake(turnScheduler, this.timers, this.random, waitedMs => {
 			this.metrics.noteStartWait(waitedMs);
 		});
 		this.callers = new CallerServer(
@@ -164,7 +168,7 @@
 			environment.callers,
 			this.heldBytes,
 			{ maxHeadBytes: settings.limits.max_head_bytes, maxBodyBytes: settings.limits.max_body_bytes },
-			intake,
+			this.intake,
 			this.timers,
 			this.startGate,
 		);
@@ -172,7 +176,7 @@
 			this.callHandler,
 			this.heldBytes,
 			settings.limits.max_body_bytes,
-			intake,
+			this.intake,
 			this.timers,
 			this.startGate,
 			this.certificates.peers,
@@ -297,6 +301,7 @@
 				timers: this.timers,
 			}),
 		);
+		this.register(this.createEventLoopMonitor());
 		this.register(writeAuditLines(this.logger, this.auditTrail));
 		this.register(
 			new PeerViewListener({
@@ -367,6 +372,30 @@
 		);
 	}
 
+	private createEventLoopMonitor(): EventLoopMonitor {
+		return new EventLoopMonitor(
+			{ readUsage: readProcessUsage, countWork: () => this.countWork() },
+			{
+				noteLate: lateMs => {
+					this.metrics.noteEventLoopLate(lateMs);
+				},
+				writeWindow: window => {
+					this.logger.warn({ eventLoop: window }, 'event loop late');
+				},
+			},
+			this.timers,
+		);
+	}
+
+	private countWork(): WorkCounts {
+		return {
+			...this.fleet.getWorkCounts(),
+			...this.activeRuns.getWorkCounts(),
+			connectionsAccepted: this.intake.connectionCount,
+			targetUpdates: this.runners.targetUpdateCount,
+		};
+	}
+
 	private createStartHold(): StartHold {
 		const { sources } = this.platform;
 		return new StartHold(
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -18,6 +18,7 @@
 import { ListedState } from '../../../core/platformClient/common/instanceList';
 import type { EntryView as WireView, ShareCrashesRequest } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { ShareCrashesRequestSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { FleetWorkCounts } from '../../common/eventLoop/workCounts';
 import type { CrashSightingView, EntryView } from '../../common/fleetView/entryView';
 import { findRoom } from '../../common/fleetView/entryView';
 import { ExchangePlanner, isFromNewPeer } from '../../common/fleetView/exchangePlanner';
@@ -72,6 +73,7 @@
 	private readonly lifecycles: InstanceLifecycles;
 	private readonly liveEntries: LiveEntries;
 	private hasSharedManifest = false;
+	private readonly work = { exchangesReceived: 0, exchangesStarted: 0, crashReportsReceived: 0 };
 	private readonly viewReceived = this.register(new Channel<EntryView>());
 
 	/** Emits each view that is newer than the stored one, with its age on arrival. */
@@ -122,6 +124,11 @@
 		return this.liveEntries.visitCount;
 	}
 
+	/** Returns the numbers of messages to and from other entries so far. */
+	getWorkCounts(): FleetWorkCounts {
+		return this.work;
+	}
+
 	getLifecycles(): InstanceLifecycles {
 		return this.lifecycles;
 	}
@@ -139,6 +146,7 @@
 
 	/** Merges views received from a peer, and returns the views to answer with. */
 	receiveViews(messages: readonly WireView[]): WireView[] {
+		this.work.exchangesReceived++;
 		const views = messages.map(decodeView);
 		const sender = views[0];
 		this.mergeViews(views, sender?.instance ?? 'unknown');
@@ -179,6 +187,7 @@
 
 	/** Records crashes that another entry reported. */
 	receiveCrashReport({ region, crashSightings }: ShareCrashesRequest): void {
+		this.work.crashReportsReceived++;
 		const sightings = crashSightings.map(decodeSighting);
 		this.crashesReported.emit({ region: region as RegionName, sightings });
 	}
@@ -284,6 +293,7 @@
 	}
 
 	private async exchangeWith({ instance, peerUrl }: ExchangeContact): Promise<void> {
+		this.work.exchangesStarted++;
 		try {
 			const answer = await this.peers
 				.open(peerUrl)
--- a/src/entry/node/fleet/test/immediateExchanges.test.ts
+++ b/src/entry/node/fleet/test/immediateExchanges.test.ts
@@ -146,3 +146,17 @@
 		expect(received).toEqual([{ region, sightings: crashSightings }]);
 	});
 });
+
+describe('the work counts of a fleet', () => {
+	it('have each exchange of either side and each crash report', async () => {
+		const { fleet } = createRecordedFleet(3);
+		await fleet.exchangeWithAll();
+		fleet.receiveViews([encodeView(createView('entry-1'))]);
+		fleet.receiveCrashReport(create(ShareCrashesRequestSchema, { region, crashSightings: [] }));
+		expect(fleet.getWorkCounts()).toEqual({
+			exchangesReceived: 2,
+			exchangesStarted: 3,
+			crashReportsReceived: 1,
+		});
+	});
+});
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -5,7 +5,7 @@
 
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
-import { getOutcomeOf } from '../../../core/errors/common/errorKinds';
+import { ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
 import type { IRequestJournal } from '../../../core/explain/common/requestJournal';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { RequestId } from '../../../core/ids/common/ids';
@@ -14,6 +14,7 @@
 import type { EntryMetrics } from '../../../core/telemetry/node/entryMetrics';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead } from '../../common/callers/callHead';
+import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
 import { RequestLifecycle } from '../../common/requests/requestLifecycle';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { HeldBytes } from '../callers/bodyReader';
@@ -39,6 +40,7 @@
 	private readonly runs = new Set<RequestRun>();
 	private readonly ids = new Set<RequestId>();
 	private readonly idleWaiters: (() => void)[] = [];
+	private readonly work = { requestsStarted: 0, attemptsStarted: 0, answerChunks: 0, callerCloses: 0 };
 
 	constructor(
 		private readonly journal: IRequestJournal,
@@ -47,8 +49,14 @@
 		private readonly timers: ITimerService,
 	) {}
 
+	/** Returns the amount of work for requests so far. */
+	getWorkCounts(): RequestWorkCounts {
+		return this.work;
+	}
+
 	open(call: AcceptedCall, sink: IAnswerSink): RequestRun {
 		const { service, organisation, requestClass } = call.head;
+		this.work.requestsStarted++;
 		this.journal.open(call.id, { service, organisation, requestClass }, call.arrivedMs);
 		const line = `${call.head.method} ${call.head.path}`;
 		this.journal.addStep(call.id, JournalStep.Received, line, call.arrivedMs);
@@ -62,6 +70,7 @@
 	recordRefused(call: RefusedCall, error: RequestError): void {
 		const { id, head, line, arrivedMs } = call;
 		const outcome = getOutcomeOf(error);
+		this.noteErrorKind(error.kind);
 		const nowMs = this.timers.getNow();
 		const labels = {
 			service: head?.service ?? unknownLabel,
@@ -96,6 +105,7 @@
 	}
 
 	noteQueueWait({ call }: RequestRun, waitedMs: number): void {
+		this.work.attemptsStarted++;
 		this.metrics.noteQueueWait(call.head.service, call.head.requestClass, waitedMs);
 	}
 
@@ -103,6 +113,10 @@
 		this.metrics.noteAttempt(call.head.service, end);
 	}
 
+	noteAnswerChunk(): void {
+		this.work.answerChunks++;
+	}
+
 	noteAnswerGap({ call }: RequestRun, gapMs: number): void {
 		this.metrics.noteGap(call.head.service, call.head.requestClass, gapMs);
 	}
@@ -112,6 +126,7 @@
 		this.runs.delete(run);
 		this.ids.delete(run.call.id);
 		this.heldBytes.release(run.call.body.byteLength);
+		this.noteErrorKind(end.errorKind);
 		this.metrics.noteRequest(service, requestClass, end.outcome, end.errorKind);
 		if (end.firstByteMs !== undefined) {
 			this.metrics.noteFirstByte(service, requestClass, end.firstByteMs);
@@ -123,4 +138,10 @@
 			}
 		}
 	}
+
+	private noteErrorKind(kind: ErrorKind | undefined): void {
+		if (kind === ErrorKind.CallerGone) {
+			this.work.callerCloses++;
+		}
+	}
 }
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -54,6 +54,8 @@
 	/** Called when an attempt starts, `waitedMs` after the request was submitted or queued again for a retry. */
 	noteQueueWait(run: RequestRun, waitedMs: number): void;
 	noteAttemptEnd(run: RequestRun, end: AttemptEnd): void;
+	/** Called with each chunk of the answer. */
+	noteAnswerChunk(run: RequestRun): void;
 	/** Called with the time between two chunks of the answer. */
 	noteAnswerGap(run: RequestRun, gapMs: number): void;
 	/** Called once. */
@@ -145,6 +147,7 @@
 	/** Returns false if the caller reads more slowly than data arrives. */
 	write(chunk: Uint8Array): boolean {
 		const nowMs = this.timers.getNow();
+		this.observer.noteAnswerChunk(this);
 		if (this.lastChunkMs !== undefined) {
 			this.observer.noteAnswerGap(this, nowMs - this.lastChunkMs);
 		}
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -36,6 +36,7 @@
 /** Creates and owns the runners of all services. */
 export class ServiceRunners extends Disposable {
 	private readonly services = new Map<ServiceName, ServiceState>();
+	private targetUpdates = 0;
 	private readonly ownedRunners = this.register(new DisposableStore());
 
 	constructor(
@@ -55,6 +56,11 @@
 		);
 	}
 
+	/** Number of times that the targets of a service were updated so far. */
+	get targetUpdateCount(): number {
+		return this.targetUpdates;
+	}
+
 	getRunner(service: ServiceName): ServiceRunner {
 		return this.openService(service).runner;
 	}
@@ -97,6 +103,7 @@
 	}
 
 	private update(service: ServiceName): void {
+		this.targetUpdates++;
 		const described = this.manifests.getCurrent()?.index.findService(service);
 		const list =
 			described === undefined ? [] : this.targets.listSchedulable(described, this.getEntrySharing());
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -241,6 +241,7 @@
 	return {
 		noteQueueWait: (_, waitedMs) => observations.push(`waited ${waitedMs}`),
 		noteAttemptEnd: (_, end) => observations.push(`attempt ${end}`),
+		noteAnswerChunk: () => undefined,
 		noteAnswerGap: (_, gapMs) => observations.push(`gap ${gapMs}`),
 		noteEnd: (_, end) => ends.push(end),
 	};
--- a/src/entry/node/test/callHandler.test.ts
+++ b/src/entry/node/test/callHandler.test.ts
@@ -1,4 +1,4 @@
-import { ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
+import { createRequestError, ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../core/errors/common/outcome';
 import { RepeatRule } from '../../../core/manifest/common/manifest';
 import type { CapturedAttempt } from '../requests/test/flowFixtures';
@@ -60,6 +60,28 @@
 	});
 });
 
+describe('the work counts of a call handler', () => {
+	it('have each request, attempt, chunk and close of a caller', () => {
+		const { handler, flow, send, getWorkCounts } = createHandlerFixture(RepeatRule.Idempotent);
+		send(undefined);
+		const attempt = flow.attempts[0]!;
+		attempt.observer.noteHandedOver();
+		beginAnswer(attempt, 'one');
+		attempt.observer.receiveData(Buffer.from('two'));
+		attempt.observer.noteCompleted();
+		send(undefined).abandon?.();
+		const read = { id: handler.createRequestId(), head: undefined, line: 'POST /pay', arrivedMs: 0 };
+		handler.recordRefused(read, createRequestError(ErrorKind.CallerGone, 'closed before its start'));
+		handler.recordRefused(read, createRequestError(ErrorKind.Overloaded, 'not started'));
+		expect(getWorkCounts()).toEqual({
+			requestsStarted: 2,
+			attemptsStarted: 2,
+			answerChunks: 2,
+			callerCloses: 2,
+		});
+	});
+});
+
 describe('a ticket of another entry of the region', () => {
 	// Calls with tickets are routinely forwarded to the entry that issued the ticket. Counted as sent to another
 	// region, they would inflate the link usage metric and make the alert on it useless.
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -22,6 +22,7 @@
 import type { CallHead } from '../../common/callers/callHead';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
 import type { LookupCandidate } from '../fleet/entryFleet';
+import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
 import { openStartGate } from '../../common/intake/loopLagGate';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { NeverSendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
@@ -54,6 +55,7 @@
 	readonly heldBytes: HeldBytes;
 	/** Renders the metrics page. */
 	render(): Promise<string>;
+	getWorkCounts(): RequestWorkCounts;
 	/** Issues a ticket of this entry, or of another entry in its region. */
 	issue(issuer?: 'own' | 'neighbour'): string;
 	/** Sends a call as a caller's connection would. */
@@ -122,6 +124,7 @@
 		journal,
 		heldBytes,
 		render: () => metrics.render(),
+		getWorkCounts: () => runs.getWorkCounts(),
 		issue: (issuer = 'own') =>
 			issuer === 'own'
 				? tickets.issueBatch(1, timers.getNow())[0]!
