Share the sightings of refused requests before those of bystanders

A restarted entry sent a request on to a third target although its region refuses it, if more than 512 bystanders were in flight at crashes in the last 15 s.

Cause: a view lists at most 512 sightings, the newest first, so newer sightings of bystanders displace the two of the refused request. Evidence: the new test, on the code before: the entry that receives the list does not refuse the request.

The sightings of refused requests now come first, then those of other suspects, each the newest first.

quarantine.test.ts: "shares the sightings of refused requests before those of newer bystanders", failed before.

--- a/src/entry/common/quarantine/quarantine.ts
+++ b/src/entry/common/quarantine/quarantine.ts
@@ -69,6 +69,17 @@
 	return crashes.at(-1)?.atMs ?? Number.NEGATIVE_INFINITY;
 }
 
+function listNewestFirst(
+	entries: Iterable<readonly [Fingerprint, readonly TargetCrash[]]>,
+	nowMs: number,
+): readonly CrashSighting[] {
+	return [...entries]
+		.flatMap(([fingerprint, crashes]) =>
+			crashes.map(({ target, atMs }) => ({ fingerprint, target, ageMs: nowMs - atMs })),
+		)
+		.sort((left, right) => left.ageMs - right.ageMs);
+}
+
 /** Quarantine of one entry. */
 export class Quarantine {
 	/** Fingerprints with one crash, kept separately so that many bystanders do not evict refused fingerprints. */
@@ -141,21 +152,19 @@
 	}
 
 	/**
-	 * Returns the sightings to include in this entry's view, the newest first. Sightings of refused requests are
-	 * included as long as they are kept, so that a restarted entry receives them. Sightings of other suspects, which
-	 * are many, are included only until every entry has received them.
+	 * Returns the sightings to include in this entry's view: those of refused requests, then those of other suspects, each
+	 * the newest first. Sightings of refused requests are included as long as they are kept, so that a restarted entry
+	 * receives them. Sightings of other suspects, which are many, are included only until every entry has received them.
 	 */
 	listCrashSightings(nowMs: number): readonly CrashSighting[] {
 		const { shareForMs, maxSharedSightings } = this.limits;
 		const recentSuspects = [...this.suspects].filter(
 			([, crashes]) => nowMs - getLastCrashMs(crashes) < shareForMs,
 		);
-		return [...recentSuspects, ...this.refused]
-			.flatMap(([fingerprint, crashes]) =>
-				crashes.map(({ target, atMs }) => ({ fingerprint, target, ageMs: nowMs - atMs })),
-			)
-			.sort((left, right) => left.ageMs - right.ageMs)
-			.slice(0, maxSharedSightings);
+		return [...listNewestFirst(this.refused, nowMs), ...listNewestFirst(recentSuspects, nowMs)].slice(
+			0,
+			maxSharedSightings,
+		);
 	}
 
 	/** Removes fingerprints whose last crash is older than `retentionMs`. Call this about once a second. */
--- a/src/entry/common/quarantine/test/quarantine.test.ts
+++ b/src/entry/common/quarantine/test/quarantine.test.ts
@@ -178,4 +178,24 @@
 		quarantine.expire(600_000);
 		expect(quarantine.countFingerprints()).toBe(0);
 	});
+
+	// Guards against a restarted entry that forwards a refused request to another target, because the sightings of many
+	// bystanders displaced those of the request.
+	it('shares the sightings of refused requests before those of newer bystanders', () => {
+		const quarantine = new Quarantine();
+		quarantine.noteTargetCrash(targets[0]!, [crashingRequest], 0);
+		quarantine.noteTargetCrash(targets[1]!, [crashingRequest], 3_000);
+		const { maxSharedSightings } = defaultQuarantineLimits;
+		const flood = Array.from({ length: maxSharedSightings }, (_, index) => `f${index}` as Fingerprint);
+		quarantine.noteTargetCrash(targets[2]!, flood.slice(1), 5_000);
+		quarantine.noteTargetCrash(targets[3]!, flood.slice(0, 1), 6_000);
+		const restarted = new Quarantine();
+		const sightings = quarantine.listCrashSightings(6_000);
+		for (const sighting of sightings) {
+			restarted.noteCrashSighting(sighting, 6_000);
+		}
+		expect(sightings).toHaveLength(maxSharedSightings);
+		expect(restarted.findRefusal(crashingRequest, 6_000)).toBeDefined();
+		expect(sightings[2]?.fingerprint).toBe(flood[0]);
+	});
 });
