Bound the crash sightings of a message by its bytes

After a crash of some of a large region's targets at once, each exchange of views carried the sightings of the whole region, up to 512 and 18 kB, for 15 s, and entries passed on no views of others meanwhile. While one request was refused, for ten minutes, a message of a large fleet had no space for another view.

Cause: the own view is sent whatever its size, a view that is passed on keeps its sightings, and both use up the bytes of the message. The mean size of a view, from which the time until an entry is suspected follows, counted the sightings too.

The sightings of the own view now get at most half of the bytes that the rest of it leaves, and no more than lets one other view fit if it would without them. The rest of the own view is always sent. Views that are passed on carry none: the entry that passes one on has the sightings of its region in its own view, and other regions ignore them.

--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -69,9 +69,16 @@
 		...view.leavingTargets,
 	];
 	const rooms = view.rooms.reduce((sum, { service }) => sum + service.length + roomBytes, 0);
-	const sightings = view.crashSightings.reduce(
-		(sum, { fingerprint, target }) => sum + fingerprint.length + target.length + sightingBytes,
-		0,
-	);
+	const sightings = view.crashSightings.reduce((sum, sighting) => sum + estimateSightingBytes(sighting), 0);
 	return fixedBytes + texts.reduce((sum, text) => sum + text.length + 2, 0) + rooms + sightings;
 }
+
+/** Estimates the bytes of a crash sighting on the wire. */
+export function estimateSightingBytes({ fingerprint, target }: CrashSightingView): number {
+	return fingerprint.length + target.length + sightingBytes;
+}
+
+/** Returns the view without its crash sightings. */
+export function removeSightings(view: EntryView): EntryView {
+	return view.crashSightings.length === 0 ? view : { ...view, crashSightings: [] };
+}
--- a/src/entry/common/fleetView/exchangePlanner.ts
+++ b/src/entry/common/fleetView/exchangePlanner.ts
@@ -14,8 +14,9 @@
 import type { FleetViewParameters } from '../scheduling/policy';
 import { defaultFleetViewParameters } from '../scheduling/policy';
 import type { EntryView } from './entryView';
-import { estimateViewBytes } from './entryView';
+import { estimateViewBytes, removeSightings } from './entryView';
 import type { FleetView, KnownInstance } from './fleetView';
+import { pickSightings } from './sightingPicker';
 import type { TrackedInstance } from './trustedInstances';
 
 /** The location of this entry. */
@@ -62,6 +63,8 @@
 	 * the zone first, the zone fills all messages of a large fleet, and its entries hear of no others for minutes. The
 	 * answer to a new peer prefers its region instead, because the entries of a region share its targets.
 	 *
+	 * Only this entry's own view contains crash sightings, among them those that it received from its region.
+	 *
 	 * @param isPeerNew Whether this answers a peer that has just started. It may know next to no other entries, and a message
 	 * within the budget of a large fleet would contain hardly more than this entry's own view.
 	 */
@@ -81,19 +84,32 @@
 		const ordered = others
 			.map(known => ({ known, key: this.pickKey(isNear(known) ? nearWeight : 1) }))
 			.sort((left, right) => left.key - right.key);
-		const views = [own];
-		let bytes = estimateViewBytes(own);
+		const bounded = this.applySightingLimit(own, maxBytes);
+		const views = [bounded];
+		let bytes = estimateViewBytes(bounded);
 		for (const { known } of ordered) {
-			const viewBytes = estimateViewBytes(known.view);
+			const view = removeSightings(known.view);
+			const viewBytes = estimateViewBytes(view);
 			if (bytes + viewBytes > maxBytes) {
 				break;
 			}
 			bytes += viewBytes;
-			views.push({ ...known.view, ageMs: Math.round(nowMs - known.reportedMs) });
+			views.push({ ...view, ageMs: Math.round(nowMs - known.reportedMs) });
 		}
 		return views;
 	}
 
+	/**
+	 * Limits the crash sightings of this entry's view to half of the bytes that the rest of it leaves. If a message has
+	 * space for another view, one still fits, because otherwise no view would be passed on while a request is refused.
+	 */
+	private applySightingLimit(own: EntryView, maxBytes: number): EntryView {
+		const leftBytes = maxBytes - estimateViewBytes(removeSightings(own));
+		const bytesBesideView = leftBytes - this.fleet.meanViewBytes;
+		const sightingBytes = bytesBesideView < 0 ? leftBytes : Math.min(leftBytes / 2, bytesBesideView);
+		return { ...own, crashSightings: pickSightings(own.crashSightings, sightingBytes, this.random) };
+	}
+
 	/** Items sorted by these keys are in the order of a random draw without replacement by their weights. */
 	private pickKey(weight: number): number {
 		return -Math.log(1 - this.random.pickFraction()) / weight;
--- a/src/entry/common/fleetView/fleetView.ts
+++ b/src/entry/common/fleetView/fleetView.ts
@@ -14,7 +14,7 @@
 import { defaultFleetViewParameters } from '../scheduling/policy';
 import type { ServiceRoom } from '../scheduling/serviceScheduler';
 import type { EntryView } from './entryView';
-import { estimateViewBytes, findRoom } from './entryView';
+import { estimateViewBytes, findRoom, removeSightings } from './entryView';
 import type { TrackedInstance } from './trustedInstances';
 import { TrustedInstances } from './trustedInstances';
 
@@ -181,7 +181,7 @@
 		return this.isSmallFleet() ? smallFleetExchanges : 1;
 	}
 
-	/** Moving average of the estimated bytes of merged views. */
+	/** Moving average of the estimated bytes of merged views without crash sightings, as they are passed on. */
 	get meanViewBytes(): number {
 		return this.meanBytes;
 	}
@@ -226,7 +226,7 @@
 	}
 
 	private updateMeanViewBytes(view: EntryView): void {
-		this.meanBytes += (estimateViewBytes(view) - this.meanBytes) / 16;
+		this.meanBytes += (estimateViewBytes(removeSightings(view)) - this.meanBytes) / 16;
 	}
 
 	private createKnownInstance(record: InstanceRecord, nowMs: number): KnownInstance {
