Update the targets of a region once for all entries that change in a turn

Cause: each change of the state of an entry updates all runners.

The runners are now updated once for the changes of a turn, and only those whose share differs from the one they use. Changes of the targets themselves are still applied at once, since requests must not go to a target that has left.

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -309,7 +309,7 @@
 		);
 		this.register(
 			subscribeTo(this.fleet.getLifecycles().onDidChange, () => {
-				this.runners.updateAll();
+				this.runners.updateSharing();
 			}),
 		);
 		this.register(
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -4,7 +4,8 @@
  */
 
 import { subscribeTo } from '../../../base/common/channel';
-import { Disposable, DisposableStore } from '../../../base/common/lifecycle';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import { Disposable, DisposableStore, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { ServiceName } from '../../../core/ids/common/ids';
 import type { ITargetDialect } from '../../common/dialect/targetDialect';
@@ -30,12 +31,15 @@
 interface ServiceState {
 	readonly runner: ServiceRunner;
 	readonly sendAway: ISendAwayPolicy;
+	/** How the targets that the runner uses are shared. */
+	sharing: EntrySharing | undefined;
 }
 
 /** Creates and owns the runners of all services. */
 export class ServiceRunners extends Disposable {
 	private readonly services = new Map<ServiceName, ServiceState>();
 	private readonly ownedRunners = this.register(new DisposableStore());
+	private sharingUpdate: IDisposable | undefined;
 
 	constructor(
 		private readonly manifests: ManifestKeeper,
@@ -51,6 +55,11 @@
 				this.update(service);
 			}),
 		);
+		this.register(
+			toDisposable(() => {
+				this.sharingUpdate?.dispose();
+			}),
+		);
 	}
 
 	getRunner(service: ServiceName): ServiceRunner {
@@ -66,11 +75,21 @@
 		return this.manifests.getCurrent()?.accepted.manifest.services.map(({ name }) => name) ?? [];
 	}
 
-	/** Updates all runners after the set of live entries, and so this entry's share of each target, changed. */
-	updateAll(): void {
-		for (const service of this.services.keys()) {
-			this.update(service);
-		}
+	/**
+	 * Updates the runners whose share of the targets differs after a change of the live entries, once for all changes in
+	 * one turn of the event loop. In a large fleet, starts and failures come in dozens, and most of them are in other
+	 * regions.
+	 */
+	updateSharing(): void {
+		this.sharingUpdate ??= this.timers.schedule(0, () => {
+			this.sharingUpdate = undefined;
+			const current = this.getEntrySharing();
+			for (const [service, { sharing }] of this.services) {
+				if (sharing?.entries !== current.entries || sharing.place !== current.place) {
+					this.update(service);
+				}
+			}
+		});
 	}
 
 	private openService(service: ServiceName): ServiceState {
@@ -87,16 +106,20 @@
 				this.timers,
 			),
 		);
-		const opened = { runner, sendAway: this.policies.createSendAway() };
+		const opened = { runner, sendAway: this.policies.createSendAway(), sharing: undefined };
 		this.services.set(service, opened);
 		this.update(service);
 		return opened;
 	}
 
 	private update(service: ServiceName): void {
+		const state = this.services.get(service);
+		if (state === undefined) {
+			return;
+		}
 		const described = this.manifests.getCurrent()?.index.findService(service);
-		const list =
-			described === undefined ? [] : this.targets.listSchedulable(described, this.getEntrySharing());
-		this.services.get(service)?.runner.setTargets(list);
+		const sharing = this.getEntrySharing();
+		state.sharing = sharing;
+		state.runner.setTargets(described === undefined ? [] : this.targets.listSchedulable(described, sharing));
 	}
 }
