Estimate the costs of targets only while one of them has capacity

Each answer, each new request, each caller that leaves and each change of targets or entries costs a saturated entry several milliseconds of processor time, so closes and deadlines are noticed late when many come at once.

Cause: after each such event the scheduler asks for a target for the first eight waiting requests, and the chooser ranks all targets and estimates the cost at each of them before it looks whether any has capacity.

Capacity is now checked first. What is chosen stays the same: without a target with capacity, the choice was none before too. Only the random numbers that it drew for the costs are not drawn any more.

--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -62,7 +62,13 @@
 	 * would have to process the whole prompt and evict a cached part.
 	 */
 	choose(targets: readonly TargetLoadModel[], query: TargetQuery, nowMs: number): TargetChoice | undefined {
-		const candidates = this.listCandidates(targets, query, nowMs);
+		const available = targets.filter(target => target.isAvailable(nowMs));
+		const allowed = listAllowed(available, query, nowMs);
+		// A saturated entry asks after each answer and each new request, and the costs take far longer than this check.
+		if (!allowed.some(target => hasCapacityFor(target, query, nowMs))) {
+			return undefined;
+		}
+		const candidates = this.listCandidates(available, allowed, query, nowMs);
 		const best = findCheapest(candidates);
 		const bestNow = findCheapest(candidates.filter(({ hasCapacity }) => hasCapacity));
 		if (best === undefined || bestNow === undefined) {
@@ -80,43 +86,39 @@
 	}
 
 	private listCandidates(
-		targets: readonly TargetLoadModel[],
+		available: readonly TargetLoadModel[],
+		allowed: readonly TargetLoadModel[],
 		query: TargetQuery,
 		nowMs: number,
 	): TargetCandidate[] {
-		const { request, triedTargets, isIsolated } = query;
-		const urgency = getUrgency(request);
+		const { request } = query;
 		const shared = this.findSharedPart(request);
-		const available = targets.filter(target => target.isAvailable(nowMs));
 		const [owner, secondRanked] = shared === undefined ? [] : findBestRanked(available, shared.id, 2);
 		const knownHolder = shared && available.find(target => target.hasPart(shared.id));
-		return available
-			.filter(target => target.isColdSendAllowed(nowMs) && !triedTargets.includes(target.id))
-			.filter(target => !(isIsolated && target.hasIsolatedRequest()))
-			.map(target => {
-				const isCached = shared !== undefined && target.hasPart(shared.id);
-				const fetchedTokens = isCached || knownHolder === undefined ? 0 : (shared?.tokens ?? 0);
-				const likelyHolder = knownHolder ?? (target === owner ? secondRanked : owner);
-				const fetchSource = isCached ? undefined : likelyHolder;
-				const firstByteMs = target.estimateFirstByteMs(request, nowMs, fetchedTokens);
-				const delayMs = target.estimateAddedDelayMs(request, nowMs, fetchedTokens);
-				const isCopy = shared !== undefined && target !== owner && !target.hasPart(shared.id);
-				const copyMs = isCopy ? this.computeCopyCostMs(shared, fetchedTokens > 0) : 0;
-				const { failureCost, jitter, delayCost } = this.parameters;
-				const factor = (1 + failureCost * target.failureRate) * (1 + jitter * this.random.pickFraction());
-				const hasCapacity = target.hasCapacity({ ...query, urgency }, nowMs);
-				return {
-					target,
-					firstByteMs,
-					prefillMs: target.estimatePrefillMs(request, fetchedTokens),
-					fetchedTokens,
-					costMs: (firstByteMs + copyMs + delayCost * delayMs) * factor,
-					hasCapacity,
-					fetchSource,
-					owner,
-					shared,
-				};
-			});
+		return allowed.map(target => {
+			const isCached = shared !== undefined && target.hasPart(shared.id);
+			const fetchedTokens = isCached || knownHolder === undefined ? 0 : (shared?.tokens ?? 0);
+			const likelyHolder = knownHolder ?? (target === owner ? secondRanked : owner);
+			const fetchSource = isCached ? undefined : likelyHolder;
+			const firstByteMs = target.estimateFirstByteMs(request, nowMs, fetchedTokens);
+			const delayMs = target.estimateAddedDelayMs(request, nowMs, fetchedTokens);
+			const isCopy = shared !== undefined && target !== owner && !target.hasPart(shared.id);
+			const copyMs = isCopy ? this.computeCopyCostMs(shared, fetchedTokens > 0) : 0;
+			const { failureCost, jitter, delayCost } = this.parameters;
+			const factor = (1 + failureCost * target.failureRate) * (1 + jitter * this.random.pickFraction());
+			const hasCapacity = hasCapacityFor(target, query, nowMs);
+			return {
+				target,
+				firstByteMs,
+				prefillMs: target.estimatePrefillMs(request, fetchedTokens),
+				fetchedTokens,
+				costMs: (firstByteMs + copyMs + delayCost * delayMs) * factor,
+				hasCapacity,
+				fetchSource,
+				owner,
+				shared,
+			};
+		});
 	}
 
 	private findSharedPart({ work }: SchedulableRequest): PromptPart | undefined {
@@ -130,6 +132,21 @@
 	}
 }
 
+/** Lists the targets to which the request may be sent, whether they have capacity or not. */
+function listAllowed(
+	available: readonly TargetLoadModel[],
+	{ triedTargets, isIsolated }: TargetQuery,
+	nowMs: number,
+): readonly TargetLoadModel[] {
+	return available
+		.filter(target => target.isColdSendAllowed(nowMs) && !triedTargets.includes(target.id))
+		.filter(target => !(isIsolated && target.hasIsolatedRequest()));
+}
+
+function hasCapacityFor(target: TargetLoadModel, { request, isLate }: TargetQuery, nowMs: number): boolean {
+	return target.hasCapacity({ isLate, urgency: getUrgency(request) }, nowMs);
+}
+
 /** A target with the estimated cost of sending the request there. */
 interface TargetCandidate {
 	readonly target: TargetLoadModel;
--- a/src/entry/common/workScheduling/test/targetChooser.test.ts
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -9,6 +9,8 @@
 
 const { choice, estimate, queue } = defaultWorkPolicy;
 
+const draftQuery = { isLate: false, urgency: 1 };
+
 function createTarget(id: string): TargetLoadModel {
 	return new TargetLoadModel(createEngineTarget(id, { slots: 64, cacheTokens: 300_000 }), estimate, queue);
 }
@@ -70,4 +72,19 @@
 		expect(other.fetchFrom).toBe(first.id);
 		expect(other.fetchedTokens).toBe(13_000);
 	});
+
+	// Guards against an entry that is late for seconds in a burst, because it estimates for each waiting request the costs
+	// at targets that have no capacity.
+	it('estimates no costs while no target has capacity', () => {
+		const targets = [createTarget('engine-1'), createTarget('engine-2')];
+		const estimates = targets.map(target => jest.spyOn(target, 'estimateFirstByteMs'));
+		expect(choose(targets)).toBeDefined();
+		expect(estimates.map(({ mock }) => mock.calls.length)).toEqual([1, 1]);
+		for (let request = 0; targets.some(target => target.hasCapacity(draftQuery, 0)); request++) {
+			targets[request % 2]!.noteStart(createDraftRequest(`running-${request}`), false, 0, 0);
+		}
+		estimates.forEach(estimateFirstByteMs => estimateFirstByteMs.mockClear());
+		expect(choose(targets)).toBeUndefined();
+		expect(estimates.map(({ mock }) => mock.calls.length)).toEqual([0, 0]);
+	});
 });
