Report a crash at once only if it makes a request refused

Callers got answers late when a request that was already refused, for example because many callers had sent the same one, was in flight at targets that crashed in a series: each further crash was reported at once to every entry of the region, as before crashes were collected.

Cause: a crash counted as urgent if one of its requests was refused at that time, whether or not this crash was the reason.

--- a/src/entry/common/quarantine/crashReporter.ts
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -23,7 +23,7 @@
 export interface ObservedCrash {
 	readonly target: TargetId;
 	readonly fingerprints: readonly Fingerprint[];
-	/** Whether one of the requests is refused from now on. */
+	/** Whether one of the requests is refused because of this crash, and was not before. */
 	readonly isRequestRefused: boolean;
 }
 
--- a/src/entry/node/fleet/test/immediateExchanges.test.ts
+++ b/src/entry/node/fleet/test/immediateExchanges.test.ts
@@ -105,7 +105,11 @@
 	const crashCount = 18;
 
 	/** Counts the reports to each other entry until some seconds after the crash. */
-	async function countReportsByPeer(others: number): Promise<ReadonlyMap<string, number>> {
+	async function countReportsByPeer(
+		others: number,
+		createBody = (index: number): string => `prompt ${index}`,
+		intervalMs = 0,
+	): Promise<ReadonlyMap<string, number>> {
 		const { fleet, timers, takeContacted, reportedTo } = createRecordedFleet(others);
 		const reporter = new CrashReporter(sightings => fleet.sendCrashReport(region, sightings), timers);
 		const detector = new CrashDetector(
@@ -114,8 +118,16 @@
 			crash => reporter.share(crash),
 			timers,
 		);
-		const calls = Array.from({ length: crashCount }, (_, index) => createCall(`prompt ${index}`));
-		await Promise.all(calls.map((call, index) => detector.checkForCrash(createTargetId(index), [call])));
+		const calls = Array.from({ length: crashCount }, (_, index) => createCall(createBody(index)));
+		const checks = calls.map(async (call, index) => {
+			await new Promise<void>(resolve => timers.schedule(index * intervalMs, resolve));
+			await detector.checkForCrash(createTargetId(index), [call]);
+		});
+		for (let index = 0; index <= crashCount; index++) {
+			timers.advance(intervalMs);
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		await Promise.all(checks);
 		expect(takeContacted()).toEqual([]);
 		timers.advance(5_000);
 		const counts = new Map<string, number>();
@@ -133,6 +145,13 @@
 		expect(counts.size).toBe(27);
 		expect(Math.max(...counts.values())).toBeLessThanOrEqual(2);
 	});
+
+	// Guards against the same lateness if a request that is already refused was in flight at the targets, for example
+	// because many callers send the same request.
+	it('cause one report more for a request that is refused after the second crash', async () => {
+		const counts = await countReportsByPeer(27, () => 'the same prompt', 30);
+		expect(Math.max(...counts.values())).toBeLessThanOrEqual(3);
+	});
 });
 
 describe('a crash report', () => {
--- a/src/entry/node/requests/crashDetector.ts
+++ b/src/entry/node/requests/crashDetector.ts
@@ -86,15 +86,18 @@
 		return fingerprint;
 	}
 
+	private isRefused(fingerprint: Fingerprint, nowMs: number): boolean {
+		return this.quarantine.findRefusal(fingerprint, nowMs) !== undefined;
+	}
+
 	private async noteIfCrashed(target: TargetId, inFlight: readonly AcceptedCall[]): Promise<void> {
 		const hasCrashed = await this.probeForCrash(target);
 		if (hasCrashed) {
 			const fingerprints = inFlight.map(call => this.getFingerprint(call));
 			const nowMs = this.timers.getNow();
+			const accepted = fingerprints.filter(fingerprint => !this.isRefused(fingerprint, nowMs));
 			this.quarantine.noteTargetCrash(target, fingerprints, nowMs);
-			const isRequestRefused = fingerprints.some(
-				fingerprint => this.quarantine.findRefusal(fingerprint, nowMs) !== undefined,
-			);
+			const isRequestRefused = accepted.some(fingerprint => this.isRefused(fingerprint, nowMs));
 			await this.waitForSharing({ target, fingerprints, isRequestRefused });
 		}
 	}
