Report urgent crashes although a peer has not answered

A request that crashes its targets could crash one more, since its refusal was reported up to two seconds late when one of the other entries did not answer. The caller is answered after half a second and may resend the request to another entry before that.

Cause: an urgent report waited for the end of the report in progress, which ends when all peers have answered or timed out. A report that failed would also have stopped all later ones.

The reporter waits at most 100 ms for the report in progress, and takes a failed report as ended. crashReporter.test.ts "reports a crash that leads to a refusal although a peer has not answered the report before" and "reports later crashes although a report has failed" failed before. The comments of the fixture now say when its reports end.

--- a/src/entry/common/quarantine/crashReporter.ts
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -36,6 +36,9 @@
 /** Minimum time between two reports without a refused request. */
 const minReportIntervalMs = 1_000;
 
+/** Longer than peers usually take to answer; an unresponsive one may take seconds. */
+const maxWaitForReportMs = 100;
+
 /** Reports the crashes that one entry sees. */
 export class CrashReporter extends Disposable {
 	private unsent: UnsentSighting[] = [];
@@ -65,10 +68,21 @@
 			return;
 		}
 		// Crashes seen while a report is on its way are sent together in the next one.
-		await this.reportInProgress;
+		await this.waitForReport();
 		await this.sendUnsent();
 	}
 
+	/** Waits for the report in progress, but not for peers that do not answer. */
+	private async waitForReport(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const limit = this.timers.schedule(maxWaitForReportMs, resolve);
+			void this.reportInProgress.then(() => {
+				limit.dispose();
+				resolve();
+			});
+		});
+	}
+
 	private scheduleReport(delayMs: number): void {
 		this.reportTimer ??= this.timers.schedule(delayMs, () => {
 			void this.sendUnsent();
@@ -83,7 +97,8 @@
 		if (sightings.length > 0) {
 			this.unsent = [];
 			this.lastReportMs = nowMs;
-			this.reportInProgress = this.sendSightings(sightings);
+			// Peers that a report did not reach receive the sightings with the next view.
+			this.reportInProgress = this.sendSightings(sightings).catch(() => undefined);
 		}
 		this.reportTimer?.dispose();
 		this.reportTimer = undefined;
--- a/src/entry/common/quarantine/test/crashReporter.test.ts
+++ b/src/entry/common/quarantine/test/crashReporter.test.ts
@@ -4,12 +4,12 @@
 import { CrashReporter } from '../crashReporter';
 import type { CrashSighting } from '../quarantine';
 
-/** A reporter whose reports release when the test says so. */
+/** A reporter whose reports end when the test calls `release`. */
 interface ReporterFixture {
 	readonly timers: ManualTimerService;
 	readonly reporter: CrashReporter;
 	readonly reports: (readonly CrashSighting[])[];
-	/** Lets the latest report release. */
+	/** Ends the latest report. */
 	release(): void;
 }
 
@@ -127,4 +127,29 @@
 		await waitForPromises();
 		expect(waiting).toBe(0);
 	});
+
+	// Guards against entries that receive a refused request again while this entry waits for a peer that does not answer.
+	it('reports a crash that leads to a refusal although a peer has not answered the report before', async () => {
+		const { timers, reporter, reports } = createReporter();
+		void reporter.share(createCrash(1));
+		await waitForPromises();
+		timers.advance(500);
+		void reporter.share(createCrash(2, true));
+		await waitForPromises();
+		timers.advance(500);
+		await waitForPromises();
+		expect(reports.map(report => report.map(({ target }) => target))).toEqual([['engine-1'], ['engine-2']]);
+	});
+
+	it('reports later crashes although a report has failed', async () => {
+		const timers = new ManualTimerService();
+		const targets: (readonly TargetId[])[] = [];
+		const reporter = new CrashReporter(sightings => {
+			targets.push(sightings.map(({ target }) => target));
+			return targets.length === 1 ? Promise.reject(new Error('no peer reached')) : Promise.resolve();
+		}, timers);
+		await reporter.share(createCrash(1));
+		await reporter.share(createCrash(2, true));
+		expect(targets).toEqual([['engine-1'], ['engine-2']]);
+	});
 });
