Report collected crashes when another entry's report makes their request refused

A request that crashes its targets, resent to one entry after the other, crashed three of them if its first entry had reported another crash within the last second: two before crashes were collected.

Cause: the first entry kept its crash of the request for a collected report and the second one reported the other, so no third entry knew of both for up to a second.

--- a/src/entry/common/quarantine/crashReporter.ts
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -7,7 +7,8 @@
  * answers, disconnects and deadlines late.
  *
  * Therefore the first crash is reported at once, and crashes that follow shortly are collected in one report for which
- * no request waits. A crash that leads to the refusal of a request is always reported at once.
+ * no request waits. A crash that leads to the refusal of a request is always reported at once, also if another entry
+ * saw the other crash of the request.
  */
 
 import type { IDisposable } from '../../../base/common/lifecycle';
@@ -72,6 +73,16 @@
 		await this.sendUnsent();
 	}
 
+	/**
+	 * Reports the collected crashes at once if one of the given requests, which are refused because of crashes that other
+	 * entries saw, was in flight at them. The other entries do not know of these crashes, so they would still accept it.
+	 */
+	sendIfRefused(refused: ReadonlySet<Fingerprint>): void {
+		if (this.unsent.some(({ fingerprint }) => refused.has(fingerprint))) {
+			void this.sendUnsent();
+		}
+	}
+
 	/** Waits for the report in progress, but not for peers that do not answer. */
 	private async waitForReport(): Promise<void> {
 		await new Promise<void>(resolve => {
--- a/src/entry/common/quarantine/quarantine.ts
+++ b/src/entry/common/quarantine/quarantine.ts
@@ -124,6 +124,18 @@
 		}
 	}
 
+	/** Records sightings of a peer, and returns the fingerprints that are refused because of them. */
+	noteCrashSightings(sightings: readonly CrashSighting[], nowMs: number): ReadonlySet<Fingerprint> {
+		const fingerprints = new Set(sightings.map(({ fingerprint }) => fingerprint));
+		const accepted = [...fingerprints].filter(
+			fingerprint => this.findRefusal(fingerprint, nowMs) === undefined,
+		);
+		for (const sighting of sightings) {
+			this.noteCrashSighting(sighting, nowMs);
+		}
+		return new Set(accepted.filter(fingerprint => this.findRefusal(fingerprint, nowMs) !== undefined));
+	}
+
 	/** Records a sighting of this entry or of a peer. Repeated reports of the same crash are ignored. */
 	noteCrashSighting(sighting: CrashSighting, nowMs: number): void {
 		const { fingerprint, target, ageMs } = sighting;
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -75,6 +75,7 @@
 	private readonly manifests: ManifestKeeper;
 	private readonly peers: PeerClients;
 	private readonly fleet: EntryFleet;
+	private readonly crashReporter: CrashReporter;
 	private readonly startGate: LoopLagGate;
 	private readonly runners: ServiceRunners;
 	private readonly ownView: OwnView;
@@ -123,7 +124,7 @@
 		);
 		this.platform = this.openPlatform();
 		const { targets } = this.platform;
-		const crashReporter = this.register(
+		this.crashReporter = this.register(
 			new CrashReporter(sightings => this.fleet.sendCrashReport(region, sightings), this.timers),
 		);
 		const turnScheduler = new ImmediateTurnScheduler();
@@ -136,7 +137,7 @@
 				new CrashDetector(
 					this.quarantine,
 					target => targets.probeForCrash(target),
-					crash => crashReporter.share(crash),
+					crash => this.crashReporter.share(crash),
 					this.timers,
 				),
 				this.createPolicies(),
@@ -305,6 +306,7 @@
 				targets: this.platform.targets,
 				fleet: this.fleet,
 				quarantine: this.quarantine,
+				crashReporter: this.crashReporter,
 				timers: this.timers,
 			}),
 		);
--- a/src/entry/node/peerViewListener.ts
+++ b/src/entry/node/peerViewListener.ts
@@ -8,6 +8,7 @@
 import type { ITimerService } from '../../base/common/timerService';
 import type { RegionName } from '../../core/ids/common/ids';
 import type { CrashSightingView, EntryView } from '../common/fleetView/entryView';
+import type { CrashReporter } from '../common/quarantine/crashReporter';
 import type { Quarantine } from '../common/quarantine/quarantine';
 import type { EntryFleet } from './fleet/entryFleet';
 import { ManifestFetcher } from './fleet/manifestFetcher';
@@ -21,6 +22,7 @@
 	readonly targets: ITargetRegistry;
 	readonly fleet: EntryFleet;
 	readonly quarantine: Quarantine;
+	readonly crashReporter: CrashReporter;
 	readonly timers: ITimerService;
 }
 
@@ -71,13 +73,11 @@
 		sightings: readonly CrashSightingView[],
 		reportAgeMs: number,
 	): void {
-		const { quarantine, region: ownRegion, timers } = this.components;
+		const { quarantine, crashReporter, region: ownRegion, timers } = this.components;
 		if (region !== ownRegion) {
 			return;
 		}
-		const nowMs = timers.getNow();
-		for (const { fingerprint, target, ageMs } of sightings) {
-			quarantine.noteCrashSighting({ fingerprint, target, ageMs: ageMs + reportAgeMs }, nowMs);
-		}
+		const aged = sightings.map(sighting => ({ ...sighting, ageMs: sighting.ageMs + reportAgeMs }));
+		crashReporter.sendIfRefused(quarantine.noteCrashSightings(aged, timers.getNow()));
 	}
 }
--- a/src/entry/node/test/crashReports.test.ts
+++ b/src/entry/node/test/crashReports.test.ts
@@ -6,6 +6,7 @@
 import type { Fingerprint, InstanceId, RegionName, TargetId, ZoneName } from '../../../core/ids/common/ids';
 import { noLoopLag } from '../../common/intake/loopLagGate';
 import { RequestIntake } from '../../common/intake/requestIntake';
+import { CrashReporter } from '../../common/quarantine/crashReporter';
 import type { CrashSighting } from '../../common/quarantine/quarantine';
 import { Quarantine } from '../../common/quarantine/quarantine';
 import { HeldBytes } from '../callers/bodyReader';
@@ -36,6 +37,7 @@
 
 const timers = new ManualTimerService();
 const fingerprint = 'crashing' as Fingerprint;
+const target = 'engine-1' as TargetId;
 
 function createFleet(instance: string): EntryFleet {
 	const location = {
@@ -57,13 +59,23 @@
 	);
 }
 
+/** Creates a reporter that adds its reports to `reports`. */
+function createReporter(reports: (readonly CrashSighting[])[]): CrashReporter {
+	return owned.add(
+		new CrashReporter(sightings => {
+			reports.push(sightings);
+			return Promise.resolve();
+		}, timers),
+	);
+}
+
 /** Starts the peer server of an entry that applies what other entries report, and returns its address. */
-async function startReceiver(quarantine: Quarantine): Promise<string> {
+async function startReceiver(quarantine: Quarantine, crashReporter = createReporter([])): Promise<string> {
 	const fleet = createFleet('receiver');
 	const trail = new RingAuditTrail(100, () => new Date(0));
 	const manifests = owned.add(new ManifestKeeper(trail, () => undefined, timers));
 	const targets = {} as ITargetRegistry;
-	owned.add(new PeerViewListener({ region, manifests, targets, fleet, quarantine, timers }));
+	owned.add(new PeerViewListener({ region, manifests, targets, fleet, quarantine, crashReporter, timers }));
 	const handler: IPeerHandler = {
 		exchangeViews: failCall,
 		receiveCrashReport: report => {
@@ -97,7 +109,7 @@
 
 describe('a crash report of another entry', () => {
 	const sightings: readonly CrashSighting[] = [
-		{ fingerprint, target: 'engine-1' as TargetId, ageMs: 40 },
+		{ fingerprint, target, ageMs: 40 },
 		{ fingerprint, target: 'engine-2' as TargetId, ageMs: 0 },
 	];
 
@@ -115,4 +127,21 @@
 		await sendReport(peerUrl, 'elsewhere' as RegionName, sightings);
 		expect(quarantine.countFingerprints()).toBe(0);
 	});
+
+	// Guards against entries that hold one of two crashes each while the request is sent to the next entry.
+	it('makes this entry report its own crash of the request if that was waiting for a collected report', async () => {
+		const quarantine = new Quarantine();
+		const reports: (readonly CrashSighting[])[] = [];
+		const reporter = createReporter(reports);
+		await reporter.share({ target, fingerprints: ['other' as Fingerprint], isRequestRefused: false });
+		quarantine.noteTargetCrash(target, [fingerprint], timers.getNow());
+		await reporter.share({ target, fingerprints: [fingerprint], isRequestRefused: false });
+		expect(reports.map(report => report.map(sighting => sighting.fingerprint))).toEqual([['other']]);
+		const peerUrl = await startReceiver(quarantine, reporter);
+		await sendReport(peerUrl, region, sightings.slice(1));
+		expect(reports.map(report => report.map(sighting => sighting.fingerprint))).toEqual([
+			['other'],
+			[fingerprint],
+		]);
+	});
 });
