Delay the start of a request once while the event loop is behind

Requests at an entry short of processor time were started three turns of the event loop after they had been read, seconds if the turns are long, where one more poll is what the order of events needs.

Cause: the router passes the gate and, in the start that the gate has delayed, the service runner passes it again.

While the gate runs delayed starts, starts within them run directly. lateEventLoop.test.ts "delays a request once if it passes the gate twice" failed before.

--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -35,6 +35,7 @@
 	/** 0 if the event loop keeps up. */
 	private lagMs = 0;
 	private readonly waiting: (() => void)[] = [];
+	private isStarting = false;
 
 	constructor(
 		private readonly turnScheduler: ITurnScheduler,
@@ -56,7 +57,8 @@
 	}
 
 	run(start: () => void): void {
-		if (this.getLagMs() === 0) {
+		// A start may pass the gate again, and the sockets have been read for it.
+		if (this.isStarting || this.getLagMs() === 0) {
 			start();
 			return;
 		}
@@ -82,9 +84,11 @@
 	}
 
 	private startWaiting(): void {
+		this.isStarting = true;
 		for (const start of this.waiting.splice(0)) {
 			start();
 		}
+		this.isStarting = false;
 	}
 
 	/** The first of the two callbacks may follow a poll that has begun already. */
--- a/src/entry/node/requests/test/lateEventLoop.test.ts
+++ b/src/entry/node/requests/test/lateEventLoop.test.ts
@@ -103,6 +103,33 @@
 		expect(flow.attempts).toHaveLength(2);
 	});
 
+	// Guards against requests of an overloaded entry that are passed on, in each of their steps, two long turns later.
+	it('delays a request once if it passes the gate twice', () => {
+		const timers = new ManualTimerService();
+		let scheduled: (() => void)[] = [];
+		const gate = new LoopLagGate({ schedule: (run: () => void): unknown => scheduled.push(run) }, timers);
+		let turn = 0;
+		let startedInTurn: number | undefined;
+		for (; turn < 12; turn++) {
+			timers.advanceWithoutTimers(500);
+			timers.advance(0);
+			timers.advanceWithoutTimers(500);
+			if (turn === 2) {
+				gate.run(() => {
+					gate.run(() => {
+						startedInTurn ??= turn;
+					});
+				});
+			}
+			const due = scheduled;
+			scheduled = [];
+			for (const run of due) {
+				run();
+			}
+		}
+		expect(startedInTurn).toBeLessThanOrEqual(4);
+	});
+
 	// Guards against an entry that delays every request for good after one long turn.
 	it('starts requests at once when it has caught up', () => {
 		const { flow, freeze, endTurn } = createLateLoop();
