Start requests in the order in which they were read after a lag

A request that was read just after the entry had caught up was started before those that had been read earlier and were still delayed; with one free slot of a target, the later caller got it.

Cause: the gate checked only whether the event loop is behind, not whether starts wait.

A start now runs directly only if none waits. lateEventLoop.test.ts "starts requests in the order in which they were read" failed before.

--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -14,7 +14,10 @@
 
 /** Delays starts while the event loop is behind. */
 export interface IStartGate {
-	/** Calls `start` immediately, or once the sockets have been read again if the event loop is behind. */
+	/**
+	 * Calls `start` immediately, or once the sockets have been read again if the event loop is behind. Starts run in the
+	 * order of the calls.
+	 */
 	run(start: () => void): void;
 }
 
@@ -58,7 +61,7 @@
 
 	run(start: () => void): void {
 		// A start may pass the gate again, and the sockets have been read for it.
-		if (this.isStarting || this.getLagMs() === 0) {
+		if (this.isStarting || (this.waiting.length === 0 && this.getLagMs() === 0)) {
 			start();
 			return;
 		}
--- a/src/entry/node/requests/test/lateEventLoop.test.ts
+++ b/src/entry/node/requests/test/lateEventLoop.test.ts
@@ -130,6 +130,30 @@
 		expect(startedInTurn).toBeLessThanOrEqual(4);
 	});
 
+	// Guards against requests that are started before those that were read earlier.
+	it('starts requests in the order in which they were read', () => {
+		const timers = new ManualTimerService();
+		let scheduled: (() => void)[] = [];
+		const gate = new LoopLagGate({ schedule: (run: () => void): unknown => scheduled.push(run) }, timers);
+		const endTurn = (): void => {
+			const due = scheduled;
+			scheduled = [];
+			for (const run of due) {
+				run();
+			}
+		};
+		const started: string[] = [];
+		timers.advanceWithoutTimers(2_000);
+		timers.advance(0);
+		endTurn();
+		gate.run(() => started.push('earlier'));
+		endTurn();
+		gate.run(() => started.push('later'));
+		endTurn();
+		endTurn();
+		expect(started).toEqual(['earlier', 'later']);
+	});
+
 	// Guards against an entry that delays every request for good after one long turn.
 	it('starts requests at once when it has caught up', () => {
 		const { flow, freeze, endTurn } = createLateLoop();
