Count the lag for all connections that waited to be accepted

Callers of an entry that had stood still for two seconds got answers after their deadlines, when each had opened a connection of its own: all but the first few requests were taken for fresh, and their deadlines were counted from their late reading.

Cause: the runtime accepts one connection per listening socket in a turn of the event loop, but the gate cleared the lag after two polls.

The servers of callers and of peers tell the gate of each accepted connection, and the lag lasts until a turn has accepted none, at most 64 turns more, so that an entry that is always accepting does not count fresh requests as late for long. More late connections than that in one queue are still counted from their reading.

--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -5,6 +5,9 @@
  * request starts a waiting request although the caller has closed its connection a second ago: the close is readable,
  * but its socket is read later in the turn or, if the request itself was read in this turn, in the next one. The target
  * then begins to work for nobody. Starting after one more poll lets the closes go first.
+ *
+ * The runtime accepts one connection per listening socket in a turn, so requests that arrived during a long turn are read
+ * over as many turns as there are connections. The lag therefore lasts until a turn has accepted none.
  */
 
 import { subscribeTo } from '../../../base/common/channel';
@@ -23,6 +26,8 @@
 
 /** Tells how long what is being read may have waited. */
 export interface ILoopLag {
+	/** Records an accepted connection, which shows that requests of other connections may not have been read yet. */
+	noteConnection(): void;
 	/** Returns 0 while the event loop keeps up, and otherwise how far it is behind, in milliseconds. */
 	getLagMs(): number;
 }
@@ -31,6 +36,8 @@
 const checkIntervalMs = 250;
 /** A timer that is late by more than this shows that the event loop is behind. */
 const maxLagMs = 100;
+/** Bounds the time for which connections that arrive at a high rate after the lag are taken for late ones. */
+const maxAcceptTurns = 64;
 
 /** Measures the lag of the event loop by a timer. */
 export class LoopLagGate extends Disposable implements IStartGate, ILoopLag {
@@ -39,6 +46,8 @@
 	private lagMs = 0;
 	private readonly waiting: (() => void)[] = [];
 	private isStarting = false;
+	private hasAcceptedConnection = false;
+	private acceptTurns = 0;
 
 	constructor(
 		private readonly turnScheduler: ITurnScheduler,
@@ -54,6 +63,10 @@
 		);
 	}
 
+	noteConnection(): void {
+		this.hasAcceptedConnection = true;
+	}
+
 	getLagMs(): number {
 		this.checkLag();
 		return this.lagMs;
@@ -79,13 +92,29 @@
 			return;
 		}
 		if (this.lagMs === 0) {
+			this.hasAcceptedConnection = false;
+			this.acceptTurns = 0;
 			this.waitForPoll(() => {
-				this.lagMs = 0;
+				this.clearLag();
 			});
 		}
 		this.lagMs = Math.max(this.lagMs, lagMs);
 	}
 
+	/** Clears the lag, or checks again in the next turn if this one has accepted a connection. */
+	private clearLag(): void {
+		const isAccepting = this.hasAcceptedConnection && this.acceptTurns < maxAcceptTurns;
+		this.hasAcceptedConnection = false;
+		if (!isAccepting) {
+			this.lagMs = 0;
+			return;
+		}
+		this.acceptTurns++;
+		this.turnScheduler.schedule(() => {
+			this.clearLag();
+		});
+	}
+
 	private startWaiting(): void {
 		this.isStarting = true;
 		for (const start of this.waiting.splice(0)) {
@@ -103,7 +132,7 @@
 }
 
 /** The event loop of a process that always keeps up. */
-export const noLoopLag: ILoopLag = { getLagMs: () => 0 };
+export const noLoopLag: ILoopLag = { noteConnection: () => undefined, getLagMs: () => 0 };
 
 /** Delays nothing. */
 export const openStartGate: IStartGate = {
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -108,6 +108,7 @@
 		this.server.keepAliveTimeout = defaultIdleTimeoutMs;
 		this.server.on('connection', () => {
 			this.intake.noteConnection();
+			this.loopLag.noteConnection();
 		});
 		this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
 			this.serve(request, response);
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -220,6 +220,37 @@
 	});
 });
 
+describe('connections that wait for an entry that is two seconds behind', () => {
+	// Guards against deadlines that are counted from a late reading for all but the first connection, since the runtime
+	// accepts one in a turn.
+	it('all keep the deadlines of their callers', async () => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const { timers } = fixture.flow;
+		const { port } = await startServer(fixture, new LoopLagGate(new ImmediateTurnScheduler(), timers));
+		const connections = 20;
+		const deadlines: number[] = [];
+		fixture.handler.accept = (call, sink) => {
+			deadlines.push(call.deadlineMs);
+			sink.end();
+		};
+		const sentMs = timers.getNow();
+		for (let index = 0; index < connections; index++) {
+			const caller = connect(port, '127.0.0.1');
+			owned.add(toDisposable(() => caller.destroy()));
+			caller.write(
+				'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\nanvilroad-deadline-ms: 5000\r\n' +
+					'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork',
+			);
+		}
+		timers.advanceWithoutTimers(2_000);
+		timers.advance(0);
+		while (deadlines.length < connections) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		expect(deadlines.filter(deadlineMs => deadlineMs > sentMs + 5_500)).toEqual([]);
+	});
+});
+
 describe('a caller that does not finish its body', () => {
 	// Guards against callers without any answer at their deadline, up to the two minutes that an upload may take.
 	it('is refused as not run at its deadline', async () => {
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -104,6 +104,7 @@
 		this.server.on(certificates === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
 			this.lingeringSockets.add(socket);
 			this.intake.noteConnection();
+			this.loopLag.noteConnection();
 		});
 		this.server.on('session', session => {
 			setSessionWindow(session);
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -9,6 +9,7 @@
 import type { ForwardRequestRequest } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import type { CallPlan } from '../../../common/placement/callPlan';
+import type { ILoopLag } from '../../../common/intake/loopLagGate';
 import { noLoopLag } from '../../../common/intake/loopLagGate';
 import { RequestIntake } from '../../../common/intake/requestIntake';
 import { HeldBytes } from '../../callers/bodyReader';
@@ -168,7 +169,14 @@
 				sink.end();
 			},
 		};
-		const server = createServer(acceptingHandler, timers, { getLagMs: () => 1_500 });
+		let connections = 0;
+		const loopLag: ILoopLag = {
+			noteConnection: () => {
+				connections++;
+			},
+			getLagMs: () => 1_500,
+		};
+		const server = createServer(acceptingHandler, timers, loopLag);
 		const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
 		const clients = new PeerClients({}, undefined);
 		owned.add(clients);
@@ -189,5 +197,6 @@
 			expect(answer.part.case).toBe('end');
 		}
 		expect(calls).toMatchObject([{ arrivedMs: 8_500, deadlineMs: 12_500, startByMs: 9_100 }]);
+		expect(connections).toBe(1);
 	});
 });
