Start requests of other regions before those not started in time are refused

Callers got an answer later, and from a farther or busier region, when a peer that was behind refused their request although one of its targets was idle.

Cause: the scheduler refused requests of other regions that were past their time to start before it gave free targets to those that wait.

It now starts what it can first. startDeadline.test.ts "is started if the target has capacity although the time to start it has just passed" failed before.

--- a/src/entry/common/workScheduling/test/startDeadline.test.ts
+++ b/src/entry/common/workScheduling/test/startDeadline.test.ts
@@ -167,6 +167,13 @@
 		expect(scheduler.advance(0)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
 	});
 
+	// Guards against a refusal by a peer with a free target, because the peer has read the request late.
+	it('is started if the target has capacity although the time to start it has just passed', () => {
+		const scheduler = createScheduler(1);
+		scheduler.submit({ ...createRequest('remote', shortTokens, 3_000), startByMs: 0 }, 1);
+		expect(scheduler.advance(1)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
+	});
+
 	// Guards against more runs than the route allows, when the region of the sender counts its attempts anew.
 	it('is not given back once it may have run', () => {
 		const scheduler = createScheduler(2);
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -103,13 +103,16 @@
 	}
 
 	advance(nowMs: number): readonly ScheduleDecision[] {
-		if (nowMs - this.lastCheckMs >= this.policy.queue.recheckIntervalMs) {
+		const isCheckDue = nowMs - this.lastCheckMs >= this.policy.queue.recheckIntervalMs;
+		if (isCheckDue) {
 			this.lastCheckMs = nowMs;
 			this.updateTypicalSlowness();
 			this.checkWaiting(nowMs);
-			this.refuseUnstarted(nowMs);
 		}
 		this.startWaiting(nowMs);
+		if (isCheckDue) {
+			this.refuseUnstarted(nowMs);
+		}
 		const { decisions } = this;
 		this.decisions = [];
 		return decisions;
