Count sightings of one crash once although entries read them seconds late

Callers got 422 for five minutes for requests that had been in flight at one crash only, when the entries of the region were behind.

Cause: a sighting seems younger by its transit and late reading at each entry that passes it on. It came back to the entry that saw the crash over two seconds apart from its own, and counted as a second crash.

Sightings at one target now count as one crash if they are less than ten seconds apart. The other side of this: if a target restarts and the same request crashes it again within ten seconds, that counts as one crash as well, where it was two seconds before; crashes of two targets count as before. relayedSightings.test.ts failed before.

--- a/src/entry/common/quarantine/quarantine.ts
+++ b/src/entry/common/quarantine/quarantine.ts
@@ -36,7 +36,10 @@
 	readonly refuseForMs: number;
 	/** Time after its last crash for which a fingerprint is kept, in milliseconds. */
 	readonly retentionMs: number;
-	/** Sightings at one target less than this apart, in milliseconds, are one crash reported by several entries. */
+	/**
+	 * Sightings at one target less than this apart, in milliseconds, are one crash reported by several entries. A
+	 * sighting seems younger by its transit and late reading at each of the entries that pass it on.
+	 */
 	readonly sameCrashWindowMs: number;
 	/** Maximum number of fingerprints kept with one crash, and separately with more crashes. */
 	readonly maxFingerprints: number;
@@ -49,7 +52,7 @@
 export const defaultQuarantineLimits: QuarantineLimits = {
 	refuseForMs: 300_000,
 	retentionMs: 600_000,
-	sameCrashWindowMs: 2_000,
+	sameCrashWindowMs: 10_000,
 	maxFingerprints: 2_048,
 	shareForMs: 15_000,
 	maxSharedSightings: 512,
