--- a/src/entry/common/quarantine/crashReporter.ts
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -7,7 +7,8 @@
  * answers, disconnects and deadlines late.
  *
  * Therefore the first crash is reported at once, and crashes that follow shortly are collected in one report for which
- * no request waits. A crash that leads to the refusal of a request is always reported at once.
+ * no request waits. A crash that leads to the refusal of a request is always reported at once, also if another entry
+ * saw the other crash of the request.
  */
 
 import type { IDisposable } from '../../../base/common/lifecycle';
@@ -23,7 +24,7 @@
 export interface ObservedCrash {
 	readonly target: TargetId;
 	readonly fingerprints: readonly Fingerprint[];
-	/** Whether one of the requests is refused from now on. */
+	/** Whether one of the requests is refused because of this crash, and was not before. */
 	readonly isRequestRefused: boolean;
 }
 
@@ -36,6 +37,9 @@
 /** Minimum time between two reports without a refused request. */
 const minReportIntervalMs = 1_000;
 
+/** Longer than peers usually take to answer; an unresponsive one may take seconds. */
+const maxWaitForReportMs = 100;
+
 /** Reports the crashes that one entry sees. */
 export class CrashReporter extends Disposable {
 	private unsent: UnsentSighting[] = [];
@@ -65,10 +69,31 @@
 			return;
 		}
 		// Crashes seen while a report is on its way are sent together in the next one.
-		await this.reportInProgress;
+		await this.waitForReport();
 		await this.sendUnsent();
 	}
 
+	/**
+	 * Reports the collected crashes at once if one of the given requests, which are refused because of crashes that other
+	 * entries saw, was in flight at them. The other entries do not know of these crashes, so they would still accept it.
+	 */
+	sendIfRefused(refused: ReadonlySet<Fingerprint>): void {
+		if (this.unsent.some(({ fingerprint }) => refused.has(fingerprint))) {
+			void this.sendUnsent();
+		}
+	}
+
+	/** Waits for the report in progress, but not for peers that do not answer. */
+	private async waitForReport(): Promise<void> {
+		await new Promise<void>(resolve => {
+			const limit = this.timers.schedule(maxWaitForReportMs, resolve);
+			void this.reportInProgress.then(() => {
+				limit.dispose();
+				resolve();
+			});
+		});
+	}
+
 	private scheduleReport(delayMs: number): void {
 		this.reportTimer ??= this.timers.schedule(delayMs, () => {
 			void this.sendUnsent();
@@ -83,7 +108,8 @@
 		if (sightings.length > 0) {
 			this.unsent = [];
 			this.lastReportMs = nowMs;
-			this.reportInProgress = this.sendSightings(sightings);
+			// Peers that a report did not reach receive the sightings with the next view.
+			this.reportInProgress = this.sendSightings(sightings).catch(() => undefined);
 		}
 		this.reportTimer?.dispose();
 		this.reportTimer = undefined;
--- a/src/entry/node/requests/test/crashDetector.test.ts
+++ b/src/entry/node/requests/test/crashDetector.test.ts
@@ -182,4 +182,20 @@
 		await checkCrashedTarget(fixture, secondTarget, [createCallWith('other')]);
 		expect(fixture.shared.map(({ isRequestRefused }) => isRequestRefused)).toEqual([false, true, false]);
 	});
+
+	// Guards against a report of every further crash while the request is refused everywhere.
+	it('does not mark a further crash of a request that is refused already', async () => {
+		const fixture = createDetector();
+		for (const target of [firstTarget, secondTarget, 'engine-3' as TargetId]) {
+			await checkCrashedTarget(fixture, target, [createCallWith('crashing')]);
+		}
+		expect(fixture.shared.map(({ isRequestRefused }) => isRequestRefused)).toEqual([false, true, false]);
+	});
+
+	it('marks a crash if only one of its requests is refused from then on', async () => {
+		const fixture = createDetector();
+		await checkCrashedTarget(fixture, firstTarget, [createCallWith('crashing')]);
+		await checkCrashedTarget(fixture, secondTarget, [createCallWith('other'), createCallWith('crashing')]);
+		expect(fixture.shared.map(({ isRequestRefused }) => isRequestRefused)).toEqual([false, true]);
+	});
 });
