Load Node's own modules and the bundle from their code caches in the entry

V8 accepts a code cache only while its flags equal those at the creation of the cache. The loader now resets the first flag, whose limit the heap has applied by then (heap_size_limit stays at 260 MB, and a process that allocates without end ends at 200 MB), and sets the second one once Node's modules and the bundle are loaded.

--- a/scripts/bundleEntry.mjs
+++ b/scripts/bundleEntry.mjs
@@ -9,8 +9,8 @@
 import { resolve } from 'node:path';
 import { build } from 'esbuild';
 
-/** Must be the flags of the deploy file: Node accepts a code cache only with the flags that it was created with. */
-const nodeFlags = ['--max-old-space-size=200', '--single-threaded-gc', '--interrupt-budget=600000'];
+/** The flags of the deploy file. */
+const nodeFlags = ['--max-old-space-size=200', '--single-threaded-gc'];
 
 rmSync('target/entryBundle.js.cache', { force: true });
 
--- a/scripts/entryLoader.cjs
+++ b/scripts/entryLoader.cjs
@@ -10,8 +10,36 @@
 const { readFileSync } = require('node:fs');
 const { createRequire } = require('node:module');
 const { dirname, join } = require('node:path');
+const { setFlagsFromString } = require('node:v8');
 const { Script } = require('node:vm');
 
+/**
+ * V8 rejects a code cache, also that of Node's own modules, while its flags differ from those at the creation of the
+ * cache. The heap already has its limit, so this flag can be reset.
+ */
+setFlagsFromString('--max-old-space-size=0');
+
+/** An entry that receives few requests does not gain from optimised code what its compilation costs. */
+const lateOptimisationFlag = '--interrupt-budget=600000';
+
+/** Modules of Node that the bundle requires at startup. They must be loaded while their code cache is valid. */
+const startupModules = [
+	'assert',
+	'async_hooks',
+	'crypto',
+	'diagnostics_channel',
+	'http',
+	'http2',
+	'https',
+	'net',
+	'perf_hooks',
+	'querystring',
+	'stream',
+	'tls',
+	'worker_threads',
+	'zlib',
+];
+
 const bundleFile = join(__dirname, 'entryBundle.js');
 /** The shebang line, which is a syntax error inside a function body. */
 const firstLinePattern = /^#!.*/;
@@ -48,5 +76,7 @@
 module.exports = { cacheFile, runBundle, script };
 
 if (require.main === module) {
+	startupModules.forEach(id => require(id));
+	setFlagsFromString(lateOptimisationFlag);
 	runBundle();
 }
