Send views between entries uncompressed

An answer to an entry that has just started has up to 4 kB, and in fleets of up to 64 others most answers are over 1 kB, from which connect compresses. Each one cost a gzip and a gunzip stream, with their buffers and turns of the thread pool, for messages whose size the byte budget bounds before compression. Messages in larger fleets have at most 400 bytes and were never compressed.

--- a/src/entry/node/peers/peerClients.ts
+++ b/src/entry/node/peers/peerClients.ts
@@ -57,7 +57,12 @@
 		const pings = { pingIntervalMs, pingTimeoutMs, idleConnectionTimeoutMs: idleTimeoutMs };
 		const secure = this.certificates && createPeerSessionOptions(this.certificates, peerUrl);
 		const session = new PeerSession(baseUrl, pings, { ...secure, settings: windowSettings });
-		const transport = createConnectTransport({ baseUrl, httpVersion: '2', sessionManager: session });
+		const transport = createConnectTransport({
+			baseUrl,
+			httpVersion: '2',
+			sessionManager: session,
+			acceptCompression: [],
+		});
 		const connection = { client: createClient(PeerService, transport), session };
 		this.connections.set(peerUrl, connection);
 		return connection;
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -84,7 +84,7 @@
 				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
 			});
 		};
-		this.server = this.createServer(connectNodeAdapter({ routes }), certificates);
+		this.server = this.createServer(connectNodeAdapter({ routes, acceptCompression: [] }), certificates);
 		this.lingeringSockets = new LingeringSockets(timers);
 		this.sessionDrainer = new SessionDrainer(timers);
 		this.server.on(certificates === undefined ? 'connection' : 'secureConnection', (socket: Socket) => {
