Define the interval of clock checks once, and move the open gate to the tests

The gate and the detection of suspensions each had the interval of 250 ms that they share; the detector now imports it. `openStartGate` was in the program but only tests use it. No behaviour changes.

--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -32,8 +32,8 @@
 	getLagMs(): number;
 }
 
-/** Shared with the detection of suspensions, which checks the clock at the same interval. */
-const checkIntervalMs = 250;
+/** Interval at which a timer shows whether the event loop is behind or the process was suspended. */
+export const checkIntervalMs = 250;
 /** A timer that is late by more than this shows that the event loop is behind. */
 const maxLagMs = 100;
 /** Bounds the time for which connections that arrive at a high rate after the lag are taken for late ones. */
@@ -133,10 +133,3 @@
 
 /** The event loop of a process that always keeps up. */
 export const noLoopLag: ILoopLag = { noteConnection: () => undefined, getLagMs: () => 0 };
-
-/** Delays nothing. */
-export const openStartGate: IStartGate = {
-	run: start => {
-		start();
-	},
-};
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -19,7 +19,7 @@
 import type { AnswerHead, IAnswerSink } from '../../../common/callers/answerSink';
 import { NativeTargetDialect } from '../../../common/dialect/nativeTargetDialect';
 import type { IStartGate } from '../../../common/intake/loopLagGate';
-import { openStartGate } from '../../../common/intake/loopLagGate';
+import { openStartGate } from '../../../common/intake/test/startGates';
 import { planCall } from '../../../common/placement/callPlan';
 import { ManifestIndex } from '../../../common/placement/manifestIndex';
 import { Quarantine } from '../../../common/quarantine/quarantine';
--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -9,7 +9,7 @@
 	ForwardRequestRequest,
 	ForwardRequestResponse,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
-import { openStartGate } from '../../../common/intake/loopLagGate';
+import { openStartGate } from '../../../common/intake/test/startGates';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import type { RemoteOffer } from '../../../common/sendAway/sendAwayPolicy';
 import { WorkScheduler } from '../../../common/workScheduling/workScheduler';
--- a/src/entry/node/requests/test/requestRouter.test.ts
+++ b/src/entry/node/requests/test/requestRouter.test.ts
@@ -2,7 +2,7 @@
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
 import type { InstanceId, RegionName, RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
-import { openStartGate } from '../../../common/intake/loopLagGate';
+import { openStartGate } from '../../../common/intake/test/startGates';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import type { RemoteOffer, SendAwayContext, SendAwayDecision } from '../../../common/sendAway/sendAwayPolicy';
 import type { TicketService } from '../../tickets/ticketService';
--- a/src/entry/node/sleepDetector.ts
+++ b/src/entry/node/sleepDetector.ts
@@ -8,6 +8,7 @@
 import { subscribeTo } from '../../base/common/channel';
 import { Disposable } from '../../base/common/lifecycle';
 import type { ITimerService } from '../../base/common/timerService';
+import { checkIntervalMs } from '../common/intake/loopLagGate';
 
 /** Requests the latest state; resolves when an answer has arrived. */
 export type RefreshState = () => Promise<void>;
@@ -15,8 +16,6 @@
 /** Called after each suspension with its length in milliseconds. */
 export type ObserveSleep = (sleptMs: number) => void;
 
-const checkIntervalMs = 250;
-
 /**
  * A larger gap between two checks counts as a suspension. Far longer than a busy event loop delays a timer, and
  * shorter than targets and entries take to leave.
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -22,7 +22,7 @@
 import type { CallHead } from '../../common/callers/callHead';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
 import type { LookupCandidate } from '../fleet/entryFleet';
-import { openStartGate } from '../../common/intake/loopLagGate';
+import { openStartGate } from '../../common/intake/test/startGates';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { NeverSendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
 import { formatTicket } from '../../common/tickets/ticket';
