--- a/src/entry/common/quarantine/test/quarantine.test.ts
+++ b/src/entry/common/quarantine/test/quarantine.test.ts
@@ -158,6 +158,25 @@
 		expect(quarantine.findRefusal(first, 1_500)).toBeUndefined();
 	});
 
+	it('counts two crashes of one target if they are ten seconds apart, and one if they are closer', () => {
+		const quarantine = new Quarantine();
+		quarantine.noteTargetCrash(targets[0]!, [first, second], 0);
+		quarantine.noteTargetCrash(targets[0]!, [first], 9_999);
+		quarantine.noteTargetCrash(targets[0]!, [second], 10_000);
+		expect(quarantine.findRefusal(first, 10_000)).toBeUndefined();
+		expect(quarantine.findRefusal(second, 10_000)).toBeDefined();
+	});
+
+	it('returns the requests that a report makes refused, but not those that were refused before', () => {
+		const quarantine = new Quarantine();
+		quarantine.noteTargetCrash(targets[0]!, [first, second], 0);
+		const report = [{ fingerprint: first, target: targets[1]!, ageMs: 0 }];
+		expect([...quarantine.noteCrashSightings(report, 100)]).toEqual([first]);
+		expect([...quarantine.noteCrashSightings(report, 200)]).toEqual([]);
+		const next = [{ fingerprint: first, target: targets[2]!, ageMs: 0 }];
+		expect([...quarantine.noteCrashSightings(next, 300)]).toEqual([]);
+	});
+
 	it('keeps a bounded number of fingerprints, evicts no refused one for bystanders, and expires them', () => {
 		const quarantine = new Quarantine({
 			...defaultQuarantineLimits,
