--- a/src/entry/node/requests/test/serviceRunners.test.ts
+++ b/src/entry/node/requests/test/serviceRunners.test.ts
@@ -5,7 +5,7 @@
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import { NativeTargetDialect } from '../../../common/dialect/nativeTargetDialect';
 import { ManifestIndex } from '../../../common/placement/manifestIndex';
-import { openStartGate } from '../../../common/intake/loopLagGate';
+import { openStartGate } from '../../../common/intake/test/startGates';
 import { Quarantine } from '../../../common/quarantine/quarantine';
 import { ServiceScheduler } from '../../../common/scheduling/scheduler';
 import type { ISendAwayPolicy } from '../../../common/sendAway/sendAwayPolicy';
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -23,7 +23,7 @@
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
 import type { LookupCandidate } from '../fleet/entryFleet';
 import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
-import { openStartGate } from '../../common/intake/loopLagGate';
+import { openStartGate } from '../../common/intake/test/startGates';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { NeverSendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
 import { formatTicket } from '../../common/tickets/ticket';
