--- a/src/entry/common/intake/arrivalTime.ts
+++ b/src/entry/common/intake/arrivalTime.ts
@@ -4,7 +4,7 @@
  * answer would come when nobody waits for it.
  */
 
-/** A caller that is still there has waited for half of its time on average, however long the event loop stood still. */
+/** Limits the correction: a caller that is still connected has part of its time left, however long the lag is. */
 const maxWaitShare = 0.5;
 
 /** When a request was read, and how far the event loop was behind. In milliseconds of the monotonic clock. */
