Do not estimate the tried targets apart when a request is queued again

The estimate of the least time to the first byte is compared with the deadline only when a request arrives. Since the merge of the two refusals a retry is checked when its target is chosen, so leaving tried targets out of the item of a retry had no effect.

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -4,7 +4,6 @@
  */
 
 import type { IRandom } from '../../../base/common/random';
-import type { TargetId } from '../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
@@ -41,13 +40,9 @@
 		return this.queue.sumWorkAheadMs(urgency, false) / Math.max(1, available.length);
 	}
 
-	/**
-	 * Creates the queue item of a request, with its work at the target that would answer it first.
-	 *
-	 * @param excluded targets to which the request is not sent
-	 */
-	createItem(request: SchedulableRequest, nowMs: number, excluded: readonly TargetId[] = []): WorkItem {
-		const { soonest, minFirstByteMs } = this.findSoonest(request, excluded, nowMs);
+	/** Creates the queue item of a request, with its work at the target that would answer it first. */
+	createItem(request: SchedulableRequest, nowMs: number): WorkItem {
+		const { soonest, minFirstByteMs } = this.findSoonest(request, nowMs);
 		if (soonest === undefined) {
 			const { plainRunMs } = this.policy.estimate;
 			return { request, idleFirstByteMs: 0, workMs: plainRunMs, minFirstByteMs };
@@ -101,7 +96,6 @@
 
 	private findSoonest(
 		request: SchedulableRequest,
-		excluded: readonly TargetId[],
 		nowMs: number,
 	): { readonly soonest: TargetLoadModel | undefined; readonly minFirstByteMs: number } {
 		const { minFirstByteShare } = this.policy.queue;
@@ -114,10 +108,8 @@
 				soonest = target;
 				soonestMs = firstByteMs;
 			}
-			if (!excluded.includes(target.id)) {
-				const minMs = target.computeMinFirstByteMs(request, firstByteMs, minFirstByteShare, nowMs);
-				minFirstByteMs = Math.min(minFirstByteMs, minMs);
-			}
+			const minMs = target.computeMinFirstByteMs(request, firstByteMs, minFirstByteShare, nowMs);
+			minFirstByteMs = Math.min(minFirstByteMs, minMs);
 		}
 		return { soonest, minFirstByteMs };
 	}
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -147,11 +147,10 @@
 			this.requests.delete(requestId);
 			return false;
 		}
-		const item = this.estimates.createItem(tracked.request, nowMs, this.listExcluded(tracked));
 		if (end !== AttemptEnd.NotConnected) {
 			this.retryBudget.noteRetry(nowMs);
 		}
-		this.queue.add(item, nowMs);
+		this.queue.add(this.estimates.createItem(tracked.request, nowMs), nowMs);
 		return true;
 	}
 
