Wait with a time limit in one place

The report of crashes in progress, the sharing of a crash and the refresh after a suspension each had the same six lines: a promise, or a limit by the timer service. waitAtMost beside waitFor serves all three. Behaviour and tests are the same; npm test passes.

--- a/src/base/common/waitFor.ts
+++ b/src/base/common/waitFor.ts
@@ -1,5 +1,5 @@
 /**
- * A delay that can be aborted.
+ * A delay that can be aborted, and a wait with a time limit.
  */
 
 import type { ITimerService } from './timerService';
@@ -16,3 +16,18 @@
 		signal.addEventListener('abort', finish, { once: true });
 	});
 }
+
+/** Resolves when `work` has ended, or after `limitMs`. */
+export async function waitAtMost(
+	timers: ITimerService,
+	limitMs: number,
+	work: Promise<unknown>,
+): Promise<void> {
+	await new Promise<void>(resolve => {
+		const limit = timers.schedule(limitMs, resolve);
+		void work.then(() => {
+			limit.dispose();
+			resolve();
+		});
+	});
+}
--- a/src/entry/common/quarantine/crashReporter.ts
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -14,6 +14,7 @@
 import type { IDisposable } from '../../../base/common/lifecycle';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
+import { waitAtMost } from '../../../base/common/waitFor';
 import type { Fingerprint, TargetId } from '../../../core/ids/common/ids';
 import type { CrashSighting } from './quarantine';
 
@@ -69,7 +70,7 @@
 			return;
 		}
 		// Crashes seen while a report is on its way are sent together in the next one.
-		await this.waitForReport();
+		await waitAtMost(this.timers, maxWaitForReportMs, this.reportInProgress);
 		await this.sendUnsent();
 	}
 
@@ -83,17 +84,6 @@
 		}
 	}
 
-	/** Waits for the report in progress, but not for peers that do not answer. */
-	private async waitForReport(): Promise<void> {
-		await new Promise<void>(resolve => {
-			const limit = this.timers.schedule(maxWaitForReportMs, resolve);
-			void this.reportInProgress.then(() => {
-				limit.dispose();
-				resolve();
-			});
-		});
-	}
-
 	private scheduleReport(delayMs: number): void {
 		this.reportTimer ??= this.timers.schedule(delayMs, () => {
 			void this.sendUnsent();
--- a/src/entry/node/requests/crashDetector.ts
+++ b/src/entry/node/requests/crashDetector.ts
@@ -6,6 +6,7 @@
 
 import { xxh3 } from '@node-rs/xxhash';
 import type { ITimerService } from '../../../base/common/timerService';
+import { waitAtMost } from '../../../base/common/waitFor';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import type { Fingerprint, TargetId } from '../../../core/ids/common/ids';
 import { encodeCallIdentity } from '../../common/atMostOnce/callFingerprint';
@@ -108,12 +109,6 @@
 	 * next periodic exchange of views, a second later, the request could crash one more target.
 	 */
 	private async waitForSharing(crash: ObservedCrash): Promise<void> {
-		await new Promise<void>(resolve => {
-			const limit = this.timers.schedule(maxShareWaitMs, resolve);
-			void this.shareCrash(crash).then(() => {
-				limit.dispose();
-				resolve();
-			});
-		});
+		await waitAtMost(this.timers, maxShareWaitMs, this.shareCrash(crash));
 	}
 }
--- a/src/entry/node/sleepDetector.ts
+++ b/src/entry/node/sleepDetector.ts
@@ -8,6 +8,7 @@
 import { subscribeTo } from '../../base/common/channel';
 import { Disposable } from '../../base/common/lifecycle';
 import type { ITimerService } from '../../base/common/timerService';
+import { waitAtMost } from '../../base/common/waitFor';
 import { checkIntervalMs } from '../common/intake/loopLagGate';
 
 /** Requests the latest state; resolves when an answer has arrived. */
@@ -61,18 +62,8 @@
 			return;
 		}
 		this.observeSleep(sleptMs);
-		this.refreshPromise = this.waitForRefresh().finally(() => {
+		this.refreshPromise = waitAtMost(this.timers, maxHoldMs, this.refreshState()).finally(() => {
 			this.refreshPromise = undefined;
 		});
 	}
-
-	private async waitForRefresh(): Promise<void> {
-		await new Promise<void>(resolve => {
-			const limit = this.timers.schedule(maxHoldMs, resolve);
-			void this.refreshState().then(() => {
-				limit.dispose();
-				resolve();
-			});
-		});
-	}
 }
