Poll for each start of a late event loop, not only for the first that waits

Callers: a request whose caller closed right behind it was sent to a target and cancelled there up to a turn later, if another request was waiting at the start gate already.

Cause: LoopLagGate scheduled one poll for the first waiting start and ran all that had joined by then, also those read in that same poll, whose close is read in the next turn. A ServiceRunner with a pending pass over its queue started whatever was queued when that pass ran. The order is forced in lateEventLoop.test.ts.

Change: each start waits for a poll of its own, in the order of the calls, and a request joins the queue of its runner only after its poll.

--- a/src/entry/common/intake/loopLagGate.ts
+++ b/src/entry/common/intake/loopLagGate.ts
@@ -78,12 +78,11 @@
 			start();
 			return;
 		}
+		// Each start waits for a poll of its own: one that is in progress may have read the request but not a later close.
 		this.waiting.push(start);
-		if (this.waiting.length === 1) {
-			this.waitForPoll(() => {
-				this.startWaiting();
-			});
-		}
+		this.waitForPoll(() => {
+			this.startNext();
+		});
 	}
 
 	private checkLag(): void {
@@ -115,11 +114,9 @@
 		});
 	}
 
-	private startWaiting(): void {
+	private startNext(): void {
 		this.isStarting = true;
-		for (const start of this.waiting.splice(0)) {
-			start();
-		}
+		this.waiting.shift()?.();
 		this.isStarting = false;
 	}
 
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -216,6 +216,16 @@
 		}
 		run.note(JournalStep.Queued, this.describeQueue());
 		run.noteSubmitted();
+		// A pending advance starts whatever is queued by then, so the request is queued only after a poll of its own.
+		this.startGate.run(() => {
+			this.addToQueue(run);
+		});
+	}
+
+	private addToQueue(run: RequestRun): void {
+		if (!this.states.has(run.call.id)) {
+			return;
+		}
 		const request = {
 			...createSchedulable(run),
 			isKeptApart: () => this.crashDetector.isSuspected(run.call),
--- a/src/entry/node/requests/test/lateEventLoop.test.ts
+++ b/src/entry/node/requests/test/lateEventLoop.test.ts
@@ -93,6 +93,19 @@
 		expect(flow.attempts).toEqual([]);
 	});
 
+	// Guards against the same work if an earlier request is waiting already when the request is read.
+	it('reads the close that follows a request before it starts the request, although another one starts', () => {
+		const { flow, freeze, endTurn } = createLateLoop();
+		freeze(2_000);
+		flow.submit();
+		endTurn();
+		const sink = flow.submit();
+		endTurn();
+		sink.abandon?.();
+		endTurn();
+		expect(flow.attempts).toHaveLength(1);
+	});
+
 	it('starts the requests whose callers stay', () => {
 		const { flow, freeze, endTurn } = createLateLoop();
 		freeze(2_000);
