Start few exchanges at one moment when entries start, stop or resume together

Callers: requests read and closes noticed late while half of the entries are stopped or started at one moment, or after all were late together.

Cause: an entry that leaves, accepts its first manifest or sees a turn of two seconds exchanged views with all its contacts at once: 84 in a fleet of 85, so 42 entries that stop together sent 42 exchanges to each other one in one moment. Forced on a virtual clock in immediateExchanges.test.ts; the counts of exchanges in the log line 'event loop late' show it in operation.

Change: after a late turn eight contacts, as after a new manifest. The first manifest goes to all contacts as before, eight at a time every 100 ms.

Tests: the check of the first manifest (300 of 300 contacted) stays, over time. With no limit the new ones fail: 300, 84 and 84 exchanges at one moment, 8 allowed.

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -195,7 +195,7 @@
 		const callers = await this.callers.listen(settings.callers.listen);
 		await Promise.all(this.ports.map(port => port.listen()));
 		this.platform.sources.start();
-		void this.fleet.exchangeWithAll();
+		void this.fleet.exchangeWithSome();
 		this.recordProcess('stopped', 'started', `boot ${this.bootId}`);
 		this.logger.info({ callers: callers.port, peers: peers.port, operators: operators.port }, 'listening');
 	}
@@ -217,7 +217,7 @@
 		await this.waitForSuccessor(reason);
 		this.ownView.setLeaving();
 		this.recordProcess('started', 'leaving', reason);
-		void this.fleet.exchangeWithAll();
+		this.fleet.shareLeaving();
 		const acceptingMs = computeAcceptMs(this.environment.leaving, this.timers.getNow() - startedMs);
 		await waitUntil(acceptingMs);
 		this.ownView.setRefusing();
@@ -318,7 +318,7 @@
 		this.register(
 			subscribeTo(this.manifests.onDidAccept, ({ manifest }) => {
 				this.callers.setLimits(this.createCallerLimits(manifest.callerLimits));
-				void this.fleet.shareManifest();
+				this.fleet.shareManifest();
 			}),
 		);
 		this.register(
@@ -365,7 +365,7 @@
 		return new SleepDetector(
 			async () => {
 				const { sources } = this.platform;
-				await Promise.all([sources.refreshManifest(), this.fleet.exchangeWithAll()]);
+				await Promise.all([sources.refreshManifest(), this.fleet.exchangeWithSome()]);
 			},
 			sleptMs => {
 				this.recordProcess('asleep', 'awake', `no clock check for ${Math.round(sleptMs)} ms`);
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -7,7 +7,8 @@
 import { create } from '@bufbuild/protobuf';
 import type { Stream } from 'most';
 import { Channel, subscribeTo } from '../../../base/common/channel';
-import { Disposable } from '../../../base/common/lifecycle';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { IAuditTrail } from '../../../core/audit/common/auditTrail';
@@ -62,8 +63,13 @@
 
 const { periodMs } = defaultFleetViewParameters;
 const exchangeTimeoutMs = 2_000;
-/** Includes all contacts of a small fleet. In a large one, exchanges of all with all would occupy the processors. */
-const maxManifestExchanges = 8;
+/**
+ * Maximum number of exchanges that this entry starts at one moment. Includes all contacts of a small fleet. Many
+ * entries of a large fleet start, stop or resume together, and exchanges of all with all would occupy their processors.
+ */
+const maxImmediateExchanges = 8;
+/** Interval between groups of exchanges, so that a processor shared with requests is not occupied by them. */
+const exchangeGroupIntervalMs = 100;
 
 /** Exchanges views with the other entries and provides their state. */
 export class EntryFleet extends Disposable implements IEntryDirectory {
@@ -72,8 +78,9 @@
 	private readonly contacts: PeerContacts;
 	private readonly lifecycles: InstanceLifecycles;
 	private readonly liveEntries: LiveEntries;
-	private hasSharedManifest = false;
 	private readonly work = { exchangesReceived: 0, exchangesStarted: 0, crashReportsReceived: 0 };
+	private hasSharedManifest = false;
+	private groupTimer: IDisposable | undefined;
 	private readonly viewReceived = this.register(new Channel<EntryView>());
 
 	/** Emits each view that is newer than the stored one, with its age on arrival. */
@@ -85,7 +92,7 @@
 	readonly onDidReportCrashes: Stream<CrashReport> = this.crashesReported.stream;
 
 	constructor(
-		localEntry: LocalEntry,
+		private readonly localEntry: LocalEntry,
 		private readonly createOwnView: CreateOwnView,
 		private readonly peers: PeerClients,
 		private readonly timers: ITimerService,
@@ -117,6 +124,11 @@
 				this.exchangeWithPicked(nowMs);
 			}),
 		);
+		this.register(
+			toDisposable(() => {
+				this.groupTimer?.dispose();
+			}),
+		);
 	}
 
 	/** Number of records of other entries visited so far to list the live ones. */
@@ -153,24 +165,35 @@
 		return this.listViewsFor(sender?.instance, sender !== undefined && isFromNewPeer(sender));
 	}
 
-	/** Exchanges views with all contacts immediately, for example when this entry starts to leave. */
-	async exchangeWithAll(): Promise<void> {
-		const contacts = this.contacts.listAll(this.timers.getNow());
-		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
-	}
-
 	/**
-	 * Exchanges views immediately after a manifest was accepted: with all contacts after the first one, because earlier
-	 * views of this entry report no capacity, and later with a few, because all entries accept a manifest at the same time.
+	 * Exchanges views after a manifest was accepted: with all contacts in groups after the first one, because earlier views
+	 * of this entry report no capacity, and later with a few.
 	 */
-	async shareManifest(): Promise<void> {
-		if (!this.hasSharedManifest) {
-			this.hasSharedManifest = true;
-			await this.exchangeWithAll();
+	shareManifest(): void {
+		if (this.hasSharedManifest) {
+			void this.exchangeWithSome();
 			return;
 		}
-		const contacts = this.contacts.pickSome(maxManifestExchanges, this.timers.getNow());
-		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
+		this.hasSharedManifest = true;
+		this.exchangeInGroups(this.contacts.orderRandomly(this.contacts.listAll(this.timers.getNow())));
+	}
+
+	/** Exchanges views immediately with a few contacts, for example after this process was suspended. */
+	async exchangeWithSome(): Promise<void> {
+		await this.exchangeWithEach(this.contacts.pickSome(maxImmediateExchanges, this.timers.getNow()));
+	}
+
+	/**
+	 * Announces that this entry is leaving: to a few contacts at once, and in groups to the other entries of its region,
+	 * which name it to callers. All others receive it from these.
+	 */
+	shareLeaving(): void {
+		const first = this.contacts.pickSome(maxImmediateExchanges, this.timers.getNow());
+		const firstUrls = new Set(first.map(({ peerUrl }) => peerUrl));
+		const others = this.listLiveIn(this.localEntry.region)
+			.map(({ view }) => ({ instance: view.instance, peerUrl: view.peerUrl }))
+			.filter(({ peerUrl }) => !firstUrls.has(peerUrl));
+		this.exchangeInGroups([...first, ...this.contacts.orderRandomly(others)]);
 	}
 
 	/**
@@ -292,6 +315,21 @@
 		}
 	}
 
+	private exchangeInGroups(contacts: readonly ExchangeContact[]): void {
+		this.groupTimer?.dispose();
+		void this.exchangeWithEach(contacts.slice(0, maxImmediateExchanges));
+		const remaining = contacts.slice(maxImmediateExchanges);
+		if (remaining.length > 0) {
+			this.groupTimer = this.timers.schedule(exchangeGroupIntervalMs, () => {
+				this.exchangeInGroups(remaining);
+			});
+		}
+	}
+
+	private async exchangeWithEach(contacts: readonly ExchangeContact[]): Promise<void> {
+		await Promise.all(contacts.map(contact => this.exchangeWith(contact)));
+	}
+
 	private async exchangeWith({ instance, peerUrl }: ExchangeContact): Promise<void> {
 		this.work.exchangesStarted++;
 		try {
--- a/src/entry/node/fleet/peerContacts.ts
+++ b/src/entry/node/fleet/peerContacts.ts
@@ -86,12 +86,15 @@
 
 	/** Selects up to `count` random contacts. */
 	pickSome(count: number, nowMs: number): readonly ExchangeContact[] {
-		const remaining = [...this.listAll(nowMs)];
-		const picked: ExchangeContact[] = [];
-		while (picked.length < count && remaining.length > 0) {
-			picked.push(...remaining.splice(this.random.pickBelow(remaining.length), 1));
-		}
-		return picked;
+		return this.orderRandomly(this.listAll(nowMs)).slice(0, count);
+	}
+
+	/** Returns the contacts in random order, so that entries which do the same do not all begin with the same one. */
+	orderRandomly(contacts: readonly ExchangeContact[]): readonly ExchangeContact[] {
+		return contacts
+			.map(contact => ({ contact, key: this.random.pickFraction() }))
+			.sort((left, right) => left.key - right.key)
+			.map(({ contact }) => contact);
 	}
 
 	findUrl(instance: InstanceId, nowMs: number): string | undefined {
--- a/src/entry/node/fleet/test/immediateExchanges.test.ts
+++ b/src/entry/node/fleet/test/immediateExchanges.test.ts
@@ -3,7 +3,7 @@
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
 import { RingAuditTrail } from '../../../../core/audit/common/ringAuditTrail';
-import type { InstanceId, TargetId, ZoneName } from '../../../../core/ids/common/ids';
+import type { InstanceId, RegionName, TargetId, ZoneName } from '../../../../core/ids/common/ids';
 import { ShareCrashesRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import { CrashReporter } from '../../../common/quarantine/crashReporter';
 import { Quarantine } from '../../../common/quarantine/quarantine';
@@ -73,31 +73,91 @@
 	return { head, body: Buffer.from(body) } as unknown as AcceptedCall;
 }
 
+/** Lets time pass, and returns the peers contacted meanwhile, those of each moment apart. */
+function listContactedWithin({ timers, takeContacted }: RecordedFleet, durationMs: number): string[][] {
+	const stepMs = 50;
+	const moments = [takeContacted()];
+	for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += stepMs) {
+		timers.advance(stepMs);
+		moments.push(takeContacted());
+	}
+	return moments.map(contacted => [...contacted]);
+}
+
+function countAtOneMoment(moments: readonly string[][]): number {
+	return Math.max(...moments.map(({ length }) => length));
+}
+
+/** Exchanges of a large fleet at one moment, with the regular ones of a period. */
+const maxAtOneMoment = 8 + 2;
+
 describe('a new manifest', () => {
-	async function listContactedAfter(others: number, manifests: number): Promise<readonly string[]> {
-		const { fleet, takeContacted } = createRecordedFleet(others);
-		let contacted: readonly string[] = [];
-		for (let count = 0; count < manifests; count++) {
-			await fleet.shareManifest();
-			contacted = takeContacted();
-		}
-		return contacted;
+	/** Lists the peers that are contacted at the moment at which the second manifest is accepted. */
+	function listContactedAfterSecond(others: number): readonly string[] {
+		const recorded = createRecordedFleet(others);
+		recorded.fleet.shareManifest();
+		listContactedWithin(recorded, 5_000);
+		recorded.fleet.shareManifest();
+		return recorded.takeContacted();
 	}
 
 	// Guards against entries that do nothing else for a second after a change, since each exchanges views with each other.
-	it('starts no more exchanges in a fleet of hundreds than in one of dozens', async () => {
-		const inDozens = await listContactedAfter(30, 2);
-		const inHundreds = await listContactedAfter(300, 2);
+	it('starts no more exchanges in a fleet of hundreds than in one of dozens', () => {
+		const inDozens = listContactedAfterSecond(30);
+		const inHundreds = listContactedAfterSecond(300);
 		expect(inHundreds).toHaveLength(inDozens.length);
 		expect(new Set(inHundreds).size).toBe(inHundreds.length);
 	});
 
-	it('is announced to all entries of a small fleet', async () => {
-		expect(await listContactedAfter(6, 2)).toHaveLength(6);
+	it('is announced to all entries of a small fleet', () => {
+		expect(listContactedAfterSecond(6)).toHaveLength(6);
+	});
+
+	// Guards against event loops that are late when many entries start at one moment.
+	it('is announced to all entries, a few at a time, if it is the first one', () => {
+		const recorded = createRecordedFleet(300);
+		recorded.fleet.shareManifest();
+		const moments = listContactedWithin(recorded, 5_000);
+		expect(new Set(moments.flat()).size).toBe(300);
+		expect(countAtOneMoment(moments)).toBeLessThanOrEqual(maxAtOneMoment);
+	});
+});
+
+describe('the exchanges after a suspension or a late turn of the event loop', () => {
+	// Guards against entries that are late together and become later, since each exchanges views with each other.
+	it('are few, and leave all other entries in use', async () => {
+		const { fleet, timers, takeContacted } = createRecordedFleet(84);
+		timers.advanceWithoutTimers(30_000);
+		await fleet.exchangeWithSome();
+		expect(takeContacted()).toHaveLength(8);
+		timers.advance(1_000);
+		const usable = fleet.listCandidates(undefined).filter(({ isSuspect }) => !isSuspect);
+		expect(usable).toHaveLength(84);
+	});
+});
+
+describe('the announcement that an entry is leaving', () => {
+	function createLeavingFleet(): RecordedFleet {
+		const recorded = createRecordedFleet(27);
+		const overrides = { region: 'erongo' as RegionName };
+		const others = Array.from({ length: 57 }, (_, index) => createView(`elsewhere-${index}`, overrides));
+		recorded.fleet.receiveViews(others.map(encodeView));
+		recorded.fleet.shareLeaving();
+		return recorded;
+	}
+
+	// Guards against event loops that are late when half of the entries are stopped at one moment.
+	it('starts few exchanges at one moment, and no more than for its region and a few others', () => {
+		const moments = listContactedWithin(createLeavingFleet(), 900);
+		expect(countAtOneMoment(moments)).toBeLessThanOrEqual(8);
+		expect(moments.flat().length).toBeLessThanOrEqual(27 + 8);
 	});
 
-	it('is announced to all entries if it is the first one', async () => {
-		expect(await listContactedAfter(300, 1)).toHaveLength(300);
+	// Guards against callers that are directed to an entry after it has ceased to accept requests.
+	it('reaches each other entry of the region within half a second', () => {
+		const contacted = listContactedWithin(createLeavingFleet(), 500).flat();
+		const inRegion = contacted.filter(url => !url.includes('elsewhere'));
+		expect(new Set(inRegion).size).toBe(27);
 	});
 });
 
@@ -169,7 +229,7 @@
 describe('the work counts of a fleet', () => {
 	it('have each exchange of either side and each crash report', async () => {
 		const { fleet } = createRecordedFleet(3);
-		await fleet.exchangeWithAll();
+		await fleet.exchangeWithSome();
 		fleet.receiveViews([encodeView(createView('entry-1'))]);
 		fleet.receiveCrashReport(create(ShareCrashesRequestSchema, { region, crashSightings: [] }));
 		expect(fleet.getWorkCounts()).toEqual({
