Limit the bytes of a crash report

Callers: deadlines and closes noticed late after the loss of a rack in a region of many entries.

Cause: a report had no limit. It is encoded once for each entry of the region, and an entry decodes those of all others: 600 sightings of one entry are 18 KB, and 28 entries report at the same moment. Views had 1.8 to 8 ms of processor time for 512 sightings.

Change: at most 4,000 bytes, the sightings of the refused request first, then the latest; the others follow in the views as before.

The new test fails without the limit (18,353 bytes).

--- a/src/entry/common/fleetView/sightingPicker.ts
+++ b/src/entry/common/fleetView/sightingPicker.ts
@@ -42,7 +42,11 @@
 	return repeated;
 }
 
-function takeWithin(sightings: readonly CrashSightingView[], maxBytes: number): readonly CrashSightingView[] {
+/** Returns the first sightings that together do not exceed the byte limit. */
+export function takeWithin<TSighting extends CrashSightingView>(
+	sightings: readonly TSighting[],
+	maxBytes: number,
+): readonly TSighting[] {
 	let bytes = 0;
 	const end = sightings.findIndex(sighting => {
 		bytes += estimateSightingBytes(sighting);
--- a/src/entry/common/quarantine/crashReporter.ts
+++ b/src/entry/common/quarantine/crashReporter.ts
@@ -9,6 +9,9 @@
  * Therefore the first crash is reported at once, and crashes that follow shortly are collected in one report for which
  * no request waits. A crash that leads to the refusal of a request is always reported at once, also if another entry
  * saw the other crash of the request.
+ *
+ * A report is limited in bytes, because it is encoded for each entry of the region, and decoded there together with
+ * those of all others. What does not fit reaches the other entries with the next views.
  */
 
 import type { IDisposable } from '../../../base/common/lifecycle';
@@ -16,6 +19,7 @@
 import type { ITimerService } from '../../../base/common/timerService';
 import { waitAtMost } from '../../../base/common/waitFor';
 import type { Fingerprint, TargetId } from '../../../core/ids/common/ids';
+import { takeWithin } from '../fleetView/sightingPicker';
 import type { CrashSighting } from './quarantine';
 
 /** Sends sightings to the other entries of the region; resolves when they have received them. */
@@ -38,6 +42,9 @@
 /** Minimum time between two reports without a refused request. */
 const minReportIntervalMs = 1_000;
 
+/** Exceeds the sightings of the requests that one target serves at a time for one entry. */
+const maxReportBytes = 4_000;
+
 /** Longer than peers usually take to answer; an unresponsive one may take seconds. */
 const maxWaitForReportMs = 100;
 
@@ -71,7 +78,7 @@
 		}
 		// Crashes seen while a report is on its way are sent together in the next one.
 		await waitAtMost(this.timers, maxWaitForReportMs, this.reportInProgress);
-		await this.sendUnsent();
+		await this.sendUnsent(new Set(isRequestRefused ? fingerprints : []));
 	}
 
 	/**
@@ -80,7 +87,7 @@
 	 */
 	sendIfRefused(refused: ReadonlySet<Fingerprint>): void {
 		if (this.unsent.some(({ fingerprint }) => refused.has(fingerprint))) {
-			void this.sendUnsent();
+			void this.sendUnsent(refused);
 		}
 	}
 
@@ -90,7 +97,7 @@
 		});
 	}
 
-	private sendUnsent(): Promise<void> {
+	private sendUnsent(refused: ReadonlySet<Fingerprint> = new Set()): Promise<void> {
 		const nowMs = this.timers.getNow();
 		const sightings = this.unsent.map(({ fingerprint, target, seenMs }) => {
 			return { fingerprint, target, ageMs: nowMs - seenMs };
@@ -99,10 +106,22 @@
 			this.unsent = [];
 			this.lastReportMs = nowMs;
 			// Peers that a report did not reach receive the sightings with the next view.
-			this.reportInProgress = this.sendSightings(sightings).catch(() => undefined);
+			this.reportInProgress = this.sendSightings(pickReported(sightings, refused)).catch(() => undefined);
 		}
 		this.reportTimer?.dispose();
 		this.reportTimer = undefined;
 		return this.reportInProgress;
 	}
 }
+
+/** Keeps the sightings of refused requests, then the latest ones, if not all fit in a report. */
+function pickReported(
+	sightings: readonly CrashSighting[],
+	refused: ReadonlySet<Fingerprint>,
+): readonly CrashSighting[] {
+	const latestFirst = [...sightings].reverse();
+	const isRefused = ({ fingerprint }: CrashSighting): boolean => refused.has(fingerprint);
+	const ordered = [...latestFirst.filter(isRefused), ...latestFirst.filter(sighting => !isRefused(sighting))];
+	const kept = new Set(takeWithin(ordered, maxReportBytes));
+	return sightings.filter(sighting => kept.has(sighting));
+}
--- a/src/entry/common/quarantine/test/crashReporter.test.ts
+++ b/src/entry/common/quarantine/test/crashReporter.test.ts
@@ -1,5 +1,6 @@
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import type { Fingerprint, TargetId } from '../../../../core/ids/common/ids';
+import { estimateSightingBytes } from '../../fleetView/entryView';
 import type { ObservedCrash } from '../crashReporter';
 import { CrashReporter } from '../crashReporter';
 import type { CrashSighting } from '../quarantine';
@@ -60,6 +61,25 @@
 		expect(isReported).toBe(true);
 	});
 
+	// Guards against reports that take all entries of a region hundreds of milliseconds to decode after a rack was lost.
+	it('limits the bytes of a report, and keeps the sighting of the refused request in it', async () => {
+		const { reporter, reports, release } = createReporter();
+		void reporter.share(createCrash(0));
+		await waitForPromises();
+		release();
+		const refused = createCrash(1).fingerprints;
+		void reporter.share(createCrash(1));
+		for (let index = 2; index < 600; index++) {
+			void reporter.share(createCrash(index));
+		}
+		reporter.sendIfRefused(new Set(refused));
+		await waitForPromises();
+		const report = reports.at(-1)!;
+		const bytes = report.reduce((sum, sighting) => sum + estimateSightingBytes(sighting), 0);
+		expect(bytes).toBeLessThanOrEqual(4_000);
+		expect(report.map(({ fingerprint }) => fingerprint)).toContain(refused[0]);
+	});
+
 	// Guards against a flood of reports between entries that all see the same failure of many targets.
 	it('collects the crashes of many targets in one further report', async () => {
 		const { timers, reporter, reports, release } = createReporter();
