Exchange views with the region after the first manifest, not with all entries

Evidence: the log of front-khomas-b-7 shows 84 known entries 0.9 s after its start, and each of them called. A rest of 32 s in place of 16 s costs 6.9 s more, so about 0.75 s of the 0.95 s of an entry are its start and the discovery of the others.

Eight contacts are too few: in a simulation of 85 entries the least share of its region of which an entry knows the capacity is 0.75 after 16 s with them, 0.99 with the region (14.5 exchanges an entry) and 0.99 with all (42). Entries elsewhere learn it from the regular exchanges.

Tests: fleetDiscovery.test.ts has the capacity of the region (fails without the exchanges after the manifest), immediateExchanges.test.ts the number of exchanges, which fails before (84, at most 35 allowed).

--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -217,7 +217,7 @@
 		await this.waitForSuccessor(reason);
 		this.ownView.setLeaving();
 		this.recordProcess('started', 'leaving', reason);
-		this.fleet.shareLeaving();
+		this.fleet.exchangeWithRegion();
 		const acceptingMs = computeAcceptMs(this.environment.leaving, this.timers.getNow() - startedMs);
 		await waitUntil(acceptingMs);
 		this.ownView.setRefusing();
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -166,8 +166,8 @@
 	}
 
 	/**
-	 * Exchanges views after a manifest was accepted: with all contacts in groups after the first one, because earlier views
-	 * of this entry report no capacity, and later with a few.
+	 * Exchanges views after a manifest was accepted: with the region after the first one, because earlier views of this
+	 * entry report no capacity, and later with a few contacts.
 	 */
 	shareManifest(): void {
 		if (this.hasSharedManifest) {
@@ -175,7 +175,7 @@
 			return;
 		}
 		this.hasSharedManifest = true;
-		this.exchangeInGroups(this.contacts.orderRandomly(this.contacts.listAll(this.timers.getNow())));
+		this.exchangeWithRegion();
 	}
 
 	/** Exchanges views immediately with a few contacts, for example after this process was suspended. */
@@ -184,10 +184,10 @@
 	}
 
 	/**
-	 * Announces that this entry is leaving: to a few contacts at once, and in groups to the other entries of its region,
-	 * which name it to callers. All others receive it from these.
+	 * Exchanges views with a few contacts immediately, and in groups with the other entries of the region, which name this
+	 * one to callers and share its targets. Entries elsewhere receive its view from these.
 	 */
-	shareLeaving(): void {
+	exchangeWithRegion(): void {
 		const first = this.contacts.pickSome(maxImmediateExchanges, this.timers.getNow());
 		const firstUrls = new Set(first.map(({ peerUrl }) => peerUrl));
 		const others = this.listLiveIn(this.localEntry.region)
