Queue a request after its poll only if it is the one that was submitted

Found on reading the diff: a caller that closes and sends the same id again while the start gate is closed would have had its second request queued twice.

--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -223,7 +223,7 @@
 	}
 
 	private addToQueue(run: RequestRun): void {
-		if (!this.states.has(run.call.id)) {
+		if (this.states.get(run.call.id)?.run !== run) {
 			return;
 		}
 		const request = {
