--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -98,7 +98,8 @@
 	readonly ends: RequestEnd[];
 	/** Measurements reported to the run observer, in order, except for the ends of requests. */
 	readonly observations: string[];
-	submit(body?: string): CapturingSink;
+	/** Submits a request, by default with an id of its own. */
+	submit(body?: string, id?: string): CapturingSink;
 	/** Waits until pending promise callbacks have run. */
 	waitForPromises(): Promise<void>;
 }
@@ -204,10 +205,10 @@
 	const plan = createPlan(repeat);
 	const observer = createObserver(ends, observations);
 	let submitted = 0;
-	const submit = (body = 'work'): CapturingSink => {
+	const submit = (body = 'work', id?: string): CapturingSink => {
 		submitted++;
 		const sink = new CapturingSink();
-		const call = createCall(`request-${submitted}` as RequestId, plan, body, timers.getNow());
+		const call = createCall((id ?? `request-${submitted}`) as RequestId, plan, body, timers.getNow());
 		journal.open(call.id, { service: 'bookings', organisation: 'harbour-hotel', requestClass: 'normal' }, 0);
 		const run = new RequestRun(call, new RequestLifecycle(), sink, journal, timers, observer);
 		run.lifecycle.send(RequestEvent.AcceptHead);
--- a/src/entry/node/requests/test/lateEventLoop.test.ts
+++ b/src/entry/node/requests/test/lateEventLoop.test.ts
@@ -106,6 +106,17 @@
 		expect(flow.attempts).toHaveLength(1);
 	});
 
+	// Guards against two runs of a request whose caller has closed and sent the same id again.
+	it('starts a request once that is sent again before the sockets have been read', () => {
+		const { flow, freeze, endTurn } = createLateLoop();
+		freeze(2_000);
+		flow.submit('work', 'same-id').abandon?.();
+		flow.submit('work', 'same-id');
+		endTurn();
+		endTurn();
+		expect(flow.attempts).toHaveLength(1);
+	});
+
 	it('starts the requests whose callers stay', () => {
 		const { flow, freeze, endTurn } = createLateLoop();
 		freeze(2_000);
