--- a/src/base/common/random.ts
+++ b/src/base/common/random.ts
@@ -41,3 +41,9 @@
 		return Math.floor(this.pickFraction() * bound);
 	}
 }
+
+/** Returns the items in a uniformly random order. */
+export function orderRandomly<TItem>(random: IRandom, items: readonly TItem[]): TItem[] {
+	const remaining = [...items];
+	return items.flatMap(() => remaining.splice(random.pickBelow(remaining.length), 1));
+}
--- a/src/entry/common/fleetView/sightingPicker.ts
+++ b/src/entry/common/fleetView/sightingPicker.ts
@@ -7,6 +7,7 @@
  */
 
 import type { IRandom } from '../../../base/common/random';
+import { orderRandomly } from '../../../base/common/random';
 import type { CrashSightingView } from './entryView';
 import { estimateSightingBytes } from './entryView';
 
@@ -24,11 +25,10 @@
 		return sightings;
 	}
 	const repeated = listRepeated(sightings);
-	const refused = sightings
-		.filter(({ fingerprint }) => repeated.has(fingerprint))
-		.map(sighting => ({ sighting, key: random.pickFraction() }))
-		.sort((left, right) => left.key - right.key)
-		.map(({ sighting }) => sighting);
+	const refused = orderRandomly(
+		random,
+		sightings.filter(({ fingerprint }) => repeated.has(fingerprint)),
+	);
 	const suspects = sightings.filter(({ fingerprint }) => !repeated.has(fingerprint));
 	return takeWithin([...refused, ...suspects], maxBytes);
 }
--- a/src/entry/node/fleet/peerContacts.ts
+++ b/src/entry/node/fleet/peerContacts.ts
@@ -7,6 +7,7 @@
  */
 
 import type { IRandom } from '../../../base/common/random';
+import { orderRandomly } from '../../../base/common/random';
 import type { InstanceId } from '../../../core/ids/common/ids';
 import type { ListedInstance } from '../../../core/platformClient/common/instanceList';
 import { ListedState } from '../../../core/platformClient/common/instanceList';
@@ -91,10 +92,7 @@
 
 	/** Returns the contacts in random order, so that entries which do the same do not all begin with the same one. */
 	orderRandomly(contacts: readonly ExchangeContact[]): readonly ExchangeContact[] {
-		return contacts
-			.map(contact => ({ contact, key: this.random.pickFraction() }))
-			.sort((left, right) => left.key - right.key)
-			.map(({ contact }) => contact);
+		return orderRandomly(this.random, contacts);
 	}
 
 	findUrl(instance: InstanceId, nowMs: number): string | undefined {
--- a/src/prove/common/faultSchedule.ts
+++ b/src/prove/common/faultSchedule.ts
@@ -4,6 +4,7 @@
  */
 
 import type { IRandom } from '../../base/common/random';
+import { orderRandomly } from '../../base/common/random';
 
 /** Every kind of fault that a campaign injects. */
 export enum FaultKind {
@@ -52,9 +53,3 @@
 export function listMissing(kinds: readonly FaultKind[], injected: readonly FaultKind[]): FaultKind[] {
 	return kinds.filter(kind => !injected.includes(kind));
 }
-
-/** Returns the items in a uniformly random order. */
-function orderRandomly<TItem>(random: IRandom, items: readonly TItem[]): TItem[] {
-	const remaining = [...items];
-	return items.flatMap(() => remaining.splice(random.pickBelow(remaining.length), 1));
-}
