Log the missed bound, the size of the prompt and the estimates of a request

Neither the size of a prompt nor whether it counted as late, nor the bound that a refused request had missed could be told from the logs, so a failure of the largest prompts could not be traced from an id to its cause.

The start line ends with the time left, the prompt tokens and whether the request is late. A refusal names the bound with both sides of the comparison, an attempt that ended for silence its limit and the estimate, and a request that was sent away the time left until its aim and its prompt tokens. No decision changes.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -133,6 +133,8 @@
 	 * meet theirs.
 	 */
 	readonly isDeferred?: boolean;
+	/** Estimated time to the first byte, in milliseconds, if known. */
+	readonly expectedFirstByteMs?: number;
 	/**
 	 * Another target that caches the shared part of the prompt, from which the chosen target should fetch it.
 	 */
--- a/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
+++ b/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
@@ -21,6 +21,7 @@
 import type { PromptPart } from '../prompts/promptShape';
 import { findSharedPart } from '../prompts/promptShape';
 import type { SchedulableRequest, ServiceRoom } from '../scheduling/serviceScheduler';
+import { describePromptSize } from '../workScheduling/refusalReasons';
 import { defaultWorkPolicy } from '../workScheduling/workPolicy';
 import type { ISendAwayPolicy, RemoteOffer, SendAwayContext, SendAwayDecision } from './sendAwayPolicy';
 
@@ -117,7 +118,8 @@
 		}
 		const costSummary =
 			`local ${Math.round(localMs)} + ${Math.round(localExtraMs)} ms, ` +
-			`remote ${Math.round(best.firstByteMs)} + ${Math.round(best.costMs - best.firstByteMs)} ms`;
+			`remote ${Math.round(best.firstByteMs)} + ${Math.round(best.costMs - best.firstByteMs)} ms, ` +
+			`due in ${Math.round(timeLeftMs)} ms${describePromptSize(request)}`;
 		const isInTime = best.firstByteMs <= timeLeftMs * this.options.maxRemoteTimeShare;
 		const isBetter = isInTime && best.costMs + this.options.minSavingMs < localMs + localExtraMs;
 		if (!isUnservedHere && !isBetter) {
--- a/src/entry/common/sendAway/test/firstByteSendAwayPolicy.test.ts
+++ b/src/entry/common/sendAway/test/firstByteSendAwayPolicy.test.ts
@@ -51,6 +51,14 @@
 		expect(createPolicy().decide(createContext(900), 0).sendTo).toBe('montego-1');
 	});
 
+	// Guards against logs that can't tell which sizes of prompts are kept because neither region is in time.
+	it('gives the estimates, the time left and the size of the prompt as the reason', () => {
+		const context = createContext(900, { request: createPrompted() });
+		expect(createPolicy().decide(context, 100).reason).toMatch(
+			/^local 900 \+ 0 ms, remote \d+ \+ 0 ms, due in 900 ms, 7000 prompt tokens$/,
+		);
+	});
+
 	it('keeps a request that would be late in the other region as well', () => {
 		const context = createContext(900, { offers: [createOffer('montego-1', 700)] });
 		expect(createPolicy().decide(context, 0).sendTo).toBeUndefined();
--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -5,6 +5,7 @@
 
 import type { IRandom } from '../../../base/common/random';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
+import { describeMissedDeadline, describeMissedStart } from './refusalReasons';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
 import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
@@ -17,6 +18,13 @@
 /** Largest random part of the retry delay, as a share of it. */
 const retrySpreadShare = 0.25;
 
+/** A waiting request that is to be refused. */
+export interface UnservableRequest {
+	readonly request: SchedulableRequest;
+	/** The bound that the request misses. */
+	readonly reason: string;
+}
+
 /** Computes estimates from the queue and the targets of one service. */
 export class QueueEstimates {
 	private targets: readonly TargetLoadModel[] = [];
@@ -54,31 +62,38 @@
 		return { request, idleFirstByteMs, workMs, minFirstByteMs };
 	}
 
-	/** Whether the answer to a request that joins the queue now can't begin by its deadline. */
-	isDeadlineUnreachable({ request, minFirstByteMs }: WorkItem, nowMs: number): boolean {
+	/** Returns why the answer to a request that joins the queue now can't begin by its deadline, or undefined if it can. */
+	findMissedDeadline({ request, minFirstByteMs }: WorkItem, nowMs: number): string | undefined {
 		const queuedMs = this.queue.sumWorkAheadMs(getUrgency(request), false) / this.countAvailable(nowMs);
-		return this.isTooLong(queuedMs * this.policy.queue.minFirstByteShare + minFirstByteMs, request, nowMs);
+		const minMs = queuedMs * this.policy.queue.minFirstByteShare + minFirstByteMs;
+		return this.checkDeadline(minMs, request, nowMs);
 	}
 
 	/** Lists the waiting requests whose answers can't begin by their deadline. */
-	listUnreachable(nowMs: number): readonly WaitingRequest[] {
+	listUnreachable(nowMs: number): readonly UnservableRequest[] {
 		const { minFirstByteShare } = this.policy.queue;
 		const availableTargets = this.countAvailable(nowMs);
 		const targetWaits = new Map<number, number>();
 		let queuedMs = 0;
-		return this.queue.list().filter(({ request, idleFirstByteMs, workMs, isLate }) => {
+		return this.queue.list().flatMap(({ request, idleFirstByteMs, workMs, isLate }) => {
 			const urgency = getUrgency(request);
 			const targetWaitMs = targetWaits.get(urgency) ?? this.computeMinTargetWaitMs(urgency, nowMs);
 			targetWaits.set(urgency, targetWaitMs);
 			const minMs = (queuedMs / availableTargets + idleFirstByteMs) * minFirstByteShare + targetWaitMs;
 			queuedMs += isLate ? 0 : workMs;
-			return this.isTooLong(minMs, request, nowMs);
+			const reason = this.checkDeadline(minMs, request, nowMs);
+			return reason === undefined ? [] : [{ request, reason }];
 		});
 	}
 
 	/** An infinite time means that no target is known to accept requests later; another one may still join. */
-	private isTooLong(minFirstByteMs: number, { deadlineMs }: SchedulableRequest, nowMs: number): boolean {
-		return Number.isFinite(minFirstByteMs) && nowMs + minFirstByteMs > deadlineMs;
+	private checkDeadline(
+		minFirstByteMs: number,
+		{ deadlineMs }: SchedulableRequest,
+		nowMs: number,
+	): string | undefined {
+		const isMissed = Number.isFinite(minFirstByteMs) && nowMs + minFirstByteMs > deadlineMs;
+		return isMissed ? describeMissedDeadline(minFirstByteMs, deadlineMs - nowMs) : undefined;
 	}
 
 	private countAvailable(nowMs: number): number {
@@ -121,13 +136,18 @@
 		return this.queue.sumWorkAheadMs(getUrgency(request), isLate) / (availableTargets * share);
 	}
 
-	/** Whether a waiting request of another region is expected to start by the time at which it is given back. */
-	isStartExpectedInTime({ request, workMs, isLate }: WaitingRequest, nowMs: number): boolean {
-		if (request.startByMs === undefined) {
-			return true;
+	/**
+	 * Returns why a waiting request of another region is not expected to start by the time at which it is given back, or
+	 * undefined if it is.
+	 */
+	findMissedStart({ request, workMs, isLate }: WaitingRequest, nowMs: number): string | undefined {
+		const { startByMs } = request;
+		if (startByMs === undefined) {
+			return undefined;
 		}
 		const othersMs = this.queue.sumWorkAheadMs(getUrgency(request), isLate) - workMs;
-		return nowMs + othersMs / this.countAvailable(nowMs) <= request.startByMs;
+		const waitMs = othersMs / this.countAvailable(nowMs);
+		return nowMs + waitMs <= startByMs ? undefined : describeMissedStart(waitMs, startByMs - nowMs);
 	}
 
 	/**
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -24,6 +24,7 @@
 import { findBestRanked } from '../scheduling/prefixRanking';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
 import type { TargetLoadModel } from './targetLoadModel';
+import { describeMissedDeadline, describePromptSize } from './refusalReasons';
 import type { WorkPolicy } from './workPolicy';
 import { getDueMs, getUrgency } from './workQueue';
 
@@ -45,6 +46,8 @@
 	readonly fetchFrom: TargetId | undefined;
 	/** Tokens that `fetchFrom` is known to hold; 0 if it is only assumed to hold them. */
 	readonly fetchedTokens: number;
+	/** Estimated time to the first byte, in milliseconds. */
+	readonly firstByteMs: number;
 	readonly reason: string;
 }
 
@@ -83,8 +86,9 @@
 		if (isWorthWaiting) {
 			return undefined;
 		}
-		const { target, fetchSource, fetchedTokens } = bestNow;
-		return { target, fetchFrom: fetchSource?.id, fetchedTokens, reason: describeChoice(bestNow, nowMs) };
+		const { target, fetchSource, fetchedTokens, firstByteMs } = bestNow;
+		const reason = describeChoice(bestNow, query, nowMs);
+		return { target, fetchFrom: fetchSource?.id, fetchedTokens, firstByteMs, reason };
 	}
 
 	/** Whether a target could begin the answer by the deadline, now or at the end of its current pause. */
@@ -102,6 +106,22 @@
 			});
 	}
 
+	/** Describes why no target could begin the answer by the deadline. */
+	describeMissedDeadline(
+		targets: readonly TargetLoadModel[],
+		{ request, triedTargets }: TargetQuery,
+		nowMs: number,
+	): string {
+		const shared = this.findSharedPart(request);
+		const times = targets
+			.filter(({ id, description }) => !description.isLeaving && !triedTargets.includes(id))
+			.map(target => {
+				const firstByteMs = target.estimateFirstByteMs(request, nowMs, shared?.tokens);
+				return this.computeMinFirstByteMs(target, request, firstByteMs, nowMs);
+			});
+		return describeMissedDeadline(Math.min(...times), request.deadlineMs - nowMs);
+	}
+
 	/** Whether the answer could begin by the deadline if the target took the least time that its estimate allows. */
 	private isAnswerPossible(
 		target: TargetLoadModel,
@@ -109,9 +129,17 @@
 		firstByteMs: number,
 		nowMs: number,
 	): boolean {
+		return nowMs + this.computeMinFirstByteMs(target, request, firstByteMs, nowMs) <= request.deadlineMs;
+	}
+
+	private computeMinFirstByteMs(
+		target: TargetLoadModel,
+		request: SchedulableRequest,
+		firstByteMs: number,
+		nowMs: number,
+	): number {
 		const { minFirstByteShare } = this.policy.queue;
-		const minMs = target.computeMinFirstByteMs(request, firstByteMs, minFirstByteShare, nowMs);
-		return nowMs + minMs <= request.deadlineMs;
+		return target.computeMinFirstByteMs(request, firstByteMs, minFirstByteShare, nowMs);
 	}
 
 	private listCandidates(
@@ -200,12 +228,14 @@
 
 function describeChoice(
 	{ target, owner, shared, firstByteMs, prefillMs, fetchSource }: TargetCandidate,
+	{ request, isLate }: TargetQuery,
 	nowMs: number,
 ): string {
 	const waitMs = Math.round(target.estimateWaitMs(nowMs));
 	const load =
 		`${target.running} own of ${Math.round(target.estimateRunningRequests(nowMs))} running, ${waitMs} ms queued ahead, ` +
-		`${Math.round(prefillMs)} ms prefill, first byte in ${Math.round(firstByteMs)} ms`;
+		`${Math.round(prefillMs)} ms prefill, first byte in ${Math.round(firstByteMs)} ms, ` +
+		`${Math.round(request.deadlineMs - nowMs)} ms left${describePromptSize(request)}${isLate ? ', late' : ''}`;
 	if (shared === undefined) {
 		return `no shared prompt part, ${load}`;
 	}
--- a/src/entry/common/workScheduling/test/startDeadline.test.ts
+++ b/src/entry/common/workScheduling/test/startDeadline.test.ts
@@ -57,6 +57,11 @@
 	return refusal && { kind: refusal.error.kind, outcome: getOutcomeOf(refusal.error) };
 }
 
+function getRefusalDetail(decisions: readonly ScheduleDecision[]): string | undefined {
+	const refusal = decisions.find(decision => decision.kind === ScheduleDecisionKind.Refuse);
+	return refusal?.error.detail;
+}
+
 describe('a request whose first byte comes after its deadline even if the target is twice as fast as estimated', () => {
 	// Guards against work for an answer that nobody waits for: the engine still runs the request at its deadline.
 	it('is refused at once as not run', () => {
@@ -161,6 +166,22 @@
 		expect(getRefusal(scheduler.advance(3))).toMatchObject({ outcome: Outcome.NotRun });
 	});
 
+	// Guards against refusals whose cause can't be told from the log.
+	it('is refused with the time that was left to start it', () => {
+		const scheduler = createBusyScheduler();
+		scheduler.submit({ ...createRequest('waiting', shortTokens, 3_000, 2), startByMs: 100 }, 2);
+		scheduler.advance(2);
+		expect(getRefusalDetail(scheduler.advance(120))).toBe(
+			'no target had capacity in time: start in at least 0 ms, -20 ms left to start, 2000 prompt tokens',
+		);
+		scheduler.submit(createRequest('local', longTokens, 10_000, 130), 130);
+		expect(scheduler.advance(130)).toEqual([]);
+		scheduler.submit({ ...createRequest('remote', shortTokens, 3_000, 131), startByMs: 200 }, 131);
+		expect(getRefusalDetail(scheduler.advance(131))).toBe(
+			'no target had capacity in time: start in at least 343 ms, 69 ms left to start, 2000 prompt tokens',
+		);
+	});
+
 	it('is started if the target has capacity', () => {
 		const scheduler = createScheduler(1);
 		scheduler.submit({ ...createRequest('remote', shortTokens, 3_000), startByMs: 0 }, 0);
--- a/src/entry/common/workScheduling/test/targetChooser.test.ts
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -36,12 +36,13 @@
 function choose(
 	targets: readonly TargetLoadModel[],
 	triedTargets: readonly TargetLoadModel[] = [],
+	isLate = false,
 ): TargetChoice | undefined {
 	const chooser = new WorkTargetChooser(defaultWorkPolicy, new SeededRandom(1));
 	const query = {
 		request: createDraftRequest('d-1'),
 		triedTargets: triedTargets.map(({ id }) => id),
-		isLate: false,
+		isLate,
 		isIsolated: false,
 	};
 	return chooser.choose(targets, query, 0);
@@ -73,6 +74,13 @@
 		expect(other.fetchedTokens).toBe(13_000);
 	});
 
+	// Guards against logs that can't tell whether large prompts, or late ones, are started with too little time left.
+	it('gives the size of the prompt, the time left and whether the request is late as part of the reason', () => {
+		const end = 'first byte in 474 ms, 10000 ms left, 15000 prompt tokens';
+		expect(choose([createTarget('engine-1')])!.reason).toMatch(new RegExp(`${end}$`));
+		expect(choose([createTarget('engine-1')], [], true)!.reason).toMatch(new RegExp(`${end}, late$`));
+	});
+
 	// Guards against an entry that is late for seconds in a burst, because it estimates for each waiting request the costs
 	// at targets that have no capacity.
 	it('estimates no costs while no target has capacity', () => {
--- a/src/entry/common/workScheduling/test/unservableRequests.test.ts
+++ b/src/entry/common/workScheduling/test/unservableRequests.test.ts
@@ -58,6 +58,65 @@
 	return undefined;
 }
 
+function getRefusalDetail(decisions: readonly ScheduleDecision[]): string | undefined {
+	const refusal = decisions.find(decision => decision.kind === ScheduleDecisionKind.Refuse);
+	return refusal?.error.detail;
+}
+
+// Guards against refusals whose cause can't be told from the log: each bound is missed by requests of another size.
+describe('the detail of a refusal', () => {
+	it('names the missed deadline and the size of the prompt on arrival', () => {
+		const scheduler = createBusyScheduler(200_000);
+		scheduler.submit(createRequest('short', 500, 1_000, 100), 100);
+		expect(getRefusalDetail(scheduler.advance(100))).toBe(
+			'not sent to any target: first byte in at least 2787 ms, 1000 ms left, 500 prompt tokens',
+		);
+	});
+
+	it('names the predicted wait on arrival, and whether it is that of a late request', () => {
+		const scheduler = createBusyScheduler(100_000);
+		scheduler.submit(createRequest('queued-1', 17_500, 60_000), 0);
+		scheduler.submit(createRequest('queued-2', 17_500, 60_000), 0);
+		expect(scheduler.advance(0)).toEqual([]);
+		scheduler.submit(createRequest('on-time', 500, 2_400), 0);
+		expect(getRefusalDetail(scheduler.advance(0))).toBe(
+			'not sent to any target: 1000 ms predicted wait, 960 ms allowed, 500 prompt tokens',
+		);
+		scheduler.submit(createRequest('late', 30_000, 3_000), 0);
+		expect(getRefusalDetail(scheduler.advance(0))).toBe(
+			'not sent to any target: 4000 ms predicted wait of a late request, 1200 ms allowed, 30000 prompt tokens',
+		);
+	});
+
+	it('names the wait in the queue that was allowed', () => {
+		const scheduler = createBusyScheduler(60_000);
+		scheduler.submit(createRequest('short', 500, 2_000), 0);
+		const refused = waitForDecision(scheduler, 0, 2_000);
+		expect(getRefusalDetail([refused!.decision])).toBe(
+			'no target had capacity in time: waited 820 ms, 800 ms allowed, 500 prompt tokens',
+		);
+	});
+
+	it('names the time left for a retry', () => {
+		const scheduler = createBusyScheduler(200_000);
+		scheduler.setTargets([createEngine('busy'), createEngine('full')]);
+		scheduler.submit(createRequest('short', 500, 1_000, 100), 100);
+		scheduler.advance(100);
+		scheduler.noteEnd('short' as RequestId, AttemptEnd.TargetRefused, 120);
+		expect(getRefusalDetail(scheduler.advance(120))).toBe(
+			'no target had capacity in time: first byte in at least 2767 ms, 980 ms left, 500 prompt tokens',
+		);
+	});
+
+	it('says that no target is usable', () => {
+		const scheduler = createScheduler([]);
+		scheduler.submit(createRequest('short', 500, 1_000), 0);
+		expect(getRefusalDetail(scheduler.advance(0))).toBe(
+			'not sent to any target: no usable target, 500 prompt tokens',
+		);
+	});
+});
+
 describe('WorkScheduler with requests that cannot be served', () => {
 	// Guards against holding a request although the backlog of every engine exceeds the time that it has left.
 	it('refuses a request at once whose answer cannot begin by its deadline', () => {
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -27,6 +27,15 @@
 import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { TargetLoadModel } from './targetLoadModel';
+import {
+	describeFullQueue,
+	describeLongQueue,
+	describeLongWait,
+	describeMissedDeadline,
+	describeMissedStart,
+	describePromptSize,
+	noUsableTargetReason,
+} from './refusalReasons';
 import type { TrackedRequest } from './trackedRequest';
 import { createTrackedRequest, isRepeatAllowed } from './trackedRequest';
 import type { WorkPolicy } from './workPolicy';
@@ -48,6 +57,13 @@
 	[AttemptEnd.Silent]: ErrorKind.TargetSilent,
 };
 
+/** Why a new request is refused. */
+interface AdmissionError {
+	readonly kind: ErrorKind;
+	/** The bound that the request misses. */
+	readonly reason: string;
+}
+
 /** Chooses when and where the requests of one service run. */
 export class WorkScheduler implements IServiceScheduler {
 	private readonly targets = new Map<TargetId, TargetLoadModel>();
@@ -93,9 +109,9 @@
 	submit(request: SchedulableRequest, nowMs: number): void {
 		this.retryBudget.noteRequest(nowMs);
 		const item = this.estimates.createItem(request, nowMs);
-		const errorKind = this.findAdmissionError(item, nowMs);
-		if (errorKind !== undefined) {
-			this.refuse(request, errorKind, 'not sent to any target', false, nowMs);
+		const error = this.findAdmissionError(item, nowMs);
+		if (error !== undefined) {
+			this.refuse(request, error.kind, `not sent to any target: ${error.reason}`, false, nowMs);
 			return;
 		}
 		this.requests.set(request.id, createTrackedRequest(request));
@@ -247,19 +263,24 @@
 	}
 
 	/** Returns the error with which a new request is refused, or undefined if it is accepted. */
-	private findAdmissionError(item: WorkItem, nowMs: number): ErrorKind | undefined {
+	private findAdmissionError(item: WorkItem, nowMs: number): AdmissionError | undefined {
+		const { maxWaitingRequests, maxWaitShare } = this.policy.queue;
 		if (!this.hasUsableTarget()) {
-			return ErrorKind.NoTarget;
+			return { kind: ErrorKind.NoTarget, reason: noUsableTargetReason };
 		}
-		if (this.queue.size >= this.policy.queue.maxWaitingRequests) {
-			return ErrorKind.Overloaded;
+		if (this.queue.size >= maxWaitingRequests) {
+			return { kind: ErrorKind.Overloaded, reason: describeFullQueue(this.queue.size, maxWaitingRequests) };
 		}
-		if (this.estimates.isDeadlineUnreachable(item, nowMs)) {
-			return ErrorKind.DeadlineUnreachable;
+		const missedDeadline = this.estimates.findMissedDeadline(item, nowMs);
+		if (missedDeadline !== undefined) {
+			return { kind: ErrorKind.DeadlineUnreachable, reason: missedDeadline };
 		}
-		const leftMs = item.request.deadlineMs - nowMs;
-		const waitMs = this.estimates.estimateWaitMs(item.request, isDueTimeMissed(item, nowMs), nowMs);
-		return waitMs > leftMs * this.policy.queue.maxWaitShare ? ErrorKind.Overloaded : undefined;
+		const maxWaitMs = (item.request.deadlineMs - nowMs) * maxWaitShare;
+		const isLate = isDueTimeMissed(item, nowMs);
+		const waitMs = this.estimates.estimateWaitMs(item.request, isLate, nowMs);
+		return waitMs > maxWaitMs
+			? { kind: ErrorKind.Overloaded, reason: describeLongQueue(waitMs, maxWaitMs, isLate) }
+			: undefined;
 	}
 
 	private hasUsableTarget(): boolean {
@@ -278,38 +299,55 @@
 	private checkWaiting(nowMs: number): void {
 		this.queue.markLate(nowMs);
 		const hasUsableTarget = this.hasUsableTarget();
-		for (const { request, idleFirstByteMs, enqueuedMs } of this.queue.list()) {
-			const maxWaitMs = (request.deadlineMs - enqueuedMs) * this.policy.queue.maxWaitShare;
-			// Refusing a request whose answer has begun would cut off the answer.
-			const hasBegun = this.requests.get(request.id)?.hasFirstByte === true;
-			const hasWaitedEnough = !hasBegun && nowMs - enqueuedMs > maxWaitMs;
-			if (!hasUsableTarget || hasWaitedEnough || nowMs + idleFirstByteMs > request.deadlineMs) {
-				this.refuseWaiting(request, nowMs);
+		for (const item of this.queue.list()) {
+			const reason = hasUsableTarget ? this.findMissedBound(item, nowMs) : noUsableTargetReason;
+			if (reason !== undefined) {
+				this.refuseWaiting(item.request, reason, nowMs);
 			}
 		}
-		for (const { request } of this.estimates.listUnreachable(nowMs)) {
+		for (const { request, reason } of this.estimates.listUnreachable(nowMs)) {
 			if (this.requests.get(request.id)?.hasFirstByte !== true) {
-				this.refuseWaiting(request, nowMs);
+				this.refuseWaiting(request, reason, nowMs);
 			}
 		}
 	}
 
+	/** Returns which bound a waiting request misses, or undefined. */
+	private findMissedBound(
+		{ request, idleFirstByteMs, enqueuedMs }: WaitingRequest,
+		nowMs: number,
+	): string | undefined {
+		const { deadlineMs } = request;
+		const waitedMs = nowMs - enqueuedMs;
+		const maxWaitMs = (deadlineMs - enqueuedMs) * this.policy.queue.maxWaitShare;
+		// Refusing a request whose answer has begun would cut off the answer.
+		const hasBegun = this.requests.get(request.id)?.hasFirstByte === true;
+		if (!hasBegun && waitedMs > maxWaitMs) {
+			return describeLongWait(waitedMs, maxWaitMs);
+		}
+		return nowMs + idleFirstByteMs > deadlineMs
+			? describeMissedDeadline(idleFirstByteMs, deadlineMs - nowMs)
+			: undefined;
+	}
+
 	/** Refuses requests of other regions that could not be started in time, so that these regions can serve them. */
 	private refuseUnstarted(nowMs: number): void {
 		for (const { request } of this.queue.list()) {
+			const { startByMs } = request;
 			const mayHaveRun = this.requests.get(request.id)?.mayHaveRun === true;
-			if (!mayHaveRun && request.startByMs !== undefined && nowMs > request.startByMs) {
-				this.refuseWaiting(request, nowMs);
+			if (!mayHaveRun && startByMs !== undefined && nowMs > startByMs) {
+				this.refuseWaiting(request, describeMissedStart(0, startByMs - nowMs), nowMs);
 			}
 		}
 	}
 
-	private refuseWaiting(request: SchedulableRequest, nowMs: number): void {
+	private refuseWaiting(request: SchedulableRequest, reason: string, nowMs: number): void {
 		const tracked = this.requests.get(request.id);
 		this.queue.remove(request.id);
 		this.requests.delete(request.id);
 		const kind = tracked?.lastErrorKind ?? ErrorKind.DeadlineUnreachable;
-		this.refuse(request, kind, 'no target had capacity in time', tracked?.mayHaveRun === true, nowMs);
+		const detail = `no target had capacity in time: ${reason}`;
+		this.refuse(request, kind, detail, tracked?.mayHaveRun === true, nowMs);
 	}
 
 	private startWaiting(nowMs: number): void {
@@ -324,10 +362,13 @@
 			const choice = this.targetChooser.choose(this.targetList, query, nowMs);
 			if (choice !== undefined) {
 				this.start(tracked, item, choice, nowMs);
-			} else if (this.isWorthKeeping(tracked, item, query, nowMs)) {
+				continue;
+			}
+			const reason = this.findUnservableReason(tracked, item, query, nowMs);
+			if (reason === undefined) {
 				unplaced++;
 			} else {
-				this.refuseWaiting(item.request, nowMs);
+				this.refuseWaiting(item.request, reason, nowMs);
 			}
 		}
 	}
@@ -347,20 +388,23 @@
 	}
 
 	/**
-	 * Whether a request without a target is expected to start and to be answered in time. A request that may have run is
-	 * not given back to its region, which could run it more often than allowed, and an answer that has begun is not cut
-	 * off.
+	 * Returns why a request without a target is not expected to start or to be answered in time, or undefined if it is. A
+	 * request that may have run is not given back to its region, which could run it more often than allowed, and an
+	 * answer that has begun is not cut off.
 	 */
-	private isWorthKeeping(
+	private findUnservableReason(
 		{ mayHaveRun, hasFirstByte }: TrackedRequest,
 		item: WaitingRequest,
 		query: TargetQuery,
 		nowMs: number,
-	): boolean {
-		const isStartExpected = mayHaveRun || this.estimates.isStartExpectedInTime(item, nowMs);
-		return (
-			isStartExpected && (hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs))
-		);
+	): string | undefined {
+		const missedStart = mayHaveRun ? undefined : this.estimates.findMissedStart(item, nowMs);
+		if (missedStart !== undefined) {
+			return missedStart;
+		}
+		return hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs)
+			? undefined
+			: this.targetChooser.describeMissedDeadline(this.targetList, query, nowMs);
 	}
 
 	private start(
@@ -380,6 +424,7 @@
 			target: choice.target.id,
 			reason: choice.reason,
 			isDeferred: isLate,
+			expectedFirstByteMs: choice.firstByteMs,
 			...(choice.fetchFrom === undefined ? {} : { fetchFrom: choice.fetchFrom }),
 		});
 	}
@@ -407,7 +452,10 @@
 		this.decisions.push({
 			kind: ScheduleDecisionKind.Refuse,
 			requestId: request.id,
-			error: createRequestError(kind, detail, { retryAfterMs, isOutcomeUnknown: mayHaveRun }),
+			error: createRequestError(kind, `${detail}${describePromptSize(request)}`, {
+				retryAfterMs,
+				isOutcomeUnknown: mayHaveRun,
+			}),
 		});
 	}
 }
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -19,7 +19,10 @@
 import type { RequestRun } from './requestRun';
 
 /** What the scheduler decides for an attempt in addition to its target. */
-export type AttemptOptions = Pick<SentAttempt, 'isDeferred' | 'fetchAddress'>;
+export interface AttemptOptions extends Pick<SentAttempt, 'isDeferred' | 'fetchAddress'> {
+	/** Estimated time to the first byte when the attempt was started, in milliseconds, if known. */
+	readonly expectedFirstByteMs?: number | undefined;
+}
 
 /** Receives what an attempt observes about its target, and how it ended. */
 export interface IAttemptOwner {
@@ -241,10 +244,20 @@
 			});
 			return;
 		}
-		const detail = `${this.target} was silent for ${limitMs} ms`;
+		const detail = this.describeSilence(limitMs);
 		this.endClosingConnection(AttemptEnd.Silent, createRequestError(ErrorKind.TargetSilent, detail));
 	}
 
+	/** The estimate shows whether the target was late, or the limit too short for the request. */
+	private describeSilence(limitMs: number): string {
+		const { expectedFirstByteMs } = this.options;
+		const silence = `${this.target} was silent for ${Math.round(this.computeSilentMs())} ms, ${limitMs} ms allowed`;
+		if (this.run.hasBegun() || expectedFirstByteMs === undefined) {
+			return silence;
+		}
+		return `${silence}, first byte expected in ${Math.round(expectedFirstByteMs)} ms`;
+	}
+
 	private endAtDeadline(): void {
 		const detail = `${this.target}: ${this.describePace()}`;
 		const kind = this.isHandedOver ? ErrorKind.DeadlineExceeded : ErrorKind.DeadlineUnreachable;
@@ -293,7 +306,8 @@
 			head,
 			remainingMs: this.run.getRemainingMs(),
 			lastEventId: this.run.getLastEventId(),
-			...this.options,
+			isDeferred: this.options.isDeferred,
+			fetchAddress: this.options.fetchAddress,
 		};
 	}
 }
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -308,7 +308,11 @@
 			state.run,
 			decision.target,
 			state.attempts,
-			{ isDeferred: decision.isDeferred === true, fetchAddress: this.findAddress(decision.fetchFrom) },
+			{
+				isDeferred: decision.isDeferred === true,
+				fetchAddress: this.findAddress(decision.fetchFrom),
+				expectedFirstByteMs: decision.expectedFirstByteMs,
+			},
 			client,
 			this.dialect,
 			this.timers,
--- a/src/entry/node/requests/test/requestFlow.test.ts
+++ b/src/entry/node/requests/test/requestFlow.test.ts
@@ -90,6 +90,20 @@
 		expect(sink).toMatchObject({ text: 'in time', hasEnded: true });
 	});
 
+	// Guards against logs that can't tell a target that is silent from a limit that is too short for the request.
+	it('gives the limit and the estimate as the detail of an attempt that ended for silence', () => {
+		const scheduler = new WorkScheduler(new SeededRandom(7), () => 1);
+		jest.spyOn(scheduler, 'noteSilence').mockReturnValue(true);
+		const flow = createFlow(2, RepeatRule.Idempotent, scheduler);
+		flow.submit();
+		const attempt = flow.attempts[0]!;
+		attempt.observer.noteHandedOver();
+		flow.timers.advance(15_000);
+		expect(attempt.cancelled).toBe(
+			`${attempt.target} was silent for 15000 ms, 15000 ms allowed, first byte expected in 80 ms`,
+		);
+	});
+
 	// Guards against answers that are cut off because their target pauses and no other could go on with them.
 	it('delivers the rest of an answer after a pause of its only target', () => {
 		const flow = createFlow(1, RepeatRule.Idempotent, new WorkScheduler(new SeededRandom(7), () => 1));
