Count a request as late by its wait, not by the size of its prompt

Cause: a request counted as late when the time for its own prompt at an idle engine reached past its aim. Late requests go behind all others in the queue of the entry, and were sent with priority 7 to the engine, which admits every other request first and lets it take the slot.

Change: a request is late once it has waited so long that a usual request of its kind would miss its due time; at least a third of the time to the due time is for waiting. Late requests keep the priority of their route at the engine, where they can no longer be refused or sent elsewhere.

usualWork.test.ts fails on the code before: "starts a prompt that takes longer than the time to its due time" (never started).

--- a/src/entry/common/dialect/targetDialect.ts
+++ b/src/entry/common/dialect/targetDialect.ts
@@ -23,8 +23,6 @@
 	 * cache.
 	 */
 	readonly fetchAddress: string | undefined;
-	/** The request can no longer meet its response time goal, and gives way to requests that still can. */
-	readonly isDeferred: boolean;
 }
 
 /** The metadata in the head of an answer. */
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -128,11 +128,6 @@
 	readonly target: TargetId;
 	/** Reason for the choice of the target, shown by `anvilroadctl explain`. */
 	readonly reason: string;
-	/**
-	 * Whether the request already misses its time aim and is queued at the target behind requests that can
-	 * meet theirs.
-	 */
-	readonly isDeferred?: boolean;
 	/** Estimated time to the first byte, in milliseconds, if known. */
 	readonly expectedFirstByteMs?: number;
 	/**
--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -8,8 +8,9 @@
 import { describeMissedDeadline, describeMissedStart } from './refusalReasons';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
+import { UsualWork } from './usualWork';
 import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
-import { getUrgency } from './workQueue';
+import { getUrgency } from './requestOrder';
 
 /** Bounds of the retry delay of refused callers without its random part, in milliseconds. */
 const minRetryAfterMs = 100;
@@ -28,6 +29,7 @@
 /** Computes estimates from the queue and the targets of one service. */
 export class QueueEstimates {
 	private targets: readonly TargetLoadModel[] = [];
+	private readonly usualWork = new UsualWork();
 
 	constructor(
 		private readonly queue: WorkQueue,
@@ -53,13 +55,15 @@
 		const { soonest, minFirstByteMs } = this.findSoonest(request, nowMs);
 		if (soonest === undefined) {
 			const { plainRunMs } = this.policy.estimate;
-			return { request, idleFirstByteMs: 0, workMs: plainRunMs, minFirstByteMs };
+			return { request, idleFirstByteMs: 0, workMs: plainRunMs, countedWorkMs: 0, minFirstByteMs };
 		}
 		const idleFirstByteMs = soonest.computeIdleFirstByteMs(request);
+		this.usualWork.note(request, idleFirstByteMs);
+		const countedWorkMs = this.usualWork.computeCountedWorkMs(request);
 		const workMs = soonest.isEngine
 			? idleFirstByteMs - this.policy.estimate.idleFirstEventMs
 			: idleFirstByteMs / soonest.description.slots;
-		return { request, idleFirstByteMs, workMs, minFirstByteMs };
+		return { request, idleFirstByteMs, workMs, countedWorkMs, minFirstByteMs };
 	}
 
 	/** Returns why the answer to a request that joins the queue now can't begin by its deadline, or undefined if it can. */
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -26,7 +26,7 @@
 import type { TargetLoadModel } from './targetLoadModel';
 import { describeMissedDeadline, describePromptSize } from './refusalReasons';
 import type { WorkPolicy } from './workPolicy';
-import { getDueMs, getUrgency } from './workQueue';
+import { getDueMs, getUrgency } from './requestOrder';
 
 /** A request for which a target is to be chosen. */
 export interface TargetQuery {
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -23,7 +23,7 @@
 import { PrefixCacheModel } from './prefixCacheModel';
 import { PendingPrefill } from './pendingPrefill';
 import type { WorkEstimateParameters, WorkQueueParameters, WorkRetryParameters } from './workPolicy';
-import { getUrgency } from './workQueue';
+import { getUrgency } from './requestOrder';
 
 /** A running attempt that this entry sent to the target. */
 export interface RunningAttempt {
--- a/src/entry/common/workScheduling/workQueue.ts
+++ b/src/entry/common/workScheduling/workQueue.ts
@@ -5,12 +5,16 @@
  * The load it is designed for is more work than can be done in time, with long prompts among short ones. In order
  * of arrival, every request would be late by the same amount once the queue is as long as the time until their due
  * times, and no answer would be in time. Instead the more urgent requests go first and, among equally urgent ones,
- * the one with the earliest due time. A request that can no longer meet its due time moves behind all requests
- * that can, and is served with spare capacity.
+ * the one with the earliest due time. A request that has waited too long to meet its due time moves behind all others,
+ * and is served with spare capacity.
+ *
+ * Only waiting makes a request late. How long its prompt takes decides where it runs and whether it can be answered
+ * by its deadline, but not its place in the queue: otherwise overload would be borne by the largest prompts alone.
  */
 
 import type { RequestId } from '../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
+import { getDueMs, getUrgency } from './requestOrder';
 
 /** A request to be queued, with its work at the target that would answer it first. */
 export interface WorkItem {
@@ -19,6 +23,8 @@
 	readonly idleFirstByteMs: number;
 	/** Time for which the request delays others on that target, in milliseconds. */
 	readonly workMs: number;
+	/** How long before its due time the request has to be started in order not to be late, in milliseconds. */
+	readonly countedWorkMs: number;
 	/** Least time to the first byte with the load of the targets, without the queue. */
 	readonly minFirstByteMs: number;
 }
@@ -27,11 +33,11 @@
 export interface WaitingRequest extends WorkItem {
 	/** When the request was last added to the queue, in monotonic milliseconds. */
 	readonly enqueuedMs: number;
-	/** Whether the request can no longer meet its due time. */
+	/** Whether the request has waited too long to meet its due time. */
 	isLate: boolean;
 }
 
-/** Keeps requests that can meet their due time and late ones in two sorted lists. */
+/** Keeps requests in time and late ones in two sorted lists. */
 export class WorkQueue {
 	private readonly onTime = new SortedRequests();
 	private readonly late = new SortedRequests();
@@ -59,7 +65,7 @@
 		return this.onTime.remove(id) || this.late.remove(id);
 	}
 
-	/** Moves requests that can no longer meet their due time behind the others. */
+	/** Moves requests that have waited too long to meet their due time behind the others. */
 	markLate(nowMs: number): void {
 		for (const item of this.onTime.items.filter(waiting => isDueTimeMissed(waiting, nowMs))) {
 			this.onTime.remove(item.request.id);
@@ -74,9 +80,9 @@
 	}
 }
 
-/** Whether a request would miss its due time even if it were sent to an idle target now. */
-export function isDueTimeMissed({ request, idleFirstByteMs }: WorkItem, nowMs: number): boolean {
-	return nowMs + idleFirstByteMs > getDueMs(request);
+/** Whether a request has waited so long that a usual request of its kind would miss its due time. */
+export function isDueTimeMissed({ request, countedWorkMs }: WorkItem, nowMs: number): boolean {
+	return nowMs + countedWorkMs > getDueMs(request);
 }
 
 /** Sorted list of requests, with the sum of their work for each urgency. */
@@ -136,13 +142,3 @@
 	}
 	return isLate ? left.deadlineMs < right.deadlineMs : getDueMs(left) < getDueMs(right);
 }
-
-/** Returns the time by which the first byte should arrive: the due time, or the deadline if there is none. */
-export function getDueMs({ work, deadlineMs }: SchedulableRequest): number {
-	return work?.dueMs ?? deadlineMs;
-}
-
-/** Returns the urgency of a request; 0 is the most urgent. */
-export function getUrgency({ work }: SchedulableRequest): number {
-	return work?.urgency ?? 0;
-}
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -41,7 +41,8 @@
 import type { WorkPolicy } from './workPolicy';
 import { defaultWorkPolicy } from './workPolicy';
 import type { WaitingRequest, WorkItem } from './workQueue';
-import { getUrgency, isDueTimeMissed, WorkQueue } from './workQueue';
+import { isDueTimeMissed, WorkQueue } from './workQueue';
+import { getUrgency } from './requestOrder';
 
 /**
  * Maximum number of waiting requests without a target in one pass over the queue. What blocks these mostly blocks the
@@ -361,7 +362,7 @@
 			const query = this.createQuery(tracked, item);
 			const choice = this.targetChooser.choose(this.targetList, query, nowMs);
 			if (choice !== undefined) {
-				this.start(tracked, item, choice, nowMs);
+				this.start(tracked, choice, nowMs);
 				continue;
 			}
 			const reason = this.findUnservableReason(tracked, item, query, nowMs);
@@ -407,12 +408,7 @@
 			: this.targetChooser.describeMissedDeadline(this.targetList, query, nowMs);
 	}
 
-	private start(
-		tracked: TrackedRequest,
-		{ isLate }: WaitingRequest,
-		choice: TargetChoice,
-		nowMs: number,
-	): void {
+	private start(tracked: TrackedRequest, choice: TargetChoice, nowMs: number): void {
 		const { request } = tracked;
 		this.queue.remove(request.id);
 		tracked.runningOn = choice.target;
@@ -423,7 +419,6 @@
 			requestId: request.id,
 			target: choice.target.id,
 			reason: choice.reason,
-			isDeferred: isLate,
 			expectedFirstByteMs: choice.firstByteMs,
 			...(choice.fetchFrom === undefined ? {} : { fetchFrom: choice.fetchFrom }),
 		});
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -19,7 +19,7 @@
 import type { RequestRun } from './requestRun';
 
 /** What the scheduler decides for an attempt in addition to its target. */
-export interface AttemptOptions extends Pick<SentAttempt, 'isDeferred' | 'fetchAddress'> {
+export interface AttemptOptions extends Pick<SentAttempt, 'fetchAddress'> {
 	/** Estimated time to the first byte when the attempt was started, in milliseconds, if known. */
 	readonly expectedFirstByteMs?: number | undefined;
 }
@@ -306,7 +306,6 @@
 			head,
 			remainingMs: this.run.getRemainingMs(),
 			lastEventId: this.run.getLastEventId(),
-			isDeferred: this.options.isDeferred,
 			fetchAddress: this.options.fetchAddress,
 		};
 	}
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -309,7 +309,6 @@
 			decision.target,
 			state.attempts,
 			{
-				isDeferred: decision.isDeferred === true,
 				fetchAddress: this.findAddress(decision.fetchFrom),
 				expectedFirstByteMs: decision.expectedFirstByteMs,
 			},
