Estimate the load of an engine from the reports of all engines

What callers saw: prompts of all sizes waited for seconds at engines whose slots were all taken, while engines of other regions were free; the largest were hit most, since each bound is compared with wait and work together.

Change: an engine without a recent report is assumed to have the load that the engines of the service reported on average, running and pending, unless it has not reported for seconds. What is pending counts as prefill ahead, by the mean of this entry's own pending prompts. Urgent requests, which engines admit first, may wait there; others start only where a slot is expected to be free. The queue's wait counts the queues of the other entries and the slots, and is at least the wait of those that wait already.

otherRequests.test.ts fails on the code before: "does not take an engine for idle that reported before the others reported waiting requests" (started at once).

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -41,13 +41,18 @@
 		this.targets = targets;
 	}
 
-	/** Estimates the queued work ahead of the request, in milliseconds, if all available targets share it. */
-	estimateQueuedWorkMs(
+	/**
+	 * Estimates how long the request would wait in the queue, in milliseconds, if it were submitted now: for the queued work
+	 * ahead of it, shared by all available targets, and at least as long as others wait already.
+	 */
+	estimateQueuedMs(
 		available: readonly TargetLoadModel[],
 		request: SchedulableRequest | undefined,
+		nowMs: number,
 	): number {
 		const urgency = request === undefined ? Number.POSITIVE_INFINITY : getUrgency(request);
-		return this.queue.sumWorkAheadMs(urgency, false) / Math.max(1, available.length);
+		const workMs = this.queue.sumWorkAheadMs(urgency, false) / countOwnTargets(available);
+		return Math.max(workMs, this.queue.computeLongestWaitMs(urgency, nowMs));
 	}
 
 	/** Creates the queue item of a request, with its work at the target that would answer it first. */
@@ -60,12 +65,19 @@
 		const idleFirstByteMs = soonest.computeIdleFirstByteMs(request);
 		this.usualWork.note(request, idleFirstByteMs);
 		const countedWorkMs = this.usualWork.computeCountedWorkMs(request);
-		const workMs = soonest.isEngine
-			? idleFirstByteMs - this.policy.estimate.idleFirstEventMs
-			: idleFirstByteMs / soonest.description.slots;
+		const workMs = this.computeWorkMs(soonest, idleFirstByteMs);
 		return { request, idleFirstByteMs, workMs, countedWorkMs, minFirstByteMs };
 	}
 
+	/** An engine is occupied by the prefill of a request and by its slot, whichever takes longer. */
+	private computeWorkMs({ isEngine, description }: TargetLoadModel, idleFirstByteMs: number): number {
+		const { idleFirstEventMs, streamRunMs } = this.policy.estimate;
+		const { slots } = description;
+		return isEngine
+			? Math.max(idleFirstByteMs - idleFirstEventMs, streamRunMs / slots)
+			: idleFirstByteMs / slots;
+	}
+
 	/** Returns why the answer to a request that joins the queue now can't begin by its deadline, or undefined if it can. */
 	findMissedDeadline({ request, minFirstByteMs }: WorkItem, nowMs: number): string | undefined {
 		const queuedMs = this.queue.sumWorkAheadMs(getUrgency(request), false) / this.countAvailable(nowMs);
@@ -101,7 +113,7 @@
 	}
 
 	private countAvailable(nowMs: number): number {
-		return Math.max(1, this.targets.filter(target => target.isAvailable(nowMs)).length);
+		return countOwnTargets(this.targets.filter(target => target.isAvailable(nowMs)));
 	}
 
 	/** Returns the shortest wait at any target, in milliseconds. */
@@ -170,3 +182,12 @@
 		return Math.round(delayMs * (1 + retrySpreadShare * this.random.pickFraction()));
 	}
 }
+
+/**
+ * Counts the targets that work for this entry (proxy process): the other entries have queues as well, and share the
+ * engines. Plain targets count as a whole, since their queues are short and differ between entries.
+ */
+function countOwnTargets(available: readonly TargetLoadModel[]): number {
+	const [first] = available;
+	return Math.max(1, available.length) * (first?.isEngine === true ? first.description.share : 1);
+}
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -20,10 +20,12 @@
 import { AttemptEnd } from '../scheduling/serviceScheduler';
 import type { ColdTargetTurns } from './coldTargetRateLimiter';
 import { ColdTargetRateLimiter } from './coldTargetRateLimiter';
-import { PrefixCacheModel } from './prefixCacheModel';
+import type { ReportedRequests, TypicalLoad } from './otherRequests';
+import { OtherRequests } from './otherRequests';
 import { PendingPrefill } from './pendingPrefill';
-import type { WorkEstimateParameters, WorkQueueParameters, WorkRetryParameters } from './workPolicy';
+import { PrefixCacheModel } from './prefixCacheModel';
 import { getUrgency } from './requestOrder';
+import type { WorkEstimateParameters, WorkQueueParameters, WorkRetryParameters } from './workPolicy';
 
 /** A running attempt that this entry sent to the target. */
 export interface RunningAttempt {
@@ -56,13 +58,12 @@
 	readonly idHash: number;
 	private readonly attempts = new Map<RequestId, RunningAttempt>();
 	private readonly coldRateLimiter = new ColdTargetRateLimiter();
-	private readonly pendingPrefill: PendingPrefill;
+	readonly pendingPrefill: PendingPrefill;
+	private otherRequests: OtherRequests;
 	private prefixCache: PrefixCacheModel;
 	private measuredSlowness = 1;
 	private typicalSlowness = 1;
 	private averageFailures = 0;
-	private reportedOtherRequests = 0;
-	private reportTimeMs = Number.NEGATIVE_INFINITY;
 	private pausedUntilMs = 0;
 	private consecutivePauses = 0;
 
@@ -75,6 +76,7 @@
 		this.idHash = computeTextHash(current.id);
 		this.prefixCache = new PrefixCacheModel(current.registered?.cacheTokens ?? 0);
 		this.pendingPrefill = new PendingPrefill(estimate.pendingPrefillTimeConstantMs);
+		this.otherRequests = new OtherRequests(estimate);
 	}
 
 	get description(): SchedulableTarget {
@@ -105,6 +107,16 @@
 		this.typicalSlowness = typical;
 	}
 
+	/** The requests of other entries that the target reported last. */
+	get lastReport(): ReportedRequests {
+		return this.otherRequests.lastReport;
+	}
+
+	/** Sets the load that the engines of the service reported on average. */
+	setTypicalLoad(typical: TypicalLoad): void {
+		this.otherRequests.setTypicalLoad(typical);
+	}
+
 	/**
 	 * The mean of a few answers varies by a third in both directions. Using it directly would move requests from the
 	 * target that caches their prompt to one that does not.
@@ -120,6 +132,7 @@
 		this.current = target;
 		if (hasRestarted) {
 			this.prefixCache = new PrefixCacheModel(target.registered?.cacheTokens ?? 0);
+			this.otherRequests = new OtherRequests(this.estimate);
 			this.measuredSlowness = 1;
 			this.averageFailures = 0;
 			this.consecutivePauses = 0;
@@ -177,17 +190,30 @@
 	}
 
 	/** Whether the target has capacity for another request. Late requests leave part of the capacity to others. */
-	hasCapacity({ isLate, urgency }: CapacityQuery, nowMs: number): boolean {
-		const { maxPrefillAheadMs, latePrefillShare, slotOvercommitShare, lateSlotReserveShare } =
-			this.queueParameters;
+	hasCapacity(query: CapacityQuery, nowMs: number): boolean {
+		const { maxPrefillAheadMs, latePrefillShare } = this.queueParameters;
+		const hasSlot = this.estimateRunningRequests(nowMs) + 1 <= this.computeMaxRequests(query);
+		if (!hasSlot || !this.isEngine) {
+			return hasSlot;
+		}
+		const aheadMs = this.estimateAheadMs(query.urgency, nowMs) * this.slowness;
+		return aheadMs <= maxPrefillAheadMs * (query.isLate ? latePrefillShare : 1);
+	}
+
+	/**
+	 * Returns the maximum number of requests that may run or wait at the target if it gets the request. An engine admits the
+	 * most urgent requests first, so these may wait there. Less urgent ones would wait behind all of them.
+	 */
+	private computeMaxRequests({ isLate, urgency }: CapacityQuery): number {
+		const { slotOvercommitShare, lateSlotReserveShare, urgentOvercommitShare } = this.queueParameters;
 		const { slots } = this.current;
-		const inUse = this.estimateRunningRequests(nowMs);
-		if (!this.isEngine) {
-			return inUse + 1 <= slots * (isLate ? 1 - lateSlotReserveShare : 1 + slotOvercommitShare);
+		if (this.isEngine && this.otherRequests.isMostUrgent(urgency)) {
+			return slots * (1 + urgentOvercommitShare);
 		}
-		const share = isLate ? latePrefillShare : 1;
-		const aheadMs = this.estimateAheadMs(urgency, nowMs) * this.slowness;
-		return inUse < slots * (isLate ? 1 - lateSlotReserveShare : 1) && aheadMs <= maxPrefillAheadMs * share;
+		if (isLate) {
+			return slots * (1 - lateSlotReserveShare);
+		}
+		return this.isEngine ? slots : slots * (1 + slotOvercommitShare);
 	}
 
 	/** Estimates the number of requests of all entries that run on the target. */
@@ -360,8 +386,11 @@
 	}
 
 	noteLoad(load: ReportedLoad, nowMs: number): void {
-		this.reportedOtherRequests = Math.max(0, load.running + load.waiting - this.attempts.size);
-		this.reportTimeMs = nowMs - load.ageMs;
+		const requests = Math.max(0, load.running + load.waiting - this.attempts.size);
+		// The request with whose answer the report came is not pending any more.
+		const ownPending = Math.max(0, this.pendingPrefill.count - 1);
+		const pending = Math.min(requests, Math.max(0, load.waiting - ownPending));
+		this.otherRequests.setReport({ running: requests - pending, pending, timeMs: nowMs - load.ageMs });
 	}
 
 	private noteAnswered(attempt: RunningAttempt | undefined, nowMs: number): void {
@@ -380,23 +409,17 @@
 		this.consecutivePauses++;
 	}
 
-	/**
-	 * Estimates the number of requests that other entries run on the target. The last load report loses weight with its
-	 * age, in favour of the assumption that each other entry runs as many requests as this one.
-	 */
 	private estimateOtherRequests(nowMs: number): number {
-		const { share } = this.current;
-		const assumedOthers = this.attempts.size * (1 / share - 1);
-		const reportWeight = Math.exp(
-			-Math.max(0, nowMs - this.reportTimeMs) / this.estimate.reportTimeConstantMs,
-		);
-		return assumedOthers + (this.reportedOtherRequests - assumedOthers) * reportWeight;
+		const sameAsOwn = this.attempts.size * (1 / this.current.share - 1);
+		return this.otherRequests.estimateRequests(sameAsOwn, nowMs);
 	}
 
 	/** Estimates the prefill work of all entries ahead of a new prompt, in milliseconds at the assumed speed. */
 	private estimateAheadMs(urgency: number, nowMs: number): number {
-		const others = 1 / this.current.share - 1;
-		return this.pendingPrefill.sumMs(urgency) + others * this.pendingPrefill.computeMeanMs(urgency, nowMs);
+		const otherEntries = 1 / this.current.share - 1;
+		const sameAsOwnMs = otherEntries * this.pendingPrefill.computeMeanMs(urgency, nowMs);
+		const othersMs = this.otherRequests.estimatePrefillMs(sameAsOwnMs, urgency, nowMs);
+		return this.pendingPrefill.sumMs(urgency) + othersMs;
 	}
 
 	private computePrefillMs(prompt: PromptShape, fetchedTokens: number): number {
--- /dev/null
+++ b/src/entry/common/workScheduling/typicalLoad.ts
@@ -0,0 +1,54 @@
+/**
+ * Averages the load of a service's engines from their reports, and from what this entry (proxy process) sent to them.
+ *
+ * A report tells how many requests are pending at an engine, but not which. Callers are spread over entries, so the
+ * pending requests of all entries are assumed to be of the same kinds and sizes as those of this one.
+ */
+
+import type { ReportedRequests, TypicalLoad } from './otherRequests';
+import { computeMeanReport, noTypicalLoad } from './otherRequests';
+import type { PendingPrefill } from './pendingPrefill';
+
+/** The parts of a target's load model that are averaged. */
+export interface ReportingTarget {
+	readonly lastReport: ReportedRequests;
+	readonly pendingPrefill: PendingPrefill;
+}
+
+/** Smaller averages are what is left of requests that were sent long ago. */
+const minMean = 0.001;
+
+export function computeTypicalLoad(
+	targets: readonly ReportingTarget[],
+	timeConstantMs: number,
+	nowMs: number,
+): TypicalLoad {
+	if (targets.length === 0) {
+		return noTypicalLoad;
+	}
+	const report = computeMeanReport(
+		targets.map(({ lastReport }) => lastReport),
+		timeConstantMs,
+		nowMs,
+	);
+	return { report, prefillMsPerPending: computePrefillPerPending(targets, nowMs) };
+}
+
+function computePrefillPerPending(
+	targets: readonly ReportingTarget[],
+	nowMs: number,
+): ReadonlyMap<number, number> {
+	let pending = 0;
+	const sums = new Map<number, number>();
+	for (const { pendingPrefill } of targets) {
+		pending += pendingPrefill.computeMeanCount(nowMs);
+		for (const { urgency, prefillMs } of pendingPrefill.listMeans(nowMs)) {
+			sums.set(urgency, (sums.get(urgency) ?? 0) + prefillMs);
+		}
+	}
+	if (pending < minMean) {
+		return new Map();
+	}
+	const recent = [...sums].filter(([, prefillMs]) => prefillMs >= minMean);
+	return new Map(recent.map(([urgency, prefillMs]) => [urgency, prefillMs / pending]));
+}
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -26,6 +26,10 @@
 	readonly pendingPrefillTimeConstantMs: number;
 	/** Time in which a load report loses 63% of its weight, in milliseconds: about the run time of one request. */
 	readonly reportTimeConstantMs: number;
+	/** The same for the average of the reports of all engines, in milliseconds. */
+	readonly typicalReportTimeConstantMs: number;
+	/** The same for the assumption that an engine without a recent report has the average load, in milliseconds. */
+	readonly unreportedTimeConstantMs: number;
 }
 
 /** Parameters of the choice of a target. */
@@ -60,6 +64,8 @@
 	readonly latePrefillShare: number;
 	/** Requests sent beyond the slots of a plain target, as a share of the slots, to cover the network round trip. */
 	readonly slotOvercommitShare: number;
+	/** Most urgent requests that may wait at an engine, as a share of its slots. */
+	readonly urgentOvercommitShare: number;
 	/** Share of the slots that late requests leave free for others. */
 	readonly lateSlotReserveShare: number;
 	/** Share of the time to the deadline that a request may wait in the queue; the rest is for its run and retries. */
@@ -119,6 +125,8 @@
 		maxSlowness: 12,
 		pendingPrefillTimeConstantMs: 400,
 		reportTimeConstantMs: 300,
+		typicalReportTimeConstantMs: 1_000,
+		unreportedTimeConstantMs: 3_000,
 	},
 	choice: {
 		minSharedTokens: 256,
@@ -131,6 +139,7 @@
 		maxPrefillAheadMs: 400,
 		latePrefillShare: 0.25,
 		slotOvercommitShare: 0.34,
+		urgentOvercommitShare: 1,
 		lateSlotReserveShare: 0.25,
 		maxWaitShare: 0.4,
 		minFirstByteShare: 0.5,
--- a/src/entry/common/workScheduling/workQueue.ts
+++ b/src/entry/common/workScheduling/workQueue.ts
@@ -74,6 +74,17 @@
 		}
 	}
 
+	/** Returns the longest wait so far of a request in time that is at least as urgent as given, in milliseconds. */
+	computeLongestWaitMs(urgency: number, nowMs: number): number {
+		let longestMs = 0;
+		for (const { request, enqueuedMs } of this.onTime.items) {
+			if (getUrgency(request) <= urgency) {
+				longestMs = Math.max(longestMs, nowMs - enqueuedMs);
+			}
+		}
+		return longestMs;
+	}
+
 	/** Sums the work served before a request of the given urgency, in milliseconds of one target. */
 	sumWorkAheadMs(urgency: number, isLate: boolean): number {
 		return this.onTime.sumWorkUpTo(urgency) + (isLate ? this.late.sumWorkUpTo(urgency) : 0);
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -36,6 +36,7 @@
 	describePromptSize,
 	noUsableTargetReason,
 } from './refusalReasons';
+import { computeTypicalLoad } from './typicalLoad';
 import type { TrackedRequest } from './trackedRequest';
 import { createTrackedRequest, isRepeatAllowed } from './trackedRequest';
 import type { WorkPolicy } from './workPolicy';
@@ -124,6 +125,7 @@
 		if (isCheckDue) {
 			this.lastCheckMs = nowMs;
 			this.updateTypicalSlowness();
+			this.updateTypicalLoad(nowMs);
 			this.checkWaiting(nowMs);
 		}
 		this.startWaiting(nowMs);
@@ -234,9 +236,9 @@
 		);
 		const idleFirstByteMs =
 			request === undefined ? [] : available.map(target => target.computeIdleFirstByteMs(request));
-		const queuedWorkMs = this.estimates.estimateQueuedWorkMs(available, request);
+		const queuedMs = this.estimates.estimateQueuedMs(available, request, nowMs);
 		return {
-			waitMs: Math.min(...waits) + queuedWorkMs,
+			waitMs: Math.min(...waits) + queuedMs,
 			freeSlots: available.reduce(
 				(sum, target) => sum + target.countFreeSlots(nowMs) * target.description.share,
 				0,
@@ -296,6 +298,15 @@
 		}
 	}
 
+	/** The load of plain targets differs too much between them. */
+	private updateTypicalLoad(nowMs: number): void {
+		const engines = this.targetList.filter(({ isEngine }) => isEngine);
+		const typical = computeTypicalLoad(engines, this.policy.estimate.typicalReportTimeConstantMs, nowMs);
+		for (const engine of engines) {
+			engine.setTypicalLoad(typical);
+		}
+	}
+
 	/** Moves late requests behind the others and refuses requests that cannot be answered by their deadline. */
 	private checkWaiting(nowMs: number): void {
 		this.queue.markLate(nowMs);
