End a silent attempt only for a target that would take the late request

Cause: the question whether another target could take the request was asked as if the request were in time and no target cold. By then it is late, so the start was refused the capacity, or waited for the entry's turn.

Change: the question is asked as the start will be. Both new tests of silentTargets.test.ts fail on the code before.

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -55,6 +55,11 @@
 		return Math.max(workMs, this.queue.computeLongestWaitMs(urgency, nowMs));
 	}
 
+	/** Returns how long before its due time the request has to be started in order not to be late, in milliseconds. */
+	computeCountedWorkMs(request: SchedulableRequest): number {
+		return this.usualWork.computeCountedWorkMs(request);
+	}
+
 	/** Creates the queue item of a request, with its work at the target that would answer it first. */
 	createItem(request: SchedulableRequest, nowMs: number): WorkItem {
 		const { soonest, minFirstByteMs } = this.findSoonest(request, nowMs);
--- a/src/entry/common/workScheduling/test/silentTargets.test.ts
+++ b/src/entry/common/workScheduling/test/silentTargets.test.ts
@@ -8,14 +8,15 @@
 const id = 'draft-1' as RequestId;
 const deadlineMs = 6_200;
 
-function createResumableDraft(): SchedulableRequest {
+function createResumableDraft(name: string = id, tokens = 2_000, nowMs = 0): SchedulableRequest {
 	const prompt = {
-		parts: [{ id: 'own', tokens: 2_000 }],
-		promptTokens: 2_000,
+		parts: [{ id: 'own', tokens }],
+		promptTokens: tokens,
 		maxOutputTokens: 100,
 		hintedOutputTokens: undefined,
 	};
-	const request = createPromptedRequest(id, prompt, { dueAfterMs: 800, deadlineMs, urgency: 1 }, 0);
+	const times = { dueAfterMs: 800, deadlineMs, urgency: 1 };
+	const request = createPromptedRequest(name as RequestId, prompt, times, nowMs);
 	return { ...request, isRepeatable: true, work: { ...request.work!, maxAttempts: 2, isResumable: true } };
 }
 
@@ -49,6 +50,33 @@
 		expect(startDraft([createEngine('dark'), createEngine('free')]).noteSilence(id, 1_400)).toBe(true);
 	});
 
+	// Guards against attempts that are ended for a target which then does not get the request, because it is late by now.
+	it('keeps the attempt while no other target would take a late request', () => {
+		const scheduler = startUnanswered([createEngine('dark'), createEngine('busy')]);
+		const other = createResumableDraft('draft-2', 7_000, 1_000);
+		scheduler.submit(other, 1_000);
+		expect(scheduler.advance(1_000)).toMatchObject([
+			{ kind: ScheduleDecisionKind.Start, requestId: other.id },
+		]);
+		expect(scheduler.noteSilence(id, 1_400)).toBe(false);
+		scheduler.noteFirstByte(other.id, 1_500);
+		expect(scheduler.noteSilence(id, 2_400)).toBe(true);
+	});
+
+	// Guards against the same for a target that has just started, when it is the turn of another entry to send there.
+	it('keeps the attempt while the other target is cold and may not be used', () => {
+		const cold = createEngine('cold');
+		const registered = {
+			...cold.registered!,
+			entries: 28,
+			place: 4,
+			coldUntilMs: 60_000,
+			coldRequestsPerSecond: 2,
+		};
+		const scheduler = startUnanswered([createEngine('dark'), { ...cold, registered }]);
+		expect(scheduler.noteSilence(id, 1_400)).toBe(false);
+	});
+
 	// Guards against answers that are cut off for another attempt that the deadline cuts off in turn.
 	it('keeps the attempt while no other target could begin by the deadline', () => {
 		const scheduler = startDraft([createEngine('dark'), createEngine('free')]);
@@ -68,7 +96,7 @@
 		for (let nowMs = 1_400; nowMs <= 3_400; nowMs += 200) {
 			scheduler.noteSilence(id, nowMs);
 		}
-		scheduler.submit({ ...createResumableDraft(), id: 'draft-2' as RequestId, arrivedMs: 3_400 }, 3_400);
+		scheduler.submit({ ...createResumableDraft('draft-2'), arrivedMs: 3_400 }, 3_400);
 		expect(scheduler.advance(3_400)).toMatchObject([{ kind: ScheduleDecisionKind.Start }]);
 	});
 
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -43,7 +43,7 @@
 import { defaultWorkPolicy } from './workPolicy';
 import type { WaitingRequest, WorkItem } from './workQueue';
 import { isDueTimeMissed, WorkQueue } from './workQueue';
-import { getUrgency } from './requestOrder';
+import { getDueMs, getUrgency } from './requestOrder';
 
 /**
  * Maximum number of waiting requests without a target in one pass over the queue. What blocks these mostly blocks the
@@ -197,11 +197,13 @@
 	/** Whether the request may run again after its current attempt, and one of the targets could take it in time now. */
 	private isPlaceable(tracked: TrackedRequest, targets: readonly TargetLoadModel[], nowMs: number): boolean {
 		const { request } = tracked;
-		const urgency = getUrgency(request);
+		const isLate = nowMs + this.estimates.computeCountedWorkMs(request) > getDueMs(request);
+		const query = { isLate, urgency: getUrgency(request) };
 		const hasCapacity = targets.some(
 			target =>
 				target.isAvailable(nowMs) &&
-				target.hasCapacity({ isLate: false, urgency }, nowMs) &&
+				target.isColdSendAllowed(nowMs) &&
+				target.hasCapacity(query, nowMs) &&
 				nowMs + target.estimateFirstByteMs(request, nowMs) <= request.deadlineMs,
 		);
 		const after = { ...tracked, possibleRuns: tracked.possibleRuns + 1, mayHaveRun: true };
