Send prompts away by the wait in the other region, not by their size

What callers saw: a full region kept its largest prompts while other regions had free engines.

Cause: a request was sent only if its first byte was expected within 0.9 of the time left to its aim, which contains the time for its own prompt. No prompt above some 20,600 tokens that is not cached could meet that in any region.

Change: the wait there counts, with the usual time for a prompt of the kind, as in the queue. A request that can't be answered there by its deadline is not sent.

--- a/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
+++ b/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
@@ -11,6 +11,10 @@
  * slow down. Second, a region that reads a shared prompt part owned by another region stores a further copy,
  * which evicts another part. A request that can be answered in time here at little cost to others is kept.
  *
+ * A request is sent only if it does not wait too long for its due time there. As in the queue, the usual time for a
+ * prompt counts (`usualWork.ts`): otherwise the largest prompts would stay in a region that is full while smaller ones
+ * are sent to an idle one.
+ *
  * Offers are some seconds old. The work sent to a peer since its offer is added to the peer's wait. Otherwise
  * all entries would send everything to the peer that looked emptiest.
  */
@@ -23,6 +27,7 @@
 import type { SchedulableRequest, ServiceRoom } from '../scheduling/serviceScheduler';
 import { describePromptSize } from '../workScheduling/refusalReasons';
 import { defaultWorkPolicy } from '../workScheduling/workPolicy';
+import { getDueMs } from '../workScheduling/requestOrder';
 import type { ISendAwayPolicy, RemoteOffer, SendAwayContext, SendAwayDecision } from './sendAwayPolicy';
 
 /** Options of the decision. */
@@ -77,6 +82,8 @@
 	readonly offer: RemoteOffer;
 	/** Estimated time to the first byte of the answer. */
 	readonly firstByteMs: number;
+	/** The part of that time which counts against the time left until the request is due. */
+	readonly countedMs: number;
 	/** The time to the first byte plus the cost to other requests in that region. */
 	readonly costMs: number;
 }
@@ -103,7 +110,7 @@
 
 	decide(context: SendAwayContext, nowMs: number): SendAwayDecision {
 		const { request, localRoom, isUnservedHere } = context;
-		const timeLeftMs = (request.work?.dueMs ?? request.deadlineMs) - nowMs;
+		const timeLeftMs = getDueMs(request) - nowMs;
 		const localMs = isUnservedHere ? Number.POSITIVE_INFINITY : localRoom.waitMs;
 		const localExtraMs = this.computeLocalExtraCost(context);
 		if (localMs <= timeLeftMs * this.options.maxLocalTimeShare && localExtraMs <= this.options.minSavingMs) {
@@ -120,7 +127,9 @@
 			`local ${Math.round(localMs)} + ${Math.round(localExtraMs)} ms, ` +
 			`remote ${Math.round(best.firstByteMs)} + ${Math.round(best.costMs - best.firstByteMs)} ms, ` +
 			`due in ${Math.round(timeLeftMs)} ms${describePromptSize(request)}`;
-		const isInTime = best.firstByteMs <= timeLeftMs * this.options.maxRemoteTimeShare;
+		const isInTime =
+			best.countedMs <= timeLeftMs * this.options.maxRemoteTimeShare &&
+			nowMs + best.firstByteMs <= request.deadlineMs;
 		const isBetter = isInTime && best.costMs + this.options.minSavingMs < localMs + localExtraMs;
 		if (!isUnservedHere && !isBetter) {
 			return { sendTo: undefined, reason: costSummary };
@@ -162,12 +171,14 @@
 			const cachedMs = isCached ? this.computeSharedReadingMs(context) : 0;
 			const workMs = Math.max(0, this.computeWorkMs(context) - cachedMs);
 			const factor = 1 + this.options.maxJitterShare * this.random.pickFraction();
-			const firstByteMs = (waitMs + 2 * offer.oneWayMs + workMs) * factor;
+			const startMs = waitMs + 2 * offer.oneWayMs;
+			const firstByteMs = (startMs + workMs) * factor;
+			const countedMs = (startMs + (context.localRoom.countedWorkMs ?? workMs)) * factor;
 			const delayMs = this.computeDelayCost(offer.room, this.hasPrompt(context) ? workMs : 0);
 			const copyMs = isCached ? 0 : this.computeCopyCost(context);
 			const costMs = firstByteMs + (delayMs + copyMs) * factor;
 			if (best === undefined || costMs < best.costMs) {
-				best = { offer, firstByteMs, costMs };
+				best = { offer, firstByteMs, countedMs, costMs };
 			}
 		}
 		return best;
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -248,6 +248,7 @@
 			running: this.targetList.reduce((sum, target) => sum + target.running, 0),
 			queued: this.queue.size,
 			...(idleFirstByteMs.length > 0 ? { unloadedMs: Math.max(...idleFirstByteMs) } : {}),
+			...(request === undefined ? {} : { countedWorkMs: this.estimates.computeCountedWorkMs(request) }),
 			holdsSharedPart: request !== undefined && this.hasSharedPart(available, request),
 			runningPerTarget: this.computeRunningPerTarget(available, nowMs),
 			...(request?.work?.prompt === undefined || idleFirstByteMs.length === 0
