Count the own work of a prompt up to a share of its aim, not the usual work

Small prompts then lost the time for which they can wait and still be in time.

It leaves a third of the time to the due time for waiting to the largest prompts and more to smaller ones.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -163,8 +163,6 @@
 	 * Time to the first byte at an idle target that caches no part of the prompt, in milliseconds, if known.
 	 */
 	readonly unloadedMs?: number;
-	/** How long before its due time a given request has to be started in order not to be late, in milliseconds. */
-	readonly countedWorkMs?: number;
 	/** Whether a target is expected to cache the part of the prompt that is shared with other requests. */
 	readonly holdsSharedPart?: boolean;
 }
--- a/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
+++ b/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
@@ -11,9 +11,9 @@
  * slow down. Second, a region that reads a shared prompt part owned by another region stores a further copy,
  * which evicts another part. A request that can be answered in time here at little cost to others is kept.
  *
- * A request is sent only if it does not wait too long for its due time there. As in the queue, the usual time for a
- * prompt counts (`usualWork.ts`): otherwise the largest prompts would stay in a region that is full while smaller ones
- * are sent to an idle one.
+ * A request is sent only if it does not wait too long for its due time there. As in the queue, only a part of the time
+ * for its own prompt counts: otherwise the largest prompts would stay in a region that is full while smaller ones are
+ * sent to an idle one.
  *
  * Offers are some seconds old. The work sent to a peer since its offer is added to the peer's wait. Otherwise
  * all entries would send everything to the peer that looked emptiest.
@@ -27,7 +27,7 @@
 import type { SchedulableRequest, ServiceRoom } from '../scheduling/serviceScheduler';
 import { describePromptSize } from '../workScheduling/refusalReasons';
 import { defaultWorkPolicy } from '../workScheduling/workPolicy';
-import { getDueMs } from '../workScheduling/requestOrder';
+import { computeCountedWorkMs, getDueMs } from '../workScheduling/requestOrder';
 import type { ISendAwayPolicy, RemoteOffer, SendAwayContext, SendAwayDecision } from './sendAwayPolicy';
 
 /** Options of the decision. */
@@ -173,7 +173,7 @@
 			const factor = 1 + this.options.maxJitterShare * this.random.pickFraction();
 			const startMs = waitMs + 2 * offer.oneWayMs;
 			const firstByteMs = (startMs + workMs) * factor;
-			const countedMs = (startMs + (context.localRoom.countedWorkMs ?? workMs)) * factor;
+			const countedMs = (startMs + computeCountedWorkMs(context.request, workMs)) * factor;
 			const delayMs = this.computeDelayCost(offer.room, this.hasPrompt(context) ? workMs : 0);
 			const copyMs = isCached ? 0 : this.computeCopyCost(context);
 			const costMs = firstByteMs + (delayMs + copyMs) * factor;
--- a/src/entry/common/sendAway/test/firstByteSendAwayPolicy.test.ts
+++ b/src/entry/common/sendAway/test/firstByteSendAwayPolicy.test.ts
@@ -74,7 +74,6 @@
 			queued: 0,
 			unloadedMs: 1_200,
 			readingMs: 1_150,
-			countedWorkMs: 530,
 		};
 		const request = createPrompted(40_000);
 		const context = createContext(1_600, { request, localRoom });
--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -8,7 +8,6 @@
 import { describeMissedDeadline, describeMissedStart } from './refusalReasons';
 import type { TargetLoadModel } from './targetLoadModel';
 import type { WorkPolicy } from './workPolicy';
-import { UsualWork } from './usualWork';
 import type { WaitingRequest, WorkItem, WorkQueue } from './workQueue';
 import { getUrgency } from './requestOrder';
 
@@ -29,7 +28,6 @@
 /** Computes estimates from the queue and the targets of one service. */
 export class QueueEstimates {
 	private targets: readonly TargetLoadModel[] = [];
-	private readonly usualWork = new UsualWork();
 
 	constructor(
 		private readonly queue: WorkQueue,
@@ -55,23 +53,16 @@
 		return Math.max(workMs, this.queue.computeLongestWaitMs(urgency, nowMs));
 	}
 
-	/** Returns how long before its due time the request has to be started in order not to be late, in milliseconds. */
-	computeCountedWorkMs(request: SchedulableRequest): number {
-		return this.usualWork.computeCountedWorkMs(request);
-	}
-
 	/** Creates the queue item of a request, with its work at the target that would answer it first. */
 	createItem(request: SchedulableRequest, nowMs: number): WorkItem {
 		const { soonest, minFirstByteMs } = this.findSoonest(request, nowMs);
 		if (soonest === undefined) {
 			const { plainRunMs } = this.policy.estimate;
-			return { request, idleFirstByteMs: 0, workMs: plainRunMs, countedWorkMs: 0, minFirstByteMs };
+			return { request, idleFirstByteMs: 0, workMs: plainRunMs, minFirstByteMs };
 		}
 		const idleFirstByteMs = soonest.computeIdleFirstByteMs(request);
-		this.usualWork.note(request, idleFirstByteMs);
-		const countedWorkMs = this.usualWork.computeCountedWorkMs(request);
 		const workMs = this.computeWorkMs(soonest, idleFirstByteMs);
-		return { request, idleFirstByteMs, workMs, countedWorkMs, minFirstByteMs };
+		return { request, idleFirstByteMs, workMs, minFirstByteMs };
 	}
 
 	/** An engine is occupied by the prefill of a request and by its slot, whichever takes longer. */
--- a/src/entry/common/workScheduling/test/usualWork.test.ts
+++ b/src/entry/common/workScheduling/test/workQueue.test.ts
@@ -2,7 +2,7 @@
 import type { RequestId } from '../../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
-import { UsualWork } from '../usualWork';
+import { WorkQueue } from '../workQueue';
 import { WorkScheduler } from '../workScheduler';
 import { createEngineTarget, createPromptedRequest } from './engineSimulation';
 
@@ -22,6 +22,18 @@
 	return createPromptedRequest(id as RequestId, prompt, { dueAfterMs, deadlineMs, urgency: 1 }, arrivedMs);
 }
 
+function addToQueue(queue: WorkQueue, id: string, idleFirstByteMs: number, arrivedMs: number): void {
+	const request = createRequest(id, mediumTokens, arrivedMs);
+	queue.add(
+		{ request, idleFirstByteMs, workMs: idleFirstByteMs, minFirstByteMs: idleFirstByteMs },
+		arrivedMs,
+	);
+}
+
+function listQueued(queue: WorkQueue): readonly string[] {
+	return queue.list().map(({ request, isLate }) => `${request.id}${isLate ? ' late' : ''}`);
+}
+
 /** Returns when a prompt is started while smaller prompts arrive at twice the rate that the engine processes. */
 function findStartUnderLoad(tokens: number): number | undefined {
 	const scheduler = new WorkScheduler(new SeededRandom(1), () => 1);
@@ -53,24 +65,24 @@
 	return startedMs;
 }
 
-describe('UsualWork', () => {
-	// Guards against large prompts that are late on arrival and wait behind all smaller ones.
-	it('counts the usual work of a kind of request, whatever the size of the prompt', () => {
-		const usualWork = new UsualWork();
-		const requests = [2_000, 2_000, 2_000, 60_000].map(tokens => createRequest(`r-${tokens}`, tokens, 0));
-		for (const request of requests) {
-			usualWork.note(request, request.work!.prompt!.promptTokens / 20);
-		}
-		const [small, , , large] = requests;
-		expect(usualWork.computeCountedWorkMs(large!)).toBe(usualWork.computeCountedWorkMs(small!));
-		expect(usualWork.computeCountedWorkMs(large!)).toBeCloseTo(1.3 * (0.9 * 100 + 0.1 * 3_000), 6);
+describe('WorkQueue', () => {
+	// Guards against large prompts that wait behind all smaller ones because they count as late on arrival.
+	it('keeps the order of arrival for a prompt that takes longer than the time to its due time', () => {
+		const queue = new WorkQueue();
+		addToQueue(queue, 'large', 1_300, 0);
+		addToQueue(queue, 'small', 100, 10);
+		queue.markLate(200);
+		expect(listQueued(queue)).toEqual(['large', 'small']);
 	});
 
-	it('leaves a third of the time to the due time for waiting', () => {
-		const usualWork = new UsualWork();
-		const request = createRequest('r-1', largeTokens, 100);
-		usualWork.note(request, 1_300);
-		expect(usualWork.computeCountedWorkMs(request)).toBeCloseTo((2 / 3) * dueAfterMs, 6);
+	it('moves a request that has waited too long behind the others', () => {
+		const queue = new WorkQueue();
+		addToQueue(queue, 'large', 1_300, 0);
+		addToQueue(queue, 'small', 100, 0);
+		queue.markLate(500);
+		expect(listQueued(queue)).toEqual(['small', 'large late']);
+		queue.markLate(701);
+		expect(listQueued(queue)).toEqual(['large late', 'small late']);
 	});
 });
 
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -126,7 +126,7 @@
 		pendingPrefillTimeConstantMs: 400,
 		reportTimeConstantMs: 300,
 		typicalReportTimeConstantMs: 1_000,
-		unreportedTimeConstantMs: 3_000,
+		unreportedTimeConstantMs: 10_000,
 	},
 	choice: {
 		minSharedTokens: 256,
--- a/src/entry/common/workScheduling/workQueue.ts
+++ b/src/entry/common/workScheduling/workQueue.ts
@@ -8,13 +8,14 @@
  * the one with the earliest due time. A request that has waited too long to meet its due time moves behind all others,
  * and is served with spare capacity.
  *
- * Only waiting makes a request late. How long its prompt takes decides where it runs and whether it can be answered
- * by its deadline, but not its place in the queue: otherwise overload would be borne by the largest prompts alone.
+ * Only waiting makes a request late. That its prompt takes longer than the time to its due time decides where it runs
+ * and whether it can be answered by its deadline, but not its place in the queue: otherwise the largest prompts alone
+ * would bear overload.
  */
 
 import type { RequestId } from '../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../scheduling/serviceScheduler';
-import { getDueMs, getUrgency } from './requestOrder';
+import { getDueMs, getUrgency, isDueTimeMissed } from './requestOrder';
 
 /** A request to be queued, with its work at the target that would answer it first. */
 export interface WorkItem {
@@ -23,8 +24,6 @@
 	readonly idleFirstByteMs: number;
 	/** Time for which the request delays others on that target, in milliseconds. */
 	readonly workMs: number;
-	/** How long before its due time the request has to be started in order not to be late, in milliseconds. */
-	readonly countedWorkMs: number;
 	/** Least time to the first byte with the load of the targets, without the queue. */
 	readonly minFirstByteMs: number;
 }
@@ -57,7 +56,7 @@
 	}
 
 	add(item: WorkItem, nowMs: number): void {
-		const isLate = isDueTimeMissed(item, nowMs);
+		const isLate = isDueTimeMissed(item.request, item.idleFirstByteMs, nowMs);
 		(isLate ? this.late : this.onTime).add({ ...item, enqueuedMs: nowMs, isLate });
 	}
 
@@ -67,7 +66,10 @@
 
 	/** Moves requests that have waited too long to meet their due time behind the others. */
 	markLate(nowMs: number): void {
-		for (const item of this.onTime.items.filter(waiting => isDueTimeMissed(waiting, nowMs))) {
+		const missed = this.onTime.items.filter(({ request, idleFirstByteMs }) =>
+			isDueTimeMissed(request, idleFirstByteMs, nowMs),
+		);
+		for (const item of missed) {
 			this.onTime.remove(item.request.id);
 			item.isLate = true;
 			this.late.add(item);
@@ -91,11 +93,6 @@
 	}
 }
 
-/** Whether a request has waited so long that a usual request of its kind would miss its due time. */
-export function isDueTimeMissed({ request, countedWorkMs }: WorkItem, nowMs: number): boolean {
-	return nowMs + countedWorkMs > getDueMs(request);
-}
-
 /** Sorted list of requests, with the sum of their work for each urgency. */
 class SortedRequests {
 	readonly items: WaitingRequest[] = [];
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -26,6 +26,7 @@
 import { FleetRetryBudget } from './fleetRetryBudget';
 import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
+import { getUrgency, isDueTimeMissed } from './requestOrder';
 import { TargetLoadModel } from './targetLoadModel';
 import {
 	describeFullQueue,
@@ -42,8 +43,7 @@
 import type { WorkPolicy } from './workPolicy';
 import { defaultWorkPolicy } from './workPolicy';
 import type { WaitingRequest, WorkItem } from './workQueue';
-import { isDueTimeMissed, WorkQueue } from './workQueue';
-import { getDueMs, getUrgency } from './requestOrder';
+import { WorkQueue } from './workQueue';
 
 /**
  * Maximum number of waiting requests without a target in one pass over the queue. What blocks these mostly blocks the
@@ -197,15 +197,16 @@
 	/** Whether the request may run again after its current attempt, and one of the targets could take it in time now. */
 	private isPlaceable(tracked: TrackedRequest, targets: readonly TargetLoadModel[], nowMs: number): boolean {
 		const { request } = tracked;
-		const isLate = nowMs + this.estimates.computeCountedWorkMs(request) > getDueMs(request);
-		const query = { isLate, urgency: getUrgency(request) };
-		const hasCapacity = targets.some(
-			target =>
+		const urgency = getUrgency(request);
+		const hasCapacity = targets.some(target => {
+			const isLate = isDueTimeMissed(request, target.computeIdleFirstByteMs(request), nowMs);
+			return (
 				target.isAvailable(nowMs) &&
 				target.isColdSendAllowed(nowMs) &&
-				target.hasCapacity(query, nowMs) &&
-				nowMs + target.estimateFirstByteMs(request, nowMs) <= request.deadlineMs,
-		);
+				target.hasCapacity({ isLate, urgency }, nowMs) &&
+				nowMs + target.estimateFirstByteMs(request, nowMs) <= request.deadlineMs
+			);
+		});
 		const after = { ...tracked, possibleRuns: tracked.possibleRuns + 1, mayHaveRun: true };
 		return hasCapacity && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
 	}
@@ -248,7 +249,6 @@
 			running: this.targetList.reduce((sum, target) => sum + target.running, 0),
 			queued: this.queue.size,
 			...(idleFirstByteMs.length > 0 ? { unloadedMs: Math.max(...idleFirstByteMs) } : {}),
-			...(request === undefined ? {} : { countedWorkMs: this.estimates.computeCountedWorkMs(request) }),
 			holdsSharedPart: request !== undefined && this.hasSharedPart(available, request),
 			runningPerTarget: this.computeRunningPerTarget(available, nowMs),
 			...(request?.work?.prompt === undefined || idleFirstByteMs.length === 0
@@ -282,7 +282,7 @@
 			return { kind: ErrorKind.DeadlineUnreachable, reason: missedDeadline };
 		}
 		const maxWaitMs = (item.request.deadlineMs - nowMs) * maxWaitShare;
-		const isLate = isDueTimeMissed(item, nowMs);
+		const isLate = isDueTimeMissed(item.request, item.idleFirstByteMs, nowMs);
 		const waitMs = this.estimates.estimateWaitMs(item.request, isLate, nowMs);
 		return waitMs > maxWaitMs
 			? { kind: ErrorKind.Overloaded, reason: describeLongQueue(waitMs, maxWaitMs, isLate) }
