Record that twice the load of one entry is still borne by the largest prompts

The rule by which a request is late leaves the largest prompts a third of the time to their due time for waiting, small ones nearly all of it.

--- a/src/entry/common/workScheduling/test/largePrompts.test.ts
+++ b/src/entry/common/workScheduling/test/largePrompts.test.ts
@@ -109,4 +109,17 @@
 		},
 		timeoutMs,
 	);
+
+	// Guards against overload that is borne by the largest prompts. Fails: see KNOWN-RED.txt.
+	it.failing(
+		'serves large prompts if twice as many prompts arrive as one entry can serve',
+		() => {
+			const kinds = [
+				{ ...narratives, perSecond: 130 },
+				{ ...questions, perSecond: 110 },
+			];
+			checkSizes(runSeeds({ entries: 1, kinds }));
+		},
+		timeoutMs,
+	);
 });
