--- a/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
+++ b/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
@@ -26,8 +26,8 @@
 import { findSharedPart } from '../prompts/promptShape';
 import type { SchedulableRequest, ServiceRoom } from '../scheduling/serviceScheduler';
 import { describePromptSize } from '../workScheduling/refusalReasons';
-import { defaultWorkPolicy } from '../workScheduling/workPolicy';
 import { computeCountedWorkMs, getDueMs } from '../workScheduling/requestOrder';
+import { defaultWorkPolicy } from '../workScheduling/workPolicy';
 import type { ISendAwayPolicy, RemoteOffer, SendAwayContext, SendAwayDecision } from './sendAwayPolicy';
 
 /** Options of the decision. */
--- a/src/entry/common/workScheduling/otherRequests.ts
+++ b/src/entry/common/workScheduling/otherRequests.ts
@@ -9,9 +9,9 @@
  * sent to another region.
  *
  * The engines of a service share the load of a region, and together they report often. So while an engine has not
- * reported for some hundred milliseconds, it is assumed to have the load that the engines reported on average. An
- * engine that has not reported for seconds, for example because it has just started, is not assumed to have it, since
- * nothing would be sent there and it would never report.
+ * reported for some hundred milliseconds, it is assumed to have the load that the engines reported on average. This is
+ * not assumed of an engine that has never reported, or not for long, for example because it has just started: while the
+ * others are busy nothing would be sent there, so it would never report.
  */
 
 /** Requests of other entries at one engine, as of a time. */
--- a/src/entry/common/workScheduling/pendingPrefill.ts
+++ b/src/entry/common/workScheduling/pendingPrefill.ts
@@ -9,9 +9,8 @@
  * Prompts whose answers have not begun remain counted, however long ago they were sent.
  *
  * The work of other entries is not visible here. Without a recent load report (`otherRequests.ts`), each other entry is
- * assumed to have as much pending work as the recent average of this one. Its current
- * amount would multiply a single long prompt by the number of entries. With both rules the median predicted wait
- * was 0.94 of the actual one.
+ * assumed to have as much pending work as the recent average of this one. Its current amount would multiply a single
+ * long prompt by the number of entries.
  *
  * An engine starts more urgent prompts first, so a request waits only for prompts that are at least as urgent.
  */
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -3,8 +3,9 @@
  * would wait for its first byte.
  *
  * An inference engine processes prompts (prefill) one after the other, interleaved with the generation of running
- * answers, so a prompt waits for the prompts before it. Load reports arrive too late to show that backlog. It is
- * estimated from the prompts that were sent to the engine and whose answers have not begun.
+ * answers, so a prompt waits for the prompts before it. That backlog is estimated from the prompts that this entry sent
+ * to the engine and whose answers have not begun (`pendingPrefill.ts`), and for other entries from the load that engines
+ * report with their answers (`otherRequests.ts`).
  *
  * A plain target runs as many requests as it has slots. Further requests wait until a slot becomes free.
  *
@@ -57,8 +58,9 @@
 	readonly id: TargetId;
 	readonly idHash: number;
 	private readonly attempts = new Map<RequestId, RunningAttempt>();
-	private readonly coldRateLimiter = new ColdTargetRateLimiter();
+	/** Prefill of this entry's prompts at the target whose answers have not begun. */
 	readonly pendingPrefill: PendingPrefill;
+	private readonly coldRateLimiter = new ColdTargetRateLimiter();
 	private otherRequests: OtherRequests;
 	private prefixCache: PrefixCacheModel;
 	private measuredSlowness = 1;
@@ -189,7 +191,7 @@
 		return this.prefixCache.hasPart(id);
 	}
 
-	/** Whether the target has capacity for another request. Late requests leave part of the capacity to others. */
+	/** Whether the target has capacity for another request. */
 	hasCapacity(query: CapacityQuery, nowMs: number): boolean {
 		const { maxPrefillAheadMs, latePrefillShare } = this.queueParameters;
 		const hasSlot = this.estimateRunningRequests(nowMs) + 1 <= this.computeMaxRequests(query);
@@ -202,7 +204,8 @@
 
 	/**
 	 * Returns the maximum number of requests that may run or wait at the target if it gets the request. An engine admits the
-	 * most urgent requests first, so these may wait there. Less urgent ones would wait behind all of them.
+	 * most urgent requests first, so these may wait there. Less urgent ones would wait behind all of them, and late ones
+	 * leave part of the slots to others.
 	 */
 	private computeMaxRequests({ isLate, urgency }: CapacityQuery): number {
 		const { slotOvercommitShare, lateSlotReserveShare, urgentOvercommitShare } = this.queueParameters;
--- a/src/entry/common/workScheduling/typicalLoad.ts
+++ b/src/entry/common/workScheduling/typicalLoad.ts
@@ -1,5 +1,5 @@
 /**
- * Averages the load of a service's engines from their reports, and from what this entry (proxy process) sent to them.
+ * Averages the load of the engines of a service from their reports and from what this entry (proxy process) sent.
  *
  * A report tells how many requests are pending at an engine, but not which. Callers are spread over entries, so the
  * pending requests of all entries are assumed to be of the same kinds and sizes as those of this one.
@@ -18,6 +18,7 @@
 /** Smaller averages are what is left of requests that were sent long ago. */
 const minMean = 0.001;
 
+/** Returns the average as of the latest report; without any report, one that has no weight. */
 export function computeTypicalLoad(
 	targets: readonly ReportingTarget[],
 	timeConstantMs: number,
