--- a/src/entry/common/workScheduling/test/largePrompts.test.ts
+++ b/src/entry/common/workScheduling/test/largePrompts.test.ts
@@ -2,7 +2,6 @@
 import type { CallerResult, PromptKind } from './fleetCallers';
 import type { FleetOptions } from './fleetSimulation';
 import { runFleetSimulation } from './fleetSimulation';
-import { choosePlatformPriority } from './modelEntry';
 import { createEngineOptions } from './prefillEngine';
 import { formatSizeClasses, listUnderservedClasses } from './sizeClasses';
 
@@ -51,7 +50,6 @@
 	seconds: 8,
 	maxReturnShare: 1 / 3,
 	silenceFactor: 3,
-	choosePriority: choosePlatformPriority,
 };
 
 function runSeeds(changes: Partial<FleetOptions> = {}): readonly CallerResult[] {
--- a/src/entry/common/workScheduling/test/modelEntry.ts
+++ b/src/entry/common/workScheduling/test/modelEntry.ts
@@ -33,20 +33,11 @@
 
 const silenceRecheckMs = 200;
 const networkMs = 1;
-const highestPriority = 2;
-const lowestPriority = 5;
 
 /** How an entry treats its attempts. */
 export interface EntryOptions {
 	/** Multiple of the time to the due time after which an attempt without a first byte counts as silent. */
 	readonly silenceFactor: number;
-	/** Returns the priority at the engine, where 0 is the most urgent. */
-	readonly choosePriority: (urgency: number) => number;
-}
-
-/** Returns the priority that the dialect of the platform's targets sets. */
-export function choosePlatformPriority(urgency: number): number {
-	return Math.min(lowestPriority, highestPriority + urgency);
 }
 
 /** One entry with its scheduler. */
@@ -139,7 +130,7 @@
 			hasFirstByte: false,
 			engineRequest: {
 				...open.caller,
-				priority: this.options.choosePriority(kind.urgency),
+				priority: kind.urgency,
 				work: result.work,
 				handleEvent: () => {
 					this.noteEvent(open, attempt, target);
--- a/src/entry/common/workScheduling/test/prefillEngine.ts
+++ b/src/entry/common/workScheduling/test/prefillEngine.ts
@@ -24,10 +24,6 @@
 	readonly stepMsPerRequest: number;
 	readonly tokensPerEvent: number;
 	readonly fetchedTokensPerMs: number;
-	/** Whether a more urgent request preempts a less urgent one that holds the last slot. */
-	readonly hasSlotPreemption: boolean;
-	/** Whether each shared part is cached from the start and never evicted. */
-	readonly hasUnlimitedCache: boolean;
 }
 
 /** Creates the options of an engine of usual size and speed. */
@@ -43,8 +39,6 @@
 		stepMsPerRequest: 0.02,
 		tokensPerEvent: 9,
 		fetchedTokensPerMs: 200,
-		hasSlotPreemption: true,
-		hasUnlimitedCache: false,
 		...changes,
 	};
 }
@@ -147,9 +141,6 @@
 				if (victim === undefined || victim.request.priority <= next.request.priority) {
 					return;
 				}
-				if (this.running.length >= this.options.slots && !this.options.hasSlotPreemption) {
-					return;
-				}
 				this.pauseRun(victim);
 			}
 			this.waiting = this.waiting.filter(run => run !== next);
@@ -216,9 +207,6 @@
 			return;
 		}
 		run.hasBegunReading = true;
-		if (this.options.hasUnlimitedCache) {
-			this.memory.keepPart(sharedPart, sharedTokens);
-		}
 		if (this.memory.takePart(sharedPart)) {
 			this.memory.release(sharedTokens);
 			run.isSharedPartInUse = true;
