Find the missed deadline of a request in one pass over the targets

Whether a target can answer in time, and why none can, were two methods with the same estimates, so each refusal estimated all targets twice. One method now returns the reason, or nothing at the first target in time. Decisions and texts stay as they are.

--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -91,35 +91,29 @@
 		return { target, fetchFrom: fetchSource?.id, fetchedTokens, firstByteMs, reason };
 	}
 
-	/** Whether a target could begin the answer by the deadline, now or at the end of its current pause. */
-	hasTargetInTime(
-		targets: readonly TargetLoadModel[],
-		{ request, triedTargets }: TargetQuery,
-		nowMs: number,
-	): boolean {
-		const shared = this.findSharedPart(request);
-		return targets
-			.filter(({ id, description }) => !description.isLeaving && !triedTargets.includes(id))
-			.some(target => {
-				const firstByteMs = target.estimateFirstByteMs(request, nowMs, shared?.tokens);
-				return this.isAnswerPossible(target, request, firstByteMs, nowMs);
-			});
-	}
-
-	/** Describes why no target could begin the answer by the deadline. */
-	describeMissedDeadline(
+	/**
+	 * Returns why no target can begin the answer by the deadline, now or at the end of its current pause, or undefined if
+	 * one can.
+	 */
+	findMissedDeadline(
 		targets: readonly TargetLoadModel[],
 		{ request, triedTargets }: TargetQuery,
 		nowMs: number,
-	): string {
+	): string | undefined {
 		const shared = this.findSharedPart(request);
-		const times = targets
-			.filter(({ id, description }) => !description.isLeaving && !triedTargets.includes(id))
-			.map(target => {
-				const firstByteMs = target.estimateFirstByteMs(request, nowMs, shared?.tokens);
-				return this.computeMinFirstByteMs(target, request, firstByteMs, nowMs);
-			});
-		return describeMissedDeadline(Math.min(...times), request.deadlineMs - nowMs);
+		let soonestMs = Number.POSITIVE_INFINITY;
+		for (const target of targets) {
+			if (target.description.isLeaving || triedTargets.includes(target.id)) {
+				continue;
+			}
+			const firstByteMs = target.estimateFirstByteMs(request, nowMs, shared?.tokens);
+			const minMs = this.computeMinFirstByteMs(target, request, firstByteMs, nowMs);
+			if (nowMs + minMs <= request.deadlineMs) {
+				return undefined;
+			}
+			soonestMs = Math.min(soonestMs, minMs);
+		}
+		return describeMissedDeadline(soonestMs, request.deadlineMs - nowMs);
 	}
 
 	/** Whether the answer could begin by the deadline if the target took the least time that its estimate allows. */
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -417,9 +417,7 @@
 		if (missedStart !== undefined) {
 			return missedStart;
 		}
-		return hasFirstByte || this.targetChooser.hasTargetInTime(this.targetList, query, nowMs)
-			? undefined
-			: this.targetChooser.describeMissedDeadline(this.targetList, query, nowMs);
+		return hasFirstByte ? undefined : this.targetChooser.findMissedDeadline(this.targetList, query, nowMs);
 	}
 
 	private start(tracked: TrackedRequest, choice: TargetChoice, nowMs: number): void {
