--- a/src/entry/common/workScheduling/test/engineSimulation.ts
+++ b/src/entry/common/workScheduling/test/engineSimulation.ts
@@ -115,6 +115,16 @@
 	};
 }
 
+/** Creates a prompt that shares no part with others. */
+export function createUnsharedPrompt(id: string, tokens: number): PromptShape {
+	return {
+		parts: [{ id, tokens }],
+		promptTokens: tokens,
+		maxOutputTokens: 100,
+		hintedOutputTokens: undefined,
+	};
+}
+
 /** Creates a request for an answer to a prompt. */
 export function createPromptedRequest(
 	id: RequestId,
--- a/src/entry/common/workScheduling/test/otherRequests.test.ts
+++ b/src/entry/common/workScheduling/test/otherRequests.test.ts
@@ -4,7 +4,7 @@
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
 import { computeMeanReport, noReport } from '../otherRequests';
 import { WorkScheduler } from '../workScheduler';
-import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+import { createEngineTarget, createPromptedRequest, createUnsharedPrompt } from './engineSimulation';
 
 const entries = 28;
 const slots = 12;
@@ -14,12 +14,7 @@
 const engineIds = ['engine-1', 'engine-2', 'engine-3', 'engine-4'] as TargetId[];
 
 function createRequest(id: string, promptTokens: number, urgency: number): SchedulableRequest {
-	const prompt = {
-		parts: [{ id, tokens: promptTokens }],
-		promptTokens,
-		maxOutputTokens: 100,
-		hintedOutputTokens: undefined,
-	};
+	const prompt = createUnsharedPrompt(id, promptTokens);
 	const times = { dueAfterMs: 1_000, deadlineMs: 10_000, urgency };
 	return createPromptedRequest(id as RequestId, prompt, times, 0);
 }
--- a/src/entry/common/workScheduling/test/silentTargets.test.ts
+++ b/src/entry/common/workScheduling/test/silentTargets.test.ts
@@ -3,18 +3,13 @@
 import type { SchedulableRequest, SchedulableTarget } from '../../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
 import { WorkScheduler } from '../workScheduler';
-import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+import { createEngineTarget, createPromptedRequest, createUnsharedPrompt } from './engineSimulation';
 
 const id = 'draft-1' as RequestId;
 const deadlineMs = 6_200;
 
 function createResumableDraft(name: string = id, tokens = 2_000, nowMs = 0): SchedulableRequest {
-	const prompt = {
-		parts: [{ id: 'own', tokens }],
-		promptTokens: tokens,
-		maxOutputTokens: 100,
-		hintedOutputTokens: undefined,
-	};
+	const prompt = createUnsharedPrompt('own', tokens);
 	const times = { dueAfterMs: 800, deadlineMs, urgency: 1 };
 	const request = createPromptedRequest(name as RequestId, prompt, times, nowMs);
 	return { ...request, isRepeatable: true, work: { ...request.work!, maxAttempts: 2, isResumable: true } };
--- a/src/entry/common/workScheduling/test/startDeadline.test.ts
+++ b/src/entry/common/workScheduling/test/startDeadline.test.ts
@@ -2,7 +2,6 @@
 import { ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
 import type { RequestId, TargetId } from '../../../../core/ids/common/ids';
-import type { PromptShape } from '../../prompts/promptShape';
 import type {
 	SchedulableRequest,
 	ScheduleDecision,
@@ -10,21 +9,21 @@
 } from '../../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
 import { WorkScheduler } from '../workScheduler';
-import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+import { createEngineTarget, createPromptedRequest, createUnsharedPrompt } from './engineSimulation';
 
 /** Takes 343 ms to process at the assumed speed of an engine. */
 const longTokens = 12_000;
 /** Takes 57 ms to process, and 45 ms more until its first byte. */
 const shortTokens = 2_000;
 
-function createPrompt(id: string, tokens: number): PromptShape {
-	const parts = [{ id: `own-${id}`, tokens }];
-	return { parts, promptTokens: tokens, maxOutputTokens: 100, hintedOutputTokens: undefined };
-}
-
 function createRequest(id: string, tokens: number, deadlineMs: number, nowMs = 0): SchedulableRequest {
 	const kind = { dueAfterMs: deadlineMs, deadlineMs, urgency: 1 };
-	const request = createPromptedRequest(id as RequestId, createPrompt(id, tokens), kind, nowMs);
+	const request = createPromptedRequest(
+		id as RequestId,
+		createUnsharedPrompt(`own-${id}`, tokens),
+		kind,
+		nowMs,
+	);
 	return { ...request, isRepeatable: true, work: { ...request.work!, maxAttempts: 3 } };
 }
 
--- a/src/entry/common/workScheduling/test/unservableRequests.test.ts
+++ b/src/entry/common/workScheduling/test/unservableRequests.test.ts
@@ -9,17 +9,12 @@
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
 import { defaultWorkPolicy } from '../workPolicy';
 import { WorkScheduler } from '../workScheduler';
-import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+import { createEngineTarget, createPromptedRequest, createUnsharedPrompt } from './engineSimulation';
 
 const checkIntervalMs = 20;
 
 function createRequest(name: string, tokens: number, deadlineMs: number, nowMs = 0): SchedulableRequest {
-	const prompt = {
-		parts: [{ id: name, tokens }],
-		promptTokens: tokens,
-		maxOutputTokens: 100,
-		hintedOutputTokens: undefined,
-	};
+	const prompt = createUnsharedPrompt(name, tokens);
 	const times = { dueAfterMs: 600, deadlineMs, urgency: 0 };
 	const request = createPromptedRequest(name as RequestId, prompt, times, nowMs);
 	return { ...request, work: { ...request.work!, maxAttempts: 3 } };
--- a/src/entry/common/workScheduling/test/workQueue.test.ts
+++ b/src/entry/common/workScheduling/test/workQueue.test.ts
@@ -4,7 +4,7 @@
 import { AttemptEnd, ScheduleDecisionKind } from '../../scheduling/serviceScheduler';
 import { WorkQueue } from '../workQueue';
 import { WorkScheduler } from '../workScheduler';
-import { createEngineTarget, createPromptedRequest } from './engineSimulation';
+import { createEngineTarget, createPromptedRequest, createUnsharedPrompt } from './engineSimulation';
 
 const dueAfterMs = 800;
 const deadlineMs = 3_300;
@@ -13,12 +13,7 @@
 const largeTokens = 45_000;
 
 function createRequest(id: string, tokens: number, arrivedMs: number): SchedulableRequest {
-	const prompt = {
-		parts: [{ id, tokens }],
-		promptTokens: tokens,
-		maxOutputTokens: 100,
-		hintedOutputTokens: undefined,
-	};
+	const prompt = createUnsharedPrompt(id, tokens);
 	return createPromptedRequest(id as RequestId, prompt, { dueAfterMs, deadlineMs, urgency: 1 }, arrivedMs);
 }
 
