Log the rate limit that applied to a start at a cold target

The started line now ends with the end of the cold time, the turn, the index and the number of the entries, and the generation. No decision changes.

--- a/src/entry/common/workScheduling/coldTargetRateLimiter.ts
+++ b/src/entry/common/workScheduling/coldTargetRateLimiter.ts
@@ -47,6 +47,11 @@
 		return nextTurn < 0 ? coldUntilMs : coldUntilMs - ((nextTurn + 1) * msPerSecond) / requestsPerSecond;
 	}
 
+	/** Returns the number of turns left until the end of the cold period; 0 if the rate is not limited. */
+	computeTurn(turns: ColdTargetTurns, nowMs: number): number {
+		return Number.isFinite(turns.requestsPerSecond) ? computeRemainingTurns(turns, nowMs) : 0;
+	}
+
 	noteSent(turns: ColdTargetTurns, nowMs: number): void {
 		this.lastUsedTurn = Number.isFinite(turns.requestsPerSecond)
 			? computeRemainingTurns(turns, nowMs)
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -226,10 +226,12 @@
 	nowMs: number,
 ): string {
 	const waitMs = Math.round(target.estimateWaitMs(nowMs));
+	const coldLimit = target.describeColdLimit(nowMs);
 	const load =
 		`${target.running} own of ${Math.round(target.estimateRunningRequests(nowMs))} running, ${waitMs} ms queued ahead, ` +
 		`${Math.round(prefillMs)} ms prefill, first byte in ${Math.round(firstByteMs)} ms, ` +
-		`${Math.round(request.deadlineMs - nowMs)} ms left${describePromptSize(request)}${isLate ? ', late' : ''}`;
+		`${Math.round(request.deadlineMs - nowMs)} ms left${describePromptSize(request)}${isLate ? ', late' : ''}` +
+		(coldLimit === undefined ? '' : `, ${coldLimit}`);
 	if (shared === undefined) {
 		return `no shared prompt part, ${load}`;
 	}
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -175,6 +175,20 @@
 		return !this.isCold(nowMs) || this.coldRateLimiter.isSendAllowed(this.coldTurns, nowMs);
 	}
 
+	/** Describes the rate limit of a cold target for the log; undefined if the target is warm. */
+	describeColdLimit(nowMs: number): string | undefined {
+		if (!this.isCold(nowMs)) {
+			return undefined;
+		}
+		const { entryCount, entryIndex, coldUntilMs } = this.coldTurns;
+		const turn = this.coldRateLimiter.computeTurn(this.coldTurns, nowMs);
+		const generation = this.current.registered?.generation ?? 0;
+		return (
+			`cold for ${Math.round(coldUntilMs - nowMs)} ms until ${Math.round(coldUntilMs)}, turn ${turn}, ` +
+			`entry ${entryIndex} of ${entryCount}, generation ${generation}`
+		);
+	}
+
 	/** Returns when the current pause and rate limit end, in monotonic milliseconds. */
 	getNextAvailableMs(nowMs: number): number {
 		return Math.max(
