Send no request to a new process that waited for a connection to the one before

What callers saw: requests that were lost in connects to a target that was down were sent when another process started at its address, all at the same moment.

Cause: a connection pool that is closed for a new start of its target finishes also what still waits for a connection.

Change: closing a client fails the attempts that wait for a connection as not connected, so that they are scheduled again; running ones finish. Registries close clients once the schedulers have the new targets.

The test failed before: both waiting requests were handed over and answered.

--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -53,8 +53,11 @@
 		this.register(
 			subscribeTo(discovery.onDidChange, () => {
 				this.index.clear();
-				this.updateClients();
+				const outdated = this.updateClients();
 				this.emitAllServices();
+				for (const client of outdated) {
+					void client.close();
+				}
 			}),
 		);
 		this.register(
@@ -168,12 +171,16 @@
 		return nowMs < coldUntilMs ? 'cold' : 'live';
 	}
 
-	/** Connections belong to one start of the target process, so a restarted target gets a new client. */
-	private updateClients(): void {
+	/**
+	 * Connections belong to one start of the target process, so a restarted target gets a new client. Returns those that
+	 * are to be closed, once the schedulers have the new targets: the attempts that they fail are scheduled again.
+	 */
+	private updateClients(): readonly TargetClient[] {
+		const outdated: TargetClient[] = [];
 		for (const [id, { client, generation }] of [...this.clients]) {
 			if (this.discovery.find(id)?.generation !== generation) {
 				this.clients.delete(id);
-				void client.close();
+				outdated.push(client);
 			}
 		}
 		for (const { target, generation } of this.discovery.list()) {
@@ -181,6 +188,7 @@
 				this.clients.set(target.id, { client: new TargetClient(target.url), generation });
 			}
 		}
+		return outdated;
 	}
 
 	private emitAllServices(): void {
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -59,13 +59,18 @@
 /** A connection pool for one target. */
 export class TargetClient implements ITargetClient {
 	private pool: Pool;
+	/** Attempts that no connection has taken yet. */
+	private readonly waiting = new Set<Attempt>();
 
 	constructor(private readonly origin: string) {
 		this.pool = this.createPool();
 	}
 
 	send(request: AttemptRequest, observer: IAttemptObserver): IAttempt {
-		const attempt = new Attempt(observer);
+		const attempt: Attempt = new Attempt(observer, () => {
+			this.waiting.delete(attempt);
+		});
+		this.waiting.add(attempt);
 		const options: AttemptDispatchOptions = {
 			attempt,
 			method: request.method,
@@ -92,7 +97,15 @@
 		old.close().catch(() => undefined);
 	}
 
+	/**
+	 * Lets running attempts finish and fails those that wait for a connection. These were meant for the process that the
+	 * connections belong to: if they were sent once its address accepts connections again, all of them would reach
+	 * the process that has just started there.
+	 */
 	async close(): Promise<void> {
+		for (const attempt of [...this.waiting]) {
+			attempt.abandon('the target is no longer in use or has started again');
+		}
 		await this.pool.close();
 	}
 
@@ -160,7 +173,17 @@
 	private isOver = false;
 	private cancelReason: string | undefined;
 
-	constructor(private readonly observer: IAttemptObserver) {}
+	constructor(
+		private readonly observer: IAttemptObserver,
+		/** Called once the attempt no longer waits for a connection. */
+		private readonly onDidLeaveQueue: () => void,
+	) {}
+
+	/** Fails an attempt that waits for a connection. It is not sent. */
+	abandon(reason: string): void {
+		this.cancel(reason);
+		this.observer.noteFailed(new Error(reason));
+	}
 
 	resume(): void {
 		this.controller?.resume();
@@ -177,11 +200,13 @@
 		}
 		this.isOver = true;
 		this.cancelReason = reason;
+		this.onDidLeaveQueue();
 		this.controller?.abort(new Error(reason));
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.controller = controller;
+		this.onDidLeaveQueue();
 		if (this.cancelReason !== undefined) {
 			controller.abort(new Error(this.cancelReason));
 			return;
@@ -228,6 +253,7 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+		this.onDidLeaveQueue();
 		if (!this.isOver) {
 			this.isOver = true;
 			this.observer.noteFailed(error);
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -192,10 +192,11 @@
 
 	private updateClients(targets: readonly ManifestTarget[]): void {
 		const urls = new Map(targets.map(target => [target.id, target.url]));
+		const outdated: TargetClient[] = [];
 		for (const [id, { url, client }] of [...this.clients]) {
 			if (urls.get(id) !== url) {
 				this.clients.delete(id);
-				void client.close();
+				outdated.push(client);
 			}
 		}
 		for (const { id, url } of targets) {
@@ -203,6 +204,9 @@
 				this.clients.set(id, { url, client: new TargetClient(new URL(url).origin) });
 			}
 		}
+		for (const client of outdated) {
+			void client.close();
+		}
 	}
 
 	private emitServiceChange(target: TargetId): void {
--- a/src/entry/node/targets/test/targetClient.test.ts
+++ b/src/entry/node/targets/test/targetClient.test.ts
@@ -80,6 +80,28 @@
 		await client.close();
 	});
 
+	// Guards against floods at a target that starts again: requests that wait for connections to its address would all
+	// arrive at once, although they were meant for the process before.
+	it('sends no request that waits for a connection when it is closed, and finishes the others', async () => {
+		const target = await openTarget(socket => {
+			setTimeout(() => socket.write(answer), 20);
+		});
+		const client = new TargetClient(target.origin);
+		const closed = new Promise<Event[][]>(resolve => {
+			const running = sendOnce(client);
+			target.server.once('connection', socket => {
+				socket.once('data', () => {
+					const waiting = [sendOnce(client), sendOnce(client)];
+					void client.close();
+					resolve(Promise.all([running, ...waiting]));
+				});
+			});
+		});
+		expect(await closed).toEqual([['handed over', 'head', 'completed'], ['failed'], ['failed']]);
+		target.server.close();
+		expect(target.heads).toHaveLength(1);
+	});
+
 	// A target crashes while it sends an answer without a length, and the connection is reset. If the reset
 	// counted as the end of the answer, the caller would accept a truncated receipt as complete.
 	it('does not treat a reset as the end of an answer without a length', async () => {
