--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -150,7 +150,9 @@
 			const isCached = shared !== undefined && target.hasPart(shared.id);
 			const fetchedTokens = isCached || knownHolder === undefined ? 0 : (shared?.tokens ?? 0);
 			const likelyHolder = knownHolder ?? (target === owner ? secondRanked : owner);
-			const fetchSource = isCached ? undefined : likelyHolder;
+			// A target that has just started holds only what this entry sent to it.
+			const isHolderUnlikely = knownHolder === undefined && likelyHolder?.isCold(nowMs) === true;
+			const fetchSource = isCached || isHolderUnlikely ? undefined : likelyHolder;
 			const firstByteMs = target.estimateFirstByteMs(request, nowMs, fetchedTokens);
 			const delayMs = target.estimateAddedDelayMs(request, nowMs, fetchedTokens);
 			const isCopy = shared !== undefined && target !== owner && !target.hasPart(shared.id);
--- a/src/entry/common/workScheduling/test/targetChooser.test.ts
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -60,6 +60,19 @@
 		expect(other.fetchFrom).toBe(first.id);
 	});
 
+	// Guards against fetches from engines that have just started and hold nothing, at the moment at which they register.
+	it('fetches no shared part from an owner that is cold, unless it was sent there', () => {
+		const targets = [createTarget('engine-1'), createTarget('engine-2')];
+		const first = choose(targets)!.target;
+		first.setTarget({
+			...first.description,
+			registered: { ...first.description.registered!, generation: 2, coldUntilMs: 3_000 },
+		});
+		expect(choose(targets, [first])!.fetchFrom).toBeUndefined();
+		first.noteStart(createDraftRequest('d-0'), false, 0, 0);
+		expect(choose(targets, [first])!.fetchFrom).toBe(first.id);
+	});
+
 	it('does not expect to fetch a shared part if no engine is known to hold it', () => {
 		const targets = [createTarget('engine-1'), createTarget('engine-2')];
 		expect(choose(targets)!.fetchedTokens).toBe(0);
