Divide the slack of retries and the links between regions by the entries known lately

An entry that had just started used the whole slack, 85 that start together 85 times the slack. Both are now divided by the roster; the slack is not used before the fleet is known. Shares of the load of targets stay with the live entries: they are estimates that have to follow a loss, and no limit.

--- a/src/entry/common/fleetView/fleetRoster.ts
+++ b/src/entry/common/fleetView/fleetRoster.ts
@@ -72,6 +72,19 @@
 		return { self: id, others, size, isKnown: this.isKnown(nowMs) };
 	}
 
+	/** Returns the number of entries of all regions that were known lately; infinite if the fleet is not known. */
+	countAll(nowMs: number): number {
+		if (!this.isKnown(nowMs)) {
+			return Number.POSITIVE_INFINITY;
+		}
+		const own = new Map(this.listSizes().map(({ region, entries }) => [region, entries]));
+		const regions = new Set([...own.keys(), ...this.reportedSizes.keys()]);
+		return [...regions].reduce(
+			(sum, region) => sum + Math.max(own.get(region) ?? 0, this.reportedSizes.get(region)?.get(nowMs) ?? 0),
+			0,
+		);
+	}
+
 	private isKnown(nowMs: number): boolean {
 		const isSettled = this.hasReachedPeer && nowMs - this.startedMs >= settleMs;
 		return !this.mayHavePeers || this.hasReliableReport || isSettled;
--- a/src/entry/common/fleetView/test/fleetRoster.test.ts
+++ b/src/entry/common/fleetView/test/fleetRoster.test.ts
@@ -38,6 +38,15 @@
 		expect(roster.getRoster(10_000).isKnown).toBe(true);
 	});
 
+	// Guards against retries that are multiplied by the number of entries that start together.
+	it('counts all regions, and no share of a limit is left while they are not known', () => {
+		const { view, roster } = createRoster();
+		expect(roster.countAll(0)).toBe(Number.POSITIVE_INFINITY);
+		view.merge([createView('far', { region: 'erongo' as RegionName })], 0);
+		roster.notePeer(createReport(28), false, 0);
+		expect(roster.countAll(0)).toBe(29);
+	});
+
 	it('stays unknown at an entry that reaches no other, and is known at once if there is none', () => {
 		expect(createRoster().roster.getRoster(60_000).isKnown).toBe(false);
 		expect(createRoster(false).roster.getRoster(0)).toMatchObject({ isKnown: true, size: 1 });
--- a/src/entry/common/workScheduling/fleetRetryBudget.ts
+++ b/src/entry/common/workScheduling/fleetRetryBudget.ts
@@ -5,7 +5,7 @@
  *
  * The limit applies to the whole fleet: a share of the requests in a sliding window, plus a fixed slack. An entry
  * does not see the retries of other entries, so each uses the share of its own requests and an equal part of the
- * slack.
+ * slack. An entry that does not know the fleet uses no slack.
  */
 
 import type { WorkRetryParameters } from './workPolicy';
--- a/src/entry/common/workScheduling/test/fleetRetryBudget.test.ts
+++ b/src/entry/common/workScheduling/test/fleetRetryBudget.test.ts
@@ -43,6 +43,17 @@
 }
 
 describe('FleetRetryBudget', () => {
+	// Guards against retries that are multiplied by the number of entries that start together and have not met yet.
+	it('allows only the ratio of its requests to an entry that does not know the others', () => {
+		const { retry } = createWorkPolicy({ ratio: 0.2, slack: 200, windowMs });
+		const budget = new FleetRetryBudget(retry);
+		budget.setEntryCount(Number.POSITIVE_INFINITY);
+		budget.noteRequest(0);
+		expect(budget.isRetryAllowed(0)).toBe(false);
+		budget.setEntryCount(entryCount);
+		expect(budget.isRetryAllowed(0)).toBe(true);
+	});
+
 	// Guards against retries that overload recovering targets: all targets of a service fail, and six entries that do
 	// not see each other's retries retry every request.
 	it.each([
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -80,7 +80,10 @@
 
 	constructor(
 		random: IRandom,
-		/** Returns the number of entries (proxy processes) that share the fleet's retry budget, including this one. */
+		/**
+		 * Returns the number of entries (proxy processes) that share the fleet's retry budget, including this one; infinite
+		 * if it is not known.
+		 */
 		private readonly countEntries: () => number,
 		private readonly policy: WorkPolicy = defaultWorkPolicy,
 	) {
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -279,7 +279,7 @@
 
 	private createPolicies(): IServicePolicies {
 		const { environment, random } = this;
-		const countEntries = (): number => this.fleet.countAllLive();
+		const countEntries = (): number => this.fleet.countAllKnown();
 		return {
 			targets: environment.targets,
 			createScheduler: () => environment.createScheduler({ random, countEntries }),
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -254,11 +254,6 @@
 		return this.liveEntries.listIn(region, this.timers.getNow());
 	}
 
-	/** Counts the live entries of all regions, including this one. */
-	countAllLive(): number {
-		return this.liveEntries.list(this.timers.getNow()).length + 1;
-	}
-
 	/**
 	 * Counts the live entries of a region, including this one if it belongs to the region. Listed instances without a
 	 * view are counted too: a newly started entry receives the views of the others one by one, and would otherwise
@@ -268,6 +263,11 @@
 		return this.liveEntries.countIn(region, this.timers.getNow()) + (region === ownRegion ? 1 : 0);
 	}
 
+	/** Counts the entries of all regions that share a limit of the fleet; infinite until they are known. */
+	countAllKnown(): number {
+		return this.roster.countAll(this.timers.getNow());
+	}
+
 	/** How the entries of this entry's region share its targets. */
 	getEntrySharing(): EntrySharing {
 		const { region } = this.localEntry;
--- a/src/entry/node/requests/routerContext.ts
+++ b/src/entry/node/requests/routerContext.ts
@@ -147,7 +147,7 @@
 		const servicesUsingLinks = services.filter(service =>
 			[service, ...service.rules].some(rule => rule.residency === ResidencyRule.Any),
 		);
-		const entries = this.fleet.countLive(this.ownInstance.region, this.ownInstance.region);
+		const entries = this.fleet.getEntrySharing().roster.size;
 		return cap / Math.max(1, servicesUsingLinks.length * entries);
 	}
 
--- a/src/entry/node/test/coldTargetFleet.ts
+++ b/src/entry/node/test/coldTargetFleet.ts
@@ -245,7 +245,7 @@
 		);
 		this.discovery = this.store.add(new Discovery(trail));
 		this.registry = this.store.add(new DiscoveredTargetRegistry(place, this.discovery, this.timers));
-		this.scheduler = new WorkScheduler(ownRandom, () => this.fleet.countAllLive());
+		this.scheduler = new WorkScheduler(ownRandom, () => this.fleet.countAllKnown());
 	}
 
 	start(targets: readonly DiscoveredTarget[]): void {
