Record when an entry reaches no target of a service, since when and on what evidence

The logs of an entry that is cut off from the targets told of each failed attempt and never that all paths are gone. Failed, silent and unanswered attempts now cause probes, new connections to up to three targets at a time; if none is reached and none answers for one and a half seconds the paths are cut, and open again after two rounds that all succeed. Each change is an audit line with its evidence. Nothing is decided by it yet.

A target that is silent for a second, or one target that answers, is no cut (targetPaths.test.ts).

--- a/src/core/audit/common/auditTrail.ts
+++ b/src/core/audit/common/auditTrail.ts
@@ -14,6 +14,7 @@
 	Limit = 'limit',
 	Process = 'process',
 	Certificate = 'certificate',
+	Paths = 'paths',
 }
 
 /** One state change. */
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -147,6 +147,7 @@
 				this.createPolicies(),
 				this.timers,
 				this.startGate,
+				this.auditTrail,
 			),
 		);
 		this.ownView = new OwnView(settings, this.bootId, {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -29,6 +29,7 @@
 import type { IAttemptOwner } from './attemptRun';
 import { AttemptRun } from './attemptRun';
 import type { CrashDetector } from './crashDetector';
+import type { IPathObserver } from '../paths/servicePaths';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import { createSchedulable } from './schedulableRequest';
 
@@ -55,6 +56,7 @@
 		private readonly dialect: ITargetDialect,
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
+		private readonly paths: IPathObserver,
 	) {
 		super();
 	}
@@ -131,6 +133,7 @@
 	}
 
 	noteAnswerHead(attempt: AttemptRun, head: AnswerHead, reading: AnswerMetadata): void {
+		this.paths.noteAnswer();
 		this.targets.noteAnswerHead(attempt.target, head, reading);
 		if (reading.load !== undefined) {
 			this.scheduler.noteLoad(attempt.target, reading.load, this.timers.getNow());
@@ -141,7 +144,8 @@
 		return this.scheduler.isRetriable(run.call.id, this.timers.getNow());
 	}
 
-	noteSilence({ run }: AttemptRun): boolean {
+	noteSilence({ run, target }: AttemptRun): boolean {
+		this.paths.noteTrouble(`${target} is silent`);
 		return this.scheduler.noteSilence(run.call.id, this.timers.getNow());
 	}
 
@@ -155,6 +159,7 @@
 			`${attempt.id}: ${end}; ${error?.detail ?? `${target}: ${attempt.describePace()}`}`,
 		);
 		this.targets.noteAttemptEnd(target, end, run);
+		this.notePathEnd(target, end);
 		if (error?.kind !== ErrorKind.TargetFailed) {
 			this.finishAttempt(attempt, end, error);
 			return;
@@ -162,6 +167,12 @@
 		void this.finishAfterCrashCheck(attempt, end, error);
 	}
 
+	private notePathEnd(target: TargetId, end: AttemptEnd): void {
+		if (end === AttemptEnd.NotConnected || end === AttemptEnd.Failed || end === AttemptEnd.Silent) {
+			this.paths.noteTrouble(`${end} at ${target}`);
+		}
+	}
+
 	/** The check takes up to a second. The caller is answered at its deadline all the same. */
 	private async finishAfterCrashCheck(
 		attempt: AttemptRun,
@@ -322,6 +333,7 @@
 			this,
 		);
 		state.running = attempt;
+		this.paths.noteSent();
 		attempt.start();
 	}
 
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -7,12 +7,14 @@
 import type { IDisposable } from '../../../base/common/lifecycle';
 import { Disposable, DisposableStore, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
+import type { IAuditTrail } from '../../../core/audit/common/auditTrail';
 import type { IStartGate } from '../../common/intake/loopLagGate';
 import type { ServiceName } from '../../../core/ids/common/ids';
 import type { ITargetDialect } from '../../common/dialect/targetDialect';
 import type { IServiceScheduler } from '../../common/scheduling/serviceScheduler';
 import type { ISendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
 
+import { ServicePaths } from '../paths/servicePaths';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { EntrySharing, ITargetRegistry } from '../targets/targetDirectory';
 import type { CrashDetector } from './crashDetector';
@@ -31,6 +33,7 @@
 
 interface ServiceState {
 	readonly runner: ServiceRunner;
+	readonly paths: ServicePaths;
 	readonly sendAway: ISendAwayPolicy;
 	/** How the targets that the runner uses are shared. */
 	sharing: EntrySharing | undefined;
@@ -51,6 +54,7 @@
 		private readonly policies: IServicePolicies,
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
+		private readonly auditTrail: IAuditTrail,
 	) {
 		super();
 		this.register(
@@ -105,6 +109,14 @@
 		if (known !== undefined) {
 			return known;
 		}
+		const paths = this.ownedRunners.add(
+			new ServicePaths(
+				service,
+				round => this.targets.probePaths(service, round),
+				this.auditTrail,
+				this.timers,
+			),
+		);
 		const runner = this.ownedRunners.add(
 			new ServiceRunner(
 				this.policies.createScheduler(),
@@ -113,9 +125,10 @@
 				this.policies.targets,
 				this.timers,
 				this.startGate,
+				paths,
 			),
 		);
-		const opened = { runner, sendAway: this.policies.createSendAway(), sharing: undefined };
+		const opened = { runner, paths, sendAway: this.policies.createSendAway(), sharing: undefined };
 		this.services.set(service, opened);
 		this.update(service);
 		return opened;
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -198,6 +198,7 @@
 		new NativeTargetDialect(),
 		timers,
 		startGate,
+		{ noteSent: () => undefined, noteAnswer: () => undefined, noteTrouble: () => undefined },
 	);
 	const zone = 'kingston-a' as ZoneName;
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
--- a/src/entry/node/requests/test/serviceRunners.test.ts
+++ b/src/entry/node/requests/test/serviceRunners.test.ts
@@ -1,3 +1,4 @@
+import { RingAuditTrail } from '../../../../core/audit/common/ringAuditTrail';
 import { Channel } from '../../../../base/common/channel';
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
@@ -63,6 +64,7 @@
 		},
 		timers,
 		openStartGate,
+		new RingAuditTrail(10, () => new Date(0)),
 	);
 	runners.getRunner(service);
 	updates.length = 0;
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -4,7 +4,6 @@
  * tracked here: the scheduler derives it from their answers.
  */
 
-import { connect } from 'node:net';
 import type { Stream } from 'most';
 import { Channel, subscribeTo } from '../../../base/common/channel';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
@@ -16,15 +15,14 @@
 import { findBestRanked } from '../../common/scheduling/prefixRanking';
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
+import { pickProbed } from '../../common/paths/targetPaths';
+import type { ProbeRound } from '../../common/paths/targetPaths';
+import { PortState, probePort, probePorts } from './portProbe';
 import { TargetClient } from './targetClient';
 import type { EntrySharing, ITargetRegistry, TargetSummary } from './targetDirectory';
 import { TargetIndex } from './targetIndex';
 import type { EntryLocation } from './targetRegistry';
 
-/** Kept short because a caller is waiting. A target that has not accepted by then may be slow or unreachable. */
-const connectTimeoutMs = 300;
-/** Error codes of a connection to a port that no process listens on. */
-const portClosedCodes: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
 /** Interval at which removals that were delayed by an outage of the store are checked. */
 const expiryCheckIntervalMs = 250;
 
@@ -149,7 +147,12 @@
 
 	async probeForCrash(target: TargetId): Promise<boolean> {
 		const url = this.discovery.find(target)?.target.url;
-		return url !== undefined && (await isPortClosed(new URL(url)));
+		return url !== undefined && (await probePort(new URL(url))) === PortState.Closed;
+	}
+
+	async probePaths(service: ServiceName, round: number): Promise<ProbeRound> {
+		const usable = this.index.find(service).local.filter(({ target }) => this.index.isUsable(target));
+		return probePorts(pickProbed(usable, round).map(({ target }) => new URL(target.url)));
 	}
 
 	/** Does nothing: every entry reads the registrations itself. */
@@ -197,23 +200,3 @@
 		}
 	}
 }
-
-/** Whether no process listens on the port any more. */
-async function isPortClosed({ hostname, port }: URL): Promise<boolean> {
-	return new Promise(resolve => {
-		const socket = connect({ host: hostname, port: Number(port), timeout: connectTimeoutMs });
-		const finish = (isClosed: boolean): void => {
-			socket.destroy();
-			resolve(isClosed);
-		};
-		socket.once('connect', () => {
-			finish(false);
-		});
-		socket.once('timeout', () => {
-			finish(false);
-		});
-		socket.once('error', (error: NodeJS.ErrnoException) => {
-			finish(portClosedCodes.has(error.code ?? ''));
-		});
-	});
-}
--- a/src/entry/node/targets/targetDirectory.ts
+++ b/src/entry/node/targets/targetDirectory.ts
@@ -10,6 +10,7 @@
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { EntryRoster } from '../../common/fleetView/entryRoster';
 import type { AnswerMetadata } from '../../common/dialect/targetDialect';
+import type { ProbeRound } from '../../common/paths/targetPaths';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
@@ -69,6 +70,8 @@
 	): RegionName | undefined;
 	/** Opens a new connection to the target to determine whether the target crashed. */
 	probeForCrash(target: TargetId): Promise<boolean>;
+	/** Opens new connections to some of the service's targets in this region, to others in the next round. */
+	probePaths(service: ServiceName, round: number): Promise<ProbeRound>;
 	/** Records targets that announced to other entries that they are leaving. */
 	noteLeavingReportedByPeer(targets: readonly TargetId[]): void;
 	/** Lists the targets that announced to this entry directly that they are leaving. */
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -21,10 +21,13 @@
 import { findHeader } from '../../common/callers/callHead';
 import type { AnswerMetadata } from '../../common/dialect/targetDialect';
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
+import type { ProbeRound } from '../../common/paths/targetPaths';
+import { pickProbed } from '../../common/paths/targetPaths';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
 import type { EntrySharing, ITargetRegistry, TargetSummary } from './targetDirectory';
 import { TargetClient } from './targetClient';
+import { probePorts } from './portProbe';
 import { hasCloseOption, isTargetDown, probeTarget } from './targetProbe';
 
 /** The region and availability zone of this entry. */
@@ -173,6 +176,11 @@
 	}
 
 	/** Opens a new connection to the target to determine whether the target crashed. */
+	async probePaths(service: ServiceName, round: number): Promise<ProbeRound> {
+		const targets = this.manifest?.index.listTargets(service, this.location.region) ?? [];
+		return probePorts(pickProbed(targets, round).map(({ url }) => new URL(url)));
+	}
+
 	async probeForCrash(target: TargetId): Promise<boolean> {
 		const url = this.clients.get(target)?.url;
 		return url !== undefined && (await isTargetDown(url));
