Take no lateness of the entry itself for paths that are cut

Rounds that took longer than probes wait are void, and three rounds in a row have to fail. The test failed before.

--- a/src/entry/common/paths/targetPaths.ts
+++ b/src/entry/common/paths/targetPaths.ts
@@ -44,6 +44,12 @@
 /** Time without an answer or a connection after which paths count as cut: longer than a sound target pauses. */
 const cutAfterMs = 1_500;
 
+/** Consecutive rounds in which no target was reached before paths count as cut. */
+const roundsToCut = 3;
+
+/** Longest time of a round. A longer one shows that this process was late, not that targets did not answer. */
+const maxRoundMs = 600;
+
 /** Rounds of successful probes after which cut paths are open. */
 const roundsToOpen = 2;
 
@@ -69,6 +75,7 @@
 	private lastReachedMs = Number.NEGATIVE_INFINITY;
 	private failingSinceMs: number | undefined;
 	private goodRounds = 0;
+	private failedRounds = 0;
 
 	constructor(private readonly onDidChange: (change: PathChange) => void) {}
 
@@ -90,6 +97,7 @@
 	noteTrouble(sign: string, nowMs: number): void {
 		if (this.machine.getState() === PathState.Open && nowMs - this.lastReachedMs >= quietMs) {
 			this.failingSinceMs = undefined;
+			this.failedRounds = 0;
 			this.send(PathEvent.Doubt, sign);
 		}
 	}
@@ -102,10 +110,15 @@
 			this.noteReached(probed, reached, nowMs);
 			return;
 		}
+		if (nowMs - startedMs > maxRoundMs) {
+			return;
+		}
 		this.goodRounds = 0;
+		this.failedRounds++;
 		this.failingSinceMs ??= startedMs;
 		const silentSinceMs = Math.max(this.failingSinceMs, this.lastAnswerMs);
-		if (!this.isCut() && nowMs - silentSinceMs >= cutAfterMs) {
+		const hasFailed = this.failedRounds >= roundsToCut && nowMs - silentSinceMs >= cutAfterMs;
+		if (!this.isCut() && hasFailed) {
 			const silence = Number.isFinite(this.lastAnswerMs)
 				? `last answer ${Math.round(nowMs - this.lastAnswerMs)} ms ago`
 				: 'no answer yet';
@@ -118,6 +131,7 @@
 
 	private noteReached(probed: number, reached: number, nowMs: number): void {
 		this.failingSinceMs = undefined;
+		this.failedRounds = 0;
 		this.goodRounds = reached === probed ? this.goodRounds + 1 : 0;
 		if (!this.isCut() || this.goodRounds >= roundsToOpen) {
 			this.lastReachedMs = nowMs;
--- a/src/entry/common/paths/test/targetPaths.test.ts
+++ b/src/entry/common/paths/test/targetPaths.test.ts
@@ -71,6 +71,19 @@
 		expect(changes.map(({ to }) => to)).toEqual([PathState.Doubtful, PathState.Cut, PathState.Open]);
 	});
 
+	// Guards against a process that is late or was frozen, and takes what it has not read for silence of all targets.
+	it('are not cut by rounds that took longer than probes wait, or by one round on each side of a pause', () => {
+		const { paths } = createPaths();
+		paths.noteTrouble('engine-1 is silent', 0);
+		for (let nowMs = 0; nowMs < 10_000; nowMs += 2_000) {
+			paths.noteProbes({ probed, reached: 0 }, nowMs, nowMs + 1_900);
+		}
+		expect(paths.isCut()).toBe(false);
+		paths.noteProbes({ probed, reached: 0 }, 10_000, 10_300);
+		paths.noteProbes({ probed, reached: 0 }, 15_000, 15_300);
+		expect(paths.isCut()).toBe(false);
+	});
+
 	it('say nothing while there is no target to probe', () => {
 		const { paths } = createPaths();
 		paths.noteTrouble('engine-1 is silent', 0);
