--- a/src/entry/common/fleetView/entryRoster.ts
+++ b/src/entry/common/fleetView/entryRoster.ts
@@ -20,8 +20,8 @@
 
 /**
  * Returns the index of this entry in an order of all entries that differs from target to target and is the same at each
- * entry. Entries that it does not know count as being before it, so no two entries compute the same index below the
- * number of entries that both know of. Infinite if the fleet is not known.
+ * entry. Entries that it does not know count as being before it, so the index is never below its place among all of them
+ * unless `size` is too small. Infinite if the fleet is not known.
  */
 export function computeSenderRank({ self, others, size, isKnown }: EntryRoster, target: TargetId): number {
 	if (!isKnown) {
