Log which version began a stream that goes on, and which one its target runs

The log of a send that continues a stream did not tell it from a new request, the version of a target was not read from its registration, and Resumes was not read at all, so the hypotheses of the postmortem could not be told apart.

Each send that continues a stream now says which try began it, after which event it continues, the service and version that began it, from whom that is known and how old that is, and the version and boot of the target as registered; the forward to another entry says the same without the target. explain shows these steps. Decisions do not change: over tries and over a forward the version is unknown, which the lines say.

--- a/src/core/discovery/common/discoveredTarget.ts
+++ b/src/core/discovery/common/discoveredTarget.ts
@@ -2,7 +2,14 @@
  * A target that registers itself with the platform instead of being listed in the manifest.
  */
 
-import type { BootId, RegionName, ServiceName, TargetId, ZoneName } from '../../ids/common/ids';
+import type {
+	BootId,
+	RegionName,
+	ServiceName,
+	SoftwareVersion,
+	TargetId,
+	ZoneName,
+} from '../../ids/common/ids';
 
 /** The latest registration of a target. */
 export interface DiscoveredTarget {
@@ -22,4 +29,6 @@
 	readonly coldLeftMs: number;
 	/** Identifies the start of the target's process; undefined if the registration does not include it. */
 	readonly boot: BootId | undefined;
+	/** The version of the target's software; undefined if the registration does not include it. */
+	readonly version: SoftwareVersion | undefined;
 }
--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -218,11 +218,12 @@
 /** Whether a registration repeats that of a warm target without an announced end. */
 function isRenewal(before: DiscoveredTarget, target: DiscoveredTarget): boolean {
 	const hasNoTimes = target.coldLeftMs === 0 && target.remainingMs === undefined;
-	const { service, region, zone, url, slots, isLeaving, remainingMs, boot } = before;
+	const { service, region, zone, url, slots, isLeaving, remainingMs, boot, version } = before;
 	return (
 		hasNoTimes &&
 		remainingMs === undefined &&
 		target.boot === boot &&
+		target.version === version &&
 		target.url === url &&
 		target.isLeaving === isLeaving &&
 		target.slots === slots &&
--- a/src/core/discovery/test/discovery.test.ts
+++ b/src/core/discovery/test/discovery.test.ts
@@ -1,5 +1,12 @@
 import { RingAuditTrail } from '../../audit/common/ringAuditTrail';
-import type { BootId, RegionName, ServiceName, TargetId, ZoneName } from '../../ids/common/ids';
+import type {
+	BootId,
+	RegionName,
+	ServiceName,
+	SoftwareVersion,
+	TargetId,
+	ZoneName,
+} from '../../ids/common/ids';
 import type { DiscoveredTarget } from '../common/discoveredTarget';
 import { Discovery, reregistrationGraceMs } from '../common/discovery';
 
@@ -18,6 +25,7 @@
 		remainingMs: undefined,
 		coldLeftMs: 0,
 		boot: '1' as BootId,
+		version: 'v1' as SoftwareVersion,
 		...change,
 	};
 }
--- a/src/core/ids/common/ids.ts
+++ b/src/core/ids/common/ids.ts
@@ -13,6 +13,10 @@
 /** Identifies one start of an instance. A random value, so that a restarted instance is not mistaken for the old one. */
 export type BootId = Brand<string, 'BootId'>;
 export type TargetId = Brand<string, 'TargetId'>;
+/** The version of a target's own software, not of the model weights that it serves. */
+export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
+/** Identifies a stream over its tries: the caller's request id of the try that received the first event. */
+export type StreamId = Brand<string, 'StreamId'>;
 export type OrganisationName = Brand<string, 'OrganisationName'>;
 export type ServiceName = Brand<string, 'ServiceName'>;
 export type RouteName = Brand<string, 'RouteName'>;
--- a/src/entry/common/callers/callHead.ts
+++ b/src/entry/common/callers/callHead.ts
@@ -8,7 +8,7 @@
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import { headers } from '../../../core/headers/common/headers';
-import type { OrganisationName, ServiceName } from '../../../core/ids/common/ids';
+import type { OrganisationName, ServiceName, StreamId } from '../../../core/ids/common/ids';
 import type { ManifestRoute } from '../../../core/manifest/common/routes';
 import { findRequestClass, RequestClass, requestClasses } from '../../../core/requests/common/requestClass';
 import type { PromptShape } from '../prompts/promptShape';
@@ -48,6 +48,8 @@
 	readonly prompt: PromptShape | undefined;
 	/** The id of the last event that the caller received, where it resumes a stream. */
 	readonly lastEventId: string | undefined;
+	/** The stream that the caller resumes, if it named one. */
+	readonly resumes: StreamId | undefined;
 }
 
 /** The head as read by the HTTP server, with header names in lower case. */
--- a/src/entry/node/fleet/test/requestLookups.test.ts
+++ b/src/entry/node/fleet/test/requestLookups.test.ts
@@ -13,6 +13,7 @@
 	InstanceId,
 	RegionName,
 	ServiceName,
+	SoftwareVersion,
 	TargetId,
 	ZoneName,
 } from '../../../../core/ids/common/ids';
@@ -68,6 +69,7 @@
 		remainingMs: undefined,
 		coldLeftMs: 0,
 		boot: '1' as BootId,
+		version: 'v1' as SoftwareVersion,
 	};
 }
 
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -18,6 +18,7 @@
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestRequestSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
+import { describeContinuation } from '../../common/streams/streamOrigin';
 import type { RequestRun } from '../requests/requestRun';
 import type { PeerConnection } from './peerClients';
 
@@ -92,7 +93,10 @@
 	/** Forwards the request and passes the answer on; never rejects. */
 	async forward(): Promise<ForwardEnd> {
 		this.run.lifecycle.send(RequestEvent.SendAway);
-		this.run.note(JournalStep.SentAway, `to ${this.route.to}: ${this.route.reason}`);
+		const continuation = this.run.findContinuation();
+		const continued =
+			continuation === undefined ? '' : `, ${describeContinuation(continuation, this.timers.getNow())}`;
+		this.run.note(JournalStep.SentAway, `to ${this.route.to}: ${this.route.reason}${continued}`);
 		const state = await this.openConnection();
 		if (this.run.hasEnded()) {
 			return this.createEnd(ForwardEndKind.Abandoned, undefined);
@@ -182,11 +186,9 @@
 		if (!this.run.call.isDeadlineGiven) {
 			this.deadlineTimer?.dispose();
 		}
-		this.run.begin({
-			status: head.status,
-			lines: head.headers.map(({ name, value }) => ({ name, value })),
-			endsWithConnection: head.endsWithConnection,
-		});
+		const lines = head.headers.map(({ name, value }) => ({ name, value }));
+		const { status, endsWithConnection } = head;
+		this.run.begin({ status, lines, endsWithConnection }, () => undefined);
 	}
 
 	private async writeChunk(chunk: Uint8Array): Promise<void> {
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -15,6 +15,8 @@
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import { AnswerPace } from '../../common/streams/answerPace';
+import type { KnownOrigin, TargetSoftware } from '../../common/streams/streamOrigin';
+import { ownSource } from '../../common/streams/streamOrigin';
 import type { IAttempt, IAttemptObserver, ITargetClient } from '../targets/targetClient';
 import type { RequestRun } from './requestRun';
 
@@ -22,6 +24,8 @@
 export interface AttemptOptions extends Pick<SentAttempt, 'fetchAddress'> {
 	/** Estimated time to the first byte when the attempt was started, in milliseconds, if known. */
 	readonly expectedFirstByteMs?: number | undefined;
+	/** The software of the target according to its registration. */
+	readonly software: TargetSoftware | undefined;
 }
 
 /** Receives what an attempt observes about its target, and how it ended. */
@@ -194,7 +198,8 @@
 		this.pace.recordHead(this.timers.getNow());
 		this.owner.noteFirstByte(this);
 		const { status, endsWithConnection = false } = head;
-		this.run.begin({ status, lines: this.dialect.listAnswerLines(head), endsWithConnection });
+		const origin = this.createOrigin();
+		this.run.begin({ status, lines: this.dialect.listAnswerLines(head), endsWithConnection }, () => origin);
 		this.silenceTimer?.dispose();
 		this.watchSilence(this.getLimits().idleMs);
 		if (!this.run.call.isDeadlineGiven) {
@@ -202,6 +207,12 @@
 		}
 	}
 
+	private createOrigin(): KnownOrigin | undefined {
+		const { service } = this.run.call.head;
+		const version = this.options.software?.version;
+		return version && { service, version, source: ownSource, learnedMs: this.timers.getNow() };
+	}
+
 	/** Pauses reading until the caller catches up. Meanwhile the target is not expected to send anything. */
 	private pauseForCaller(): void {
 		this.isPaused = true;
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -9,7 +9,7 @@
 import { Outcome } from '../../../core/errors/common/outcome';
 import type { IRequestJournal } from '../../../core/explain/common/requestJournal';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
-import type { InstanceId, RegionName, RequestId } from '../../../core/ids/common/ids';
+import type { InstanceId, RegionName, RequestId, StreamId } from '../../../core/ids/common/ids';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead } from '../../common/callers/callHead';
@@ -18,6 +18,7 @@
 import type { CallPlan } from '../../common/placement/callPlan';
 import { RequestEvent, RequestLifecycle } from '../../common/requests/requestLifecycle';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
+import type { Continuation, KnownOrigin } from '../../common/streams/streamOrigin';
 import { EventStreamSplitter } from '../../common/streams/eventStreamSplitter';
 
 /** The entry that forwarded a request to this one. */
@@ -41,6 +42,9 @@
 	readonly startByMs?: number;
 }
 
+/** Returns the origin of a stream, or undefined if it is not known. */
+export type FindOrigin = () => KnownOrigin | undefined;
+
 /** How a request ended, for the metrics. */
 export interface RequestEnd {
 	readonly outcome: Outcome;
@@ -70,6 +74,7 @@
 	private isOver = false;
 	private abandonHandler: (() => void) | undefined;
 	private events: EventStreamSplitter | undefined;
+	private findOrigin: FindOrigin | undefined;
 
 	constructor(
 		readonly call: AcceptedCall,
@@ -116,9 +121,16 @@
 		this.observer.noteAttemptEnd(this, end);
 	}
 
-	/** Forwards the head of the answer. If another target resumes the answer, the caller already has the head. */
-	begin(head: AnswerHead): void {
+	/**
+	 * Forwards the head of the answer. If another target resumes the answer, the caller already has the head.
+	 *
+	 * @param findOrigin Returns the origin of a stream whose first event this answer contains.
+	 */
+	begin(head: AnswerHead, findOrigin: FindOrigin): void {
 		this.lifecycle.send(RequestEvent.FirstByte);
+		if (this.getLastEventId() === undefined) {
+			this.findOrigin = findOrigin;
+		}
 		if (this.hasBegun()) {
 			this.note(JournalStep.FirstByte, `resumed after event ${this.getLastEventId() ?? 'none'}`);
 			return;
@@ -134,6 +146,17 @@
 		return this.events?.getLastEventId() ?? this.call.head.routed?.lastEventId;
 	}
 
+	/** Returns how the stream has to go on, or undefined if its caller has received no event yet. */
+	findContinuation(): Continuation | undefined {
+		const afterEvent = this.getLastEventId();
+		const { routed } = this.call.head;
+		if (afterEvent === undefined || routed === undefined) {
+			return undefined;
+		}
+		const stream = routed.resumes ?? (routed.callerRequestId as StreamId);
+		return { stream, afterEvent, origin: this.findOrigin?.() };
+	}
+
 	/** Discards an incomplete event after an answer was interrupted, so that the caller has only complete events. */
 	markInterrupted(): void {
 		this.events?.clearRemainder();
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -24,6 +24,8 @@
 	TargetRoom,
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
+import type { TargetSoftware } from '../../common/streams/streamOrigin';
+import { describeContinuation, describeSoftware } from '../../common/streams/streamOrigin';
 import type { ITargetDirectory } from '../targets/targetDirectory';
 import { endUnanswered, sendRetryEvent } from './attemptEnds';
 import type { IAttemptOwner } from './attemptRun';
@@ -345,7 +347,8 @@
 		}
 		const client = this.targets.findClient(decision.target);
 		state.attempts++;
-		state.run.note(JournalStep.Started, `${decision.target}: ${decision.reason}`);
+		const software = this.targets.findSoftware(decision.target);
+		state.run.note(JournalStep.Started, this.describeStart(state.run, decision, software));
 		if (client === undefined) {
 			this.endForRemovedTarget(state, decision.target);
 			return;
@@ -357,6 +360,7 @@
 			{
 				fetchAddress: this.findAddress(decision.fetchFrom),
 				expectedFirstByteMs: decision.expectedFirstByteMs,
+				software,
 			},
 			client,
 			this.dialect,
@@ -368,6 +372,19 @@
 		attempt.start();
 	}
 
+	private describeStart(
+		run: RequestRun,
+		{ target, reason }: StartDecision,
+		software: TargetSoftware | undefined,
+	): string {
+		const continuation = run.findContinuation();
+		if (continuation === undefined) {
+			return `${target}: ${reason}`;
+		}
+		const described = describeContinuation(continuation, this.timers.getNow());
+		return `${target}: ${reason}, ${described}, ${describeSoftware(software ?? unknownSoftware)}`;
+	}
+
 	private findAddress(target: TargetId | undefined): string | undefined {
 		return target === undefined ? undefined : this.targets.findAddress(target);
 	}
@@ -393,6 +410,8 @@
 	}
 }
 
+const unknownSoftware: TargetSoftware = { version: undefined, boot: undefined };
+
 /** Suggested to callers as the retry delay while no target is reached: the time in which the paths are probed twice. */
 const unreachedRetryAfterMs = 1_000;
 
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -188,6 +188,7 @@
 	const directory = {
 		findClient: (id: TargetId) => clients.get(id),
 		findAddress: () => undefined,
+		findSoftware: () => undefined,
 		noteAnswerHead: () => undefined,
 		noteAttemptEnd: () => undefined,
 	};
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -14,6 +14,7 @@
 import { computeSenderRank } from '../../common/fleetView/entryRoster';
 import { findBestRanked } from '../../common/scheduling/prefixRanking';
 import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
+import type { TargetSoftware } from '../../common/streams/streamOrigin';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
 import { pickProbed } from '../../common/paths/targetPaths';
 import type { ProbeRound } from '../../common/paths/targetPaths';
@@ -117,6 +118,10 @@
 		return url === undefined ? undefined : new URL(url).host;
 	}
 
+	findSoftware(target: TargetId): TargetSoftware | undefined {
+		return this.discovery.find(target)?.target;
+	}
+
 	noteAnswerHead(): void {
 		return;
 	}
--- a/src/entry/node/targets/targetDirectory.ts
+++ b/src/entry/node/targets/targetDirectory.ts
@@ -9,6 +9,7 @@
 import type { ManifestService } from '../../../core/manifest/common/manifest';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { EntryRoster } from '../../common/fleetView/entryRoster';
+import type { TargetSoftware } from '../../common/streams/streamOrigin';
 import type { AnswerMetadata } from '../../common/dialect/targetDialect';
 import type { ProbeRound } from '../../common/paths/targetPaths';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
@@ -22,6 +23,8 @@
 	findClient(target: TargetId): ITargetClient | undefined;
 	/** The host and port of a target. */
 	findAddress(target: TargetId): string | undefined;
+	/** The software that a target runs; undefined if the target does not register it. */
+	findSoftware(target: TargetId): TargetSoftware | undefined;
 	/** Records the head of an answer, which may announce that the target is shutting down (leaving). */
 	noteAnswerHead(target: TargetId, head: AnswerHead, reading: AnswerMetadata): void;
 	/** Records how an attempt ended. Failed connections count against the target. */
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -151,6 +151,11 @@
 		return this.clients.get(target)?.client;
 	}
 
+	/** Returns undefined: the manifest doesn't describe the software of its targets. */
+	findSoftware(): undefined {
+		return undefined;
+	}
+
 	findAddress(target: TargetId): string | undefined {
 		const url = this.clients.get(target)?.url;
 		return url === undefined ? undefined : new URL(url).host;
--- a/src/entry/node/test/coldTargetFleet.ts
+++ b/src/entry/node/test/coldTargetFleet.ts
@@ -12,7 +12,14 @@
 import { RingAuditTrail } from '../../../core/audit/common/ringAuditTrail';
 import type { DiscoveredTarget } from '../../../core/discovery/common/discoveredTarget';
 import { Discovery } from '../../../core/discovery/common/discovery';
-import type { BootId, InstanceId, RequestId, ServiceName, TargetId } from '../../../core/ids/common/ids';
+import type {
+	BootId,
+	InstanceId,
+	RequestId,
+	ServiceName,
+	SoftwareVersion,
+	TargetId,
+} from '../../../core/ids/common/ids';
 import type { ManifestService } from '../../../core/manifest/common/manifest';
 import type { EntryView as WireView } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
@@ -345,5 +352,6 @@
 		remainingMs: undefined,
 		coldLeftMs,
 		boot: `boot-of-${id}` as BootId,
+		version: 'v1' as SoftwareVersion,
 	};
 }
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -19,6 +19,7 @@
 	RegionName,
 	RequestId,
 	ServiceName,
+	SoftwareVersion,
 	TargetId,
 	ZoneName,
 } from '../../../core/ids/common/ids';
@@ -404,6 +405,7 @@
 				remainingMs: undefined,
 				coldLeftMs: 0,
 				boot: '1' as BootId,
+				version: 'v1' as SoftwareVersion,
 			})),
 		);
 		discovery.applyRegistrations({ registered, removed: [], isAfterOutage: false }, 0);
