--- /dev/null
+++ b/src/entry/node/peers/forwardedCall.ts
@@ -0,0 +1,83 @@
+/**
+ * Decodes the head of a request that another entry forwarded, and creates the call that is served here.
+ */
+
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { RequestError } from '../../../core/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
+import type {
+	InstanceId,
+	OrganisationName,
+	RegionName,
+	RequestId,
+	ServiceName,
+} from '../../../core/ids/common/ids';
+import { findRequestClass } from '../../../core/requests/common/requestClass';
+import type { ForwardHead } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { CallHead, RawHead } from '../../common/callers/callHead';
+import { listForwardedLines } from '../../common/callers/callHead';
+import type { ReadTime } from '../../common/intake/arrivalTime';
+import { estimateArrivalMs } from '../../common/intake/arrivalTime';
+import type { CallPlan } from '../../common/placement/callPlan';
+import type { AcceptedCall } from '../requests/requestRun';
+
+/** Parses a head like one that a caller sent to this entry directly. */
+export type ReadRoutedHead = (raw: RawHead) => Result<CallHead, RequestError>;
+
+/** Parses a forwarded head. A call that is routed by host and path is routed by this entry's own manifest. */
+export function readForwardedHead(
+	message: ForwardHead,
+	readRoutedHead: ReadRoutedHead,
+): Result<CallHead, RequestError> {
+	if (message.host === '') {
+		return readNamedHead(message);
+	}
+	const { method, path: url } = message;
+	const lines = [...message.headers, { name: 'host', value: message.host }];
+	return readRoutedHead({ method, url, lines }).map(head => {
+		const lastEventId = message.lastEventId === '' ? undefined : message.lastEventId;
+		const routed = head.routed && { ...head.routed, lastEventId };
+		return { ...head, deadlineMs: message.remainingMs, ...(routed === undefined ? {} : { routed }) };
+	});
+}
+
+function readNamedHead(message: ForwardHead): Result<CallHead, RequestError> {
+	const requestClass = findRequestClass(message.requestClass);
+	if (requestClass === undefined) {
+		return err(createRequestError(ErrorKind.MalformedClass, message.requestClass));
+	}
+	return ok({
+		service: message.service as ServiceName,
+		organisation: message.organisation as OrganisationName,
+		requestClass,
+		method: message.method,
+		path: message.path,
+		deadlineMs: message.remainingMs,
+		prefixKey: message.prefixKey === '' ? undefined : message.prefixKey,
+		ticket: message.ticket === '' ? undefined : message.ticket,
+		forwardedLines: listForwardedLines(message.headers),
+	});
+}
+
+/** Creates the call of a forwarded request whose body is complete. */
+export function createForwardedCall(
+	message: ForwardHead,
+	head: CallHead,
+	plan: CallPlan,
+	body: Uint8Array,
+	readTime: ReadTime,
+): AcceptedCall {
+	const arrivedMs = estimateArrivalMs(readTime, message.remainingMs);
+	return {
+		id: message.requestId as RequestId,
+		head,
+		plan,
+		body,
+		arrivedMs,
+		deadlineMs: arrivedMs + message.remainingMs,
+		isDeadlineGiven: message.isDeadlineGiven,
+		...(message.startWithinMs === undefined ? {} : { startByMs: arrivedMs + message.startWithinMs }),
+		origin: { instance: message.fromInstance as InstanceId, region: message.fromRegion as RegionName },
+	};
+}
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -16,14 +16,7 @@
 import { listenOn } from '../../../base/node/listenOn';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
-import type {
-	InstanceId,
-	OrganisationName,
-	RegionName,
-	RequestId,
-	ServiceName,
-} from '../../../core/ids/common/ids';
-import { findRequestClass } from '../../../core/requests/common/requestClass';
+import type { RegionName } from '../../../core/ids/common/ids';
 import type { ListenAddress } from '../../../core/settings/common/settingsTypes';
 import type { CertificateStore } from '../../../core/tls/node/certificateStore';
 import { createPeerServerOptions, subscribeToRenewals } from '../../../core/tls/node/secureOptions';
@@ -42,7 +35,6 @@
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead, RawHead } from '../../common/callers/callHead';
-import { listForwardedLines } from '../../common/callers/callHead';
 import { estimateArrivalMs } from '../../common/intake/arrivalTime';
 import type { ReadTime } from '../../common/intake/arrivalTime';
 import type { ILoopLag } from '../../common/intake/loopLagGate';
@@ -50,6 +42,7 @@
 import type { CallPlan, ForwardOrigin } from '../../common/placement/callPlan';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
+import { createForwardedCall, readForwardedHead } from './forwardedCall';
 import { SessionDrainer } from './sessionDrainer';
 import { setSessionWindow, windowSettings } from './flowWindows';
 import { LingeringSockets } from './lingeringSockets';
@@ -177,7 +170,7 @@
 		}
 		const message = first.value.part.value;
 		await this.handler.findHold();
-		const head = this.readHead(message);
+		const head = readForwardedHead(message, raw => this.handler.readHead(raw));
 		const from = { hops: message.hops, region: message.fromRegion as RegionName };
 		const plan = head.andThen(parsed => this.handler.planForwarded(parsed, from));
 		if (head.isErr() || plan.isErr()) {
@@ -195,20 +188,6 @@
 			.mapErr(error => this.createReportedError(message, error));
 	}
 
-	/** Parses a call that is routed by host and path with this entry's own manifest. */
-	private readHead(message: ForwardHead): Result<CallHead, RequestError> {
-		if (message.host === '') {
-			return readForwardHead(message);
-		}
-		const { method, path: url } = message;
-		const lines = [...message.headers, { name: 'host', value: message.host }];
-		return this.handler.readHead({ method, url, lines }).map(head => {
-			const lastEventId = message.lastEventId === '' ? undefined : message.lastEventId;
-			const routed = head.routed && { ...head.routed, lastEventId };
-			return { ...head, deadlineMs: message.remainingMs, ...(routed === undefined ? {} : { routed }) };
-		});
-	}
-
 	private createReportedError(message: ForwardHead, error: RequestError): RequestError {
 		return message.ticket === '' ? error : this.handler.refuseTicketedCall(message.ticket, error);
 	}
@@ -235,42 +214,3 @@
 		return ok(Buffer.concat(chunks));
 	}
 }
-
-function readForwardHead(message: ForwardHead): Result<CallHead, RequestError> {
-	const requestClass = findRequestClass(message.requestClass);
-	if (requestClass === undefined) {
-		return err(createRequestError(ErrorKind.MalformedClass, message.requestClass));
-	}
-	return ok({
-		service: message.service as ServiceName,
-		organisation: message.organisation as OrganisationName,
-		requestClass,
-		method: message.method,
-		path: message.path,
-		deadlineMs: message.remainingMs,
-		prefixKey: message.prefixKey === '' ? undefined : message.prefixKey,
-		ticket: message.ticket === '' ? undefined : message.ticket,
-		forwardedLines: listForwardedLines(message.headers),
-	});
-}
-
-function createForwardedCall(
-	message: ForwardHead,
-	head: CallHead,
-	plan: CallPlan,
-	body: Uint8Array,
-	readTime: ReadTime,
-): AcceptedCall {
-	const arrivedMs = estimateArrivalMs(readTime, message.remainingMs);
-	return {
-		id: message.requestId as RequestId,
-		head,
-		plan,
-		body,
-		arrivedMs,
-		deadlineMs: arrivedMs + message.remainingMs,
-		isDeadlineGiven: message.isDeadlineGiven,
-		...(message.startWithinMs === undefined ? {} : { startByMs: arrivedMs + message.startWithinMs }),
-		origin: { instance: message.fromInstance as InstanceId, region: message.fromRegion as RegionName },
-	};
-}
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -19,6 +19,7 @@
 import { pickProbed } from '../../common/paths/targetPaths';
 import type { ProbeRound } from '../../common/paths/targetPaths';
 import { PortState, probePort, probePorts } from './portProbe';
+import type { IOwnedTargetClient } from './targetClient';
 import { TargetClient } from './targetClient';
 import type { EntrySharing, ITargetRegistry, TargetSummary } from './targetDirectory';
 import { TargetIndex } from './targetIndex';
@@ -27,8 +28,11 @@
 /** Interval at which removals that were delayed by an outage of the store are checked. */
 const expiryCheckIntervalMs = 250;
 
+/** Creates the client of the target at a URL. */
+export type CreateTargetClient = (url: string) => IOwnedTargetClient;
+
 interface OpenClient {
-	readonly client: TargetClient;
+	readonly client: IOwnedTargetClient;
 	/** The start of the target process that the connections belong to. */
 	readonly generation: number;
 }
@@ -46,6 +50,7 @@
 		private readonly location: EntryLocation,
 		private readonly discovery: Discovery,
 		private readonly timers: ITimerService,
+		private readonly createClient: CreateTargetClient = url => new TargetClient(url),
 	) {
 		super();
 		this.index = new TargetIndex(location.region, discovery);
@@ -109,7 +114,7 @@
 		}));
 	}
 
-	findClient(target: TargetId): TargetClient | undefined {
+	findClient(target: TargetId): IOwnedTargetClient | undefined {
 		return this.clients.get(target)?.client;
 	}
 
@@ -183,8 +188,8 @@
 	 * Connections belong to one start of the target process, so a restarted target gets a new client. Returns those that
 	 * are to be closed, once the schedulers have the new targets: the attempts that they fail are scheduled again.
 	 */
-	private updateClients(): readonly TargetClient[] {
-		const outdated: TargetClient[] = [];
+	private updateClients(): readonly IOwnedTargetClient[] {
+		const outdated: IOwnedTargetClient[] = [];
 		for (const [id, { client, generation }] of [...this.clients]) {
 			if (this.discovery.find(id)?.generation !== generation) {
 				this.clients.delete(id);
@@ -193,7 +198,7 @@
 		}
 		for (const { target, generation } of this.discovery.list()) {
 			if (target.region === this.location.region && !this.clients.has(target.id)) {
-				this.clients.set(target.id, { client: new TargetClient(target.url), generation });
+				this.clients.set(target.id, { client: this.createClient(target.url), generation });
 			}
 		}
 		return outdated;
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -56,8 +56,14 @@
 	renewConnections(): void;
 }
 
+/** A client whose connections are closed when its target is no longer in use. */
+export interface IOwnedTargetClient extends ITargetClient {
+	/** Lets running attempts finish, and fails those that wait for a connection. */
+	close(): Promise<void>;
+}
+
 /** A connection pool for one target. */
-export class TargetClient implements ITargetClient {
+export class TargetClient implements IOwnedTargetClient {
 	private pool: Pool;
 	/** Attempts that no connection has taken yet. */
 	private readonly waiting = new Set<Attempt>();
