--- a/src/capacity/common/syntheticView.ts
+++ b/src/capacity/common/syntheticView.ts
@@ -46,5 +46,6 @@
 		crashSightings: [],
 		regionSizes: [],
 		cutServices: [],
+		keepsStreamOrigins: true,
 	};
 }
--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -103,6 +103,8 @@
 			},
 			findHold: () => undefined,
 			receiveCrashReport: () => undefined,
+			keepStreamOrigins: () => undefined,
+			findStreamOrigin: () => undefined,
 			describeManifest: () => create(FetchManifestResponseSchema, {}),
 			planForwarded: () => err(createRequestError(ErrorKind.Leaving, 'fake peers do not accept requests')),
 			refuseTicketedCall: (_, error) => error,
--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -17,7 +17,7 @@
 import { Disposable } from '../../../base/common/lifecycle';
 import type { IAuditTrail } from '../../audit/common/auditTrail';
 import { AuditKind } from '../../audit/common/auditTrail';
-import type { BootId, TargetId, ZoneName } from '../../ids/common/ids';
+import type { BootId, ServiceName, SoftwareVersion, TargetId, ZoneName } from '../../ids/common/ids';
 import type { DiscoveredTarget } from './discoveredTarget';
 
 /** Registrations that were written or removed since the previous read. */
@@ -36,10 +36,33 @@
 	readonly coldUntilMs: number;
 	/** When the target will stop, in monotonic milliseconds; infinite if no end was announced. */
 	readonly endsMs: number;
-	/** Incremented when the target registers for the first time or with another boot or URL. */
+	/** Incremented when the target registers for the first time or with another boot, version or URL. */
 	readonly generation: number;
 }
 
+/** Follows the registrations in the store. */
+export interface IRegistrationSource {
+	/** The registrations are known as they were at this time, in monotonic milliseconds. */
+	getCurrentAsOfMs(): number | undefined;
+	isReached(): boolean;
+}
+
+/** Up to when the store has confirmed a registration. */
+export interface RegistrationConfirmation {
+	readonly asOfMs: number;
+	/** Whether the store answers at present. */
+	readonly isReached: boolean;
+}
+
+interface PastVersion {
+	readonly service: ServiceName;
+	readonly version: SoftwareVersion | undefined;
+	readonly untilMs: number;
+}
+
+/** How long versions that are no longer registered are kept, in milliseconds. */
+const pastVersionRetentionMs = 60_000;
+
 /** How long an expired registration may take to be written again after an outage of the store, in milliseconds. */
 export const reregistrationGraceMs = 2_200;
 
@@ -52,6 +75,11 @@
 	private readonly pendingRemovals = new Map<TargetId, number>();
 	/** Boots of removed targets, to recognise their outdated registrations after a restore of the store. */
 	private readonly removedBoots = new LRUCache<TargetId, BootId>({ max: maxRemovedBoots });
+	private source: IRegistrationSource | undefined;
+	private firstReadMs = Number.POSITIVE_INFINITY;
+	private restoredMs = Number.NEGATIVE_INFINITY;
+	/** Versions of registrations that were replaced or removed. */
+	private pastVersions: PastVersion[] = [];
 	private evacuated: ReadonlySet<ZoneName> = new Set();
 	private hasRead = false;
 	private hasChanged = false;
@@ -77,6 +105,39 @@
 		return this.known.get(id);
 	}
 
+	/** Sets how the registrations follow the store. Without this, no registration counts as confirmed. */
+	setSource(source: IRegistrationSource): void {
+		this.source = source;
+	}
+
+	/**
+	 * Returns the time up to which the store has confirmed a registration, or undefined if it has not: the target is missing there, or the
+	 * registration was read from an older copy of the store and not written again.
+	 */
+	findConfirmation(id: TargetId): RegistrationConfirmation | undefined {
+		const asOfMs = this.source?.getCurrentAsOfMs();
+		if (asOfMs === undefined || this.pendingRemovals.has(id) || !this.known.has(id)) {
+			return undefined;
+		}
+		const isReached = this.source?.isReached() === true;
+		return asOfMs < this.restoredMs + reregistrationGraceMs ? undefined : { asOfMs, isReached };
+	}
+
+	/**
+	 * Returns the version of a service's targets if the store has shown no other one for `spanMs`, and undefined if it has, or if
+	 * the registrations have not been followed for so long.
+	 */
+	findOnlyVersion(service: ServiceName, spanMs: number, nowMs: number): SoftwareVersion | undefined {
+		const isFollowed = nowMs - this.firstReadMs >= spanMs && this.source?.isReached() === true;
+		const present = this.list()
+			.filter(({ target }) => target.service === service)
+			.map(({ target }) => target.version);
+		const past = this.pastVersions.filter(seen => seen.service === service && nowMs - seen.untilMs < spanMs);
+		const versions = new Set([...present, ...past.map(({ version }) => version)]);
+		const [only] = versions;
+		return isFollowed && versions.size === 1 ? only : undefined;
+	}
+
 	isEvacuated(zone: ZoneName): boolean {
 		return this.evacuated.has(zone);
 	}
@@ -84,6 +145,10 @@
 	applyRegistrations(change: RegistrationChange, nowMs: number): void {
 		this.hasChanged ||= !this.hasRead;
 		this.hasRead = true;
+		this.firstReadMs = Math.min(this.firstReadMs, nowMs);
+		if (change.isRestored === true) {
+			this.restoredMs = nowMs;
+		}
 		for (const target of change.registered) {
 			if (change.isRestored === true) {
 				this.putRestoredTarget(target, nowMs);
@@ -122,7 +187,7 @@
 	expire(nowMs: number): void {
 		const due = [...this.pendingRemovals].filter(([, dueMs]) => dueMs <= nowMs);
 		for (const [id] of due) {
-			this.remove(id, 'not registered again after an outage of the store');
+			this.remove(id, 'not registered again after an outage of the store', nowMs);
 		}
 		this.emitChange();
 	}
@@ -148,12 +213,18 @@
 		const { id } = target;
 		const before = this.known.get(id);
 		const isNewBoot =
-			before === undefined || before.target.boot !== target.boot || before.target.url !== target.url;
+			before === undefined ||
+			before.target.boot !== target.boot ||
+			before.target.version !== target.version ||
+			before.target.url !== target.url;
 		this.pendingRemovals.delete(id);
 		if (before !== undefined && nowMs >= before.coldUntilMs && isRenewal(before.target, target)) {
 			return;
 		}
 		this.hasChanged = true;
+		if (before !== undefined && isNewBoot) {
+			this.recordPastVersion(before.target, nowMs);
+		}
 		this.known.set(id, {
 			target,
 			coldUntilMs: nowMs + target.coldLeftMs,
@@ -173,7 +244,7 @@
 			return;
 		}
 		if (!isAfterOutage || known.target.isLeaving) {
-			this.remove(id, 'registration removed');
+			this.remove(id, 'registration removed', nowMs);
 			return;
 		}
 		this.pendingRemovals.set(id, nowMs + reregistrationGraceMs);
@@ -185,13 +256,14 @@
 		);
 	}
 
-	private remove(id: TargetId, sign: string): void {
+	private remove(id: TargetId, sign: string, nowMs: number): void {
 		const known = this.known.get(id);
 		this.pendingRemovals.delete(id);
 		if (known !== undefined) {
 			this.hasChanged = true;
 			this.known.delete(id);
 			this.recordRemovedBoot(known.target);
+			this.recordPastVersion(known.target, nowMs);
 			this.record(id, describeState(known.target), 'gone', sign);
 		}
 	}
@@ -202,6 +274,11 @@
 		}
 	}
 
+	private recordPastVersion({ service, version }: DiscoveredTarget, nowMs: number): void {
+		this.pastVersions = this.pastVersions.filter(({ untilMs }) => nowMs - untilMs < pastVersionRetentionMs);
+		this.pastVersions.push({ service, version, untilMs: nowMs });
+	}
+
 	private setZoneCold(zone: ZoneName, coldUntilMs: number): void {
 		for (const [id, known] of this.known) {
 			if (known.target.zone === zone) {
--- a/src/core/errors/common/errorKinds.ts
+++ b/src/core/errors/common/errorKinds.ts
@@ -27,6 +27,8 @@
 	TicketIssuerGone = 'ticket-issuer-gone',
 	NoManifest = 'no-manifest',
 	NoTarget = 'no-target',
+	StreamUnknown = 'stream-unknown',
+	VersionNotServed = 'version-not-served',
 	Leaving = 'leaving',
 	EntryFull = 'entry-full',
 	OrganisationOverShare = 'organisation-over-share',
@@ -138,6 +140,18 @@
 	),
 	[ErrorKind.NoManifest]: createAnswer(503, NotRun, true, 'This entry has no manifest yet.'),
 	[ErrorKind.NoTarget]: createAnswer(503, NotRun, true, 'No target of the service is in use.'),
+	[ErrorKind.StreamUnknown]: createAnswer(
+		503,
+		NotRun,
+		true,
+		'The software version that began this stream is not known; send the request again from its start.',
+	),
+	[ErrorKind.VersionNotServed]: createAnswer(
+		503,
+		NotRun,
+		true,
+		'No target in use runs the software version that began this stream.',
+	),
 	[ErrorKind.Leaving]: createAnswer(
 		503,
 		NotRun,
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -101,6 +101,10 @@
 	/** Number of restores detected; if it changes, a listing is restarted and a failed read is repeated without a pause. */
 	private restoreCount = 0;
 	private lastAnswerMs: number | undefined;
+	/** The items are known as they were at this time. */
+	private currentAsOfMs: number | undefined;
+	/** The time of the state that the answer of the last call describes. */
+	private answerAsOfMs = 0;
 	private unreachableSinceMs: number | undefined;
 	private recoveredMs = Number.NEGATIVE_INFINITY;
 
@@ -139,6 +143,16 @@
 		return this.lastAnswerMs === undefined ? undefined : this.timers.getNow() - this.lastAnswerMs;
 	}
 
+	/** The items are known as they were at this time, in monotonic milliseconds; undefined before the first answer. */
+	getCurrentAsOfMs(): number | undefined {
+		return this.currentAsOfMs;
+	}
+
+	/** Whether the latest call was answered. */
+	isReached(): boolean {
+		return this.lastAnswerMs !== undefined && this.unreachableSinceMs === undefined;
+	}
+
 	/**
 	 * Aborts the current call and asks the store for the present state without waiting. Resolves when that read has
 	 * succeeded or failed. Used after the process was suspended, when the connection of the current call may be dead.
@@ -193,6 +207,7 @@
 				isAfterOutage: nowMs - this.recoveredMs < recoveryGraceMs,
 			});
 		}
+		this.currentAsOfMs = this.answerAsOfMs;
 	}
 
 	private async watchOnce(): Promise<Result<MirrorChange, StoreError>> {
@@ -209,6 +224,8 @@
 			return this.listAll();
 		}
 		const isEmpty = result.isOk() && result.value.changes.length === 0;
+		// The store ends a watch without changes once it has waited for them.
+		this.answerAsOfMs = startedMs + (isEmpty ? Math.min(waitMs, this.timers.getNow() - startedMs) : 0);
 		if (isEmpty && waitMs > 0 && this.timers.getNow() - startedMs < minPauseMs) {
 			// Prevents a tight loop if the store ends watches without waiting.
 			await waitFor(this.timers, minPauseMs, this.abort.signal);
@@ -219,6 +236,7 @@
 	private async listAll(): Promise<Result<MirrorChange, StoreError>> {
 		const items: StoreItem[] = [];
 		const { restoreCount } = this;
+		this.answerAsOfMs = this.timers.getNow();
 		let revision: number | undefined;
 		for (;;) {
 			const afterKey = items.at(-1)?.key;
--- a/src/entry/common/callers/answerSink.ts
+++ b/src/entry/common/callers/answerSink.ts
@@ -5,6 +5,7 @@
  */
 
 import type { RequestError } from '../../../core/errors/common/errorKinds';
+import type { StreamOrigin } from '../streams/streamOrigin';
 import type { HeaderLine } from './callHead';
 
 /** Status and headers of an answer. */
@@ -32,6 +33,8 @@
 	cut(): void;
 	/** Answers with an error. Allowed only before `begin`. */
 	refuse(error: RequestError): void;
+	/** Receives the origin of a stream once it is certain, where the reader has to know it. */
+	noteOrigin?(origin: StreamOrigin): void;
 	/** Calls back once if the reader disconnects before the end of the answer. */
 	watchAbandoned(notify: () => void): void;
 }
--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -54,6 +54,8 @@
 	readonly regionSizes: readonly RegionSize[];
 	/** Services of which the entry reaches no target. */
 	readonly cutServices: readonly ServiceName[];
+	/** Whether the entry knows origins of streams, unlike entries of earlier releases. */
+	readonly keepsStreamOrigins: boolean;
 }
 
 /** Returns the capacity that a view reports for a service. */
@@ -62,7 +64,7 @@
 }
 
 /** Encoded bytes of a view apart from its texts: tags, lengths and numbers. */
-const fixedBytes = 40;
+const fixedBytes = 43;
 const roomBytes = 14;
 const sightingBytes = 10;
 const sizeBytes = 6;
--- a/src/entry/common/fleetView/test/views.ts
+++ b/src/entry/common/fleetView/test/views.ts
@@ -31,6 +31,7 @@
 		crashSightings: [],
 		regionSizes: [],
 		cutServices: [],
+		keepsStreamOrigins: true,
 		...more,
 	};
 }
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -5,9 +5,16 @@
  * current time and carry out the decisions.
  */
 
-import type { OrganisationName, RequestId, TargetId, ZoneName } from '../../../core/ids/common/ids';
+import type {
+	OrganisationName,
+	RequestId,
+	SoftwareVersion,
+	TargetId,
+	ZoneName,
+} from '../../../core/ids/common/ids';
 import type { RequestClass } from '../../../core/requests/common/requestClass';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
+import type { VersionRequirement } from './versionMatch';
 import type { PromptShape } from '../prompts/promptShape';
 
 /** A request as given to the scheduler. Times are monotonic milliseconds of this process. */
@@ -31,6 +38,11 @@
 	 * the next crash implicates only one of them. Called each time a target is chosen. Defaults to false.
 	 */
 	readonly isKeptApart?: () => boolean;
+	/**
+	 * Returns the software version that a stream requires which has events, and undefined for a request that may run at any. Called
+	 * each time a target is chosen, because a stream gets its first event while the request runs.
+	 */
+	readonly findRequiredVersion?: () => VersionRequirement | undefined;
 	/** Work and time aim of the request, for schedulers that use them. */
 	readonly work?: RequestWork;
 }
@@ -85,6 +97,10 @@
 	readonly endsMs: number;
 	/** Capacity of the prompt cache in tokens, or 0 without a cache. */
 	readonly cacheTokens: number;
+	/** The version of the target's software, if the registration includes it. */
+	readonly version?: SoftwareVersion | undefined;
+	/** Returns the version of the process that runs at the target now, or undefined if that is not certain. */
+	readonly findCertainVersion?: () => SoftwareVersion | undefined;
 }
 
 /** The load that a target reported. */
--- /dev/null
+++ b/src/entry/common/streams/processContinuity.ts
@@ -0,0 +1,77 @@
+/**
+ * Determines whether the process that answers at a target's address is still the one that its registration describes.
+ *
+ * A target can start again under its id and address with another software version, and the registration that tells so arrives late
+ * or, while the store is away, not at all. A connection ends with its process. So as long as connections to a target follow each other
+ * without a gap in which a process could have started again, they lead to the same process, and what the store says of it once
+ * the process has had the time to register holds for all of them.
+ */
+
+/** What this entry (proxy process) knows of the registrations in the store. */
+export interface StoreConfirmation {
+	/** The registrations are known as they were at this time, in monotonic milliseconds. */
+	readonly asOfMs: number;
+	/** Whether the store answers at present, so that a changed registration arrives shortly. */
+	readonly isReached: boolean;
+}
+
+/** A process takes longer than this to start again, in milliseconds. */
+const minRestartMs = 500;
+
+/** Time in which a target that has started writes its registration, in milliseconds: one heartbeat and the way to the store. */
+const registrationMs = 1_500;
+
+/** Follows the connections of this entry to one target. */
+export class ProcessContinuity {
+	private openConnections = 0;
+	private unbrokenSinceMs: number | undefined;
+	private lastClosedMs = Number.NEGATIVE_INFINITY;
+	/** Whether the target ended the last connection or refused one, and has not been confirmed since. */
+	private isLost = false;
+
+	noteOpened(nowMs: number): void {
+		if (this.openConnections === 0 && nowMs - this.lastClosedMs > minRestartMs) {
+			this.unbrokenSinceMs = nowMs;
+		}
+		this.openConnections++;
+	}
+
+	/** @param isByTarget Whether the target or the network ended the connection, and not this entry. */
+	noteClosed(isByTarget: boolean, nowMs: number): void {
+		this.openConnections--;
+		if (this.openConnections === 0) {
+			this.lastClosedMs = nowMs;
+			this.isLost ||= isByTarget;
+		}
+	}
+
+	/** Records that no connection could be opened. */
+	noteRefused(): void {
+		if (this.openConnections === 0) {
+			this.lastClosedMs = Number.NEGATIVE_INFINITY;
+			this.unbrokenSinceMs = undefined;
+			this.isLost = true;
+		}
+	}
+
+	/**
+	 * Whether the process that answers now, and has answered since `sinceMs`, is the registered one. The store need not be reached if
+	 * it has confirmed the registration since the first of the connections that follow each other.
+	 */
+	isConfirmed({ asOfMs, isReached }: StoreConfirmation, nowMs: number, sinceMs = nowMs): boolean {
+		const startMs = this.findUnbrokenStart(nowMs);
+		if (startMs !== undefined && startMs > sinceMs) {
+			return false;
+		}
+		if (startMs !== undefined && startMs + registrationMs <= asOfMs) {
+			this.isLost = false;
+			return true;
+		}
+		return isReached && !this.isLost;
+	}
+
+	private findUnbrokenStart(nowMs: number): number | undefined {
+		const isUnbroken = this.openConnections > 0 || nowMs - this.lastClosedMs <= minRestartMs;
+		return isUnbroken ? this.unbrokenSinceMs : undefined;
+	}
+}
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -22,6 +22,7 @@
 	TargetRoom,
 } from '../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../scheduling/serviceScheduler';
+import { describeUnmatched, hasMatchedTarget, isVersionMatched } from '../scheduling/versionMatch';
 import { QueueEstimates } from './queueEstimates';
 import { FleetRetryBudget } from './fleetRetryBudget';
 import type { TargetChoice, TargetQuery } from './targetChooser';
@@ -188,7 +189,7 @@
 
 	isRetriable(requestId: RequestId, nowMs: number): boolean {
 		const tracked = this.requests.get(requestId);
-		return tracked !== undefined && this.isPlaceable(tracked, this.targetList, nowMs);
+		return tracked !== undefined && this.isPlaceable(tracked, this.listMatched(tracked.request), nowMs);
 	}
 
 	noteSilence(requestId: RequestId, nowMs: number): boolean {
@@ -196,8 +197,8 @@
 		if (tracked === undefined) {
 			return true;
 		}
-		const { runningOn, triedTargets } = tracked;
-		const others = this.targetList.filter(
+		const { runningOn, triedTargets, request } = tracked;
+		const others = this.listMatched(request).filter(
 			target => target !== runningOn && !triedTargets.includes(target.id),
 		);
 		const canMove = this.isPlaceable(tracked, others, nowMs);
@@ -244,9 +245,8 @@
 
 	/** The wait is until the first byte if a request is given, otherwise the queueing time of an arriving request. */
 	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom {
-		const available = this.targetList.filter(
-			target => target.isAvailable(nowMs) && target.isColdSendAllowed(nowMs),
-		);
+		const matched = request === undefined ? this.targetList : this.listMatched(request);
+		const available = matched.filter(target => target.isAvailable(nowMs) && target.isColdSendAllowed(nowMs));
 		const waits = available.map(target =>
 			request === undefined ? target.estimateWaitMs(nowMs) : target.estimateFirstByteMs(request, nowMs),
 		);
@@ -284,8 +284,9 @@
 	/** Returns the error with which a new request is refused, or undefined if it is accepted. */
 	private findAdmissionError(item: WorkItem, nowMs: number): AdmissionError | undefined {
 		const { maxWaitingRequests, maxWaitShare } = this.policy.queue;
-		if (!this.hasUsableTarget()) {
-			return { kind: ErrorKind.NoTarget, reason: noUsableTargetReason };
+		const unusable = this.findUnusableReason(item.request);
+		if (unusable !== undefined) {
+			return unusable;
 		}
 		if (this.queue.size >= maxWaitingRequests) {
 			return { kind: ErrorKind.Overloaded, reason: describeFullQueue(this.queue.size, maxWaitingRequests) };
@@ -302,8 +303,27 @@
 			: undefined;
 	}
 
-	private hasUsableTarget(): boolean {
-		return this.targetList.some(({ description }) => !description.isLeaving);
+	/** Returns why no target in use may run the request, or undefined if one may. */
+	private findUnusableReason(request: SchedulableRequest): AdmissionError | undefined {
+		const targets = this.targetList.map(({ description }) => description);
+		if (hasMatchedTarget(targets, request)) {
+			return undefined;
+		}
+		const required = request.findRequiredVersion?.();
+		return required === undefined
+			? { kind: ErrorKind.NoTarget, reason: noUsableTargetReason }
+			: {
+					kind: required.version === undefined ? ErrorKind.StreamUnknown : ErrorKind.VersionNotServed,
+					reason: describeUnmatched(targets, required),
+				};
+	}
+
+	/** Lists the targets at which the request may run with regard to their software version. */
+	private listMatched(request: SchedulableRequest): readonly TargetLoadModel[] {
+		const isRestricted = request.findRequiredVersion?.() !== undefined;
+		return isRestricted
+			? this.targetList.filter(({ description }) => isVersionMatched(description, request))
+			: this.targetList;
 	}
 
 	private updateTypicalSlowness(): void {
@@ -326,11 +346,11 @@
 	/** Moves late requests behind the others and refuses requests that cannot be answered by their deadline. */
 	private checkWaiting(nowMs: number): void {
 		this.queue.markLate(nowMs);
-		const hasUsableTarget = this.hasUsableTarget();
 		for (const item of this.queue.list()) {
-			const reason = hasUsableTarget ? this.findMissedBound(item, nowMs) : noUsableTargetReason;
+			const unusable = this.findUnusableReason(item.request);
+			const reason = unusable === undefined ? this.findMissedBound(item, nowMs) : unusable.reason;
 			if (reason !== undefined) {
-				this.refuseWaiting(item.request, reason, nowMs);
+				this.refuseWaiting(item.request, reason, nowMs, unusable?.kind);
 			}
 		}
 		for (const { request, reason } of this.estimates.listUnreachable(nowMs)) {
@@ -369,11 +389,17 @@
 		}
 	}
 
-	private refuseWaiting(request: SchedulableRequest, reason: string, nowMs: number): void {
+	private refuseWaiting(
+		request: SchedulableRequest,
+		reason: string,
+		nowMs: number,
+		unusableKind?: ErrorKind,
+	): void {
 		const tracked = this.requests.get(request.id);
 		this.queue.remove(request.id);
 		this.requests.delete(request.id);
-		const kind = tracked?.lastErrorKind ?? ErrorKind.DeadlineUnreachable;
+		const versionKind = unusableKind === ErrorKind.NoTarget ? undefined : unusableKind;
+		const kind = versionKind ?? tracked?.lastErrorKind ?? ErrorKind.DeadlineUnreachable;
 		const detail = `no target had capacity in time: ${reason}`;
 		this.refuse(request, kind, detail, tracked?.mayHaveRun === true, nowMs);
 	}
@@ -387,7 +413,8 @@
 				return;
 			}
 			const query = this.createQuery(tracked, item);
-			const choice = this.targetChooser.choose(this.targetList, query, nowMs);
+			const matched = this.listMatched(item.request);
+			const choice = this.targetChooser.choose(matched, query, nowMs);
 			if (choice !== undefined) {
 				this.start(tracked, choice, nowMs);
 				continue;
@@ -408,8 +435,8 @@
 	}
 
 	/** Excludes targets that were already tried, unless no other target remains. */
-	private listExcluded({ triedTargets }: TrackedRequest): readonly TargetId[] {
-		const hasUntriedTarget = this.targetList.some(
+	private listExcluded({ request, triedTargets }: TrackedRequest): readonly TargetId[] {
+		const hasUntriedTarget = this.listMatched(request).some(
 			({ id, description }) => !description.isLeaving && !triedTargets.includes(id),
 		);
 		return hasUntriedTarget ? triedTargets : [];
@@ -430,7 +457,8 @@
 		if (missedStart !== undefined) {
 			return missedStart;
 		}
-		return hasFirstByte ? undefined : this.targetChooser.findMissedDeadline(this.targetList, query, nowMs);
+		const matched = this.listMatched(item.request);
+		return hasFirstByte ? undefined : this.targetChooser.findMissedDeadline(matched, query, nowMs);
 	}
 
 	private start(tracked: TrackedRequest, choice: TargetChoice, nowMs: number): void {
@@ -452,6 +480,7 @@
 	private isRetryAllowed(tracked: TrackedRequest, end: AttemptEnd, nowMs: number): boolean {
 		return (
 			isRepeatAllowed(tracked, end, this.policy.retry.minRemainingMs, nowMs) &&
+			(!tracked.hasFirstByte || this.findUnusableReason(tracked.request) === undefined) &&
 			(end === AttemptEnd.NotConnected || this.isRetryBudgetAvailable(nowMs))
 		);
 	}
--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -37,6 +37,8 @@
 import type { CallPlan, ForwardOrigin } from '../common/placement/callPlan';
 import { checkForwardedCall, planCall } from '../common/placement/callPlan';
 import { isFinishable } from '../common/leaving/finishable';
+import type { OriginGroup } from '../common/streams/originLog';
+import type { StreamKey } from '../common/streams/streamOrigins';
 import { listUsableEntries, rankEntries } from '../common/lookup/rankEntries';
 import type { ICallHandler } from './callers/callerServer';
 import type { IEntrySources } from './environment/entryEnvironment';
@@ -48,6 +50,8 @@
 import type { AcceptedCall } from './requests/requestRun';
 import type { RequestRouter } from './requests/requestRouter';
 import type { SleepDetector } from './sleepDetector';
+import type { ReportedOrigin } from './streams/originPeers';
+import type { StreamOriginKeeper } from './streams/streamOriginKeeper';
 import type { TicketService } from './tickets/ticketService';
 
 /** Identity of this entry: its instance settings and the id of the current process start. */
@@ -61,6 +65,7 @@
 	'describeCandidate' | 'isLeaving' | 'isRefusing' | 'getLatestEndMs'
 >;
 export type CallHandlerRuns = Pick<ActiveRuns, 'has'>;
+export type CallHandlerStreams = Pick<StreamOriginKeeper, 'receive' | 'answer'>;
 export type CallHandlerSources = Pick<IEntrySources, 'listMissing'>;
 
 /** Selects the entries that are named to a caller. */
@@ -92,6 +97,7 @@
 		private readonly router: RequestRouter,
 		private readonly runs: CallHandlerRuns,
 		private readonly sources: CallHandlerSources,
+		private readonly streams: CallHandlerStreams,
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
@@ -211,6 +217,14 @@
 		this.fleet.receiveCrashReport(report);
 	}
 
+	keepStreamOrigins(from: InstanceId, groups: readonly OriginGroup[]): void {
+		this.streams.receive(from, groups);
+	}
+
+	findStreamOrigin(key: StreamKey): ReportedOrigin | undefined {
+		return this.streams.answer(key);
+	}
+
 	describeManifest(): FetchManifestResponse {
 		const accepted = this.manifests.getCurrent()?.accepted;
 		return create(FetchManifestResponseSchema, {
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -52,6 +52,8 @@
 import { ServiceRunners } from './requests/serviceRunners';
 import { SleepDetector } from './sleepDetector';
 import { StartHold } from './startHold';
+import { OriginPeers } from './streams/originPeers';
+import { StreamOriginKeeper } from './streams/streamOriginKeeper';
 import { createTicketService } from './tickets/createTicketService';
 import type { TicketService } from './tickets/ticketService';
 
@@ -83,6 +85,7 @@
 	private readonly runners: ServiceRunners;
 	private readonly ownView: OwnView;
 	private readonly activeRuns: ActiveRuns;
+	private readonly streams: StreamOriginKeeper;
 	private readonly sleepDetector: SleepDetector;
 	private readonly startHold: StartHold;
 	private readonly tickets: TicketService;
@@ -157,7 +160,10 @@
 			quarantine: this.quarantine,
 			timers: this.timers,
 		});
-		this.activeRuns = new ActiveRuns(this.journal, this.metrics, this.heldBytes, this.timers);
+		this.streams = this.register(
+			new StreamOriginKeeper({ instance: id, region, zone }, new OriginPeers(id, this.fleet), this.timers),
+		);
+		this.activeRuns = new ActiveRuns(this.journal, this.metrics, this.heldBytes, this.timers, this.streams);
 		this.tickets = createTicketService(settings, this.bootId, this.fleet);
 		this.sleepDetector = this.register(this.createSleepDetector());
 		this.startHold = this.register(this.createStartHold());
@@ -417,6 +423,7 @@
 			this.activeRuns,
 			this.metrics,
 			this.timers,
+			this.streams,
 			this.random,
 		);
 		const router = new RequestRouter(context, this.tickets, this.timers, this.startGate);
@@ -431,6 +438,7 @@
 			router,
 			this.activeRuns,
 			this.platform.sources,
+			this.streams,
 			this.metrics,
 			this.timers,
 			this.random,
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -105,6 +105,7 @@
 			crashSightings: [...quarantine.listCrashSightings(timers.getNow())],
 			regionSizes: [],
 			cutServices: [...runners.listCutServices()],
+			keepsStreamOrigins: true,
 		};
 	}
 }
--- a/src/entry/node/fleet/test/views.ts
+++ b/src/entry/node/fleet/test/views.ts
@@ -24,6 +24,7 @@
 		crashSightings: [],
 		regionSizes: [],
 		cutServices: [],
+		keepsStreamOrigins: true,
 		...overrides,
 	};
 }
--- a/src/entry/node/fleet/viewCodec.ts
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -46,6 +46,7 @@
 		leavingTargets: [...view.leavingTargets],
 		crashSightings: view.crashSightings.map(encodeSighting),
 		cutServices: [...view.cutServices],
+		keepsStreamOrigins: view.keepsStreamOrigins,
 		regionSizes: view.regionSizes.map(({ region, entries }) => ({ region, entries: toUint32(entries) })),
 	});
 }
@@ -70,6 +71,7 @@
 		leavingTargets: message.leavingTargets as TargetId[],
 		crashSightings: message.crashSightings.map(decodeSighting),
 		cutServices: message.cutServices as ServiceName[],
+		keepsStreamOrigins: message.keepsStreamOrigins,
 		regionSizes: message.regionSizes.map(({ region, entries }) => ({
 			region: region as RegionName,
 			entries,
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -18,8 +18,10 @@
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestRequestSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
+import type { KnownOrigin } from '../../common/streams/streamOrigin';
 import { describeContinuation } from '../../common/streams/streamOrigin';
 import type { RequestRun } from '../requests/requestRun';
+import { decodeOrigin, encodeOrigin } from '../streams/originCodec';
 import type { PeerConnection } from './peerClients';
 
 /** The entry that a request is forwarded to, and the reason. */
@@ -81,6 +83,8 @@
 	private deadlineTimer: IDisposable | undefined;
 	private sentBytes = 0;
 	private receivedBytes = 0;
+	/** The origin of the stream, once the peer has reported it. */
+	private origin: KnownOrigin | undefined;
 	private isAbandoned = false;
 
 	constructor(
@@ -167,6 +171,13 @@
 				case 'body':
 					await this.writeChunk(part.value);
 					break;
+				case 'origin':
+					this.origin = {
+						...decodeOrigin(part.value),
+						source: this.route.to,
+						learnedMs: this.timers.getNow(),
+					};
+					break;
 				case 'fault':
 					return this.endWithFault(part.value);
 				case 'end':
@@ -188,7 +199,7 @@
 		}
 		const lines = head.headers.map(({ name, value }) => ({ name, value }));
 		const { status, endsWithConnection } = head;
-		this.run.begin({ status, lines, endsWithConnection }, () => undefined);
+		this.run.begin({ status, lines, endsWithConnection }, () => this.origin);
 	}
 
 	private async writeChunk(chunk: Uint8Array): Promise<void> {
@@ -242,6 +253,7 @@
 	private createHead(): ForwardRequestRequest {
 		const { id, head } = this.run.call;
 		const startWithinMs = this.computeStartLimitMs();
+		const continuation = this.run.findContinuation();
 		return create(ForwardRequestRequestSchema, {
 			part: {
 				case: 'head',
@@ -262,7 +274,8 @@
 					fromRegion: this.sender.region,
 					manifestVersion: BigInt(this.sender.manifestVersion),
 					host: head.routed?.host ?? '',
-					lastEventId: this.run.getLastEventId() ?? '',
+					lastEventId: continuation?.afterEvent ?? '',
+					...(continuation?.origin === undefined ? {} : { origin: encodeOrigin(continuation.origin) }),
 					...(startWithinMs === undefined ? {} : { startWithinMs: Math.floor(startWithinMs) }),
 				},
 			},
--- a/src/entry/node/peers/forwardedCall.ts
+++ b/src/entry/node/peers/forwardedCall.ts
@@ -20,6 +20,7 @@
 import type { ReadTime } from '../../common/intake/arrivalTime';
 import { estimateArrivalMs } from '../../common/intake/arrivalTime';
 import type { CallPlan } from '../../common/placement/callPlan';
+import { decodeOrigin } from '../streams/originCodec';
 import type { AcceptedCall } from '../requests/requestRun';
 
 /** Parses a head like one that a caller sent to this entry directly. */
@@ -69,6 +70,8 @@
 	readTime: ReadTime,
 ): AcceptedCall {
 	const arrivedMs = estimateArrivalMs(readTime, message.remainingMs);
+	const { origin, fromInstance } = message;
+	const streamOrigin = origin && { ...decodeOrigin(origin), source: fromInstance, learnedMs: arrivedMs };
 	return {
 		id: message.requestId as RequestId,
 		head,
@@ -78,6 +81,7 @@
 		deadlineMs: arrivedMs + message.remainingMs,
 		isDeadlineGiven: message.isDeadlineGiven,
 		...(message.startWithinMs === undefined ? {} : { startByMs: arrivedMs + message.startWithinMs }),
-		origin: { instance: message.fromInstance as InstanceId, region: message.fromRegion as RegionName },
+		...(streamOrigin === undefined ? {} : { streamOrigin }),
+		origin: { instance: fromInstance as InstanceId, region: message.fromRegion as RegionName },
 	};
 }
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -16,13 +16,14 @@
 import { listenOn } from '../../../base/node/listenOn';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
-import type { RegionName } from '../../../core/ids/common/ids';
+import type { InstanceId, RegionName } from '../../../core/ids/common/ids';
 import type { ListenAddress } from '../../../core/settings/common/settingsTypes';
 import type { CertificateStore } from '../../../core/tls/node/certificateStore';
 import { createPeerServerOptions, subscribeToRenewals } from '../../../core/tls/node/secureOptions';
 import type {
 	EntryView,
 	FetchManifestResponse,
+	FindStreamOriginResponse,
 	ForwardHead,
 	ForwardRequestRequest,
 	ForwardRequestResponse,
@@ -30,6 +31,8 @@
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import {
 	ExchangeViewsResponseSchema,
+	FindStreamOriginResponseSchema,
+	KeepStreamOriginsResponseSchema,
 	PeerService,
 	ShareCrashesResponseSchema,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
@@ -40,6 +43,10 @@
 import type { ILoopLag } from '../../common/intake/loopLagGate';
 import type { IsAbandoned, RequestIntake } from '../../common/intake/requestIntake';
 import type { CallPlan, ForwardOrigin } from '../../common/placement/callPlan';
+import type { OriginGroup } from '../../common/streams/originLog';
+import type { StreamKey } from '../../common/streams/streamOrigins';
+import { decodeGroups, encodeOrigin } from '../streams/originCodec';
+import type { ReportedOrigin } from '../streams/originPeers';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
 import { createForwardedCall, readForwardedHead } from './forwardedCall';
@@ -52,6 +59,9 @@
 export interface IPeerHandler {
 	exchangeViews(views: readonly EntryView[]): EntryView[];
 	receiveCrashReport(report: ShareCrashesRequest): void;
+	/** Records origins of streams that another entry has begun. */
+	keepStreamOrigins(from: InstanceId, groups: readonly OriginGroup[]): void;
+	findStreamOrigin(key: StreamKey): ReportedOrigin | undefined;
 	describeManifest(): FetchManifestResponse;
 	/** Undefined, or a promise that new calls must wait for after startup or a suspension of the process. */
 	findHold(): Promise<void> | undefined;
@@ -87,6 +97,11 @@
 					this.handler.receiveCrashReport(report);
 					return create(ShareCrashesResponseSchema);
 				},
+				keepStreamOrigins: ({ fromInstance, groups }) => {
+					this.handler.keepStreamOrigins(fromInstance as InstanceId, decodeGroups(groups));
+					return create(KeepStreamOriginsResponseSchema);
+				},
+				findStreamOrigin: ({ streamKey }) => this.createOriginAnswer(streamKey),
 				fetchManifest: () => this.handler.describeManifest(),
 				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
 			});
@@ -122,6 +137,14 @@
 		});
 	}
 
+	private createOriginAnswer(key: StreamKey): FindStreamOriginResponse {
+		const found = this.handler.findStreamOrigin(key);
+		return create(
+			FindStreamOriginResponseSchema,
+			found && { origin: encodeOrigin(found.origin), ageMs: Math.round(found.ageMs) },
+		);
+	}
+
 	private createServer(
 		handler: ReturnType<typeof connectNodeAdapter>,
 		certificates: CertificateStore | undefined,
--- a/src/entry/node/peers/peerSink.ts
+++ b/src/entry/node/peers/peerSink.ts
@@ -8,7 +8,9 @@
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import type { ForwardRequestResponse } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestResponseSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import type { StreamOrigin } from '../../common/streams/streamOrigin';
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
+import { encodeOrigin } from '../streams/originCodec';
 
 const maxQueuedBytes = 262_144;
 
@@ -58,6 +60,11 @@
 		return this.queuedBytes < maxQueuedBytes;
 	}
 
+	noteOrigin(origin: StreamOrigin): void {
+		const part = { case: 'origin' as const, value: encodeOrigin(origin) };
+		this.push(create(ForwardRequestResponseSchema, { part }));
+	}
+
 	waitForDrain(resume: () => void): void {
 		this.resumeWriter = resume;
 	}
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -37,6 +37,8 @@
 const handler: IPeerHandler = {
 	exchangeViews: failCall,
 	receiveCrashReport: failCall,
+	keepStreamOrigins: failCall,
+	findStreamOrigin: failCall,
 	describeManifest: failCall,
 	planForwarded: failCall,
 	findHold: () => undefined,
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -8,7 +8,7 @@
 import { ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
 import type { IRequestJournal } from '../../../core/explain/common/requestJournal';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
-import type { RequestId } from '../../../core/ids/common/ids';
+import type { RequestId, StreamId } from '../../../core/ids/common/ids';
 import { RequestClass } from '../../../core/requests/common/requestClass';
 import { otherServiceLabel } from '../../../core/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../../core/telemetry/node/entryMetrics';
@@ -18,7 +18,8 @@
 import { RequestLifecycle } from '../../common/requests/requestLifecycle';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { HeldBytes } from '../callers/bodyReader';
-import type { AcceptedCall, IRunObserver, RequestEnd } from './requestRun';
+import type { StreamOriginKeeper } from '../streams/streamOriginKeeper';
+import type { AcceptedCall, FindOrigin, IRunObserver, RequestEnd } from './requestRun';
 import { RequestRun } from './requestRun';
 
 /** A request that was refused because of its head or its body. */
@@ -47,6 +48,7 @@
 		private readonly metrics: EntryMetrics,
 		private readonly heldBytes: HeldBytes,
 		private readonly timers: ITimerService,
+		private readonly streams: Pick<StreamOriginKeeper, 'noteBegun'>,
 	) {}
 
 	/** Returns the amount of work for requests so far. */
@@ -113,6 +115,13 @@
 		this.metrics.noteAttempt(call.head.service, end);
 	}
 
+	/** The entry to which the caller is connected records the stream. */
+	noteFirstEvent(run: RequestRun, stream: StreamId, findOrigin: FindOrigin): void {
+		if (run.call.origin === undefined && run.call.head.routed?.route.isResumable === true) {
+			this.streams.noteBegun({ stream, findOrigin, isAnswered: () => run.isAnswered() });
+		}
+	}
+
 	noteAnswerChunk(): void {
 		this.work.answerChunks++;
 	}
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -15,17 +15,18 @@
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import { AnswerPace } from '../../common/streams/answerPace';
-import type { KnownOrigin, TargetSoftware } from '../../common/streams/streamOrigin';
+import type { KnownOrigin } from '../../common/streams/streamOrigin';
 import { ownSource } from '../../common/streams/streamOrigin';
 import type { IAttempt, IAttemptObserver, ITargetClient } from '../targets/targetClient';
-import type { RequestRun } from './requestRun';
+import type { FindVersion } from '../targets/targetDirectory';
+import type { FindOrigin, RequestRun } from './requestRun';
 
 /** What the scheduler decides for an attempt in addition to its target. */
 export interface AttemptOptions extends Pick<SentAttempt, 'fetchAddress'> {
 	/** Estimated time to the first byte when the attempt was started, in milliseconds, if known. */
 	readonly expectedFirstByteMs?: number | undefined;
-	/** The software of the target according to its registration. */
-	readonly software: TargetSoftware | undefined;
+	/** Returns a function that finds the software version of the target's process, once it is certain. */
+	readonly observeVersion: () => FindVersion;
 }
 
 /** Receives what an attempt observes about its target, and how it ended. */
@@ -198,8 +199,10 @@
 		this.pace.recordHead(this.timers.getNow());
 		this.owner.noteFirstByte(this);
 		const { status, endsWithConnection = false } = head;
-		const origin = this.createOrigin();
-		this.run.begin({ status, lines: this.dialect.listAnswerLines(head), endsWithConnection }, () => origin);
+		this.run.begin(
+			{ status, lines: this.dialect.listAnswerLines(head), endsWithConnection },
+			this.createOriginFinder(),
+		);
 		this.silenceTimer?.dispose();
 		this.watchSilence(this.getLimits().idleMs);
 		if (!this.run.call.isDeadlineGiven) {
@@ -207,10 +210,17 @@
 		}
 	}
 
-	private createOrigin(): KnownOrigin | undefined {
+	private createOriginFinder(): FindOrigin {
 		const { service } = this.run.call.head;
-		const version = this.options.software?.version;
-		return version && { service, version, source: ownSource, learnedMs: this.timers.getNow() };
+		const findVersion = this.options.observeVersion();
+		let origin: KnownOrigin | undefined;
+		return () => {
+			const version = origin === undefined ? findVersion() : undefined;
+			if (version !== undefined) {
+				origin = { service, version, source: ownSource, learnedMs: this.timers.getNow() };
+			}
+			return origin;
+		};
 	}
 
 	/** Pauses reading until the caller catches up. Meanwhile the target is not expected to send anything. */
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -7,13 +7,15 @@
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
-import type { InstanceId, RegionName, ServiceName } from '../../../core/ids/common/ids';
+import type { InstanceId, RegionName, ServiceName, StreamId } from '../../../core/ids/common/ids';
 import { RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { IStartGate } from '../../common/intake/loopLagGate';
 import { isAllowedRegion } from '../../common/placement/callPlan';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
+import type { VersionRequirement } from '../../common/scheduling/versionMatch';
+import type { KnownOrigin } from '../../common/streams/streamOrigin';
 import { computeRemoteStartLimitMs } from '../../common/sendAway/remoteStartLimit';
 import type {
 	ISendAwayPolicy,
@@ -41,11 +43,17 @@
 	getRunner(service: ServiceName): ServiceRunner;
 	getSendAwayPolicy(service: ServiceName): ISendAwayPolicy;
 	/** Lists entries of other regions with the capacity that they reported for the service. */
-	listOffers(service: ServiceName): readonly RemoteOffer[];
+	listOffers(service: ServiceName, required?: VersionRequirement): readonly RemoteOffer[];
+	/** Finds the origin of the stream that a caller resumes, which the caller may not have named. */
+	findStreamOrigin(service: ServiceName, stream: StreamId | undefined): Promise<KnownOrigin | undefined>;
 	/** Whether this entry reaches no target of the service. */
 	isCut(service: ServiceName): boolean;
 	/** Picks another entry of this region that reaches targets of the service. */
-	pickNeighbour(service: ServiceName, triedEntries: readonly InstanceId[]): InstanceId | undefined;
+	pickNeighbour(
+		service: ServiceName,
+		triedEntries: readonly InstanceId[],
+		required?: VersionRequirement,
+	): InstanceId | undefined;
 	noteRelayEnd(instance: InstanceId, end: ForwardEnd): void;
 	/** Calls back with each request that waited for a target when the last path to the targets was lost. */
 	watchReturned(serve: (run: RequestRun) => void): void;
@@ -136,6 +144,10 @@
 		if (run.hasEnded()) {
 			return;
 		}
+		if (run.isOriginMissing()) {
+			void this.sendResumed(run);
+			return;
+		}
 		if (this.context.isCut(run.call.head.service)) {
 			this.serveElsewhere(run, [], createUnreachedError());
 			return;
@@ -150,6 +162,23 @@
 		this.submitLocally(run);
 	}
 
+	/** Finds the origin of a stream that a caller resumes before the request is routed. Refuses it if nobody knows it. */
+	private async sendResumed(run: RequestRun): Promise<void> {
+		const { service, routed } = run.call.head;
+		const origin = await this.context.findStreamOrigin(service, routed?.resumes);
+		if (run.hasEnded()) {
+			return;
+		}
+		if (origin === undefined) {
+			const error = createRequestError(ErrorKind.StreamUnknown, describeUnknownStream(routed?.resumes));
+			run.noteRefusal(error);
+			run.fail(error);
+			return;
+		}
+		run.setOrigin(origin);
+		this.sendUnticketed(run);
+	}
+
 	private isLocalRegionAllowed(run: RequestRun): boolean {
 		return isAllowedRegion(run.call.plan, this.context.describeSender().region);
 	}
@@ -159,13 +188,8 @@
 	 * Refuses it at once if neither is possible. The ledger of a ticket is here, so its request stays.
 	 */
 	private serveElsewhere(run: RequestRun, triedEntries: readonly InstanceId[], error: RequestError): void {
-		const isForwardable =
-			run.call.origin === undefined &&
-			run.call.head.ticket === undefined &&
-			triedEntries.length < maxForwardsPerRequest &&
-			run.getRemainingMs() > 0;
 		const isForwarded =
-			isForwardable &&
+			this.isForwardable(run, triedEntries) &&
 			(this.startAtNeighbour(run, triedEntries) ||
 				(isAllowedToLeave(run) && this.startSendAway(run, triedEntries)));
 		if (!isForwarded) {
@@ -173,10 +197,21 @@
 		}
 	}
 
+	private isForwardable(run: RequestRun, triedEntries: readonly InstanceId[]): boolean {
+		return (
+			run.call.origin === undefined &&
+			run.call.head.ticket === undefined &&
+			triedEntries.length < maxForwardsPerRequest &&
+			run.getRemainingMs() > 0
+		);
+	}
+
 	/** Forwards the request to another entry of this region. */
 	private startAtNeighbour(run: RequestRun, triedEntries: readonly InstanceId[]): boolean {
 		const { service } = run.call.head;
-		const to = this.isLocalRegionAllowed(run) ? this.context.pickNeighbour(service, triedEntries) : undefined;
+		const to = this.isLocalRegionAllowed(run)
+			? this.context.pickNeighbour(service, triedEntries, run.findRequiredVersion())
+			: undefined;
 		const peer = to === undefined ? undefined : this.context.findPeer(to);
 		if (to === undefined || peer === undefined) {
 			return false;
@@ -206,7 +241,7 @@
 		const owner = this.context.findOwnerRegion(run);
 		const listOffers = (): readonly RemoteOffer[] =>
 			this.context
-				.listOffers(head.service)
+				.listOffers(head.service, run.findRequiredVersion())
 				.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedEntries.includes(instance));
 		const isCut = this.context.isCut(head.service);
 		const localRoom = runner.measureRoom(request);
@@ -218,7 +253,7 @@
 			get offers() {
 				return listOffers();
 			},
-			isUnservedHere: isCut || !this.isLocalRegionAllowed(run) || !runner.hasTarget(),
+			isUnservedHere: isCut || !this.isLocalRegionAllowed(run) || !runner.hasTarget(request),
 		};
 		const policy = this.context.getSendAwayPolicy(head.service);
 		const decision = policy.decide(question, this.timers.getNow());
@@ -295,6 +330,12 @@
 			return;
 		}
 		const runner = this.context.getRunner(run.call.head.service);
+		const isUnmatchedHere =
+			run.findRequiredVersion() !== undefined && !runner.hasTarget(createSchedulable(run));
+		const mayLeave = isAllowedToLeave(run) && this.isForwardable(run, triedEntries);
+		if (isUnmatchedHere && mayLeave && this.startSendAway(run, triedEntries)) {
+			return;
+		}
 		run.setAbandonHandler(() => {
 			runner.abandon(run);
 		});
@@ -324,6 +365,12 @@
 	return isRepeatable && mayGoOn && run.getRemainingMs() > 0;
 }
 
+function describeUnknownStream(stream: StreamId | undefined): string {
+	return stream === undefined
+		? 'the caller names no stream, and targets have run more than one version lately'
+		: 'no entry that answered in time knows the stream';
+}
+
 function createUnreachableError(): RequestError {
 	return createRequestError(ErrorKind.PeerUnreachable, 'no known entry in the regions allowed to answer', {
 		retryAfterMs: unreachableRetryAfterMs,
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -18,6 +18,8 @@
 import type { CallPlan } from '../../common/placement/callPlan';
 import { RequestEvent, RequestLifecycle } from '../../common/requests/requestLifecycle';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
+import { describeContinuation } from '../../common/streams/streamOrigin';
+import type { VersionRequirement } from '../../common/scheduling/versionMatch';
 import type { Continuation, KnownOrigin } from '../../common/streams/streamOrigin';
 import { EventStreamSplitter } from '../../common/streams/eventStreamSplitter';
 
@@ -40,6 +42,8 @@
 	readonly origin: ForwardOrigin | undefined;
 	/** When a request that was forwarded to this entry has to be given back unless it has started. */
 	readonly startByMs?: number;
+	/** The origin of the stream that a forwarded request resumes, if the forwarding entry knows it. */
+	readonly streamOrigin?: KnownOrigin;
 }
 
 /** Returns the origin of a stream, or undefined if it is not known. */
@@ -60,6 +64,8 @@
 	noteAttemptEnd(run: RequestRun, end: AttemptEnd): void;
 	/** Called with each chunk of the answer. */
 	noteAnswerChunk(run: RequestRun): void;
+	/** Called with the first event of a stream that this run passes on to its caller. */
+	noteFirstEvent(run: RequestRun, stream: StreamId, findOrigin: FindOrigin): void;
 	/** Called with the time between two chunks of the answer. */
 	noteAnswerGap(run: RequestRun, gapMs: number): void;
 	/** Called once. */
@@ -75,6 +81,8 @@
 	private abandonHandler: (() => void) | undefined;
 	private events: EventStreamSplitter | undefined;
 	private findOrigin: FindOrigin | undefined;
+	private hasPassedEvent = false;
+	private isOriginReported = false;
 
 	constructor(
 		readonly call: AcceptedCall,
@@ -84,6 +92,10 @@
 		private readonly timers: ITimerService,
 		private readonly observer: IRunObserver,
 	) {
+		const { streamOrigin } = call;
+		if (streamOrigin !== undefined) {
+			this.findOrigin = () => streamOrigin;
+		}
 		sink.watchAbandoned(() => {
 			this.handleCallerGone();
 		});
@@ -93,6 +105,11 @@
 		return this.firstByteMs !== undefined;
 	}
 
+	/** Whether the caller has received the whole answer. */
+	isAnswered(): boolean {
+		return this.isOver && this.lifecycle.getOutcome() === Outcome.Answered;
+	}
+
 	hasEnded(): boolean {
 		return this.isOver;
 	}
@@ -105,6 +122,14 @@
 		this.journal.addStep(this.call.id, step, detail, this.timers.getNow());
 	}
 
+	/** Records why the request is refused and, if it resumes a stream, what is known of that. */
+	noteRefusal({ detail }: RequestError): void {
+		const continuation = this.findContinuation();
+		const described =
+			continuation === undefined ? '' : `; ${describeContinuation(continuation, this.timers.getNow())}`;
+		this.note(JournalStep.Refused, `${detail}${described}`);
+	}
+
 	/** Records that the request starts to wait for its first or next attempt. */
 	noteSubmitted(): void {
 		this.waitingSinceMs = this.timers.getNow();
@@ -157,6 +182,28 @@
 		return { stream, afterEvent, origin: this.findOrigin?.() };
 	}
 
+	/** Sets the origin of the stream that the caller resumes. */
+	setOrigin(origin: KnownOrigin): void {
+		this.findOrigin = () => origin;
+	}
+
+	/** Whether the caller resumes a stream whose origin has to be found first. */
+	isOriginMissing(): boolean {
+		const continuation = this.findContinuation();
+		const isResumed = this.call.origin === undefined && !this.hasBegun() && continuation !== undefined;
+		return isResumed && continuation.origin === undefined;
+	}
+
+	/** Returns the version at which the stream goes on, or undefined while its caller has received no event. */
+	findRequiredVersion(): VersionRequirement | undefined {
+		const continuation = this.findContinuation();
+		if (continuation === undefined) {
+			return undefined;
+		}
+		const { origin } = continuation;
+		return { version: origin?.service === this.call.head.service ? origin.version : undefined };
+	}
+
 	/** Discards an incomplete event after an answer was interrupted, so that the caller has only complete events. */
 	markInterrupted(): void {
 		this.events?.clearRemainder();
@@ -179,6 +226,7 @@
 			return this.sink.write(chunk);
 		}
 		const completeEvents = this.events.push(chunk);
+		this.noteEvents(this.events);
 		return completeEvents.byteLength === 0 || this.sink.write(completeEvents);
 	}
 
@@ -229,6 +277,25 @@
 		this.close(this.lifecycle.getOutcome(), error.kind, error.detail);
 	}
 
+	private noteEvents(events: EventStreamSplitter): void {
+		const continuation = this.findContinuation();
+		if (
+			continuation === undefined ||
+			this.findOrigin === undefined ||
+			events.getLastEventId() === undefined
+		) {
+			return;
+		}
+		if (!this.hasPassedEvent) {
+			this.hasPassedEvent = true;
+			this.observer.noteFirstEvent(this, continuation.stream, this.findOrigin);
+		}
+		if (!this.isOriginReported && continuation.origin !== undefined) {
+			this.isOriginReported = true;
+			this.sink.noteOrigin?.(continuation.origin);
+		}
+	}
+
 	private handleCallerGone(): void {
 		if (this.isOver) {
 			return;
--- a/src/entry/node/requests/routerContext.ts
+++ b/src/entry/node/requests/routerContext.ts
@@ -7,7 +7,13 @@
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
-import type { InstanceId, ManifestVersion, RegionName, ServiceName } from '../../../core/ids/common/ids';
+import type {
+	InstanceId,
+	ManifestVersion,
+	RegionName,
+	ServiceName,
+	StreamId,
+} from '../../../core/ids/common/ids';
 import type { EntrySettings } from '../../../core/settings/common/entrySettings';
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
 import { ByteDirection, SentAwayResult } from '../../../core/telemetry/common/entryMetricLabels';
@@ -19,7 +25,11 @@
 import { NeighbourPicker } from '../../common/sendAway/neighbourPicker';
 import type { ISendAwayPolicy, OwnerRegion, RemoteOffer } from '../../common/sendAway/sendAwayPolicy';
 import { defaultWorkPolicy } from '../../common/workScheduling/workPolicy';
+import type { EntryView } from '../../common/fleetView/entryView';
 import { findRoom } from '../../common/fleetView/entryView';
+import type { VersionRequirement } from '../../common/scheduling/versionMatch';
+import type { KnownOrigin } from '../../common/streams/streamOrigin';
+import type { StreamOriginKeeper } from '../streams/streamOriginKeeper';
 import type { EntryFleet } from '../fleet/entryFleet';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { ForwardEnd, ForwardSender } from '../peers/forwardRun';
@@ -49,6 +59,21 @@
 	[ForwardEndKind.Failed]: SentAwayResult.Failed,
 };
 
+/** The source of an origin for a caller that does not name the stream which it resumes. */
+const onlyVersionSource = 'the only version in service';
+
+/**
+ * Whether an entry reaches targets of the service. An entry of an earlier release would resume a stream at any version, so it gets
+ * none.
+ */
+function isReaching(
+	{ cutServices, keepsStreamOrigins }: EntryView,
+	service: ServiceName,
+	required: VersionRequirement | undefined,
+): boolean {
+	return !cutServices.includes(service) && (required === undefined || keepsStreamOrigins);
+}
+
 /** Implements the router's context on top of the parts of one entry. */
 export class RouterContext implements IRouterContext {
 	private readonly neighbours: NeighbourPicker;
@@ -62,6 +87,7 @@
 		private readonly runs: ActiveRuns,
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
+		private readonly streams: Pick<StreamOriginKeeper, 'find'>,
 		random: IRandom,
 	) {
 		this.neighbours = new NeighbourPicker(random);
@@ -75,21 +101,39 @@
 		return this.runners.getSendAwayPolicy(service);
 	}
 
-	listOffers(service: ServiceName): readonly RemoteOffer[] {
+	listOffers(service: ServiceName, required?: VersionRequirement): readonly RemoteOffer[] {
 		return this.fleet
 			.listLiveRegions()
-			.filter(region => region !== this.ownInstance.region && this.targets.isServed(service, region))
-			.flatMap(region => this.createOffers(service, region));
+			.filter(
+				region =>
+					region !== this.ownInstance.region && this.targets.isServed(service, region, required?.version),
+			)
+			.flatMap(region => this.createOffers(service, region, required));
+	}
+
+	async findStreamOrigin(
+		service: ServiceName,
+		stream: StreamId | undefined,
+	): Promise<KnownOrigin | undefined> {
+		if (stream !== undefined) {
+			return this.streams.find(stream);
+		}
+		const version = this.targets.findOnlyVersion(service);
+		return version && { service, version, source: onlyVersionSource, learnedMs: this.timers.getNow() };
 	}
 
 	isCut(service: ServiceName): boolean {
 		return this.runners.isCut(service);
 	}
 
-	pickNeighbour(service: ServiceName, triedEntries: readonly InstanceId[]): InstanceId | undefined {
+	pickNeighbour(
+		service: ServiceName,
+		triedEntries: readonly InstanceId[],
+		required?: VersionRequirement,
+	): InstanceId | undefined {
 		const candidates = this.fleet
 			.listLiveIn(this.ownInstance.region)
-			.filter(({ view }) => !view.cutServices.includes(service) && !triedEntries.includes(view.instance))
+			.filter(({ view }) => isReaching(view, service, required) && !triedEntries.includes(view.instance))
 			.map(({ view }) => ({ instance: view.instance, waitMs: findRoom(view, service)?.waitMs ?? 0 }));
 		return this.neighbours.pick(candidates, this.timers.getNow());
 	}
@@ -149,14 +193,18 @@
 		this.metrics.noteLinkBytes(region, ByteDirection.Received, end.receivedBytes);
 	}
 
-	private createOffers(service: ServiceName, region: RegionName): RemoteOffer[] {
+	private createOffers(
+		service: ServiceName,
+		region: RegionName,
+		required: VersionRequirement | undefined,
+	): RemoteOffer[] {
 		const link = this.findLink(region);
 		if (link === undefined) {
 			return [];
 		}
 		const nowMs = this.timers.getNow();
 		const linkBytesPerMs = this.computeOwnLinkRate(link);
-		const reaching = this.fleet.listLiveIn(region).filter(({ view }) => !view.cutServices.includes(service));
+		const reaching = this.fleet.listLiveIn(region).filter(({ view }) => isReaching(view, service, required));
 		return reaching.flatMap(({ view, reportedMs }) => {
 			const room = findRoom(view, service);
 			const { instance } = view;
--- a/src/entry/node/requests/schedulableRequest.ts
+++ b/src/entry/node/requests/schedulableRequest.ts
@@ -23,6 +23,7 @@
 		organisationWeight: plan.organisation.weight,
 		...(startByMs === undefined ? {} : { startByMs }),
 		...(routed === undefined ? {} : { work: createWork(routed, arrivedMs) }),
+		...(routed?.route.isResumable === true ? { findRequiredVersion: () => run.findRequiredVersion() } : {}),
 	};
 }
 
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -24,6 +24,7 @@
 	TargetRoom,
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
+import { describeUnmatched, hasMatchedTarget } from '../../common/scheduling/versionMatch';
 import type { TargetSoftware } from '../../common/streams/streamOrigin';
 import { describeContinuation, describeSoftware } from '../../common/streams/streamOrigin';
 import type { ITargetDirectory } from '../targets/targetDirectory';
@@ -46,7 +47,7 @@
 export class ServiceRunner extends Disposable implements IAttemptOwner {
 	private readonly states = new Map<RequestId, RunState>();
 	private dueTimer: IDisposable | undefined;
-	private hasUsableTarget = false;
+	private schedulable: readonly SchedulableTarget[] = [];
 	private isAdvancing = false;
 	private isAdvancePending = false;
 	private isSuspended = false;
@@ -70,7 +71,7 @@
 	}
 
 	setTargets(targets: readonly SchedulableTarget[]): void {
-		this.hasUsableTarget = targets.some(target => !target.isLeaving);
+		this.schedulable = targets;
 		this.scheduler.setTargets(targets, this.timers.getNow());
 		this.advance();
 	}
@@ -141,9 +142,9 @@
 		return this.scheduler.measureRoom(this.timers.getNow(), request);
 	}
 
-	/** Whether the service has a usable target in this region. */
-	hasTarget(): boolean {
-		return this.hasUsableTarget;
+	/** Whether the service has a usable target in this region that may run the request. */
+	hasTarget(request: SchedulableRequest): boolean {
+		return hasMatchedTarget(this.schedulable, request);
 	}
 
 	measureTarget(target: TargetId): TargetRoom {
@@ -235,12 +236,24 @@
 		if (isRetried) {
 			this.noteRetry(run, end);
 		} else {
+			this.noteUnresumed(run);
 			this.states.delete(run.call.id);
 			endUnanswered(run, refusal ?? error);
 		}
 		this.advance();
 	}
 
+	/** Notes why a stream whose answer broke off does not go on, if the reason is the version that began it. */
+	private noteUnresumed(run: RequestRun): void {
+		const continuation = run.hasEnded() ? undefined : run.findContinuation();
+		const required = continuation && run.findRequiredVersion();
+		if (continuation === undefined || required === undefined || this.hasTarget(createSchedulable(run))) {
+			return;
+		}
+		const reason = describeUnmatched(this.schedulable, required);
+		run.note(JournalStep.Refused, `${reason}; ${describeContinuation(continuation, this.timers.getNow())}`);
+	}
+
 	private noteRetry(run: RequestRun, end: AttemptEnd): void {
 		sendRetryEvent(run, end);
 		run.note(JournalStep.Retried, end);
@@ -360,7 +373,7 @@
 			{
 				fetchAddress: this.findAddress(decision.fetchFrom),
 				expectedFirstByteMs: decision.expectedFirstByteMs,
-				software,
+				observeVersion: () => this.targets.observeVersion(decision.target),
 			},
 			client,
 			this.dialect,
@@ -405,7 +418,7 @@
 	private refuse(requestId: RequestId, error: RequestError): void {
 		const state = this.states.get(requestId);
 		this.states.delete(requestId);
-		state?.run.note(JournalStep.Refused, error.detail);
+		state?.run.noteRefusal(error);
 		state?.run.fail(error);
 	}
 }
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -189,6 +189,7 @@
 		findClient: (id: TargetId) => clients.get(id),
 		findAddress: () => undefined,
 		findSoftware: () => undefined,
+		observeVersion: () => () => undefined,
 		noteAnswerHead: () => undefined,
 		noteAttemptEnd: () => undefined,
 	};
@@ -245,6 +246,7 @@
 		noteQueueWait: (_, waitedMs) => observations.push(`waited ${waitedMs}`),
 		noteAttemptEnd: (_, end) => observations.push(`attempt ${end}`),
 		noteAnswerChunk: () => undefined,
+		noteFirstEvent: () => undefined,
 		noteAnswerGap: (_, gapMs) => observations.push(`gap ${gapMs}`),
 		noteEnd: (_, end) => ends.push(end),
 	};
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -9,7 +9,7 @@
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { Discovery, KnownTarget } from '../../../core/discovery/common/discovery';
-import type { RegionName, ServiceName, TargetId } from '../../../core/ids/common/ids';
+import type { RegionName, ServiceName, SoftwareVersion, TargetId } from '../../../core/ids/common/ids';
 import type { ManifestService } from '../../../core/manifest/common/manifest';
 import { computeSenderRank } from '../../common/fleetView/entryRoster';
 import { findBestRanked } from '../../common/scheduling/prefixRanking';
@@ -21,13 +21,16 @@
 import { PortState, probePort, probePorts } from './portProbe';
 import type { IOwnedTargetClient } from './targetClient';
 import { TargetClient } from './targetClient';
-import type { EntrySharing, ITargetRegistry, TargetSummary } from './targetDirectory';
+import type { EntrySharing, FindVersion, ITargetRegistry, TargetSummary } from './targetDirectory';
 import { TargetIndex } from './targetIndex';
 import type { EntryLocation } from './targetRegistry';
 
 /** Interval at which removals that were delayed by an outage of the store are checked. */
 const expiryCheckIntervalMs = 250;
 
+/** Exceeds the time from the first event of a stream to the try in which a caller resumes it, in milliseconds. */
+const onlyVersionSpanMs = 15_000;
+
 /** Creates the client of the target at a URL. */
 export type CreateTargetClient = (url: string) => IOwnedTargetClient;
 
@@ -50,7 +53,7 @@
 		private readonly location: EntryLocation,
 		private readonly discovery: Discovery,
 		private readonly timers: ITimerService,
-		private readonly createClient: CreateTargetClient = url => new TargetClient(url),
+		private readonly createClient: CreateTargetClient = url => new TargetClient(url, timers),
 	) {
 		super();
 		this.index = new TargetIndex(location.region, discovery);
@@ -100,6 +103,8 @@
 				senderRank: computeSenderRank(roster, target.id),
 				endsMs,
 				cacheTokens: promptCache?.tokens ?? 0,
+				version: target.version,
+				findCertainVersion: () => this.findCertainVersion(target.id, this.timers.getNow()),
 			},
 		}));
 	}
@@ -127,6 +132,16 @@
 		return this.discovery.find(target)?.target;
 	}
 
+	observeVersion(target: TargetId): FindVersion {
+		const client = this.findClient(target);
+		const sinceMs = this.timers.getNow();
+		return () => (this.findClient(target) === client ? this.findCertainVersion(target, sinceMs) : undefined);
+	}
+
+	findOnlyVersion(service: ServiceName): SoftwareVersion | undefined {
+		return this.discovery.findOnlyVersion(service, onlyVersionSpanMs, this.timers.getNow());
+	}
+
 	noteAnswerHead(): void {
 		return;
 	}
@@ -135,8 +150,9 @@
 		return;
 	}
 
-	isServed(service: ServiceName, region: RegionName): boolean {
-		return this.index.find(service).servedRegions.has(region);
+	isServed(service: ServiceName, region: RegionName, version?: SoftwareVersion): boolean {
+		const versions = this.index.find(service).versionsByRegion.get(region);
+		return versions !== undefined && (version === undefined || versions.has(version));
 	}
 
 	findOwnerRegion(
@@ -174,6 +190,16 @@
 		return [];
 	}
 
+	/** Returns the version of the process that has run at the target since `sinceMs`, if that is certain. */
+	private findCertainVersion(target: TargetId, sinceMs: number): SoftwareVersion | undefined {
+		const confirmation = this.discovery.findConfirmation(target);
+		const client = this.findClient(target);
+		const isConfirmed =
+			confirmation !== undefined &&
+			client?.continuity.isConfirmed(confirmation, this.timers.getNow(), sinceMs) === true;
+		return isConfirmed ? this.discovery.find(target)?.target.version : undefined;
+	}
+
 	private describeState({ target, coldUntilMs }: KnownTarget, nowMs: number): string {
 		if (target.isLeaving) {
 			return 'leaving';
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -13,8 +13,10 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
+import type { ITimerService } from '../../../base/common/timerService';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { HeaderLine } from '../../common/callers/callHead';
+import { ProcessContinuity } from '../../common/streams/processContinuity';
 
 /** The HTTP request of an attempt. */
 export interface AttemptRequest {
@@ -58,6 +60,8 @@
 
 /** A client whose connections are closed when its target is no longer in use. */
 export interface IOwnedTargetClient extends ITargetClient {
+	/** Follows the connections, to tell whether they lead to the same process of the target. */
+	readonly continuity: ProcessContinuity;
 	/** Lets running attempts finish, and fails those that wait for a connection. */
 	close(): Promise<void>;
 }
@@ -67,8 +71,12 @@
 	private pool: Pool;
 	/** Attempts that no connection has taken yet. */
 	private readonly waiting = new Set<Attempt>();
+	readonly continuity = new ProcessContinuity();
 
-	constructor(private readonly origin: string) {
+	constructor(
+		private readonly origin: string,
+		private readonly timers: Pick<ITimerService, 'getNow'>,
+	) {
 		this.pool = this.createPool();
 	}
 
@@ -122,9 +130,31 @@
 			keepAliveTimeout: keepAliveMs,
 			headersTimeout: timeoutDisabled,
 			bodyTimeout: timeoutDisabled,
-			factory: (origin, options: Client.Options) => new ResetTrackingClient(origin, options),
+			factory: (origin, options: Client.Options) =>
+				new ResetTrackingClient(origin, options, socket => {
+					this.noteConnection(socket);
+				}),
 		});
 	}
+
+	private noteConnection(socket: Socket | undefined): void {
+		if (socket === undefined) {
+			this.continuity.noteRefused();
+			return;
+		}
+		let isByTarget = false;
+		socket.once('end', () => {
+			isByTarget = true;
+		});
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			// undici also destroys a socket with an error if this client closes it.
+			isByTarget ||= error.syscall !== undefined;
+		});
+		socket.once('close', () => {
+			this.continuity.noteClosed(isByTarget, this.timers.getNow());
+		});
+		this.continuity.noteOpened(this.timers.getNow());
+	}
 }
 
 function flattenHeaders(lines: readonly HeaderLine[]): string[] {
@@ -136,6 +166,9 @@
 	readonly attempt?: Attempt;
 }
 
+/** Receives each new connection, or undefined if it could not be opened. */
+type NoteConnection = (socket: Socket | undefined) => void;
+
 /** The state of the current connection of a client. */
 interface ConnectionState {
 	wasReset: boolean;
@@ -145,9 +178,9 @@
 class ResetTrackingClient extends Client {
 	private readonly state: ConnectionState;
 
-	constructor(origin: string | URL, options: Client.Options) {
+	constructor(origin: string | URL, options: Client.Options, noteConnection: NoteConnection) {
 		const state = { wasReset: false };
-		super(origin, { ...options, connect: createResetTrackingConnector(state) });
+		super(origin, { ...options, connect: createResetTrackingConnector(state, noteConnection) });
 		this.state = state;
 	}
 
@@ -158,7 +191,10 @@
 }
 
 /** Registers its error listener before undici does, so that a reset is recorded before undici sees an end. */
-function createResetTrackingConnector(state: ConnectionState): buildConnector.connector {
+function createResetTrackingConnector(
+	state: ConnectionState,
+	noteConnection: NoteConnection,
+): buildConnector.connector {
 	const connect = buildConnector({ timeout: connectTimeoutMs });
 	return (options, callback) => {
 		connect(options, (...result) => {
@@ -167,6 +203,7 @@
 			socket?.on('error', () => {
 				state.wasReset = true;
 			});
+			noteConnection(socket ?? undefined);
 			callback(...result);
 		});
 	};
--- a/src/entry/node/targets/targetDirectory.ts
+++ b/src/entry/node/targets/targetDirectory.ts
@@ -5,7 +5,13 @@
 
 import type { Stream } from 'most';
 import type { IDisposable } from '../../../base/common/lifecycle';
-import type { RegionName, ServiceName, TargetId, ZoneName } from '../../../core/ids/common/ids';
+import type {
+	RegionName,
+	ServiceName,
+	SoftwareVersion,
+	TargetId,
+	ZoneName,
+} from '../../../core/ids/common/ids';
 import type { ManifestService } from '../../../core/manifest/common/manifest';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { EntryRoster } from '../../common/fleetView/entryRoster';
@@ -18,6 +24,9 @@
 import type { RequestRun } from '../requests/requestRun';
 import type { ITargetClient } from './targetClient';
 
+/** Returns a software version, or undefined if it is not certain. */
+export type FindVersion = () => SoftwareVersion | undefined;
+
 /** Looks up the client of a target, and receives what attempts observe about the target. */
 export interface ITargetDirectory {
 	findClient(target: TargetId): ITargetClient | undefined;
@@ -25,6 +34,11 @@
 	findAddress(target: TargetId): string | undefined;
 	/** The software that a target runs; undefined if the target does not register it. */
 	findSoftware(target: TargetId): TargetSoftware | undefined;
+	/**
+	 * Returns a function that finds the software version of the process which runs at the target now, once that is certain. It stays
+	 * undefined if the target has started again by then.
+	 */
+	observeVersion(target: TargetId): FindVersion;
 	/** Records the head of an answer, which may announce that the target is shutting down (leaving). */
 	noteAnswerHead(target: TargetId, head: AnswerHead, reading: AnswerMetadata): void;
 	/** Records how an attempt ended. Failed connections count against the target. */
@@ -58,10 +72,12 @@
 	listSchedulable(service: ManifestService, sharing: EntrySharing): readonly SchedulableTarget[];
 	listSummaries(service: ServiceName): readonly TargetSummary[];
 	/**
-	 * Whether a region may have usable targets for the service. The capacity that an entry there reported is some
+	 * Whether a region may have usable targets for the service, of the given version if there is one. The capacity that an entry there reported is some
 	 * seconds old, so without this check requests would still be sent to a zone that was evacuated since.
 	 */
-	isServed(service: ServiceName, region: RegionName): boolean;
+	isServed(service: ServiceName, region: RegionName, version?: SoftwareVersion): boolean;
+	/** The only version that targets of the service have run lately, or undefined if that is not certain. */
+	findOnlyVersion(service: ServiceName): SoftwareVersion | undefined;
 	/**
 	 * Finds the region of the target that ranks highest for a shared prompt part, among the allowed regions or,
 	 * if none are given, among all. Undefined if the targets of other regions are not known.
--- a/src/entry/node/targets/targetIndex.ts
+++ b/src/entry/node/targets/targetIndex.ts
@@ -5,7 +5,7 @@
 
 import type { DiscoveredTarget } from '../../../core/discovery/common/discoveredTarget';
 import type { Discovery, KnownTarget } from '../../../core/discovery/common/discovery';
-import type { RegionName, ServiceName } from '../../../core/ids/common/ids';
+import type { RegionName, ServiceName, SoftwareVersion } from '../../../core/ids/common/ids';
 import type { RankedTarget } from '../../common/scheduling/prefixRanking';
 import { computeTextHash } from '../../common/scheduling/prefixRanking';
 
@@ -20,8 +20,8 @@
 	readonly local: readonly KnownTarget[];
 	/** Usable targets of all regions. */
 	readonly usable: readonly LocatedTarget[];
-	/** Regions that have a usable target. */
-	readonly servedRegions: ReadonlySet<RegionName>;
+	/** Regions that have a usable target, with the software versions of these. */
+	readonly versionsByRegion: ReadonlyMap<RegionName, ReadonlySet<SoftwareVersion | undefined>>;
 }
 
 /** Indexes the targets of a discovery. */
@@ -64,11 +64,15 @@
 		const ofService = all.filter(({ target }) => target.service === service);
 		const usable = ofService
 			.filter(({ target }) => this.isUsable(target))
-			.map(({ target }) => ({ id: target.id, idHash: computeTextHash(target.id), region: target.region }));
+			.map(({ target: { id, region, version } }) => ({ id, idHash: computeTextHash(id), region, version }));
+		const versionsByRegion = new Map<RegionName, Set<SoftwareVersion | undefined>>();
+		for (const { region, version } of usable) {
+			versionsByRegion.set(region, (versionsByRegion.get(region) ?? new Set()).add(version));
+		}
 		return {
 			local: ofService.filter(({ target }) => target.region === this.ownRegion),
 			usable,
-			servedRegions: new Set(usable.map(({ region }) => region)),
+			versionsByRegion,
 		};
 	}
 }
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -25,7 +25,7 @@
 import { pickProbed } from '../../common/paths/targetPaths';
 import { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { IndexedManifest } from '../manifest/manifestKeeper';
-import type { EntrySharing, ITargetRegistry, TargetSummary } from './targetDirectory';
+import type { FindVersion, EntrySharing, ITargetRegistry, TargetSummary } from './targetDirectory';
 import { TargetClient } from './targetClient';
 import { probePorts } from './portProbe';
 import { hasCloseOption, isTargetDown, probeTarget } from './targetProbe';
@@ -156,6 +156,14 @@
 		return undefined;
 	}
 
+	observeVersion(): FindVersion {
+		return () => undefined;
+	}
+
+	findOnlyVersion(): undefined {
+		return undefined;
+	}
+
 	findAddress(target: TargetId): string | undefined {
 		const url = this.clients.get(target)?.url;
 		return url === undefined ? undefined : new URL(url).host;
@@ -214,7 +222,7 @@
 		}
 		for (const { id, url } of targets) {
 			if (!this.clients.has(id)) {
-				this.clients.set(id, { url, client: new TargetClient(new URL(url).origin) });
+				this.clients.set(id, { url, client: new TargetClient(new URL(url).origin, this.timers) });
 			}
 		}
 		for (const client of outdated) {
--- a/src/entry/node/targets/test/targetClient.test.ts
+++ b/src/entry/node/targets/test/targetClient.test.ts
@@ -1,3 +1,4 @@
+import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 import type { IAttemptObserver } from '../targetClient';
@@ -49,6 +50,15 @@
 	});
 }
 
+/** Waits until the events of a closed socket have been emitted. */
+async function waitForEvents(): Promise<void> {
+	for (let turn = 0; turn < 5; turn++) {
+		await new Promise(resolve => setImmediate(resolve));
+	}
+}
+
+const reachedStore = { asOfMs: 0, isReached: true };
+
 const answer = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
 describe('TargetClient', () => {
@@ -62,7 +72,7 @@
 				socket.destroy();
 			}
 		});
-		const client = new TargetClient(target.origin);
+		const client = new TargetClient(target.origin, new ManualTimerService());
 		expect(await sendOnce(client)).toEqual(['handed over', 'head', 'completed']);
 		expect(await sendOnce(client)).toEqual(['handed over', 'failed']);
 		expect(target.heads).toHaveLength(2);
@@ -75,7 +85,7 @@
 		// "unknown" for a payment that was never sent.
 		const target = await openTarget(() => undefined);
 		await new Promise(resolve => target.server.close(resolve));
-		const client = new TargetClient(target.origin);
+		const client = new TargetClient(target.origin, new ManualTimerService());
 		expect(await sendOnce(client)).toEqual(['failed']);
 		await client.close();
 	});
@@ -86,7 +96,7 @@
 		const target = await openTarget(socket => {
 			setTimeout(() => socket.write(answer), 20);
 		});
-		const client = new TargetClient(target.origin);
+		const client = new TargetClient(target.origin, new ManualTimerService());
 		const closed = new Promise<Event[][]>(resolve => {
 			const running = sendOnce(client);
 			target.server.once('connection', socket => {
@@ -112,7 +122,7 @@
 			};
 			socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
 		});
-		const client = new TargetClient(target.origin);
+		const client = new TargetClient(target.origin, new ManualTimerService());
 		const events = await sendOnce(client, () => {
 			reset();
 		});
@@ -125,7 +135,7 @@
 		const target = await openTarget(socket => {
 			socket.end('HTTP/1.1 200 OK\r\n\r\nwhole');
 		});
-		const client = new TargetClient(target.origin);
+		const client = new TargetClient(target.origin, new ManualTimerService());
 		expect(await sendOnce(client)).toEqual(['handed over', 'head', 'completed']);
 		target.server.close();
 		await client.close();
@@ -138,7 +148,7 @@
 			sockets.add(socket);
 			socket.write(requestNumber === 1 ? 'HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhal' : answer);
 		});
-		const client = new TargetClient(target.origin);
+		const client = new TargetClient(target.origin, new ManualTimerService());
 		await new Promise<void>(resolve => {
 			const attempt = client.send(
 				{ method: 'GET', path: '/', lines: [], body: new Uint8Array() },
@@ -160,4 +170,43 @@
 		target.server.close();
 		await client.close();
 	});
+
+	// Guards against targets in doubt after each request that this entry cancels.
+	it('does not take its own close of a connection for one by the target', async () => {
+		const timers = new ManualTimerService();
+		const target = await openTarget(socket => socket.write(answer.slice(0, -1)));
+		const client = new TargetClient(target.origin, timers);
+		await new Promise<void>(resolve => {
+			const observer: IAttemptObserver = {
+				noteHandedOver: () => undefined,
+				receiveHead: () => {
+					attempt.cancel('the caller is gone');
+					resolve();
+				},
+				receiveData: () => true,
+				noteCompleted: () => undefined,
+				noteFailed: () => undefined,
+			};
+			const request = { method: 'GET', path: '/', lines: [], body: new Uint8Array() };
+			const attempt = client.send(request, observer);
+		});
+		await waitForEvents();
+		timers.advance(1_000);
+		expect(client.continuity.isConfirmed(reachedStore, timers.getNow())).toBe(true);
+		target.server.close();
+		await client.close();
+	});
+
+	// Guards against streams that go on at a target which has ended and may have started again with another version.
+	it.each([true, false])('notices that the target closed its connection, with a reset: %s', async isReset => {
+		const timers = new ManualTimerService();
+		const target = await openTarget(socket => (isReset ? socket.resetAndDestroy() : socket.destroy()));
+		const client = new TargetClient(target.origin, timers);
+		expect(await sendOnce(client)).toEqual(['handed over', 'failed']);
+		await waitForEvents();
+		timers.advance(1_000);
+		expect(client.continuity.isConfirmed(reachedStore, timers.getNow())).toBe(false);
+		target.server.close();
+		await client.close();
+	});
 });
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -71,7 +71,7 @@
 	metrics.setServices(['bookings']);
 	const journal = new RingRequestJournal(100, () => new Date(0));
 	const heldBytes = new HeldBytes(maxHeldBytes);
-	const runs = new ActiveRuns(journal, metrics, heldBytes, timers);
+	const runs = new ActiveRuns(journal, metrics, heldBytes, timers, { noteBegun: () => undefined });
 	const signer = new HmacTicketSigner('a key of today');
 	const tickets = new TicketService(
 		{ own, region },
@@ -114,6 +114,7 @@
 		router,
 		runs,
 		{ listMissing: () => [] },
+		{ receive: () => undefined, answer: () => undefined },
 		metrics,
 		timers,
 		new SeededRandom(1),
@@ -145,6 +146,7 @@
 		noteRelayEnd: () => undefined,
 		watchReturned: () => undefined,
 		listOffers: () => [],
+		findStreamOrigin: async () => Promise.resolve(undefined),
 		findPeer: () => closedPeer,
 		findRegion: () => region,
 		findOwnerRegion: () => undefined,
--- a/src/entry/node/test/crashReports.test.ts
+++ b/src/entry/node/test/crashReports.test.ts
@@ -81,6 +81,8 @@
 		receiveCrashReport: report => {
 			fleet.receiveCrashReport(report);
 		},
+		keepStreamOrigins: failCall,
+		findStreamOrigin: failCall,
 		describeManifest: failCall,
 		planForwarded: failCall,
 		findHold: () => undefined,
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -272,7 +272,9 @@
 		});
 		const metrics = new EntryMetrics({ version: '1', instance: id, region, zone: `${region}-a` });
 		const journal = new RingRequestJournal(10_000, () => new Date(0));
-		const runs = new ActiveRuns(journal, metrics, new HeldBytes(1_000_000_000), timers);
+		const runs = new ActiveRuns(journal, metrics, new HeldBytes(1_000_000_000), timers, {
+			noteBegun: () => undefined,
+		});
 		const context = new RouterContext(
 			settings.instance,
 			manifests,
@@ -282,6 +284,7 @@
 			runs,
 			metrics,
 			timers,
+			{ find: async () => Promise.resolve(undefined) },
 			random,
 		);
 		this.router = new RequestRouter(context, {} as unknown as TicketService, timers, openStartGate);
