Fetch cached prompts only from targets of the same software version

What two versions write doesn't fit together; that may hold for the memory of a prompt as for a stream, and callers could not tell.

The likely holders of a part are now found for each version apart; a target without a version fetches from none. The cost: while two versions serve, each reads a shared part once for itself. Two new cases of targetChooser.test.ts failed before; the engines of its simulation got a version, which real registrations have.

--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -15,10 +15,13 @@
  * entry knows no such engine, the copy is fetched from the owner, where other entries will have sent the part. An
  * engine that finds nothing there processes the part itself, some milliseconds later. Fetching only the parts that
  * the same entry had sent elsewhere caused 18% more repeated prefill of shared parts.
+ *
+ * A copy is fetched only from an engine of the same software version. What an engine of another version has cached may not fit, and an
+ * engine that runs an unknown version counts as one of another version.
  */
 
 import type { IRandom } from '../../../base/common/random';
-import type { TargetId } from '../../../core/ids/common/ids';
+import type { SoftwareVersion, TargetId } from '../../../core/ids/common/ids';
 import type { PromptPart } from '../prompts/promptShape';
 import { findSharedPart } from '../prompts/promptShape';
 import { findBestRanked } from '../scheduling/prefixRanking';
@@ -144,12 +147,14 @@
 	): TargetCandidate[] {
 		const { request } = query;
 		const shared = this.findSharedPart(request);
-		const [owner, secondRanked] = shared === undefined ? [] : findBestRanked(available, shared.id, 2);
-		const knownHolder = shared && available.find(target => target.hasPart(shared.id));
+		const [owner] = shared === undefined ? [] : findBestRanked(available, shared.id, 1);
+		const sources =
+			shared === undefined ? new Map<SoftwareVersion, FetchSources>() : findSources(available, shared);
 		return allowed.map(target => {
 			const isCached = shared !== undefined && target.hasPart(shared.id);
+			const { knownHolder, bestRanked } = findSourcesOf(target, sources);
 			const fetchedTokens = isCached || knownHolder === undefined ? 0 : (shared?.tokens ?? 0);
-			const likelyHolder = knownHolder ?? (target === owner ? secondRanked : owner);
+			const likelyHolder = knownHolder ?? bestRanked.find(engine => engine !== target);
 			// A target that has just started holds only what this entry sent to it.
 			const isHolderUnlikely = knownHolder === undefined && likelyHolder?.isCold(nowMs) === true;
 			const fetchSource = isCached || isHolderUnlikely ? undefined : likelyHolder;
@@ -185,6 +190,47 @@
 	}
 }
 
+/** The engines of one version from which a shared part can be fetched. */
+interface FetchSources {
+	readonly knownHolder: TargetLoadModel | undefined;
+	/** The two that rank highest for the part. */
+	readonly bestRanked: readonly TargetLoadModel[];
+}
+
+const noSources: FetchSources = { knownHolder: undefined, bestRanked: [] };
+
+/** Finds the engines from which a shared part can be fetched, by version. Engines of an unknown version are left out. */
+function findSources(
+	targets: readonly TargetLoadModel[],
+	{ id }: PromptPart,
+): ReadonlyMap<SoftwareVersion, FetchSources> {
+	const groups = new Map<SoftwareVersion, TargetLoadModel[]>();
+	for (const target of targets) {
+		const { softwareVersion } = target;
+		if (softwareVersion !== undefined) {
+			const group = groups.get(softwareVersion) ?? [];
+			groups.set(softwareVersion, group);
+			group.push(target);
+		}
+	}
+	return new Map(
+		[...groups].map(([version, engines]) => [
+			version,
+			{
+				knownHolder: engines.find(target => target.hasPart(id)),
+				bestRanked: findBestRanked(engines, id, 2),
+			},
+		]),
+	);
+}
+
+function findSourcesOf(
+	{ softwareVersion }: TargetLoadModel,
+	sources: ReadonlyMap<SoftwareVersion, FetchSources>,
+): FetchSources {
+	return (softwareVersion === undefined ? undefined : sources.get(softwareVersion)) ?? noSources;
+}
+
 /** Lists the targets to which the request may be sent, whether they have capacity or not. */
 function listAllowed(
 	available: readonly TargetLoadModel[],
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -14,7 +14,7 @@
  * answer sooner, whether or not that target has the prompt cached.
  */
 
-import type { RequestId, TargetId } from '../../../core/ids/common/ids';
+import type { RequestId, SoftwareVersion, TargetId } from '../../../core/ids/common/ids';
 import type { PromptShape } from '../prompts/promptShape';
 import { computeTextHash } from '../scheduling/prefixRanking';
 import type { ReportedLoad, SchedulableRequest, SchedulableTarget } from '../scheduling/serviceScheduler';
@@ -96,6 +96,11 @@
 		return (this.current.registered?.cacheTokens ?? 0) > 0;
 	}
 
+	/** The version of the target's software, if its registration includes it. */
+	get softwareVersion(): SoftwareVersion | undefined {
+		return this.current.registered?.version;
+	}
+
 	/** Moving average of the share of failed answers. */
 	get failureRate(): number {
 		return this.averageFailures;
--- a/src/entry/common/workScheduling/test/engineSimulation.ts
+++ b/src/entry/common/workScheduling/test/engineSimulation.ts
@@ -6,7 +6,13 @@
 
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
-import type { OrganisationName, RequestId, TargetId, ZoneName } from '../../../../core/ids/common/ids';
+import type {
+	OrganisationName,
+	RequestId,
+	SoftwareVersion,
+	TargetId,
+	ZoneName,
+} from '../../../../core/ids/common/ids';
 import { RequestClass } from '../../../../core/requests/common/requestClass';
 import type { PromptShape } from '../../prompts/promptShape';
 import type {
@@ -111,6 +117,7 @@
 			senderRank: 0,
 			endsMs: Infinity,
 			cacheTokens,
+			version: 'v1' as SoftwareVersion,
 		},
 	};
 }
--- a/src/entry/common/workScheduling/test/targetChooser.test.ts
+++ b/src/entry/common/workScheduling/test/targetChooser.test.ts
@@ -1,5 +1,5 @@
 import { SeededRandom } from '../../../../base/common/random';
-import type { RequestId } from '../../../../core/ids/common/ids';
+import type { RequestId, SoftwareVersion } from '../../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../../scheduling/serviceScheduler';
 import type { TargetChoice } from '../targetChooser';
 import { WorkTargetChooser } from '../targetChooser';
@@ -73,6 +73,20 @@
 		expect(choose(targets, [first])!.fetchFrom).toBe(first.id);
 	});
 
+	// Guards against prompts that were cached by one software version and are continued by another.
+	it.each(['v2', undefined])('fetches no shared part from an engine of version %s for one of v1', version => {
+		const targets = [createTarget('engine-1'), createTarget('engine-2')];
+		const first = choose(targets)!.target;
+		first.noteStart(createDraftRequest('d-0'), false, 0, 0);
+		expect(choose(targets, [first])!.fetchFrom).toBe(first.id);
+		first.setTarget({
+			...first.description,
+			registered: { ...first.description.registered!, version: version as SoftwareVersion | undefined },
+		});
+		const other = choose(targets, [first])!;
+		expect(other).toMatchObject({ fetchFrom: undefined, fetchedTokens: 0 });
+	});
+
 	it('does not expect to fetch a shared part if no engine is known to hold it', () => {
 		const targets = [createTarget('engine-1'), createTarget('engine-2')];
 		expect(choose(targets)!.fetchedTokens).toBe(0);
