Ask one entry of a region whether a stream can go on there

The entries of a region share its targets.

An entry that refuses for the version of its targets now rules out its region. The check that failed (refused within 500 ms) passes.

--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -82,6 +82,20 @@
 /** Suggested to callers as the retry delay if no entry is known in the regions allowed to answer. */
 const unreachableRetryAfterMs = 500;
 
+/** Errors of an entry whose targets may not go on with a stream because of their software version. */
+const versionErrors: ReadonlySet<ErrorKind> = new Set([ErrorKind.StreamUnknown, ErrorKind.VersionNotServed]);
+
+/** An entry to which a request was forwarded in vain. */
+interface TriedEntry {
+	readonly instance: InstanceId;
+	/** The region of the entry, if no target there may run the request. The entries of a region share its targets. */
+	readonly unfitRegion?: RegionName;
+}
+
+function listInstances(triedEntries: readonly TriedEntry[]): readonly InstanceId[] {
+	return triedEntries.map(({ instance }) => instance);
+}
+
 /** Routes the accepted requests of one entry. */
 export class RequestRouter implements IRequestForwarder {
 	private readonly tickets: TicketRouter;
@@ -187,7 +201,7 @@
 	 * Forwards a request that can't be served here: to an entry of this region if that may answer it, else to another region.
 	 * Refuses it at once if neither is possible. The ledger of a ticket is here, so its request stays.
 	 */
-	private serveElsewhere(run: RequestRun, triedEntries: readonly InstanceId[], error: RequestError): void {
+	private serveElsewhere(run: RequestRun, triedEntries: readonly TriedEntry[], error: RequestError): void {
 		const isForwarded =
 			this.isForwardable(run, triedEntries) &&
 			(this.startAtNeighbour(run, triedEntries) ||
@@ -197,7 +211,7 @@
 		}
 	}
 
-	private isForwardable(run: RequestRun, triedEntries: readonly InstanceId[]): boolean {
+	private isForwardable(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
 		return (
 			run.call.origin === undefined &&
 			run.call.head.ticket === undefined &&
@@ -207,10 +221,10 @@
 	}
 
 	/** Forwards the request to another entry of this region. */
-	private startAtNeighbour(run: RequestRun, triedEntries: readonly InstanceId[]): boolean {
+	private startAtNeighbour(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
 		const { service } = run.call.head;
 		const to = this.isLocalRegionAllowed(run)
-			? this.context.pickNeighbour(service, triedEntries, run.findRequiredVersion())
+			? this.context.pickNeighbour(service, listInstances(triedEntries), run.findRequiredVersion())
 			: undefined;
 		const peer = to === undefined ? undefined : this.context.findPeer(to);
 		if (to === undefined || peer === undefined) {
@@ -226,23 +240,27 @@
 	private async forwardToNeighbour(
 		run: RequestRun,
 		way: ForwardRoute,
-		triedEntries: readonly InstanceId[],
+		triedEntries: readonly TriedEntry[],
 	): Promise<void> {
 		const end = await this.forward(run, way);
 		this.context.noteRelayEnd(way.to, end);
-		this.handleForwardEnd(run, end, [...triedEntries, way.to]);
+		this.handleForwardEnd(run, end, [...triedEntries, this.createTriedEntry(way.to, end)]);
 	}
 
 	/** Forwards the request to another region if the policy decides so, except to the entries in `triedEntries`. */
-	private startSendAway(run: RequestRun, triedEntries: readonly InstanceId[]): boolean {
+	private startSendAway(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
 		const { plan, head } = run.call;
 		const runner = this.context.getRunner(head.service);
 		const request = createSchedulable(run);
 		const owner = this.context.findOwnerRegion(run);
+		const required = run.findRequiredVersion();
+		const triedInstances = listInstances(triedEntries);
+		const unfitRegions = triedEntries.map(({ unfitRegion }) => unfitRegion);
 		const listOffers = (): readonly RemoteOffer[] =>
 			this.context
-				.listOffers(head.service, run.findRequiredVersion())
-				.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedEntries.includes(instance));
+				.listOffers(head.service, required)
+				.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedInstances.includes(instance))
+				.filter(({ region }) => !unfitRegions.includes(region));
 		const isCut = this.context.isCut(head.service);
 		const localRoom = runner.measureRoom(request);
 		const question: SendAwayContext = {
@@ -280,6 +298,12 @@
 		return true;
 	}
 
+	private createTriedEntry(instance: InstanceId, { error }: ForwardEnd): TriedEntry {
+		const isUnfit = error !== undefined && versionErrors.has(error.kind);
+		const region = isUnfit ? this.context.findRegion(instance) : undefined;
+		return region === undefined ? { instance } : { instance, unfitRegion: region };
+	}
+
 	private submitLocally(run: RequestRun): void {
 		const runner = this.context.getRunner(run.call.head.service);
 		run.setAbandonHandler(() => {
@@ -291,7 +315,7 @@
 	private async sendAway(
 		run: RequestRun,
 		way: ForwardRoute,
-		triedEntries: readonly InstanceId[],
+		triedEntries: readonly TriedEntry[],
 	): Promise<void> {
 		const { to } = way;
 		const startedMs = this.timers.getNow();
@@ -305,14 +329,14 @@
 		const isAnswered = end.kind === ForwardEndKind.Answered;
 		const policy = this.context.getSendAwayPolicy(service);
 		policy.recordEnd(to, isAnswered, tookMs, end.sentBytes + end.receivedBytes, this.timers.getNow());
-		this.handleForwardEnd(run, end, [...triedEntries, to]);
+		this.handleForwardEnd(run, end, [...triedEntries, this.createTriedEntry(to, end)]);
 	}
 
 	/**
 	 * Retries a request after a failed forward, if it was not run or may be repeated: in this region if allowed,
 	 * otherwise at another entry.
 	 */
-	private handleForwardEnd(run: RequestRun, end: ForwardEnd, triedEntries: readonly InstanceId[]): void {
+	private handleForwardEnd(run: RequestRun, end: ForwardEnd, triedEntries: readonly TriedEntry[]): void {
 		if (run.hasEnded() || end.error === undefined) {
 			return;
 		}
