--- a/src/core/discovery/test/discovery.test.ts
+++ b/src/core/discovery/test/discovery.test.ts
@@ -8,6 +8,7 @@
 	ZoneName,
 } from '../../ids/common/ids';
 import type { DiscoveredTarget } from '../common/discoveredTarget';
+import type { IRegistrationSource } from '../common/discovery';
 import { Discovery, reregistrationGraceMs } from '../common/discovery';
 
 const id = 'engine-1' as TargetId;
@@ -36,6 +37,74 @@
 	return discovery;
 }
 
+/** The state of the store's registrations as a test sets it. */
+function createSource(): { asOfMs: number | undefined; reached: boolean; source: IRegistrationSource } {
+	const state = { asOfMs: undefined as number | undefined, reached: true };
+	const source = { getCurrentAsOfMs: () => state.asOfMs, isReached: () => state.reached };
+	return Object.assign(state, { source });
+}
+
+describe('the versions of registered targets', () => {
+	const v1 = 'v1' as SoftwareVersion;
+	const v2 = 'v2' as SoftwareVersion;
+	const service = createTarget().service;
+
+	// Guards against a restarted target whose connections and version are taken for those of the process before.
+	it('make a new generation when they change without a new boot', () => {
+		const discovery = new Discovery(new RingAuditTrail(10, () => new Date(0)));
+		const register = (version: SoftwareVersion): void => {
+			const registered = [createTarget({ version })];
+			discovery.applyRegistrations({ registered, removed: [], isAfterOutage: false }, 0);
+		};
+		register(v1);
+		register(v2);
+		expect(discovery.find(createTarget().id)).toMatchObject({ generation: 2, target: { version: v2 } });
+	});
+
+	it('are confirmed as of the time of the store, unless the registration lapsed or came from an older copy', () => {
+		const discovery = new Discovery(new RingAuditTrail(10, () => new Date(0)));
+		const store = createSource();
+		const { id } = createTarget();
+		discovery.setSource(store.source);
+		discovery.applyRegistrations({ registered: [createTarget()], removed: [], isAfterOutage: false }, 0);
+		expect(discovery.findConfirmation(id)).toBeUndefined();
+		store.asOfMs = 900;
+		expect(discovery.findConfirmation(id)).toEqual({ asOfMs: 900, isReached: true });
+		discovery.applyRegistrations({ registered: [], removed: [id], isAfterOutage: true }, 1_000);
+		expect(discovery.findConfirmation(id)).toBeUndefined();
+		const restored = { registered: [createTarget()], removed: [], isAfterOutage: true, isRestored: true };
+		discovery.applyRegistrations(restored, 1_100);
+		expect(discovery.findConfirmation(id)).toBeUndefined();
+		store.asOfMs = 1_100 + reregistrationGraceMs;
+		expect(discovery.findConfirmation(id)).toBeDefined();
+	});
+
+	// Guards against a stream of a version that has just left, resumed by a caller that doesn't name it.
+	it('are one only after the store has shown no other for a time', () => {
+		const discovery = new Discovery(new RingAuditTrail(10, () => new Date(0)));
+		const store = createSource();
+		discovery.setSource(store.source);
+		const other = createTarget({ id: 'other' as TargetId, version: v2 });
+		const both = [createTarget({ version: v1 }), other];
+		discovery.applyRegistrations({ registered: both, removed: [], isAfterOutage: false }, 0);
+		expect(discovery.findOnlyVersion(service, 15_000, 20_000)).toBeUndefined();
+		discovery.applyRegistrations({ registered: [], removed: [other.id], isAfterOutage: false }, 20_000);
+		expect(discovery.findOnlyVersion(service, 15_000, 34_000)).toBeUndefined();
+		expect(discovery.findOnlyVersion(service, 15_000, 35_000)).toBe(v1);
+		store.reached = false;
+		expect(discovery.findOnlyVersion(service, 15_000, 36_000)).toBeUndefined();
+	});
+
+	it('are not known to be one shortly after the first read', () => {
+		const discovery = new Discovery(new RingAuditTrail(10, () => new Date(0)));
+		discovery.setSource(createSource().source);
+		const registered = [createTarget({ version: v1 })];
+		discovery.applyRegistrations({ registered, removed: [], isAfterOutage: false }, 5_000);
+		expect(discovery.findOnlyVersion(service, 15_000, 19_000)).toBeUndefined();
+		expect(discovery.findOnlyVersion(service, 15_000, 20_000)).toBe(v1);
+	});
+});
+
 describe('Discovery', () => {
 	it('removes a target whose registration is removed', () => {
 		const discovery = createDiscovery(createTarget());
