Take only a try after an event on a resumable route for one that resumes a stream

An empty Last-Event-Id counts as none. The state of a stream is no longer built for each chunk of an answer, and a waiting request that resumes nothing is checked as cheaply as before.

--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -305,17 +305,17 @@
 
 	/** Returns why no target in use may run the request, or undefined if one may. */
 	private findUnusableReason(request: SchedulableRequest): AdmissionError | undefined {
+		const required = request.findRequiredVersion?.();
+		if (required === undefined) {
+			const hasUsableTarget = this.targetList.some(({ description }) => !description.isLeaving);
+			return hasUsableTarget ? undefined : { kind: ErrorKind.NoTarget, reason: noUsableTargetReason };
+		}
 		const targets = this.targetList.map(({ description }) => description);
 		if (hasMatchedTarget(targets, request)) {
 			return undefined;
 		}
-		const required = request.findRequiredVersion?.();
-		return required === undefined
-			? { kind: ErrorKind.NoTarget, reason: noUsableTargetReason }
-			: {
-					kind: required.version === undefined ? ErrorKind.StreamUnknown : ErrorKind.VersionNotServed,
-					reason: describeUnmatched(targets, required),
-				};
+		const kind = required.version === undefined ? ErrorKind.StreamUnknown : ErrorKind.VersionNotServed;
+		return { kind, reason: describeUnmatched(targets, required) };
 	}
 
 	/** Lists the targets at which the request may run with regard to their software version. */
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -274,7 +274,7 @@
 					fromRegion: this.sender.region,
 					manifestVersion: BigInt(this.sender.manifestVersion),
 					host: head.routed?.host ?? '',
-					lastEventId: continuation?.afterEvent ?? '',
+					lastEventId: this.run.getLastEventId() ?? '',
 					...(continuation?.origin === undefined ? {} : { origin: encodeOrigin(continuation.origin) }),
 					...(startWithinMs === undefined ? {} : { startWithinMs: Math.floor(startWithinMs) }),
 				},
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -175,10 +175,11 @@
 	findContinuation(): Continuation | undefined {
 		const afterEvent = this.getLastEventId();
 		const { routed } = this.call.head;
-		if (afterEvent === undefined || routed === undefined) {
+		if (afterEvent === undefined || routed?.route.isResumable !== true) {
 			return undefined;
 		}
-		const stream = routed.resumes ?? (routed.callerRequestId as StreamId);
+		const resumed = routed.lastEventId === undefined ? undefined : routed.resumes;
+		const stream = resumed ?? (routed.callerRequestId as StreamId);
 		return { stream, afterEvent, origin: this.findOrigin?.() };
 	}
 
@@ -278,6 +279,10 @@
 	}
 
 	private noteEvents(events: EventStreamSplitter): void {
+		const isReportDue = this.call.origin !== undefined && !this.isOriginReported;
+		if (this.hasPassedEvent && !isReportDue) {
+			return;
+		}
 		const continuation = this.findContinuation();
 		if (
 			continuation === undefined ||
@@ -290,7 +295,7 @@
 			this.hasPassedEvent = true;
 			this.observer.noteFirstEvent(this, continuation.stream, this.findOrigin);
 		}
-		if (!this.isOriginReported && continuation.origin !== undefined) {
+		if (isReportDue && continuation.origin !== undefined) {
 			this.isOriginReported = true;
 			this.sink.noteOrigin?.(continuation.origin);
 		}
--- a/src/entry/node/streams/streamOriginKeeper.ts
+++ b/src/entry/node/streams/streamOriginKeeper.ts
@@ -159,8 +159,11 @@
 	}
 
 	private scheduleReport(): void {
+		if (this.reportTimer !== undefined) {
+			return;
+		}
 		const isLarge = this.peers.list().length > largeFleetPeers;
-		this.reportTimer ??= this.timers.schedule(isLarge ? largeFleetIntervalMs : reportIntervalMs, () => {
+		this.reportTimer = this.timers.schedule(isLarge ? largeFleetIntervalMs : reportIntervalMs, () => {
 			this.reportTimer = undefined;
 			this.sendReports();
 		});
