--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -360,8 +360,7 @@
 		}
 		const client = this.targets.findClient(decision.target);
 		state.attempts++;
-		const software = this.targets.findSoftware(decision.target);
-		state.run.note(JournalStep.Started, this.describeStart(state.run, decision, software));
+		state.run.note(JournalStep.Started, this.describeStart(state.run, decision));
 		if (client === undefined) {
 			this.endForRemovedTarget(state, decision.target);
 			return;
@@ -385,17 +384,14 @@
 		attempt.start();
 	}
 
-	private describeStart(
-		run: RequestRun,
-		{ target, reason }: StartDecision,
-		software: TargetSoftware | undefined,
-	): string {
+	private describeStart(run: RequestRun, { target, reason }: StartDecision): string {
 		const continuation = run.findContinuation();
 		if (continuation === undefined) {
 			return `${target}: ${reason}`;
 		}
 		const described = describeContinuation(continuation, this.timers.getNow());
-		return `${target}: ${reason}, ${described}, ${describeSoftware(software ?? unknownSoftware)}`;
+		const software = this.targets.findSoftware(target) ?? unknownSoftware;
+		return `${target}: ${reason}, ${described}, ${describeSoftware(software)}`;
 	}
 
 	private findAddress(target: TargetId | undefined): string | undefined {
