Let callers that name no stream resume it as soon as one version is seen

A caller that names no stream gives an entry nothing to look up; the registrations are all there is. It now goes on if the store has shown this entry one version within 15 s, however long the entry has run, and is refused if it has shown two or has been silent for so long. Streams that are named do not rely on this. What remains: an entry that started within 15 s after the last target of another version left can't know of that version.

--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -76,7 +76,6 @@
 	/** Boots of removed targets, to recognise their outdated registrations after a restore of the store. */
 	private readonly removedBoots = new LRUCache<TargetId, BootId>({ max: maxRemovedBoots });
 	private source: IRegistrationSource | undefined;
-	private firstReadMs = Number.POSITIVE_INFINITY;
 	private restoredMs = Number.NEGATIVE_INFINITY;
 	/** Versions of registrations that were replaced or removed. */
 	private pastVersions: PastVersion[] = [];
@@ -124,18 +123,18 @@
 	}
 
 	/**
-	 * Returns the version of a service's targets if the store has shown no other one for `spanMs`, and undefined if it has, or if
-	 * the registrations have not been followed for so long.
+	 * Returns the version of a service's targets if the store has shown no other one for `spanMs`, as far as this entry has followed
+	 * it, and undefined if it has, or if it has not answered for so long.
 	 */
 	findOnlyVersion(service: ServiceName, spanMs: number, nowMs: number): SoftwareVersion | undefined {
-		const isFollowed = nowMs - this.firstReadMs >= spanMs && this.source?.isReached() === true;
+		const asOfMs = this.source?.getCurrentAsOfMs() ?? Number.NEGATIVE_INFINITY;
 		const present = this.list()
 			.filter(({ target }) => target.service === service)
 			.map(({ target }) => target.version);
 		const past = this.pastVersions.filter(seen => seen.service === service && nowMs - seen.untilMs < spanMs);
 		const versions = new Set([...present, ...past.map(({ version }) => version)]);
 		const [only] = versions;
-		return isFollowed && versions.size === 1 ? only : undefined;
+		return nowMs - asOfMs < spanMs && versions.size === 1 ? only : undefined;
 	}
 
 	isEvacuated(zone: ZoneName): boolean {
@@ -145,7 +144,6 @@
 	applyRegistrations(change: RegistrationChange, nowMs: number): void {
 		this.hasChanged ||= !this.hasRead;
 		this.hasRead = true;
-		this.firstReadMs = Math.min(this.firstReadMs, nowMs);
 		if (change.isRestored === true) {
 			this.restoredMs = nowMs;
 		}
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -391,7 +391,7 @@
 
 function describeUnknownStream(stream: StreamId | undefined): string {
 	return stream === undefined
-		? 'the caller names no stream, and targets have run more than one version lately'
+		? 'the caller names no stream, and the store has not shown one version alone lately'
 		: 'no entry that answered in time knows the stream';
 }
 
