Report streams that begin while a report is on its way

Found on reading: a holder that was slow to answer got the streams that began meanwhile only with the report of a later stream, so the last ones before a lull were kept by their entry alone. The new test failed before.

--- a/src/entry/common/streams/originHolders.ts
+++ b/src/entry/common/streams/originHolders.ts
@@ -18,10 +18,10 @@
 }
 
 /** Returns up to two holders, the one that is nearest to callers first. */
-export function pickHolders(
+export function pickHolders<TEntry extends HolderCandidate>(
 	self: HolderCandidate,
-	candidates: readonly HolderCandidate[],
-): readonly HolderCandidate[] {
+	candidates: readonly TEntry[],
+): readonly TEntry[] {
 	const ranked = orderFor(self.instance, candidates);
 	const isNear = ({ region }: HolderCandidate): boolean => region === self.region;
 	const first =
@@ -35,7 +35,10 @@
 }
 
 /** Returns the entries in an order that differs from entry to entry and changes little when one comes or goes. */
-function orderFor(self: InstanceId, candidates: readonly HolderCandidate[]): readonly HolderCandidate[] {
+function orderFor<TEntry extends HolderCandidate>(
+	self: InstanceId,
+	candidates: readonly TEntry[],
+): readonly TEntry[] {
 	const selfHash = computeTextHash(self);
 	return candidates
 		.map(entry => ({ entry, score: computeMixedHash(selfHash, computeTextHash(entry.instance)) }))
--- a/src/entry/common/streams/originLog.ts
+++ b/src/entry/common/streams/originLog.ts
@@ -34,6 +34,11 @@
 	private origins: LoggedOrigin[] = [];
 	private nextPosition = 0;
 
+	/** The position after the latest origin. */
+	get endPosition(): number {
+		return this.nextPosition;
+	}
+
 	add(key: StreamKey, origin: StreamOrigin, nowMs: number): void {
 		this.origins.push({ position: this.nextPosition++, key, origin, loggedMs: nowMs });
 	}
--- a/src/entry/node/streams/originPeers.ts
+++ b/src/entry/node/streams/originPeers.ts
@@ -13,6 +13,7 @@
 import type { StreamOrigin } from '../../common/streams/streamOrigin';
 import type { StreamKey } from '../../common/streams/streamOrigins';
 import type { EntryFleet } from '../fleet/entryFleet';
+import type { PeerConnection } from '../peers/peerClients';
 import { decodeOrigin, encodeGroup } from './originCodec';
 
 /** Another entry that knows origins of streams. */
@@ -63,7 +64,7 @@
 		return origin === undefined ? undefined : { origin: decodeOrigin(origin), ageMs };
 	}
 
-	private findClient(instance: InstanceId): NonNullable<ReturnType<EntryFleet['findPeer']>>['client'] {
+	private findClient(instance: InstanceId): PeerConnection['client'] {
 		const peer = this.fleet.findPeer(instance);
 		if (peer === undefined) {
 			throw new Error(`no address of ${instance} is known`);
--- a/src/entry/node/streams/streamOriginKeeper.ts
+++ b/src/entry/node/streams/streamOriginKeeper.ts
@@ -173,7 +173,7 @@
 		const nowMs = this.timers.getNow();
 		this.log.expire(nowMs);
 		this.keepPending();
-		const holders = pickHolders(this.self, this.peers.list()) as readonly OriginPeer[];
+		const holders = pickHolders(this.self, this.peers.list());
 		const boots = new Set(holders.map(({ boot }) => boot));
 		for (const boot of [...this.positions.keys()].filter(known => !boots.has(known))) {
 			this.positions.delete(boot);
@@ -197,10 +197,12 @@
 			this.positions.set(boot, batch.endPosition);
 		} catch {
 			// The fleet's exchanges detect unreachable entries, and the next report goes to the holder that takes its place.
-			this.scheduleReport();
 		} finally {
 			this.reporting.delete(boot);
 		}
+		if ((this.positions.get(boot) ?? 0) < this.log.endPosition) {
+			this.scheduleReport();
+		}
 	}
 
 	private keepPending(): void {
--- a/src/entry/node/streams/test/originFixtures.ts
+++ b/src/entry/node/streams/test/originFixtures.ts
@@ -46,6 +46,9 @@
 	readonly asked: InstanceId[] = [];
 	/** Entries that do not answer. */
 	readonly silent = new Set<InstanceId>();
+	/** Answers to reports wait until a test gives them. */
+	isSlow = false;
+	readonly pendingAnswers: (() => void)[] = [];
 	readonly known = new Map<InstanceId, ReportedOrigin>();
 
 	constructor(public peers: readonly OriginPeer[]) {}
@@ -59,7 +62,7 @@
 			return Promise.reject(new Error('timeout'));
 		}
 		this.reports.push({ to, groups });
-		return Promise.resolve();
+		return this.isSlow ? new Promise(resolve => this.pendingAnswers.push(resolve)) : Promise.resolve();
 	}
 
 	async askOrigin(peer: InstanceId): Promise<ReportedOrigin | undefined> {
--- a/src/entry/node/streams/test/streamOriginKeeper.test.ts
+++ b/src/entry/node/streams/test/streamOriginKeeper.test.ts
@@ -60,6 +60,23 @@
 		expect(peers.reports.map(({ to }) => to)).toContain('khomas-2');
 	});
 
+	// Guards against the last streams before a lull, which no later stream's report would carry.
+	it('follow for streams that began while a report was on its way', async () => {
+		const { keeper, peers, advance } = createKeeper();
+		peers.isSlow = true;
+		keeper.noteBegun(createStream('a'));
+		await advance(200);
+		keeper.noteBegun(createStream('b'));
+		await advance(200);
+		expect(peers.reports).toHaveLength(2);
+		for (const answer of peers.pendingAnswers.splice(0)) {
+			answer();
+		}
+		await advance(0);
+		await advance(200);
+		expect(peers.reports).toHaveLength(4);
+	});
+
 	// Guards against a version that is reported although the target may have started again with another one.
 	it('contain a stream only once its origin is certain', async () => {
 		const { keeper, peers, advance } = createKeeper();
