--- a/src/entry/common/streams/processContinuity.ts
+++ b/src/entry/common/streams/processContinuity.ts
@@ -7,13 +7,7 @@
  * the process has had the time to register holds for all of them.
  */
 
-/** What this entry (proxy process) knows of the registrations in the store. */
-export interface StoreConfirmation {
-	/** The registrations are known as they were at this time, in monotonic milliseconds. */
-	readonly asOfMs: number;
-	/** Whether the store answers at present, so that a changed registration arrives shortly. */
-	readonly isReached: boolean;
-}
+import type { RegistrationConfirmation } from '../../../core/discovery/common/discovery';
 
 /** A process takes longer than this to start again, in milliseconds. */
 const minRestartMs = 500;
@@ -58,7 +52,7 @@
 	 * Whether the process that answers now, and has answered since `sinceMs`, is the registered one. The store need not be reached if
 	 * it has confirmed the registration since the first of the connections that follow each other.
 	 */
-	isConfirmed({ asOfMs, isReached }: StoreConfirmation, nowMs: number, sinceMs = nowMs): boolean {
+	isConfirmed({ asOfMs, isReached }: RegistrationConfirmation, nowMs: number, sinceMs = nowMs): boolean {
 		const startMs = this.findUnbrokenStart(nowMs);
 		if (startMs !== undefined && startMs > sinceMs) {
 			return false;
