Show callers that an unframed answer broke off

CallerSink passes such an answer on without framing and closed it in the normal way.

Cause: cut() destroyed the response, which sends a FIN, and a FIN is the end of an answer that ends with its connection. The same for callers of HTTP/1.0.

Change: such connections are reset. A reset that a caller reads together with the last bytes is taken for a close by callers on libuv (seen: 'end' in place of ECONNRESET when the reset followed at once), so it comes 100 ms later. undici takes ECONNRESET for the end of an answer with Connection: close (seen in the same test), so a stream also ends inside the event in which its target broke off, which the target had sent. Whole answers keep their bytes.

Tried: a reset at once (see above); framing with chunks, which would mark truncated plain answers as complete.

--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -44,17 +44,12 @@
 		return whole;
 	}
 
-	/** Removes and returns the bytes after the last complete event. Used at the clean end of a stream. */
+	/** Removes and returns the bytes after the last complete event. */
 	takeRemainder(): Buffer {
 		const rest = this.pending;
 		this.pending = empty;
 		return rest;
 	}
-
-	/** Discards the partial event of a stream that was interrupted. */
-	clearRemainder(): void {
-		this.pending = empty;
-	}
 }
 
 function toBuffer(chunk: Uint8Array): Buffer {
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -32,13 +32,13 @@
 		);
 	});
 
-	it('returns the remainder at a clean end and discards it when the stream was interrupted', () => {
+	it('returns the remainder at a clean end and removes it when the stream was interrupted', () => {
 		const whole = new EventStreamSplitter();
 		whole.push(Buffer.from('data: a\n\ndata: b'));
 		expect(whole.takeRemainder().toString()).toBe('data: b');
 		const broken = new EventStreamSplitter();
 		broken.push(Buffer.from('data: a\n\ndata: b'));
-		broken.clearRemainder();
+		expect(broken.takeRemainder().toString()).toBe('data: b');
 		expect(broken.push(Buffer.from('data: c\n\n')).toString()).toBe('data: c\n\n');
 	});
 });
--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -15,10 +15,17 @@
 /** How long the connection of a refused upload stays open, so that the caller can read the refusal. */
 const refusedUploadLingerMs = 1_000;
 
+/**
+ * Delay before the connection of an incomplete answer without framing is reset. Callers whose event loop reads a reset
+ * together with the last bytes take it for a regular close, which marks the end of a complete answer.
+ */
+const resetDelayMs = 100;
+
 /** Writes one answer to one caller. */
 export class CallerSink implements IAnswerSink {
 	private isEnded = false;
 	private endsWithConnection = false;
+	private isFramed = true;
 
 	constructor(
 		private readonly requestId: RequestId,
@@ -33,6 +40,7 @@
 			this.endsWithConnection = true;
 			this.response.useChunkedEncodingByDefault = false;
 		}
+		this.isFramed = this.isFramedFor(head);
 		this.writeHead(head.status, [...head.lines, ...this.dialect.createAnswerLines(this.requestId)]);
 	}
 
@@ -51,7 +59,17 @@
 
 	cut(): void {
 		this.isEnded = true;
-		this.response.destroy();
+		if (this.isFramed) {
+			this.response.destroy();
+			return;
+		}
+		const { socket } = this.request;
+		const timer = setTimeout(() => {
+			socket.resetAndDestroy();
+		}, resetDelayMs);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
 	}
 
 	refuse(error: RequestError): void {
@@ -92,6 +110,14 @@
 		);
 	}
 
+	/** Whether the caller can tell an answer that breaks off from a complete one by its length or chunks. */
+	private isFramedFor(head: AnswerHead): boolean {
+		const { httpVersionMajor, httpVersionMinor } = this.request;
+		const readsChunks = httpVersionMajor > 1 || httpVersionMinor > 0;
+		const hasLength = head.lines.some(line => line.name.toLowerCase() === 'content-length');
+		return hasLength || (readsChunks && !this.endsWithConnection);
+	}
+
 	/**
 	 * Node also reports a request without a body as incomplete until its handler returns. Treating such a request as
 	 * an upload would close the connection after each refused GET, at the time when many requests are refused.
--- a/src/entry/node/callers/test/callerSink.test.ts
+++ b/src/entry/node/callers/test/callerSink.test.ts
@@ -46,7 +46,61 @@
 	});
 }
 
+type WriteAnswer = (sink: CallerSink) => void;
+
+async function openAnsweringServer(write: WriteAnswer): Promise<Server> {
+	const server = createServer((request, response) => {
+		write(new CallerSink('r-1' as RequestId, new NativeCallerDialect(), request, response, () => false));
+	});
+	await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+	return server;
+}
+
+/** Returns how the connection ended for a caller: after a regular close, or with the code of an error. */
+async function observeEnd(port: number, requestLine: string): Promise<string> {
+	return new Promise(resolve => {
+		const socket = connect(port, '127.0.0.1');
+		socket.on('error', (error: NodeJS.ErrnoException) => {
+			resolve(error.code ?? error.message);
+		});
+		socket.on('end', () => {
+			resolve('closed');
+		});
+		socket.resume();
+		socket.write(`${requestLine}\r\nhost: entry\r\n\r\n`);
+	});
+}
+
+const contentType = { name: 'content-type', value: 'text/event-stream' };
+
 describe('CallerSink', () => {
+	// Guards against an answer whose end is the end of its connection, and that looks complete when it breaks off.
+	it.each([
+		{ name: 'the target sent no framing', requestLine: 'GET / HTTP/1.1', endsWithConnection: true },
+		{ name: 'the caller reads no chunks', requestLine: 'GET / HTTP/1.0', endsWithConnection: false },
+	])('resets the connection of an answer that breaks off if $name', async testCase => {
+		const { requestLine, endsWithConnection } = testCase;
+		const server = await openAnsweringServer(sink => {
+			sink.begin({ status: 200, lines: [contentType], endsWithConnection });
+			sink.write(Buffer.from('id: 1\ndata: a\n\n'));
+			setImmediate(() => {
+				sink.cut();
+			});
+		});
+		expect(await observeEnd((server.address() as AddressInfo).port, requestLine)).toBe('ECONNRESET');
+		server.close();
+	});
+
+	it('closes the connection in the regular way after a whole answer without framing', async () => {
+		const server = await openAnsweringServer(sink => {
+			sink.begin({ status: 200, lines: [contentType], endsWithConnection: true });
+			sink.write(Buffer.from('id: 1\ndata: a\n\n'));
+			sink.end();
+		});
+		expect(await observeEnd((server.address() as AddressInfo).port, 'GET / HTTP/1.1')).toBe('closed');
+		server.close();
+	});
+
 	it('lets a caller that is still uploading read why it was refused', async () => {
 		// A caller sends a body that is too large and is refused by its content length. If the connection were
 		// closed with the upload unread, the caller would get a broken pipe instead of the refusal.
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -89,6 +89,10 @@
 	private findOrigin: FindOrigin | undefined;
 	/** Whether the current answer has neither a length nor chunks, so that its end does not show that it is whole. */
 	private isUnframed = false;
+	/** Whether the caller sees the end of the answer only by the end of its connection. */
+	private endsWithConnection = false;
+	/** The part of the next event that an interrupted attempt left. */
+	private brokenEvent: Uint8Array | undefined;
 	/** Number of reads in which the current target's answer brought whole events. */
 	private eventReads = 0;
 	private hasPassedEvent = false;
@@ -259,9 +263,12 @@
 		return this.eventReads > 1;
 	}
 
-	/** Discards an incomplete event after an answer was interrupted, so that the caller has only complete events. */
+	/** Holds back an incomplete event after an answer was interrupted, so that the caller has only complete events. */
 	markInterrupted(): void {
-		this.events?.clearRemainder();
+		const rest = this.events?.takeRemainder();
+		if (rest !== undefined && rest.byteLength > 0) {
+			this.brokenEvent = rest;
+		}
 	}
 
 	/** Forwards the head of a stored answer. The state machine is already in the state `answering`. */
@@ -281,7 +288,10 @@
 			return this.sink.write(chunk);
 		}
 		const completeEvents = this.events.push(chunk);
-		this.eventReads += completeEvents.byteLength > 0 ? 1 : 0;
+		if (completeEvents.byteLength > 0) {
+			this.eventReads++;
+			this.brokenEvent = undefined;
+		}
 		this.noteEvents(this.events);
 		return completeEvents.byteLength === 0 || this.sink.write(completeEvents);
 	}
@@ -317,7 +327,7 @@
 		const reported = this.lifecycle.refuse(error);
 		this.sink.noteAttempts?.(this.attempts);
 		if (this.hasBegun()) {
-			this.sink.cut();
+			this.cutAnswer();
 		} else {
 			this.sink.refuse(reported);
 		}
@@ -334,6 +344,18 @@
 		this.close(this.lifecycle.getOutcome(), error.kind, error.detail);
 	}
 
+	/**
+	 * Ends an incomplete answer. Without framing, some HTTP clients take a reset for its regular end, so that only a
+	 * stream that ends inside an event shows them that it is incomplete.
+	 */
+	private cutAnswer(): void {
+		this.markInterrupted();
+		if (this.endsWithConnection && this.brokenEvent !== undefined) {
+			this.sink.write(this.brokenEvent);
+		}
+		this.sink.cut();
+	}
+
 	private noteEvents(events: EventStreamSplitter): void {
 		const isReportDue = this.call.origin !== undefined && !this.isOriginReported;
 		if (this.hasPassedEvent && !isReportDue) {
@@ -371,6 +393,7 @@
 	private noteAnswerBegun(head: AnswerHead): void {
 		this.firstByteMs = this.timers.getNow() - this.call.arrivedMs;
 		this.note(JournalStep.FirstByte, `status ${head.status}`);
+		this.endsWithConnection = head.endsWithConnection === true;
 		this.sink.begin(head);
 	}
 
