Let few entries watch the store and pass its changes on to the others

Each change wakes every entry that watches, on two prefixes, and each entry repeats its watches while nothing changes.

Change: one live entry of a region for each forty, chosen by rendezvous hash, watches the store; the others read listings, changes and heartbeats from it over a stream between entries. The client of the store hides it from the follower, so eras, restores and outages are handled where they were. A feed that ends or is silent for 0.4 of the longest allowed delay is given up for the store itself. Whoever is asked for a feed watches, and only the store's own answers are passed on.

--- a/src/capacity/common/syntheticView.ts
+++ b/src/capacity/common/syntheticView.ts
@@ -48,5 +48,6 @@
 		cutServices: [],
 		keepsStreamOrigins: true,
 		countsAttempts: true,
+		relaysStore: true,
 	};
 }
--- a/src/core/store/common/storeClient.ts
+++ b/src/core/store/common/storeClient.ts
@@ -35,6 +35,9 @@
 	/** The store's revision when the page was read. */
 	readonly revision: number;
 	readonly era?: StoreEra | undefined;
+	/** Milliseconds since the page was current, if another process read it from the store. */
+	readonly ageMs?: number;
+	readonly isRelayed?: boolean;
 }
 
 /** Changes of the keys that begin with a prefix, in the order in which they were made. */
@@ -43,6 +46,9 @@
 	/** The revision after which the next watch continues. */
 	readonly revision: number;
 	readonly era?: StoreEra | undefined;
+	/** Milliseconds since the state after the changes was current, if another process read them from the store. */
+	readonly ageMs?: number;
+	readonly isRelayed?: boolean;
 }
 
 export enum StoreErrorKind {
@@ -52,6 +58,8 @@
 	Refused = 'refused',
 	/** The store no longer keeps the changes after the requested revision. */
 	HistoryGone = 'history-gone',
+	/** Changes alone do not lead to the present state, and a complete listing is ready to be read. */
+	ListingReady = 'listing-ready',
 	/** The store was restored from an older copy since the previous answer. */
 	Restored = 'restored',
 	/** The answer has a lower era than an earlier answer. */
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -76,6 +76,8 @@
 	/** Why the call failed, or undefined if it was answered. */
 	readonly fault: StoreError | undefined;
 	readonly era: StoreEra | undefined;
+	/** Whether another process answered for the store. */
+	readonly isRelayed: boolean;
 }
 
 /** Shorter periods of failed calls are not an outage, since entries do not expire within them. */
@@ -165,6 +167,15 @@
 		});
 	}
 
+	/** The revision up to which all changes are applied; 0 while the items are listed. */
+	getRevision(): number {
+		return this.mirror.revision;
+	}
+
+	listItems(): readonly StoreItem[] {
+		return this.mirror.listItems();
+	}
+
 	/** The highest era seen, or undefined before the first answer that includes one. */
 	getEra(): StoreEra | undefined {
 		return this.era;
@@ -220,12 +231,16 @@
 			signal => this.client.watch(this.prefix, this.mirror.revision, waitMs, signal),
 			({ changes }) => changes.length > 0,
 		);
-		if (result.isErr() && result.error.kind === StoreErrorKind.HistoryGone) {
+		if (result.isErr() && isListingNeeded(result.error)) {
 			return this.listAll();
 		}
 		const isEmpty = result.isOk() && result.value.changes.length === 0;
+		const ageMs = result.isOk() ? result.value.ageMs : undefined;
 		// The store ends a watch without changes once it has waited for them.
-		this.answerAsOfMs = startedMs + (isEmpty ? Math.min(waitMs, this.timers.getNow() - startedMs) : 0);
+		this.answerAsOfMs =
+			ageMs === undefined
+				? startedMs + (isEmpty ? Math.min(waitMs, this.timers.getNow() - startedMs) : 0)
+				: this.timers.getNow() - ageMs;
 		if (isEmpty && waitMs > 0 && this.timers.getNow() - startedMs < minPauseMs) {
 			// Prevents a tight loop if the store ends watches without waiting.
 			await waitFor(this.timers, minPauseMs, this.abort.signal);
@@ -257,6 +272,7 @@
 			}
 			items.push(...page.value.items);
 			revision ??= page.value.revision;
+			this.answerAsOfMs -= page.value.ageMs ?? 0;
 			if (!page.value.hasMore || page.value.items.length === 0) {
 				return ok(this.mirror.putAll(items, revision));
 			}
@@ -264,7 +280,7 @@
 	}
 
 	/** Makes a call and aborts it if it takes longer than its wait and the answer timeout. */
-	private async fetchWithTimeout<TValue extends Partial<Pick<StorePage, 'revision' | 'era'>>>(
+	private async fetchWithTimeout<TValue extends Partial<Pick<StorePage, 'revision' | 'era' | 'isRelayed'>>>(
 		call: StoreCallKind,
 		waitMs: number,
 		fetch: (signal: AbortSignal) => Promise<Result<TValue, StoreError>>,
@@ -287,6 +303,9 @@
 				hasData: answer.isOk() && hasData(answer.value),
 				fault: answer.isErr() ? answer.error : undefined,
 				era: getEra(answer),
+				isRelayed: answer.isOk()
+					? answer.value.isRelayed === true
+					: answer.error.kind === StoreErrorKind.ListingReady,
 			});
 			return this.checkEra(answer);
 		} finally {
@@ -353,3 +372,7 @@
 function getEra(answer: Result<{ readonly era?: StoreEra | undefined }, StoreError>): StoreEra | undefined {
 	return answer.isOk() ? answer.value.era : answer.error.era;
 }
+
+function isListingNeeded({ kind }: StoreError): boolean {
+	return kind === StoreErrorKind.HistoryGone || kind === StoreErrorKind.ListingReady;
+}
--- a/src/core/store/common/storeMirror.ts
+++ b/src/core/store/common/storeMirror.ts
@@ -31,6 +31,10 @@
 		return this.heldRevision;
 	}
 
+	listItems(): readonly StoreItem[] {
+		return [...this.items.values()];
+	}
+
 	/** Discards the revision, which is not valid after a restore; the items are kept until the next listing. */
 	markRestored(): void {
 		this.heldRevision = 0;
--- a/src/core/telemetry/common/entryMetricLabels.ts
+++ b/src/core/telemetry/common/entryMetricLabels.ts
@@ -40,6 +40,8 @@
 	Unchanged = 'unchanged',
 	/** Rejected by the rate limit of the platform. */
 	Refused = 'refused',
+	/** Answered by an entry that watches the platform for this one. */
+	Relayed = 'relayed',
 	Failed = 'failed',
 	/** The answer showed that the store was restored from an older copy. */
 	Restored = 'restored',
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -50,6 +50,13 @@
  */
 const eventLoopSampleMs = 1_000;
 
+/** Results of reads after which the state of the platform is known. */
+const goodReads: ReadonlySet<ReadResult> = new Set([
+	ReadResult.Fresh,
+	ReadResult.Unchanged,
+	ReadResult.Relayed,
+]);
+
 /** Records the metrics of one entry; `render` returns the page for `/metrics`. */
 export class EntryMetrics implements IMetricsPage {
 	readonly registry = new Registry();
@@ -181,7 +188,7 @@
 
 	notePlatformRead(kind: PlatformReadKind, result: ReadResult): void {
 		this.platformReads.inc({ kind, result });
-		if (result === ReadResult.Fresh || result === ReadResult.Unchanged) {
+		if (goodReads.has(result)) {
 			this.platformLastRead.setToCurrentTime({ kind });
 		}
 	}
--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -60,6 +60,8 @@
 	readonly keepsStreamOrigins: boolean;
 	/** Whether the entry reports the attempts of forwarded requests, unlike entries of earlier releases. */
 	readonly countsAttempts: boolean;
+	/** Whether the entry passes the changes of the store on, unlike entries of earlier releases. */
+	readonly relaysStore: boolean;
 }
 
 /** Returns the capacity that a view reports for a service. */
--- a/src/entry/common/fleetView/test/views.ts
+++ b/src/entry/common/fleetView/test/views.ts
@@ -33,6 +33,7 @@
 		cutServices: [],
 		keepsStreamOrigins: true,
 		countsAttempts: true,
+		relaysStore: true,
 		...more,
 	};
 }
--- /dev/null
+++ b/src/entry/common/storeRelay/storeFeed.ts
@@ -0,0 +1,85 @@
+/**
+ * Defines the messages with which an entry that watches the platform's store passes its changes on to another entry.
+ */
+
+import type { Stream } from 'most';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import type { InstanceId } from '../../../core/ids/common/ids';
+import type { StoreEra, StoreItem } from '../../../core/store/common/storeClient';
+import type { FollowedChange } from '../../../core/store/common/storeFollower';
+
+/** What an entry has of the store when it asks for the changes. */
+export interface FeedRequest {
+	readonly prefix: string;
+	/** The revision up to which it has all changes. */
+	readonly revision: number;
+	readonly era: StoreEra | undefined;
+}
+
+/** Changes below a prefix; a heartbeat if there are none. */
+export interface FeedMessage {
+	/** The revision up to which the receiver has all changes with this message. */
+	readonly revision: number;
+	readonly era: StoreEra | undefined;
+	/** Milliseconds since the state that the message leads to was current. */
+	readonly ageMs: number;
+	/** Whether the written items are all items, in place of those that the receiver has. */
+	readonly isListing: boolean;
+	readonly written: readonly StoreItem[];
+	readonly removed: readonly string[];
+}
+
+/** Receives the messages of a feed. */
+export interface IFeedObserver {
+	receive(message: FeedMessage): void;
+	/** Called once when the feed ends by itself, also if it could not be opened. */
+	end(reason: string): void;
+}
+
+/** Opens feeds of other entries. */
+export interface IFeedOpener {
+	/** @returns A disposable that ends the feed without a call of `end`. */
+	open(watcher: InstanceId, request: FeedRequest, observer: IFeedObserver): IDisposable;
+}
+
+/** The state of one prefix of the store at this entry. */
+export interface IFeedSource {
+	readonly onDidChange: Stream<FollowedChange>;
+	/** The revision up to which all changes are applied; 0 while they are listed. */
+	getRevision(): number;
+	getEra(): StoreEra | undefined;
+	getCurrentAsOfMs(): number | undefined;
+	isReached(): boolean;
+	listItems(): readonly StoreItem[];
+}
+
+/** Passes the changes of prefixes on to other entries. */
+export interface IStoreRelay {
+	addSource(prefix: string, source: IFeedSource): void;
+}
+
+/** Interval of the heartbeats of a feed, and the silence after which it is given up, as shares of the maximum delay of a change. */
+const heartbeatShare = 0.2;
+const silenceShare = 0.4;
+const settleShare = 0.2;
+
+/** Times of a feed in milliseconds. */
+export interface FeedTimes {
+	readonly heartbeatMs: number;
+	/** Leaves enough of the maximum delay to read the store directly. */
+	readonly silenceMs: number;
+	/** Time after a start in which an entry comes to know the others. */
+	readonly settleMs: number;
+	/** Age beyond which a watcher's own state is not passed on as current. */
+	readonly maxAgeMs: number;
+}
+
+/** @param maxDelayMs Maximum delay of a change in milliseconds while the store answers. */
+export function computeFeedTimes(maxDelayMs: number): FeedTimes {
+	return {
+		heartbeatMs: heartbeatShare * maxDelayMs,
+		silenceMs: silenceShare * maxDelayMs,
+		settleMs: settleShare * maxDelayMs,
+		maxAgeMs: maxDelayMs,
+	};
+}
--- /dev/null
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -0,0 +1,196 @@
+/**
+ * Passes the changes of the platform's store on to entries that do not watch it themselves. A feed begins with all items
+ * unless its reader has them, then carries each change, and heartbeats between changes. It ends as soon as the store does
+ * not answer this entry or was restored from an older copy, so that its readers find out by themselves.
+ *
+ * Only what the store itself has answered is passed on. News that travelled over two entries could be passed around in a
+ * circle and look current without the store.
+ */
+
+import { subscribeTo } from '../../../base/common/channel';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import { Disposable, toDisposable } from '../../../base/common/lifecycle';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { FollowedChange } from '../../../core/store/common/storeFollower';
+import type { FeedMessage, FeedRequest, FeedTimes, IFeedObserver, IFeedSource } from './storeFeed';
+
+interface Reader {
+	readonly request: FeedRequest;
+	readonly observer: IFeedObserver;
+	/** Whether the reader has all changes that this entry has. */
+	isSynced: boolean;
+}
+
+interface Feed {
+	readonly source: IFeedSource;
+	/** Whether the last answer came from the store, and not from another entry. */
+	readonly isDirect: () => boolean;
+	readonly readers: Set<Reader>;
+	/** When the last reader left. */
+	leftMs: number;
+}
+
+/** Time for which an entry goes on watching the store after its last reader left, in milliseconds. */
+const watchOnMs = 10_000;
+
+/** Feeds the readers of all prefixes. */
+export class StoreFeeds extends Disposable {
+	private readonly feeds = new Map<string, Feed>();
+	private isClosed = false;
+
+	constructor(
+		private readonly times: FeedTimes,
+		private readonly timers: ITimerService,
+	) {
+		super();
+		this.register(
+			subscribeTo(timers.watchTicks(times.heartbeatMs), () => {
+				for (const feed of this.feeds.values()) {
+					this.sendHeartbeats(feed);
+				}
+			}),
+		);
+		this.register(
+			toDisposable(() => {
+				this.close();
+			}),
+		);
+	}
+
+	addSource(prefix: string, source: IFeedSource, isDirect: () => boolean): void {
+		const feed: Feed = {
+			source,
+			isDirect,
+			readers: new Set(),
+			leftMs: Number.NEGATIVE_INFINITY,
+		};
+		this.feeds.set(prefix, feed);
+		this.register(
+			subscribeTo(source.onDidChange, change => {
+				this.sendChange(feed, change);
+			}),
+		);
+	}
+
+	/** Whether other entries read the changes here, or did a moment ago. */
+	isRead(prefix: string): boolean {
+		const feed = this.feeds.get(prefix);
+		return feed !== undefined && (feed.readers.size > 0 || this.timers.getNow() - feed.leftMs < watchOnMs);
+	}
+
+	/** Number of readers of all prefixes. */
+	countReaders(): number {
+		return [...this.feeds.values()].reduce((sum, { readers }) => sum + readers.size, 0);
+	}
+
+	/** Begins a feed; its first message may come later. Disposing of the result ends it. */
+	add(request: FeedRequest, observer: IFeedObserver): IDisposable {
+		const feed = this.feeds.get(request.prefix);
+		if (feed === undefined || this.isClosed) {
+			observer.end('no feed of this prefix here');
+			return toDisposable(() => undefined);
+		}
+		const reader: Reader = { request, observer, isSynced: false };
+		feed.readers.add(reader);
+		this.startReader(feed, reader);
+		return toDisposable(() => {
+			this.remove(feed, reader);
+		});
+	}
+
+	/** Ends all feeds, because this process is about to stop. */
+	close(): void {
+		this.isClosed = true;
+		for (const feed of this.feeds.values()) {
+			this.endAll(feed, 'the watcher stops');
+		}
+	}
+
+	private sendChange(feed: Feed, { written, removed, isRestored }: FollowedChange): void {
+		if (isRestored) {
+			this.endAll(feed, 'the store was restored');
+			return;
+		}
+		if (!this.isCurrent(feed)) {
+			return;
+		}
+		for (const reader of [...feed.readers]) {
+			if (reader.isSynced) {
+				reader.observer.receive({ ...this.describe(feed), isListing: false, written, removed });
+			} else {
+				this.startReader(feed, reader);
+			}
+		}
+	}
+
+	private sendHeartbeats(feed: Feed): void {
+		if (feed.readers.size === 0) {
+			return;
+		}
+		if (feed.isDirect() && !feed.source.isReached() && feed.source.getCurrentAsOfMs() !== undefined) {
+			this.endAll(feed, 'the store does not answer the watcher');
+			return;
+		}
+		if (!this.isCurrent(feed)) {
+			return;
+		}
+		const heartbeat = { ...this.describe(feed), isListing: false, written: [], removed: [] };
+		for (const reader of [...feed.readers]) {
+			if (reader.isSynced) {
+				reader.observer.receive(heartbeat);
+			} else {
+				this.startReader(feed, reader);
+			}
+		}
+	}
+
+	/** Sends all items, unless the reader has them. A reader that is ahead waits until this entry is there too. */
+	private startReader(feed: Feed, reader: Reader): void {
+		const { source } = feed;
+		const { request, observer } = reader;
+		if (!this.isCurrent(feed)) {
+			return;
+		}
+		if (request.era !== source.getEra()) {
+			this.remove(feed, reader);
+			observer.end('another era of the store');
+			return;
+		}
+		if (request.revision > source.getRevision()) {
+			return;
+		}
+		reader.isSynced = true;
+		const isListing = request.revision < source.getRevision();
+		const written = isListing ? source.listItems() : [];
+		observer.receive({ ...this.describe(feed), isListing, written, removed: [] });
+	}
+
+	/** Whether what this entry has may be passed on as the state of the store. */
+	private isCurrent({ source, isDirect }: Feed): boolean {
+		const asOfMs = source.getCurrentAsOfMs();
+		const isYoung = asOfMs !== undefined && this.timers.getNow() - asOfMs <= this.times.maxAgeMs;
+		return isDirect() && source.isReached() && isYoung && source.getRevision() > 0;
+	}
+
+	private describe({ source }: Feed): Pick<FeedMessage, 'revision' | 'era' | 'ageMs'> {
+		const asOfMs = source.getCurrentAsOfMs() ?? 0;
+		return {
+			revision: source.getRevision(),
+			era: source.getEra(),
+			ageMs: Math.round(this.timers.getNow() - asOfMs),
+		};
+	}
+
+	private endAll(feed: Feed, reason: string): void {
+		for (const reader of [...feed.readers]) {
+			this.remove(feed, reader);
+			reader.observer.end(reason);
+		}
+	}
+
+	private remove(feed: Feed, reader: Reader): void {
+		if (feed.readers.delete(reader) && feed.readers.size === 0) {
+			feed.leftMs = this.timers.getNow();
+		}
+	}
+}
--- /dev/null
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -0,0 +1,253 @@
+/**
+ * Entries of one region on a virtual clock that read a store over the real follower, client and feeds. Entries can be
+ * killed, cut off from each other and from the store, and know only some of the others.
+ */
+
+import type { Result } from 'neverthrow';
+import { err } from 'neverthrow';
+import { subscribeTo } from '../../../../base/common/channel';
+import type { IDisposable } from '../../../../base/common/lifecycle';
+import { Disposable, toDisposable } from '../../../../base/common/lifecycle';
+import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import { SeededRandom } from '../../../../base/common/random';
+import type { InstanceId } from '../../../../core/ids/common/ids';
+import type {
+	IStoreClient,
+	StoreError,
+	StorePage,
+	StoreWatchResult,
+} from '../../../../core/store/common/storeClient';
+import { StoreErrorKind } from '../../../../core/store/common/storeClient';
+import { StoreFollower } from '../../../../core/store/common/storeFollower';
+import { advanceInSteps, ModelStore } from '../../../../core/store/test/modelStore';
+import { RelayedStoreClient } from '../relayedStoreClient';
+import type { FeedRequest, IFeedObserver, IFeedOpener } from '../storeFeed';
+import { computeFeedTimes } from '../storeFeed';
+import { StoreFeeds } from '../storeFeeds';
+import { pickWatcher } from '../watcherRanking';
+
+export const maxDelayMs = 5_000;
+export const prefix = 'servers/';
+const peerDelayMs = 2;
+
+/** Counts the calls of one entry, and keeps those from answering that are made while it is cut off from the store. */
+class CountedStore implements IStoreClient {
+	calls = 0;
+	isCut = false;
+
+	constructor(private readonly store: ModelStore) {}
+
+	async list(
+		below: string,
+		afterKey: string | undefined,
+		signal: AbortSignal,
+	): Promise<Result<StorePage, StoreError>> {
+		return this.countAnswer(signal, () => this.store.list(below, afterKey, signal));
+	}
+
+	async watch(
+		below: string,
+		after: number,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<Result<StoreWatchResult, StoreError>> {
+		return this.countAnswer(signal, () => this.store.watch(below, after, waitMs, signal));
+	}
+
+	close(): Promise<void> {
+		return Promise.resolve();
+	}
+
+	/** An answer that arrives during a cut is lost, so that the call ends with its timeout. */
+	private async countAnswer<TValue>(
+		signal: AbortSignal,
+		ask: () => Promise<Result<TValue, StoreError>>,
+	): Promise<Result<TValue, StoreError>> {
+		this.calls++;
+		const answer = await ask();
+		if (!this.isCut) {
+			return answer;
+		}
+		await new Promise<void>(resolve => {
+			if (signal.aborted) {
+				resolve();
+			}
+			signal.addEventListener('abort', () => {
+				resolve();
+			});
+		});
+		return err({ kind: StoreErrorKind.Unreachable, detail: 'no answer' });
+	}
+}
+
+export class RelayEntry extends Disposable {
+	readonly ownStore: CountedStore;
+	readonly follower: StoreFollower;
+	readonly client: RelayedStoreClient;
+	readonly feeds: StoreFeeds;
+	/** Values by key, as the entry knows them. */
+	readonly held = new Map<string, number>();
+	/** Keys whose values went back. */
+	readonly setBack: string[] = [];
+	isFrozen = false;
+	readonly known: Set<InstanceId>;
+
+	constructor(
+		readonly id: InstanceId,
+		private readonly site: RelaySite,
+		knownIds: readonly InstanceId[],
+		seed: number,
+	) {
+		super();
+		const times = computeFeedTimes(maxDelayMs);
+		const random = new SeededRandom(seed);
+		const { timers } = site;
+		this.known = new Set(knownIds.filter(other => other !== id));
+		this.ownStore = new CountedStore(site.siteStore);
+		this.feeds = this.register(new StoreFeeds(times, timers));
+		this.client = new RelayedStoreClient(
+			this.ownStore,
+			new SimulatedOpener(this, site),
+			{
+				pick: excluded =>
+					site.isRelaying
+						? pickWatcher(
+								id,
+								[...this.known].filter(other => !excluded.has(other)),
+							)
+						: undefined,
+				isRead: below => this.feeds.isRead(below),
+			},
+			times,
+			timers,
+			random,
+			() => undefined,
+		);
+		this.follower = this.register(new StoreFollower(prefix, this.client, timers, random, maxDelayMs));
+		this.feeds.addSource(prefix, this.follower, () => this.client.isDirect(prefix));
+		this.register(
+			subscribeTo(this.follower.onDidChange, ({ written, removed, isRestored }) => {
+				for (const { key, value } of written) {
+					const number = Number(Buffer.from(value).toString());
+					if (!isRestored && number < (this.held.get(key) ?? 0)) {
+						this.setBack.push(key);
+					}
+					this.held.set(key, number);
+				}
+				for (const key of removed) {
+					this.held.delete(key);
+				}
+			}),
+		);
+		this.register(
+			toDisposable(() => {
+				void this.client.close();
+			}),
+		);
+		void this.follower.follow();
+	}
+
+	isConnectedTo(other: RelayEntry): boolean {
+		return !this.isFrozen && !other.isFrozen && !this.site.isCut(this.id, other.id);
+	}
+}
+
+class SimulatedOpener implements IFeedOpener {
+	constructor(
+		private readonly reader: RelayEntry,
+		private readonly site: RelaySite,
+	) {}
+
+	open(watcher: InstanceId, request: FeedRequest, observer: IFeedObserver): IDisposable {
+		const { reader, site } = this;
+		let isOpen = true;
+		let feed: IDisposable | undefined;
+		const deliver = (apply: () => void): void => {
+			site.timers.schedule(peerDelayMs, () => {
+				const entry = site.entries.get(watcher);
+				if (isOpen && entry !== undefined && reader.isConnectedTo(entry)) {
+					apply();
+				}
+			});
+		};
+		site.timers.schedule(peerDelayMs, () => {
+			const entry = site.entries.get(watcher);
+			if (entry === undefined) {
+				observer.end('connection refused');
+			} else if (isOpen && reader.isConnectedTo(entry)) {
+				feed = entry.feeds.add(request, {
+					receive: message => {
+						deliver(() => {
+							observer.receive(message);
+						});
+					},
+					end: reason => {
+						deliver(() => {
+							observer.end(reason);
+						});
+					},
+				});
+			}
+		});
+		return toDisposable(() => {
+			isOpen = false;
+			feed?.dispose();
+		});
+	}
+}
+
+export class RelaySite extends Disposable {
+	readonly timers = new ManualTimerService();
+	readonly siteStore = new ModelStore(this.timers);
+	readonly entries = new Map<InstanceId, RelayEntry>();
+	readonly ids: readonly InstanceId[];
+	/** Whether two entries cannot reach each other. */
+	isCut: (left: InstanceId, right: InstanceId) => boolean = () => false;
+	private count = 0;
+
+	/** @param isRelaying Whether entries use each other's feeds; if not, each watches the store. */
+	constructor(
+		count: number,
+		readonly isRelaying: boolean,
+		private readonly random: SeededRandom,
+		knownShare = 1,
+	) {
+		super();
+		this.ids = Array.from({ length: count }, (_, index) => `entry-${index}` as InstanceId);
+		for (const id of this.ids) {
+			this.startEntry(
+				id,
+				this.ids.filter(() => this.random.pickFraction() < knownShare),
+			);
+		}
+	}
+
+	startEntry(id: InstanceId, known: readonly InstanceId[] = this.ids): void {
+		this.entries.set(id, new RelayEntry(id, this, known, ++this.count));
+	}
+
+	kill(id: InstanceId): void {
+		this.entries.get(id)?.dispose();
+		this.entries.delete(id);
+	}
+
+	/** The entries that watch the store at present. */
+	listWatchers(): readonly RelayEntry[] {
+		return [...this.entries.values()].filter(({ client }) => client.isDirect(prefix));
+	}
+
+	countCalls(): number {
+		return [...this.entries.values()].reduce((sum, { ownStore }) => sum + ownStore.calls, 0);
+	}
+
+	async advance(durationMs: number): Promise<void> {
+		await advanceInSteps(this.timers, durationMs);
+	}
+
+	override dispose(): void {
+		for (const id of [...this.entries.keys()]) {
+			this.kill(id);
+		}
+		super.dispose();
+	}
+}
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -196,6 +196,7 @@
 			this.timers,
 			this.startGate,
 			this.certificates.peers,
+			this.platform.relay,
 		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
 		this.ports = environment.createPorts(this.callHandler);
@@ -231,6 +232,7 @@
 		const waitUntil = (ms: number): Promise<void> => this.waitFor(startedMs + ms - this.timers.getNow());
 		await this.waitForSuccessor(reason);
 		this.ownView.setLeaving();
+		this.platform.relay?.stopFeeding();
 		this.recordProcess('started', 'leaving', reason);
 		this.fleet.exchangeWithRegion();
 		const acceptingMs = computeAcceptMs(this.environment.leaving, this.timers.getNow() - startedMs);
@@ -289,6 +291,9 @@
 		const platform = this.environment.openPlatform({ manifests, fleet, trail, timers, random, logger });
 		this.register(platform.targets);
 		this.register(platform.sources);
+		if (platform.relay !== undefined) {
+			this.register(platform.relay);
+		}
 		return platform;
 	}
 
--- a/src/entry/node/environment/entryEnvironment.ts
+++ b/src/entry/node/environment/entryEnvironment.ts
@@ -18,6 +18,7 @@
 import type { CallHandler } from '../callHandler';
 import type { EntryFleet } from '../fleet/entryFleet';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
+import type { StoreRelay } from '../storeRelay/storeRelay';
 import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { FleetPosition } from '../../common/fleetView/fleetRoster';
 
@@ -45,6 +46,8 @@
 export interface EntryPlatform {
 	readonly targets: ITargetRegistry;
 	readonly sources: IEntrySources;
+	/** Passes the changes of the platform's store on to other entries, where the platform has a store. */
+	readonly relay?: StoreRelay;
 }
 
 /** The components of the entry that are needed to create its targets and sources. */
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -107,6 +107,7 @@
 			cutServices: [...runners.listCutServices()],
 			keepsStreamOrigins: true,
 			countsAttempts: true,
+			relaysStore: true,
 		};
 	}
 }
--- a/src/entry/node/fleet/test/views.ts
+++ b/src/entry/node/fleet/test/views.ts
@@ -26,6 +26,7 @@
 		cutServices: [],
 		keepsStreamOrigins: true,
 		countsAttempts: true,
+		relaysStore: true,
 		...overrides,
 	};
 }
--- a/src/entry/node/fleet/viewCodec.ts
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -28,15 +28,22 @@
 
 const maxUint32 = 0xffff_ffff;
 
-/** Levels of the protocol between entries from which an entry knows origins of streams, and reports attempts. */
+/**
+ * Levels of the protocol between entries from which an entry knows origins of streams, reports attempts, and passes the
+ * changes of the store on.
+ */
 const originsLevel = 1;
 const attemptsLevel = 2;
+const relayLevel = 3;
 
-function encodeProtocolLevel({ keepsStreamOrigins, countsAttempts }: EntryView): number {
+function encodeProtocolLevel({ keepsStreamOrigins, countsAttempts, relaysStore }: EntryView): number {
 	if (!keepsStreamOrigins) {
 		return 0;
 	}
-	return countsAttempts ? attemptsLevel : originsLevel;
+	if (!countsAttempts) {
+		return originsLevel;
+	}
+	return relaysStore ? relayLevel : attemptsLevel;
 }
 
 /** Encodes a view as a protocol message. */
@@ -84,6 +91,7 @@
 		cutServices: message.cutServices as ServiceName[],
 		keepsStreamOrigins: message.protocolLevel >= originsLevel,
 		countsAttempts: message.protocolLevel >= attemptsLevel,
+		relaysStore: message.protocolLevel >= relayLevel,
 		regionSizes: message.regionSizes.map(({ region, entries }) => ({
 			region: region as RegionName,
 			entries,
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -5,6 +5,7 @@
 
 import { create } from '@bufbuild/protobuf';
 import type { ConnectRouter, HandlerContext } from '@connectrpc/connect';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { Http2SecureServer, Http2Server } from 'node:http2';
 import { createSecureServer, createServer } from 'node:http2';
@@ -24,6 +25,8 @@
 	EntryView,
 	FetchManifestResponse,
 	FindStreamOriginResponse,
+	FollowStoreRequest,
+	FollowStoreResponse,
 	ForwardHead,
 	ForwardRequestRequest,
 	ForwardRequestResponse,
@@ -56,6 +59,8 @@
 import { SessionDrainer } from './sessionDrainer';
 import { setSessionWindow, windowSettings } from './flowWindows';
 import { LingeringSockets } from './lingeringSockets';
+import type { AddReader } from '../storeRelay/peerFeeds';
+import { serveFeed } from '../storeRelay/peerFeeds';
 import { createFaultMessage, PeerSink } from './peerSink';
 
 /** The operations of the entry that the server uses. */
@@ -76,6 +81,11 @@
 	accept(call: AcceptedCall, sink: IAnswerSink): void;
 }
 
+/** Feeds other entries with the changes of the platform's store. */
+export interface IStoreFeedServer {
+	addReader: AddReader;
+}
+
 /** A forwarded request that is refused before it is accepted. */
 interface RejectedForward {
 	readonly error: RequestError;
@@ -96,6 +106,7 @@
 		private readonly timers: ITimerService,
 		private readonly loopLag: ILoopLag,
 		certificates: CertificateStore | undefined,
+		private readonly storeFeeds?: IStoreFeedServer,
 	) {
 		super();
 		const routes = (router: ConnectRouter): void => {
@@ -112,6 +123,7 @@
 				},
 				findStreamOrigin: ({ streamKey }) => this.createOriginAnswer(streamKey),
 				fetchManifest: () => this.handler.describeManifest(),
+				followStore: (request, context) => this.serveStoreFeed(request, context),
 				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
 			});
 		};
@@ -169,6 +181,17 @@
 		return server;
 	}
 
+	private serveStoreFeed(
+		request: FollowStoreRequest,
+		{ signal }: HandlerContext,
+	): AsyncGenerator<FollowStoreResponse> {
+		const { storeFeeds } = this;
+		if (storeFeeds === undefined) {
+			throw new ConnectError('this entry does not follow a store', Code.Unimplemented);
+		}
+		return serveFeed(request, (feed, observer) => storeFeeds.addReader(feed, observer), signal);
+	}
+
 	private async *serveForwarded(
 		requests: AsyncIterable<ForwardRequestRequest>,
 		context: HandlerContext,
--- /dev/null
+++ b/src/entry/node/storeRelay/storeRelay.ts
@@ -0,0 +1,82 @@
+/**
+ * Lets few entries of a region watch the platform's store and pass its changes on to the others. Composes the client that
+ * reads the store directly or from a watcher, and the feeds of this entry.
+ */
+
+import type { Logger } from 'pino';
+import type { IDisposable } from '../../../base/common/lifecycle';
+import { Disposable } from '../../../base/common/lifecycle';
+import type { IRandom } from '../../../base/common/random';
+import type { ITimerService } from '../../../base/common/timerService';
+import type { InstanceId, RegionName } from '../../../core/ids/common/ids';
+import type { IStoreClient } from '../../../core/store/common/storeClient';
+import { RelayedStoreClient } from '../../common/storeRelay/relayedStoreClient';
+import type { FeedRequest, IFeedObserver, IFeedSource, IStoreRelay } from '../../common/storeRelay/storeFeed';
+import { computeFeedTimes } from '../../common/storeRelay/storeFeed';
+import { StoreFeeds } from '../../common/storeRelay/storeFeeds';
+import { pickWatcher } from '../../common/storeRelay/watcherRanking';
+import type { EntryFleet } from '../fleet/entryFleet';
+import { PeerFeedOpener } from './peerFeeds';
+
+/** The entry that reads the store, and what it needs for that. */
+export interface StoreRelayParts {
+	readonly instance: InstanceId;
+	readonly region: RegionName;
+	readonly fleet: Pick<EntryFleet, 'findPeer' | 'listLiveIn'>;
+	/** Maximum delay of a change in milliseconds while the store answers. */
+	readonly maxDelayMs: number;
+	readonly timers: ITimerService;
+	readonly random: IRandom;
+	readonly logger: Logger;
+}
+
+export class StoreRelay extends Disposable implements IStoreRelay {
+	readonly client: RelayedStoreClient;
+	private readonly feeds: StoreFeeds;
+
+	constructor(
+		store: IStoreClient,
+		private readonly parts: StoreRelayParts,
+	) {
+		super();
+		const { fleet, maxDelayMs, timers, random, logger } = parts;
+		const times = computeFeedTimes(maxDelayMs);
+		this.feeds = this.register(new StoreFeeds(times, timers));
+		this.client = new RelayedStoreClient(
+			store,
+			new PeerFeedOpener(instance => fleet.findPeer(instance)),
+			{ pick: excluded => this.pickWatcher(excluded), isRead: prefix => this.feeds.isRead(prefix) },
+			times,
+			timers,
+			random,
+			(prefix, watcher, reason) => {
+				logger.info({ dependency: 'store', prefix, watcher, reason }, 'source of the store changed');
+			},
+		);
+	}
+
+	addSource(prefix: string, source: IFeedSource): void {
+		this.feeds.addSource(prefix, source, () => this.client.isDirect(prefix));
+	}
+
+	/** Begins a feed for another entry. */
+	addReader(request: FeedRequest, observer: IFeedObserver): IDisposable {
+		return this.feeds.add(request, observer);
+	}
+
+	/** Ends the feeds of other entries, which then read the store or another entry. */
+	stopFeeding(): void {
+		this.feeds.close();
+	}
+
+	private pickWatcher(excluded: ReadonlySet<InstanceId>): InstanceId | undefined {
+		const { instance, region, fleet } = this.parts;
+		const others = fleet
+			.listLiveIn(region)
+			.filter(({ view }) => view.relaysStore && !view.isLeaving && !excluded.has(view.instance));
+		return pickWatcher(
+			instance,
+			others.map(({ view }) => view.instance),
+		);
+	}
+}
