Show full brittle targets that many entries take to have room

Brittle targets whose memory leaves room for fewer requests than their slots fall over (seen with 2 of 16: 10 of 12 in 8 s). A simulation of one full target shows the reason: an entry learns only by a refusal of its own that free slots are no room, and hasRoom passes by the bound of refusals until then. Listed in KNOWN-RED.txt (it.failing).

Not mended: room counted only once answers have shown it leaves entries without a share of the refusals without a way to learn, and the test that each entry may use a target with room for all forbids that.

--- a/src/entry/common/workScheduling/test/brittleTargetLimiter.test.ts
+++ b/src/entry/common/workScheduling/test/brittleTargetLimiter.test.ts
@@ -22,7 +22,81 @@
 	return sent;
 }
 
+interface Running {
+	readonly request: RequestId;
+	readonly limiter: BrittleTargetLimiter;
+	readonly startedMs: number;
+	isAnswered: boolean;
+}
+
+const stepMs = 10;
+const firstByteMs = 200;
+const runMs = 1_250;
+
+/** Lets entries with more requests than a target can run send to it, and counts what it runs and refuses. */
+function runFullTarget(
+	entries: number,
+	usableSlots: number,
+	durationMs: number,
+): { readonly busyShare: number; readonly mostRefusals: number } {
+	const limiters = Array.from({ length: entries }, createLimiter);
+	const refusalsMs: number[] = [];
+	let running: Running[] = [];
+	let mostRefusals = 0;
+	let busyMs = 0;
+	let sent = 0;
+	for (let nowMs = 0; nowMs < durationMs; nowMs += stepMs) {
+		for (const run of running) {
+			if (!run.isAnswered && nowMs - run.startedMs >= firstByteMs) {
+				run.isAnswered = true;
+				run.limiter.noteAnswered(run.request);
+			}
+		}
+		running = running.filter(run => nowMs - run.startedMs < runMs);
+		for (const [senderRank, limiter] of limiters.entries()) {
+			const request = `request-${++sent}` as RequestId;
+			const isFull = running.length >= limiter.computePlaces(slots);
+			if (isFull || !limiter.isSendAllowed({ entries, senderRank }, slots, running.length, nowMs)) {
+				continue;
+			}
+			limiter.noteSent(request);
+			if (running.length < usableSlots) {
+				running.push({ request, limiter, startedMs: nowMs, isAnswered: false });
+				continue;
+			}
+			limiter.noteEnd(request);
+			limiter.noteRefusal(running.length, nowMs);
+			refusalsMs.push(nowMs);
+		}
+		mostRefusals = Math.max(mostRefusals, refusalsMs.filter(atMs => nowMs - atMs < 1_000).length);
+		busyMs += running.length * stepMs;
+	}
+	return { busyShare: busyMs / (durationMs * usableSlots), mostRefusals };
+}
+
+/** What a limiter has to leave usable of a target. */
+const minBusyShare = 0.8;
+
 describe('BrittleTargetLimiter', () => {
+	function checkFullTarget(entries: number, usableSlots: number): void {
+		const { busyShare, mostRefusals } = runFullTarget(entries, usableSlots, 20_000);
+		expect(mostRefusals).toBeLessThanOrEqual(refusalLimit);
+		expect(busyShare).toBeGreaterThanOrEqual(minBusyShare);
+	}
+
+	// Guards against a target that falls over while its memory leaves room for fewer requests than it has slots.
+	it.each([2, 16])('lets 3 entries use a target with room for %d requests', usableSlots => {
+		checkFullTarget(3, usableSlots);
+	});
+
+	// Guards against the same before more entries than it bears refusals. Listed in KNOWN-RED.txt.
+	it.failing.each([
+		{ entries: 10, usableSlots: 2 },
+		{ entries: 26, usableSlots: 16 },
+	])('lets $entries entries use a target with room for $usableSlots requests', testCase => {
+		checkFullTarget(testCase.entries, testCase.usableSlots);
+	});
+
 	// Guards against a target that falls over because each entry alone keeps to what it bears.
 	it.each([1, 3, 8, 26])(
 		'lets %d entries together expose a full target to no more than it bears',
