Close connections to targets that send bytes without end

Targets in trouble may send bytes that are no answer, in a head or a body, until their caller closes. The HTTP parser of undici reads a status line, informational heads, the size or extension of a chunk without end and reports none of them; and the rest of an answer that is not used (a refusal, an error that is retried) was read for as long as it came, with its connection.

Change: a connection counts its bytes apart from the payload, and is closed at 256 KB beyond 16 times the payload; the rest of an unused answer has one second. Bytes that wait unread for a slow caller are not counted.

--- /dev/null
+++ b/src/entry/node/targets/connectionState.ts
@@ -0,0 +1,67 @@
+/**
+ * What is known of the current connection to a target: whether it was reset, and how many of its bytes were no payload.
+ *
+ * A faulty target may send bytes without end that never become part of an answer: informational heads, a status line, the
+ * extension of a chunk, or the rest of an answer that is not used. The HTTP parser reads them for as long as they come and
+ * reports none of them, so no timeout for silence ends that. The connection is closed once there are too many.
+ */
+
+import type { Socket } from 'node:net';
+
+/** Bytes of heads, chunk headers and discarded answers that one answer may have, more than a paused parser holds. */
+const maxOverheadBytes = 262_144;
+/** Chunks of one byte have headers of five. */
+const maxOverheadPerByte = 16;
+/** Time in which the rest of an answer that is not used has to end. */
+const maxDiscardMs = 1_000;
+
+export class ConnectionState {
+	/** Whether the connection ended with an error. */
+	wasReset = false;
+	private socket: Socket | undefined;
+	private bytesBefore = 0;
+	private payloadBytes = 0;
+	private discardingSinceMs: number | undefined;
+
+	constructor(private readonly getNow: () => number) {}
+
+	/** Follows a new connection; undefined if it could not be opened. Called before the HTTP client listens to it. */
+	open(socket: Socket | undefined): void {
+		this.socket = socket;
+		this.wasReset = false;
+		this.beginAnswer();
+		socket?.on('error', () => {
+			this.wasReset = true;
+		});
+		socket?.on('readable', () => {
+			this.checkBytes(socket);
+		});
+	}
+
+	/** Counts the bytes of the next answer. */
+	beginAnswer(): void {
+		this.bytesBefore = this.socket?.bytesRead ?? 0;
+		this.payloadBytes = 0;
+		this.discardingSinceMs = undefined;
+	}
+
+	notePayload(bytes: number): void {
+		this.payloadBytes += bytes;
+	}
+
+	/** The rest of the answer is not used. */
+	startDiscarding(): void {
+		this.discardingSinceMs = this.getNow();
+	}
+
+	private checkBytes(socket: Socket): void {
+		const parsedBytes = socket.bytesRead - socket.readableLength;
+		const overheadBytes = parsedBytes - this.bytesBefore - this.payloadBytes;
+		const isTooMuch = overheadBytes > maxOverheadBytes + this.payloadBytes * maxOverheadPerByte;
+		const isTooLong =
+			this.discardingSinceMs !== undefined && this.getNow() - this.discardingSinceMs > maxDiscardMs;
+		if (isTooMuch || isTooLong) {
+			socket.destroy(new Error('the target sends bytes without end that are no answer'));
+		}
+	}
+}
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -17,6 +17,7 @@
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { HeaderLine } from '../../common/callers/callHead';
 import { ProcessContinuity } from '../../common/streams/processContinuity';
+import { ConnectionState } from './connectionState';
 
 /** The HTTP request of an attempt. */
 export interface AttemptRequest {
@@ -131,9 +132,14 @@
 			headersTimeout: timeoutDisabled,
 			bodyTimeout: timeoutDisabled,
 			factory: (origin, options: Client.Options) =>
-				new ResetTrackingClient(origin, options, socket => {
-					this.noteConnection(socket);
-				}),
+				new ResetTrackingClient(
+					origin,
+					options,
+					socket => {
+						this.noteConnection(socket);
+					},
+					() => this.timers.getNow(),
+				),
 		});
 	}
 
@@ -169,22 +175,23 @@
 /** Receives each new connection, or undefined if it could not be opened. */
 type NoteConnection = (socket: Socket | undefined) => void;
 
-/** The state of the current connection of a client. */
-interface ConnectionState {
-	wasReset: boolean;
-}
-
 /** Runs one attempt at a time, and gives each attempt access to the state of its connection. */
 class ResetTrackingClient extends Client {
 	private readonly state: ConnectionState;
 
-	constructor(origin: string | URL, options: Client.Options, noteConnection: NoteConnection) {
-		const state = { wasReset: false };
+	constructor(
+		origin: string | URL,
+		options: Client.Options,
+		noteConnection: NoteConnection,
+		getNow: () => number,
+	) {
+		const state = new ConnectionState(getNow);
 		super(origin, { ...options, connect: createResetTrackingConnector(state, noteConnection) });
 		this.state = state;
 	}
 
 	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+		this.state.beginAnswer();
 		options.attempt?.setConnection(this.state);
 		return super.dispatch(options, handler);
 	}
@@ -198,11 +205,8 @@
 	const connect = buildConnector({ timeout: connectTimeoutMs });
 	return (options, callback) => {
 		connect(options, (...result) => {
-			state.wasReset = false;
 			const socket: Socket | null = result[1];
-			socket?.on('error', () => {
-				state.wasReset = true;
-			});
+			state.open(socket ?? undefined);
 			noteConnection(socket ?? undefined);
 			callback(...result);
 		});
@@ -234,6 +238,7 @@
 
 	release(): void {
 		this.isOver = true;
+		this.connection?.startDiscarding();
 		this.controller?.resume();
 	}
 
@@ -274,7 +279,11 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (!this.isOver && !this.observer.receiveData(chunk)) {
+		if (this.isOver) {
+			return;
+		}
+		this.connection?.notePayload(chunk.byteLength);
+		if (!this.observer.receiveData(chunk)) {
 			controller.pause();
 		}
 	}
