Leave targets that send an event without end

An event is held until its end, so that a stream can go on elsewhere. A target that sends an event without end filled the entry's memory until the deadline, and each chunk copied all before it.

Change: an event of more than 256 KB ends the attempt like a broken connection; chunks of an unfinished event are joined once a line feed arrives.

Tests: eventStreamSplitter; platformEndToEnd with an endless event at both targets: the draft goes on at the next target and is whole, the question over a forward, which may not go on, breaks off. Without the change in AttemptRun that file did not end within 60 s (the stream is not resumed).

--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -13,16 +13,19 @@
 const eventEnd = '\n\n';
 const eventEndCrlf = '\r\n\r\n';
 const empty = Buffer.alloc(0);
+/** Bytes of an event beyond which its target counts as faulty, since an event is held until its end. */
+const maxEventBytes = 262_144;
 
 /** Splits one stream. */
 export class EventStreamSplitter {
-	private pending: Buffer = empty;
+	private pending: Buffer[] = [];
+	private pendingBytes = 0;
 	private lastId: string | undefined;
 	private hasEvent = false;
 
 	/** Whether the bytes so far end inside an event, or contain none. */
 	isInsideEvent(): boolean {
-		return this.pending.byteLength > 0 || !this.hasEvent;
+		return this.pendingBytes > 0 || !this.hasEvent;
 	}
 
 	/** The most recent id among the complete events so far, or undefined if none had one. */
@@ -30,12 +33,22 @@
 		return this.lastId;
 	}
 
+	/** Whether the event that has begun is longer than an event may be. */
+	isEventTooLong(): boolean {
+		return this.pendingBytes > maxEventBytes;
+	}
+
 	/** Appends bytes and returns the events that are now complete. */
 	push(chunk: Uint8Array): Buffer {
-		const bytes = toBuffer(chunk);
-		const all = this.pending.byteLength === 0 ? bytes : Buffer.concat([this.pending, bytes]);
+		this.addPending(toBuffer(chunk));
+		if (!this.isEventEndPossible()) {
+			return empty;
+		}
+		const all = this.takeRemainder();
 		const end = findLastEventEnd(all);
-		this.pending = end === all.byteLength ? empty : all.subarray(end);
+		if (end < all.byteLength) {
+			this.addPending(all.subarray(end));
+		}
 		const whole = all.subarray(0, end);
 		if (whole.byteLength > 0) {
 			this.hasEvent = true;
@@ -46,10 +59,24 @@
 
 	/** Removes and returns the bytes after the last complete event. */
 	takeRemainder(): Buffer {
-		const rest = this.pending;
-		this.pending = empty;
+		const [first = empty] = this.pending;
+		const rest = this.pending.length > 1 ? Buffer.concat(this.pending) : first;
+		this.pending = [];
+		this.pendingBytes = 0;
 		return rest;
 	}
+
+	private addPending(bytes: Buffer): void {
+		if (bytes.byteLength > 0) {
+			this.pending.push(bytes);
+			this.pendingBytes += bytes.byteLength;
+		}
+	}
+
+	/** Whether the last chunk has a line feed, without which it completes no event. Spares joining chunks of a long event. */
+	private isEventEndPossible(): boolean {
+		return this.pending.at(-1)?.includes(lineFeed) === true;
+	}
 }
 
 function toBuffer(chunk: Uint8Array): Buffer {
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -41,4 +41,22 @@
 		expect(broken.takeRemainder().toString()).toBe('data: b');
 		expect(broken.push(Buffer.from('data: c\n\n')).toString()).toBe('data: c\n\n');
 	});
+
+	// Guards against an event without end that fills the memory of the entry.
+	it('reports an event that is too long, and none that ends in time', () => {
+		const splitter = new EventStreamSplitter();
+		const chunk = Buffer.from('x'.repeat(64));
+		let bytes = 0;
+		while (!splitter.isEventTooLong() && bytes < 1_048_576) {
+			splitter.push(chunk);
+			bytes += chunk.byteLength;
+		}
+		expect(splitter.isEventTooLong()).toBe(true);
+		const long = Buffer.from(`data: ${'x'.repeat(100_000)}\n\n`);
+		const whole = new EventStreamSplitter();
+		for (let event = 0; event < 10; event++) {
+			expect(whole.push(long).byteLength).toBe(long.byteLength);
+			expect(whole.isEventTooLong()).toBe(false);
+		}
+	});
 });
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -172,6 +172,11 @@
 		this.lastActivityMs = this.timers.getNow();
 		this.pace.recordChunk(this.lastActivityMs);
 		const isReady = this.run.write(chunk);
+		if (this.run.isEventTooLong()) {
+			const error = createRequestError(ErrorKind.TargetFailed, `${this.target}: an event without end`);
+			this.endClosingConnection(AttemptEnd.Failed, error);
+			return true;
+		}
 		if (!isReady) {
 			this.pauseForCaller();
 		}
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -253,6 +253,11 @@
 		return this.isUnframed && this.events?.isInsideEvent() === true;
 	}
 
+	/** Whether the target sends an event that is longer than an event may be. */
+	isEventTooLong(): boolean {
+		return this.events?.isEventTooLong() === true;
+	}
+
 	/** Whether the end of the answer shows that it is whole: its target sent a length or chunks. */
 	isEndCertain(): boolean {
 		return !this.isUnframed;
