Open the next feed of the store at once after a lost one

A reader whose watcher is silent or stops asked the store directly for 2 to 5 s, with a call for each change and prefix. Now the next watcher is asked after one direct read, and the direct time follows only a second loss within 10 s. The tests of the relay hold (23 passed).

--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -5,7 +5,7 @@
  *
  * - The watcher is killed, frozen, cut off or loses the store. Its feed ends or falls silent, and the store is asked
  *   directly at once. The feed's silence limit leaves enough of the maximum delay of a change for that.
- * - No watcher can be reached. The store is asked directly for a few seconds before the next feed is opened.
+ * - Several watchers cannot be reached. The store is asked directly for a few seconds before the next feed is opened.
  * - The entry has just started. Its first watch waits until the other entries are known: all entries may start at once, and
  *   each change would wake all of them.
  * - After a failed call, a suspension of the process or a restore the present state is wanted, so the store is asked.
@@ -39,7 +39,9 @@
 /** Receives each change of where the changes of a prefix come from. */
 export type NoteSource = (prefix: string, watcher: InstanceId | undefined, reason: string) => void;
 
-/** Time for which the store is asked directly after a feed was lost; the upper bound is random for each. */
+/** Two feeds lost within this time are not followed by another one at once. */
+const repeatedLossMs = 10_000;
+/** Time for which the store is asked directly after that, drawn between these bounds. */
 const minDirectMs = 2_000;
 const maxDirectMs = 5_000;
 /** Time for which a watcher whose feed was lost is not chosen. */
@@ -48,6 +50,8 @@
 interface PrefixState {
 	feed: FeedReader | undefined;
 	directUntilMs: number;
+	/** When the last feed was lost. */
+	lostMs: number;
 	/** Whether the last answer came from the store itself. */
 	isDirect: boolean;
 }
@@ -190,7 +194,10 @@
 	private abandonFeed(prefix: string, state: PrefixState, feed: FeedReader): void {
 		const nowMs = this.timers.getNow();
 		this.excludedUntilMs.set(feed.watcher, nowMs + excludedMs);
-		state.directUntilMs = nowMs + minDirectMs + this.random.pickFraction() * (maxDirectMs - minDirectMs);
+		if (nowMs - state.lostMs < repeatedLossMs) {
+			state.directUntilMs = nowMs + minDirectMs + this.random.pickFraction() * (maxDirectMs - minDirectMs);
+		}
+		state.lostMs = nowMs;
 		this.closeFeed(prefix, state, feed.lostReason);
 	}
 
@@ -227,7 +234,12 @@
 		if (known !== undefined) {
 			return known;
 		}
-		const state: PrefixState = { feed: undefined, directUntilMs: 0, isDirect: false };
+		const state: PrefixState = {
+			feed: undefined,
+			directUntilMs: 0,
+			lostMs: Number.NEGATIVE_INFINITY,
+			isDirect: false,
+		};
 		this.prefixes.set(prefix, state);
 		return state;
 	}
