Let entries that the store turns away get its changes from others

An entry whose calls fail asked only the store for as long as they did, each second or sooner, and lived on what it held.

Change: for 8 s after a failed call another entry is asked for a feed, also by an entry that would be a watcher itself, and by one that has no listing yet; an entry that the store does not answer either says so at once.

--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -75,9 +75,19 @@
 
 	/** Waits for a message with items, for at most `waitMs`. */
 	async wait(waitMs: number, signal: AbortSignal): Promise<FeedWaitEnd> {
+		return this.waitFor(waitMs, signal, () => this.messages.length > 0);
+	}
+
+	/** Waits for any message, for at most `waitMs`; lost if none has come by then. */
+	async waitForFirst(waitMs: number, signal: AbortSignal): Promise<FeedWaitEnd> {
+		const end = await this.waitFor(waitMs, signal, () => this.latest !== undefined);
+		return end === FeedWaitEnd.Unchanged ? FeedWaitEnd.Lost : end;
+	}
+
+	private async waitFor(waitMs: number, signal: AbortSignal, isReached: () => boolean): Promise<FeedWaitEnd> {
 		const endsMs = this.timers.getNow() + waitMs;
 		for (;;) {
-			const end = this.findWaitEnd(endsMs, signal);
+			const end = this.findWaitEnd(endsMs, signal, isReached);
 			if (end !== undefined) {
 				return end;
 			}
@@ -94,12 +104,16 @@
 		this.wake?.();
 	}
 
-	private findWaitEnd(endsMs: number, signal: AbortSignal): FeedWaitEnd | undefined {
+	private findWaitEnd(
+		endsMs: number,
+		signal: AbortSignal,
+		isReached: () => boolean,
+	): FeedWaitEnd | undefined {
 		const nowMs = this.timers.getNow();
 		if (signal.aborted) {
 			return FeedWaitEnd.Cancelled;
 		}
-		if (this.messages.length > 0) {
+		if (isReached()) {
 			return FeedWaitEnd.Message;
 		}
 		if (this.endReason !== undefined || nowMs - this.lastHeardMs >= this.times.silenceMs) {
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -8,7 +8,9 @@
  * - Several watchers cannot be reached. The store is asked directly for a few seconds before the next feed is opened.
  * - The entry has just started. Its first watch waits until the other entries are known: all entries may start at once, and
  *   each change would wake all of them.
- * - After a failed call, a suspension of the process or a restore the present state is wanted, so the store is asked.
+ * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
+ *   entry that would watch the store itself, and by one that has no listing yet.
+ * - After a suspension of the process or a restore the present state is wanted, so the store is asked.
  */
 
 import type { Result } from 'neverthrow';
@@ -30,8 +32,13 @@
 
 /** Chooses the entry whose feed is read. */
 export interface IWatcherChooser {
-	/** @param excluded Entries whose feeds failed lately. Undefined if this entry has to watch the store itself. */
-	pick(excluded: ReadonlySet<InstanceId>): InstanceId | undefined;
+	/**
+	 * Returns undefined if this entry has to watch the store itself.
+	 *
+	 * @param excluded Entries whose feeds failed lately.
+	 * @param isOwnExcluded Whether the store does not answer this entry.
+	 */
+	pick(excluded: ReadonlySet<InstanceId>, isOwnExcluded: boolean): InstanceId | undefined;
 	/** Whether other entries read the changes of a prefix here. */
 	isRead(prefix: string): boolean;
 }
@@ -44,6 +51,8 @@
 /** Time for which the store is asked directly after that, drawn between these bounds. */
 const minDirectMs = 2_000;
 const maxDirectMs = 5_000;
+/** Time after a failed call for which other entries are asked. */
+const turnedAwayMs = 8_000;
 /** Time for which a watcher whose feed was lost is not chosen. */
 const excludedMs = 30_000;
 
@@ -52,6 +61,8 @@
 	directUntilMs: number;
 	/** When the last feed was lost. */
 	lostMs: number;
+	/** The store does not answer this entry, and others are asked until this time. */
+	turnedAwayUntilMs: number;
 	/** Whether the last answer came from the store itself. */
 	isDirect: boolean;
 }
@@ -92,8 +103,14 @@
 			return ok({ items: written, hasMore: false, revision, era, ageMs, isRelayed: true });
 		}
 		this.closeFeed(prefix, state, 'a listing is needed');
+		if (afterKey === undefined && this.isTurnedAway(state)) {
+			const feed = await this.openWhileTurnedAway(prefix, state, 0, signal);
+			if (feed?.getNext()?.isListing === true) {
+				return this.list(prefix, afterKey, signal);
+			}
+		}
 		state.isDirect = true;
-		return this.noteEra(await this.store.list(prefix, afterKey, signal));
+		return this.noteAnswer(state, await this.store.list(prefix, afterKey, signal));
 	}
 
 	async watch(
@@ -105,7 +122,14 @@
 		const state = this.getState(prefix);
 		if (waitMs === 0) {
 			this.closeFeed(prefix, state, 'the present state is needed');
-			return this.watchStore(prefix, state, afterRevision, waitMs, signal);
+			const feed = this.isTurnedAway(state)
+				? await this.openWhileTurnedAway(prefix, state, afterRevision, signal)
+				: undefined;
+			if (feed === undefined) {
+				return this.watchStore(prefix, state, afterRevision, waitMs, signal);
+			}
+			state.isDirect = false;
+			return this.takeMessage(feed, afterRevision);
 		}
 		const remainingMs = waitMs - (await this.waitUntilSettled(waitMs, signal));
 		const feed = this.findFeed(prefix, state, afterRevision);
@@ -115,7 +139,7 @@
 		switch (await feed.wait(remainingMs, signal)) {
 			case FeedWaitEnd.Message:
 				state.isDirect = false;
-				return this.takeMessage(feed);
+				return this.takeMessage(feed, afterRevision);
 			case FeedWaitEnd.Unchanged:
 				state.isDirect = false;
 				return ok(createAnswer(feed.getLatest(), afterRevision));
@@ -143,7 +167,34 @@
 		signal: AbortSignal,
 	): Promise<Result<StoreWatchResult, StoreError>> {
 		state.isDirect = true;
-		return this.noteEra(await this.store.watch(prefix, afterRevision, waitMs, signal));
+		const answer = await this.store.watch(prefix, afterRevision, waitMs, signal);
+		return this.noteAnswer(state, answer);
+	}
+
+	private isTurnedAway({ turnedAwayUntilMs }: PrefixState): boolean {
+		return this.timers.getNow() < turnedAwayUntilMs;
+	}
+
+	/** Opens a feed of any other entry, and returns it if its first message comes soon. */
+	private async openWhileTurnedAway(
+		prefix: string,
+		state: PrefixState,
+		revision: number,
+		signal: AbortSignal,
+	): Promise<FeedReader | undefined> {
+		const watcher = this.chooser.pick(this.listExcluded(this.timers.getNow()), true);
+		if (watcher === undefined) {
+			return undefined;
+		}
+		const feed = this.openFeed(prefix, state, watcher, revision);
+		const end = await feed.waitForFirst(this.times.settleMs, signal);
+		if (end === FeedWaitEnd.Message) {
+			return feed;
+		}
+		if (end === FeedWaitEnd.Lost) {
+			this.abandonFeed(prefix, state, feed);
+		}
+		return undefined;
 	}
 
 	/** Waits after the start until the other entries are known; returns the time that passed, in milliseconds. */
@@ -158,23 +209,24 @@
 	}
 
 	/** A listing is left for the call of `list` that follows the answer. */
-	private takeMessage(feed: FeedReader): Result<StoreWatchResult, StoreError> {
-		const message = feed.getNext();
+	private takeMessage(feed: FeedReader, afterRevision: number): Result<StoreWatchResult, StoreError> {
+		const message = feed.getNext() ?? feed.getLatest();
 		if (message?.isListing === true) {
 			const { era } = message;
 			return err({ kind: StoreErrorKind.ListingReady, detail: 'the feed has all items', era });
 		}
 		feed.take();
-		return ok(createAnswer(message, 0));
+		return ok(createAnswer(message, afterRevision));
 	}
 
 	private findFeed(prefix: string, state: PrefixState, revision: number): FeedReader | undefined {
 		const nowMs = this.timers.getNow();
-		if (this.chooser.isRead(prefix)) {
+		const isTurnedAway = this.isTurnedAway(state);
+		if (this.chooser.isRead(prefix) && !isTurnedAway) {
 			this.closeFeed(prefix, state, 'others read the changes here');
 			return undefined;
 		}
-		const watcher = this.chooser.pick(this.listExcluded(nowMs));
+		const watcher = this.chooser.pick(this.listExcluded(nowMs), isTurnedAway);
 		if (watcher === undefined) {
 			this.closeFeed(prefix, state, 'this entry is a watcher');
 			return undefined;
@@ -185,10 +237,15 @@
 		if (nowMs < state.directUntilMs) {
 			return undefined;
 		}
+		return this.openFeed(prefix, state, watcher, revision);
+	}
+
+	private openFeed(prefix: string, state: PrefixState, watcher: InstanceId, revision: number): FeedReader {
 		const request = { prefix, revision, era: this.era };
-		state.feed = new FeedReader(watcher, request, this.opener, this.times, this.timers);
+		const feed = new FeedReader(watcher, request, this.opener, this.times, this.timers);
+		state.feed = feed;
 		this.noteSource(prefix, watcher, 'watches the store for this entry');
-		return state.feed;
+		return feed;
 	}
 
 	private abandonFeed(prefix: string, state: PrefixState, feed: FeedReader): void {
@@ -219,13 +276,20 @@
 		return new Set(this.excludedUntilMs.keys());
 	}
 
-	private noteEra<TValue extends { readonly era?: StoreEra | undefined }>(
+	/** Keeps the era of an answer of the store, and whether the store turns this entry away. */
+	private noteAnswer<TValue extends { readonly era?: StoreEra | undefined }>(
+		state: PrefixState,
 		answer: Result<TValue, StoreError>,
 	): Result<TValue, StoreError> {
 		const era = answer.isOk() ? answer.value.era : answer.error.era;
 		if (era !== undefined && era > (this.era ?? 0)) {
 			this.era = era;
 		}
+		if (answer.isOk()) {
+			state.turnedAwayUntilMs = 0;
+		} else if (isUnanswered(answer.error)) {
+			state.turnedAwayUntilMs = this.timers.getNow() + turnedAwayMs;
+		}
 		return answer;
 	}
 
@@ -238,6 +302,7 @@
 			feed: undefined,
 			directUntilMs: 0,
 			lostMs: Number.NEGATIVE_INFINITY,
+			turnedAwayUntilMs: 0,
 			isDirect: false,
 		};
 		this.prefixes.set(prefix, state);
@@ -261,3 +326,7 @@
 		isRelayed: true,
 	};
 }
+
+function isUnanswered({ kind }: StoreError): boolean {
+	return kind === StoreErrorKind.Unreachable || kind === StoreErrorKind.Refused;
+}
--- a/src/entry/common/storeRelay/storeFeed.ts
+++ b/src/entry/common/storeRelay/storeFeed.ts
@@ -13,6 +13,7 @@
 	readonly prefix: string;
 	/** The revision up to which it has all changes. */
 	readonly revision: number;
+	/** The era that the revision belongs to; undefined if the entry has nothing of the store yet. */
 	readonly era: StoreEra | undefined;
 }
 
--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -90,6 +90,10 @@
 			observer.end('no feed of this prefix here');
 			return toDisposable(() => undefined);
 		}
+		if (this.isStoreLost(feed)) {
+			observer.end('the store does not answer here either');
+			return toDisposable(() => undefined);
+		}
 		const reader: Reader = { request, observer, isSynced: false };
 		feed.readers.add(reader);
 		this.startReader(feed, reader);
@@ -127,7 +131,7 @@
 		if (feed.readers.size === 0) {
 			return;
 		}
-		if (feed.isDirect() && !feed.source.isReached() && feed.source.getCurrentAsOfMs() !== undefined) {
+		if (this.isStoreLost(feed)) {
 			this.endAll(feed, 'the store does not answer the watcher');
 			return;
 		}
@@ -151,7 +155,7 @@
 		if (!this.isCurrent(feed)) {
 			return;
 		}
-		if (request.era !== source.getEra()) {
+		if (request.era !== undefined && request.era !== source.getEra()) {
 			this.remove(feed, reader);
 			observer.end('another era of the store');
 			return;
@@ -165,6 +169,10 @@
 		observer.receive({ ...this.describe(feed), isListing, written, removed: [] });
 	}
 
+	private isStoreLost({ source, isDirect }: Feed): boolean {
+		return isDirect() && !source.isReached() && source.getCurrentAsOfMs() !== undefined;
+	}
+
 	/** Whether what this entry has may be passed on as the state of the store. */
 	private isCurrent({ source, isDirect }: Feed): boolean {
 		const asOfMs = source.getCurrentAsOfMs();
--- a/src/entry/common/storeRelay/test/relaySimulation.ts
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -24,7 +24,7 @@
 import type { FeedRequest, IFeedObserver, IFeedOpener } from '../storeFeed';
 import { computeFeedTimes } from '../storeFeed';
 import { StoreFeeds } from '../storeFeeds';
-import { pickWatcher } from '../watcherRanking';
+import { pickOther, pickWatcher } from '../watcherRanking';
 
 export const maxDelayMs = 5_000;
 export const prefix = 'servers/';
@@ -34,6 +34,8 @@
 class CountedStore implements IStoreClient {
 	calls = 0;
 	isCut = false;
+	/** Whether the store turns this entry away. */
+	isRefused = false;
 
 	constructor(private readonly store: ModelStore) {}
 
@@ -64,6 +66,9 @@
 		ask: () => Promise<Result<TValue, StoreError>>,
 	): Promise<Result<TValue, StoreError>> {
 		this.calls++;
+		if (this.isRefused) {
+			return err({ kind: StoreErrorKind.Refused, detail: 'turned away' });
+		}
 		const answer = await ask();
 		if (!this.isCut) {
 			return answer;
@@ -109,13 +114,11 @@
 			this.ownStore,
 			new SimulatedOpener(this, site),
 			{
-				pick: excluded =>
-					site.isRelaying
-						? pickWatcher(
-								id,
-								[...this.known].filter(other => !excluded.has(other)),
-							)
-						: undefined,
+				pick: (excluded, isOwnExcluded) => {
+					const others = [...this.known].filter(other => !excluded.has(other));
+					const pick = isOwnExcluded ? pickOther : pickWatcher;
+					return site.isRelaying ? pick(id, others) : undefined;
+				},
 				isRead: below => this.feeds.isRead(below),
 			},
 			times,
--- a/src/entry/common/storeRelay/test/storeRelay.test.ts
+++ b/src/entry/common/storeRelay/test/storeRelay.test.ts
@@ -104,6 +104,25 @@
 			}
 		},
 	},
+	{
+		name: 'the store turns every third entry and its watchers away',
+		apply: site => {
+			const watchers = site.listWatchers();
+			for (const [index, entry] of [...site.entries.values()].entries()) {
+				entry.ownStore.isRefused = index % 3 === 0 || watchers.includes(entry);
+			}
+		},
+	},
+	{
+		name: 'entries start while the store turns them away',
+		apply: site => {
+			for (const id of site.ids.filter((_, index) => index % 3 === 0)) {
+				site.kill(id);
+				site.startEntry(id);
+				site.entries.get(id)!.ownStore.isRefused = true;
+			}
+		},
+	},
 	{
 		name: 'the region is cut into halves',
 		apply: site => {
--- a/src/entry/common/storeRelay/watcherRanking.ts
+++ b/src/entry/common/storeRelay/watcherRanking.ts
@@ -26,9 +26,15 @@
  */
 export function pickWatcher(own: InstanceId, others: readonly InstanceId[]): InstanceId | undefined {
 	const watchers = rankWatchers([own, ...others]);
-	if (watchers.includes(own)) {
-		return undefined;
-	}
+	return watchers.includes(own) ? undefined : pickOf(own, watchers);
+}
+
+/** Returns the watcher among the others, for an entry that the store does not answer; undefined if there are no others. */
+export function pickOther(own: InstanceId, others: readonly InstanceId[]): InstanceId | undefined {
+	return pickOf(own, rankWatchers(others));
+}
+
+function pickOf(own: InstanceId, watchers: readonly InstanceId[]): InstanceId | undefined {
 	const ownHash = computeTextHash(own);
 	const mixed = watchers.map(instance => ({
 		instance,
--- a/src/entry/node/storeRelay/storeRelay.ts
+++ b/src/entry/node/storeRelay/storeRelay.ts
@@ -14,7 +14,7 @@
 import type { FeedRequest, IFeedObserver, IFeedSource, IStoreRelay } from '../../common/storeRelay/storeFeed';
 import { computeFeedTimes } from '../../common/storeRelay/storeFeed';
 import { StoreFeeds } from '../../common/storeRelay/storeFeeds';
-import { pickWatcher } from '../../common/storeRelay/watcherRanking';
+import { pickOther, pickWatcher } from '../../common/storeRelay/watcherRanking';
 import type { EntryFleet } from '../fleet/entryFleet';
 import { PeerFeedOpener } from './peerFeeds';
 
@@ -45,7 +45,10 @@
 		this.client = new RelayedStoreClient(
 			store,
 			new PeerFeedOpener(instance => fleet.findPeer(instance)),
-			{ pick: excluded => this.pickWatcher(excluded), isRead: prefix => this.feeds.isRead(prefix) },
+			{
+				pick: (excluded, isOwnExcluded) => this.pickWatcher(excluded, isOwnExcluded),
+				isRead: prefix => this.feeds.isRead(prefix),
+			},
 			times,
 			timers,
 			random,
@@ -69,14 +72,12 @@
 		this.feeds.close();
 	}
 
-	private pickWatcher(excluded: ReadonlySet<InstanceId>): InstanceId | undefined {
+	private pickWatcher(excluded: ReadonlySet<InstanceId>, isOwnExcluded: boolean): InstanceId | undefined {
 		const { instance, region, fleet } = this.parts;
 		const others = fleet
 			.listLiveIn(region)
 			.filter(({ view }) => view.relaysStore && !view.isLeaving && !excluded.has(view.instance));
-		return pickWatcher(
-			instance,
-			others.map(({ view }) => view.instance),
-		);
+		const ids = others.map(({ view }) => view.instance);
+		return isOwnExcluded ? pickOther(instance, ids) : pickWatcher(instance, ids);
 	}
 }
