--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -45,7 +45,7 @@
 
 	receive(message: FeedMessage): void {
 		this.lastHeardMs = this.timers.getNow();
-		this.latest = message;
+		this.latest = { ...message, isListing: false, written: [], removed: [] };
 		if (message.isListing || message.written.length > 0 || message.removed.length > 0) {
 			this.messages.push(message);
 		}
@@ -67,7 +67,7 @@
 		return this.messages[0];
 	}
 
-	/** The last message, with the time that has passed since in its age. */
+	/** The last message without its items, with the time that has passed since in its age. */
 	getLatest(): FeedMessage | undefined {
 		const { latest } = this;
 		return latest && { ...latest, ageMs: latest.ageMs + this.timers.getNow() - this.lastHeardMs };
