--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -78,11 +78,6 @@
 		return feed !== undefined && (feed.readers.size > 0 || this.timers.getNow() - feed.leftMs < watchOnMs);
 	}
 
-	/** Number of readers of all prefixes. */
-	countReaders(): number {
-		return [...this.feeds.values()].reduce((sum, { readers }) => sum + readers.size, 0);
-	}
-
 	/** Begins a feed; its first message may come later. Disposing of the result ends it. */
 	add(request: FeedRequest, observer: IFeedObserver): IDisposable {
 		const feed = this.feeds.get(request.prefix);
--- a/src/entry/common/storeRelay/test/storeRelay.test.ts
+++ b/src/entry/common/storeRelay/test/storeRelay.test.ts
@@ -126,7 +126,7 @@
 	{
 		name: 'the region is cut into halves',
 		apply: site => {
-			const [left] = [new Set(site.ids.slice(0, site.ids.length / 2))];
+			const left = new Set(site.ids.slice(0, site.ids.length / 2));
 			site.isCut = (one, other) => left.has(one) !== left.has(other);
 		},
 	},
