Let the target with an endless chunk size write more at a time

Its target wrote one byte a turn of the event loop, so it took 262,144 turns until the bound of the connection; a kilobyte at a time takes 256. The bytes, the bound and what is checked are the same.

--- a/src/entry/node/targets/test/endlessBytes.test.ts
+++ b/src/entry/node/targets/test/endlessBytes.test.ts
@@ -127,7 +127,7 @@
 		{
 			name: 'in the size of a chunk',
 			beginning: 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n',
-			repeated: '0',
+			repeated: '0'.repeat(1_024),
 		},
 		{
 			name: 'in the extension of a chunk',
