Lose no change of the store that comes after a long wait

Cause: a watcher passes a change on only if its own state counts as current, and the state after an answer with changes counts from the start of its call. After two calls that waited, the age was over the limit at the moment of the change, so it was dropped for readers that counted as in step, while heartbeats went on.

Change: a reader that misses a change is no longer in step and gets all items with the next message; the limit of the age leaves room for two waits.

Test: storeRelay.test.ts, changes 1.7 to 3.7 s apart; with 2.9 s the third never arrived before. The simulation had not shown it, as its changes came each 0.4 s.

--- a/src/entry/common/storeRelay/storeFeed.ts
+++ b/src/entry/common/storeRelay/storeFeed.ts
@@ -63,6 +63,8 @@
 const heartbeatShare = 0.2;
 const silenceShare = 0.4;
 const settleShare = 0.2;
+/** The state after an answer counts from the start of its call, which may wait, and so may the next one. */
+const maxAgeShare = 1.6;
 
 /** Times of a feed in milliseconds. */
 export interface FeedTimes {
@@ -81,6 +83,6 @@
 		heartbeatMs: heartbeatShare * maxDelayMs,
 		silenceMs: silenceShare * maxDelayMs,
 		settleMs: settleShare * maxDelayMs,
-		maxAgeMs: maxDelayMs,
+		maxAgeMs: maxAgeShare * maxDelayMs,
 	};
 }
--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -110,10 +110,10 @@
 			this.endAll(feed, 'the store was restored');
 			return;
 		}
-		if (!this.isCurrent(feed)) {
-			return;
-		}
+		const isCurrent = this.isCurrent(feed);
 		for (const reader of [...feed.readers]) {
+			// A reader that misses a change gets all items later.
+			reader.isSynced &&= isCurrent;
 			if (reader.isSynced) {
 				reader.observer.receive({ ...this.describe(feed), isListing: false, written, removed });
 			} else {
--- a/src/entry/common/storeRelay/test/storeRelay.test.ts
+++ b/src/entry/common/storeRelay/test/storeRelay.test.ts
@@ -159,6 +159,22 @@
 	});
 });
 
+describe('changes that are rare', () => {
+	// Guards against readers that never get a change which its watcher received after a long wait.
+	it.each([1_700, 2_300, 2_900, 3_700])('are known everywhere in time, %d ms apart', async intervalMs => {
+		const site = new RelaySite(8, true, new SeededRandom(1));
+		await site.advance(settleMs);
+		for (let value = 1; value <= 12; value++) {
+			site.siteStore.put(`${prefix}${value}`, String(value));
+			await site.advance(intervalMs);
+			for (const { held } of site.entries.values()) {
+				expect(held.get(`${prefix}${value}`)).toBe(value);
+			}
+		}
+		site.dispose();
+	});
+});
+
 describe('a store that is restored from an older copy', () => {
 	// Guards against entries that take the news of a watcher from before the restore for the present state.
 	it('has the same items at all entries soon after', async () => {
