Send changes and heartbeats of a feed by one path, and read them by one

A watcher sent changes and heartbeats by two copies of one loop; a heartbeat is a message without items. A reader took the next message and the absence of one by two paths: a message that came in the turn in which a wait ended unchanged could have moved the reader's revision past its change before it was applied (by reading, not seen); both paths now take the next message first. Whether an answer was relayed follows from its age, so the flag beside it is gone. A wait for a feed that has sent nothing ends as lost in one place.

--- a/src/core/store/common/storeClient.ts
+++ b/src/core/store/common/storeClient.ts
@@ -37,7 +37,6 @@
 	readonly era?: StoreEra | undefined;
 	/** Milliseconds since the page was current, if another process read it from the store. */
 	readonly ageMs?: number;
-	readonly isRelayed?: boolean;
 }
 
 /** Changes of the keys that begin with a prefix, in the order in which they were made. */
@@ -48,7 +47,6 @@
 	readonly era?: StoreEra | undefined;
 	/** Milliseconds since the state after the changes was current, if another process read them from the store. */
 	readonly ageMs?: number;
-	readonly isRelayed?: boolean;
 }
 
 export enum StoreErrorKind {
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -280,7 +280,7 @@
 	}
 
 	/** Makes a call and aborts it if it takes longer than its wait and the answer timeout. */
-	private async fetchWithTimeout<TValue extends Partial<Pick<StorePage, 'revision' | 'era' | 'isRelayed'>>>(
+	private async fetchWithTimeout<TValue extends Partial<Pick<StorePage, 'revision' | 'era' | 'ageMs'>>>(
 		call: StoreCallKind,
 		waitMs: number,
 		fetch: (signal: AbortSignal) => Promise<Result<TValue, StoreError>>,
@@ -304,7 +304,7 @@
 				fault: answer.isErr() ? answer.error : undefined,
 				era: getEra(answer),
 				isRelayed: answer.isOk()
-					? answer.value.isRelayed === true
+					? answer.value.ageMs !== undefined
 					: answer.error.kind === StoreErrorKind.ListingReady,
 			});
 			return this.checkEra(answer);
--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -80,8 +80,7 @@
 
 	/** Waits for any message, for at most `waitMs`; lost if none has come by then. */
 	async waitForFirst(waitMs: number, signal: AbortSignal): Promise<FeedWaitEnd> {
-		const end = await this.waitFor(waitMs, signal, () => this.latest !== undefined);
-		return end === FeedWaitEnd.Unchanged ? FeedWaitEnd.Lost : end;
+		return this.waitFor(waitMs, signal, () => this.latest !== undefined);
 	}
 
 	private async waitFor(waitMs: number, signal: AbortSignal, isReached: () => boolean): Promise<FeedWaitEnd> {
@@ -119,7 +118,10 @@
 		if (this.endReason !== undefined || nowMs - this.lastHeardMs >= this.times.silenceMs) {
 			return FeedWaitEnd.Lost;
 		}
-		return nowMs >= endsMs ? FeedWaitEnd.Unchanged : undefined;
+		if (nowMs < endsMs) {
+			return undefined;
+		}
+		return this.latest === undefined ? FeedWaitEnd.Lost : FeedWaitEnd.Unchanged;
 	}
 
 	private async waitForWake(delayMs: number, signal: AbortSignal): Promise<void> {
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -100,7 +100,7 @@
 		if (afterKey === undefined && listing?.isListing === true) {
 			state.feed?.take();
 			const { written, revision, era, ageMs } = listing;
-			return ok({ items: written, hasMore: false, revision, era, ageMs, isRelayed: true });
+			return ok({ items: written, hasMore: false, revision, era, ageMs });
 		}
 		this.closeFeed(prefix, state, 'a listing is needed');
 		if (afterKey === undefined && this.isTurnedAway(state)) {
@@ -138,11 +138,9 @@
 		}
 		switch (await feed.wait(remainingMs, signal)) {
 			case FeedWaitEnd.Message:
-				state.isDirect = false;
-				return this.takeMessage(feed, afterRevision);
 			case FeedWaitEnd.Unchanged:
 				state.isDirect = false;
-				return ok(createAnswer(feed.getLatest(), afterRevision));
+				return this.takeMessage(feed, afterRevision);
 			case FeedWaitEnd.Cancelled:
 				return err({ kind: StoreErrorKind.Unreachable, detail: 'the call was cancelled' });
 			case FeedWaitEnd.Lost:
@@ -208,10 +206,13 @@
 		return this.timers.getNow() - beganMs;
 	}
 
-	/** A listing is left for the call of `list` that follows the answer. */
+	/** A listing is left for the call of `list` that follows the answer. Without a next message, nothing changed. */
 	private takeMessage(feed: FeedReader, afterRevision: number): Result<StoreWatchResult, StoreError> {
 		const message = feed.getNext() ?? feed.getLatest();
-		if (message?.isListing === true) {
+		if (message === undefined) {
+			return err({ kind: StoreErrorKind.Unreachable, detail: 'the feed has sent nothing yet' });
+		}
+		if (message.isListing) {
 			const { era } = message;
 			return err({ kind: StoreErrorKind.ListingReady, detail: 'the feed has all items', era });
 		}
@@ -310,10 +311,7 @@
 	}
 }
 
-function createAnswer(message: FeedMessage | undefined, afterRevision: number): StoreWatchResult {
-	if (message === undefined) {
-		return { changes: [], revision: afterRevision, isRelayed: true };
-	}
+function createAnswer(message: FeedMessage, afterRevision: number): StoreWatchResult {
 	const { written, removed, revision, era, ageMs } = message;
 	return {
 		changes: [
@@ -323,7 +321,6 @@
 		revision: Math.max(revision, afterRevision),
 		era,
 		ageMs,
-		isRelayed: true,
 	};
 }
 
--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -3,14 +3,15 @@
  * unless its reader has them, then carries each change, and heartbeats between changes. It ends as soon as the store does
  * not answer this entry or was restored from an older copy, so that its readers find out by themselves.
  *
- * Only what the store itself has answered is passed on. News that travelled over two entries could be passed around in a
- * circle and look current without the store.
+ * Only answers of the store itself are passed on. Entries that read from each other would otherwise take each other's state
+ * for current while none of them reaches the store.
  */
 
 import { subscribeTo } from '../../../base/common/channel';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
+import type { StoreItem } from '../../../core/store/common/storeClient';
 import type { FollowedChange } from '../../../core/store/common/storeFollower';
 import type { FeedMessage, FeedRequest, FeedTimes, IFeedObserver, IFeedSource } from './storeFeed';
 
@@ -110,33 +111,31 @@
 			this.endAll(feed, 'the store was restored');
 			return;
 		}
-		const isCurrent = this.isCurrent(feed);
-		for (const reader of [...feed.readers]) {
-			// A reader that misses a change gets all items later.
-			reader.isSynced &&= isCurrent;
-			if (reader.isSynced) {
-				reader.observer.receive({ ...this.describe(feed), isListing: false, written, removed });
-			} else {
-				this.startReader(feed, reader);
+		if (!this.isCurrent(feed)) {
+			// Readers that miss a change get all items later.
+			for (const reader of feed.readers) {
+				reader.isSynced = false;
 			}
+			return;
 		}
+		this.sendToReaders(feed, written, removed);
 	}
 
 	private sendHeartbeats(feed: Feed): void {
-		if (feed.readers.size === 0) {
-			return;
-		}
 		if (this.isStoreLost(feed)) {
 			this.endAll(feed, 'the store does not answer the watcher');
 			return;
 		}
-		if (!this.isCurrent(feed)) {
-			return;
+		if (this.isCurrent(feed)) {
+			this.sendToReaders(feed, [], []);
 		}
-		const heartbeat = { ...this.describe(feed), isListing: false, written: [], removed: [] };
+	}
+
+	private sendToReaders(feed: Feed, written: readonly StoreItem[], removed: readonly string[]): void {
+		const message = { ...this.describe(feed), isListing: false, written, removed };
 		for (const reader of [...feed.readers]) {
 			if (reader.isSynced) {
-				reader.observer.receive(heartbeat);
+				reader.observer.receive(message);
 			} else {
 				this.startReader(feed, reader);
 			}
