--- a/scripts/bundleEntry.mjs
+++ b/scripts/bundleEntry.mjs
@@ -19,7 +19,11 @@
 	'--no-memory-reducer',
 ];
 
-rmSync('target/entryBundle.js.cache', { force: true });
+const bundleFile = 'target/entryBundle.js';
+/** The shebang line, which is a syntax error inside a function body. */
+const firstLinePattern = /^#!.*/;
+
+rmSync(`${bundleFile}.cache`, { force: true });
 
 /** Maps packages to the smaller modules that are bundled instead of them. */
 const replacementModules = new Map([
@@ -55,12 +59,9 @@
 await build({
 	...commonOptions,
 	entryPoints: ['src/bin/entry.ts'],
-	outfile: 'target/entryBundle.js',
+	outfile: bundleFile,
 	plugins: [replacePackages],
 });
-/** The shebang line, which is a syntax error inside a function body. */
-const firstLinePattern = /^#!.*/;
-const bundleFile = 'target/entryBundle.js';
 const bundledSource = readFileSync(bundleFile, 'utf8').replace(firstLinePattern, '');
 writeFileSync(
 	bundleFile,
