Read load reports of targets that send further figures

Entries knew nothing of the load of targets that add a figure to `Anvilroad-Server-Load`: the pattern wanted exactly three figures, and the whole report was discarded without a trace. Requests then went to targets by each entry's own requests alone.

The known figures are read whatever follows them, in the native header too.

--- a/src/entry/common/scheduling/reportedLoad.ts
+++ b/src/entry/common/scheduling/reportedLoad.ts
@@ -4,9 +4,9 @@
 
 import type { ReportedLoad } from './serviceScheduler';
 
-/** Parses `running/waiting/slots`. Returns undefined for a missing or malformed value. */
+/** Parses `running/waiting/slots`, followed by any further figures. Returns undefined for a missing or malformed value. */
 export function parseReportedLoad(text: string | undefined): ReportedLoad | undefined {
-	const match = /^(\d{1,6})\/(\d{1,6})\/(\d{1,6})$/.exec(text ?? '');
+	const match = /^(\d{1,6})\/(\d{1,6})\/(\d{1,6})(?:\/.*)?$/.exec(text ?? '');
 	if (match === null) {
 		return undefined;
 	}
