Define keys, limits, homes and priorities of organisations in the manifest

The manifest knew organisations by name and weight only. It gains digests of their keys, home regions, a priority and a limit over all entries, whether requests need a key at all, and public routes. Two organisations with one key, a limit below 0, an unknown unit and a home that is no region are rejected with the place and the name of the organisation.

--- a/src/core/ids/common/ids.ts
+++ b/src/core/ids/common/ids.ts
@@ -18,6 +18,8 @@
 /** Identifies a stream over its tries: the caller's request id of the try that received the first event. */
 export type StreamId = Brand<string, 'StreamId'>;
 export type OrganisationName = Brand<string, 'OrganisationName'>;
+/** SHA-256 digest of a caller's key, in hexadecimal. The key itself is never stored. */
+export type KeyDigest = Brand<string, 'KeyDigest'>;
 export type ServiceName = Brand<string, 'ServiceName'>;
 export type RouteName = Brand<string, 'RouteName'>;
 export type RegionName = Brand<string, 'RegionName'>;
--- a/src/core/manifest/common/manifest.ts
+++ b/src/core/manifest/common/manifest.ts
@@ -7,15 +7,9 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
-import type {
-	ModelName,
-	OrganisationName,
-	RegionName,
-	ServiceName,
-	TargetId,
-	ZoneName,
-} from '../../ids/common/ids';
+import type { ModelName, RegionName, ServiceName, TargetId, ZoneName } from '../../ids/common/ids';
 import { RequestClass } from '../../requests/common/requestClass';
+import { organisationSchema } from './organisations';
 import { callerLimitsSchema, routeSchema } from './routes';
 import { createNameSchema, milliseconds } from './schemas';
 
@@ -77,13 +71,6 @@
 	sharePercent: z.number().min(0).max(100).default(50),
 });
 
-const organisationSchema = z.strictObject({
-	name: createNameSchema<OrganisationName>(),
-	home: createNameSchema<RegionName>(),
-	/** Share of a fully loaded service relative to other organisations. */
-	weight: z.number().positive().default(1),
-});
-
 const modelSchema = z.strictObject({
 	name: createNameSchema<ModelName>(),
 	version: z.string().min(1),
@@ -170,6 +157,8 @@
 	regions: z.array(regionSchema).min(1),
 	links: z.array(linkSchema).default([]),
 	organisations: z.array(organisationSchema).min(1),
+	/** Whether requests need a key of an organisation, except those on public routes. */
+	requiresKeys: z.boolean().default(false),
 	models: z.array(modelSchema).default([]),
 	services: z.array(serviceSchema).min(1),
 	targets: z.array(targetSchema).default([]),
@@ -227,6 +216,34 @@
 	return [{ place, problem: `${name} is not defined in this manifest` }];
 }
 
+function findOrganisationIssues(
+	place: string,
+	{ home, homes }: ManifestOrganisation,
+	regions: ReadonlySet<string>,
+): ValidationIssue[] {
+	return [
+		...findUnknownName(`${place}.home`, home, regions),
+		...homes.flatMap((name, index) => findUnknownName(`${place}.homes[${index}]`, name, regions)),
+	];
+}
+
+/** Reports keys that identify two organisations. Names the organisations, since operators know no digests. */
+function findSharedKeys(organisations: readonly ManifestOrganisation[]): ValidationIssue[] {
+	const owners = new Map<string, string>();
+	const issues: ValidationIssue[] = [];
+	for (const [index, { name, keys }] of organisations.entries()) {
+		for (const [position, digest] of keys.entries()) {
+			const owner = owners.get(digest);
+			if (owner !== undefined) {
+				const place = `organisations[${index}].keys[${position}]`;
+				issues.push({ place, problem: `${name} has a key that ${owner} has already` });
+			}
+			owners.set(digest, owner ?? name);
+		}
+	}
+	return issues;
+}
+
 /** Checks what the schema does not: that names are unique and that every reference is defined. */
 function findReferenceIssues(manifest: Manifest): ValidationIssue[] {
 	const regions = new Set<string>(manifest.regions.map(region => region.name));
@@ -256,8 +273,9 @@
 			link.between.flatMap((end, side) => findUnknownName(`links[${index}].between[${side}]`, end, regions)),
 		),
 		...manifest.organisations.flatMap((organisation, index) =>
-			findUnknownName(`organisations[${index}].home`, organisation.home, regions),
+			findOrganisationIssues(`organisations[${index}]`, organisation, regions),
 		),
+		...findSharedKeys(manifest.organisations),
 		...manifest.services.flatMap((service, index) =>
 			findUnknownName(`services[${index}].model`, service.model, models),
 		),
--- a/src/core/manifest/common/routes.ts
+++ b/src/core/manifest/common/routes.ts
@@ -45,6 +45,8 @@
 	priority: z.number().int().nonnegative().default(1),
 	/** Whether an interrupted stream may be resumed at another target. */
 	isResumable: z.boolean().default(false),
+	/** Whether requests need no key although the manifest requires keys. */
+	isPublic: z.boolean().default(false),
 	/** The regions that may receive and answer the requests; empty if all may. */
 	homes: z.array(createNameSchema<RegionName>()).default([]),
 	/** The services that share the route's requests. */
--- a/src/core/manifest/test/manifest.test.ts
+++ b/src/core/manifest/test/manifest.test.ts
@@ -44,6 +44,33 @@
 		]);
 	});
 
+	// Guards against requests that are attributed to the wrong organisation, since a key identifies one organisation only.
+	it('rejects a key of two organisations, and names both', () => {
+		const document = createDocument();
+		const keys = ['a1'.repeat(32)];
+		document.organisations = [
+			{ name: 'harbour-hotel', home: 'kingston', keys },
+			{ name: 'bay-offices', home: 'kingston', keys },
+		];
+		expect(checkManifest(document)._unsafeUnwrapErr()).toEqual([
+			{ place: 'organisations[1].keys[0]', problem: 'bay-offices has a key that harbour-hotel has already' },
+		]);
+	});
+
+	it.each([
+		['a limit below 0', { limit: { perSecond: -1 } }, 'organisations[0].limit.perSecond'],
+		['an unknown unit', { limit: { perSecond: 1, unit: 'bytes' } }, 'organisations[0].limit.unit'],
+		['a key that is not a digest', { keys: [''] }, 'organisations[0].keys[0]'],
+		['a home that is no region', { homes: ['montego'] }, 'organisations[0].homes[0]'],
+	])('rejects an organisation with %s', (_, change, place) => {
+		const document = createDocument();
+		document.organisations = [{ name: 'harbour-hotel', home: 'kingston', ...change }];
+		const places = checkManifest(document)
+			._unsafeUnwrapErr()
+			.map(issue => issue.place);
+		expect(places).toEqual([place]);
+	});
+
 	it('returns an error if the text is not JSON', () => {
 		expect(parseManifest('{')._unsafeUnwrapErr()[0]?.problem).toMatch(/^is not JSON/);
 	});
--- a/src/demo/test/scenarios.test.ts
+++ b/src/demo/test/scenarios.test.ts
@@ -64,6 +64,7 @@
 			regions: [],
 			links: [],
 			organisations: [],
+			requiresKeys: false,
 			models: [],
 			services: [],
 			targets: [],
--- a/src/entry/common/callers/callHead.ts
+++ b/src/entry/common/callers/callHead.ts
@@ -8,7 +8,7 @@
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import { headers } from '../../../core/headers/common/headers';
-import type { OrganisationName, ServiceName, StreamId } from '../../../core/ids/common/ids';
+import type { KeyDigest, OrganisationName, ServiceName, StreamId } from '../../../core/ids/common/ids';
 import type { ManifestRoute } from '../../../core/manifest/common/routes';
 import { findRequestClass, RequestClass, requestClasses } from '../../../core/requests/common/requestClass';
 import type { PromptShape } from '../prompts/promptShape';
@@ -23,6 +23,8 @@
 export interface CallHead {
 	readonly service: ServiceName;
 	readonly organisation: OrganisationName;
+	/** The digest of the key that the request came with, if the manifest requires keys and the caller sent one. */
+	readonly keyDigest?: KeyDigest;
 	readonly requestClass: RequestClass;
 	readonly method: string;
 	/** Path and query below the service prefix. */
@@ -40,6 +42,8 @@
 /** The parts of a head that exist only in a call matched by host and path. */
 export interface RoutedCall {
 	readonly route: ManifestRoute;
+	/** 0 is the most urgent: the organisation's priority if it has one, or else the route's. */
+	readonly priority: number;
 	/** The host as the caller sent it. */
 	readonly host: string;
 	/** The request id that the caller sent. */
--- a/src/entry/common/routing/test/routeTable.test.ts
+++ b/src/entry/common/routing/test/routeTable.test.ts
@@ -14,6 +14,7 @@
 		attempts: 1,
 		priority: 0,
 		isResumable: false,
+		isPublic: false,
 		homes: [],
 		services: [
 			{ service: 'a' as ServiceName, weight: 90 },
--- a/src/entry/node/requests/schedulableRequest.ts
+++ b/src/entry/node/requests/schedulableRequest.ts
@@ -28,10 +28,14 @@
 	};
 }
 
-function createWork({ route, prompt }: RoutedCall, arrivedMs: number, maxRuns?: number): RequestWork {
+function createWork(
+	{ route, priority, prompt }: RoutedCall,
+	arrivedMs: number,
+	maxRuns?: number,
+): RequestWork {
 	return {
 		dueMs: arrivedMs + route.firstByteAimMs,
-		urgency: route.priority,
+		urgency: priority,
 		prompt,
 		maxAttempts: route.attempts,
 		isResumable: route.isResumable,
