--- a/src/entry/common/placement/manifestIndex.ts
+++ b/src/entry/common/placement/manifestIndex.ts
@@ -4,7 +4,13 @@
  * head, so the maps are built once for each accepted manifest.
  */
 
-import type { OrganisationName, RegionName, ServiceName, TargetId } from '../../../core/ids/common/ids';
+import type {
+	KeyDigest,
+	OrganisationName,
+	RegionName,
+	ServiceName,
+	TargetId,
+} from '../../../core/ids/common/ids';
 import type {
 	Manifest,
 	ManifestOrganisation,
@@ -18,6 +24,7 @@
 export class ManifestIndex {
 	private readonly services: ReadonlyMap<ServiceName, ManifestService>;
 	private readonly organisations: ReadonlyMap<OrganisationName, ManifestOrganisation>;
+	private readonly organisationsByKey = new Map<KeyDigest, ManifestOrganisation>();
 	private readonly targets: ReadonlyMap<TargetId, ManifestTarget>;
 	private readonly targetsByService = new Map<ServiceName, ManifestTarget[]>();
 	private readonly routes: RouteTable;
@@ -28,6 +35,11 @@
 		this.organisations = new Map(
 			manifest.organisations.map(organisation => [organisation.name, organisation]),
 		);
+		for (const organisation of manifest.organisations) {
+			for (const digest of organisation.keys) {
+				this.organisationsByKey.set(digest, organisation);
+			}
+		}
 		this.targets = new Map(manifest.targets.map(target => [target.id, target]));
 		for (const target of manifest.targets) {
 			const serviceTargets = this.targetsByService.get(target.service) ?? [];
@@ -53,6 +65,11 @@
 		return this.organisations.get(name);
 	}
 
+	/** Returns the organisation that a key identifies, or undefined if the key is unknown or withdrawn. */
+	findKeyOwner(digest: KeyDigest): ManifestOrganisation | undefined {
+		return this.organisationsByKey.get(digest);
+	}
+
 	findTarget(id: TargetId): ManifestTarget | undefined {
 		return this.targets.get(id);
 	}
