--- a/src/core/manifest/common/organisations.ts
+++ b/src/core/manifest/common/organisations.ts
@@ -19,6 +19,17 @@
 	.regex(/^[0-9a-f]{64}$/, 'is not a SHA-256 digest in lower-case hexadecimal')
 	.transform(value => value as KeyDigest);
 
+/** Names of organisations are sent to targets in a header. Unlike other names, they may contain underscores. */
+export const organisationNamePattern = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+const organisationNameSchema = z
+	.string()
+	.regex(
+		organisationNamePattern,
+		'is not a name: lower-case letters, digits, dots, hyphens and underscores, 63 characters at most',
+	)
+	.transform(value => value as OrganisationName);
+
 const limitSchema = z.strictObject({
 	unit: z.enum(LimitUnit).default(LimitUnit.Requests),
 	/** Sustained rate over all entries together, in units per second. */
@@ -30,7 +41,7 @@
 });
 
 export const organisationSchema = z.strictObject({
-	name: createNameSchema<OrganisationName>(),
+	name: organisationNameSchema,
 	home: createNameSchema<RegionName>(),
 	/** Share of a fully loaded service relative to other organisations. */
 	weight: z.number().positive().default(1),
--- a/src/entry/common/callers/callHead.ts
+++ b/src/entry/common/callers/callHead.ts
@@ -62,8 +62,22 @@
 	/** Path and query as the caller sent them. */
 	readonly url: string;
 	readonly lines: readonly HeaderLine[];
+	/** Set for a request that another entry forwarded, in place of the header with the caller's key. */
+	readonly forwardedKey?: ForwardedKey;
 }
 
+/** What another entry says of the key of a request that it forwarded. */
+export interface ForwardedKey {
+	/** Undefined if the request has no key. */
+	readonly digest: KeyDigest | undefined;
+}
+
+/** The organisation of a request, and how it was identified. */
+export type CallerIdentity = Pick<CallHead, 'organisation' | 'keyDigest'>;
+
+/** Finds the organisation of a request to a service. */
+export type ResolveIdentity = (raw: RawHead, service: ServiceName) => Result<CallerIdentity, RequestError>;
+
 const servicesPrefix = '/v1/services/';
 const maxDeadlineMs = 3_600_000;
 const maxPrefixKeyLength = 256;
@@ -104,15 +118,27 @@
 	return lines.find(line => line.name === name)?.value;
 }
 
+/** Returns the organisation that the caller names. */
+export function readNamedOrganisation(raw: RawHead): Result<CallerIdentity, RequestError> {
+	const organisation = findHeader(raw.lines, headers.organisation);
+	if (organisation === undefined || organisation === '') {
+		return err(createRequestError(ErrorKind.OrganisationMissing, headers.organisation));
+	}
+	return ok({ organisation: organisation as OrganisationName });
+}
+
 /** Parses a head, or returns the first error in it. */
-export function parseCallHead(raw: RawHead): Result<CallHead, RequestError> {
+export function parseCallHead(
+	raw: RawHead,
+	resolveIdentity: ResolveIdentity = readNamedOrganisation,
+): Result<CallHead, RequestError> {
 	const route = parseRoute(raw.url);
 	if (route === undefined) {
 		return err(createRequestError(ErrorKind.UnknownRoute, `no route matches ${raw.method} ${raw.url}`));
 	}
-	const organisation = findHeader(raw.lines, headers.organisation);
-	if (organisation === undefined || organisation === '') {
-		return err(createRequestError(ErrorKind.OrganisationMissing, headers.organisation));
+	const identity = resolveIdentity(raw, route.service);
+	if (identity.isErr()) {
+		return err(identity.error);
 	}
 	const requestClass = parseClass(findHeader(raw.lines, headers.requestClass));
 	if (requestClass === undefined) {
@@ -133,7 +159,7 @@
 	}
 	return ok({
 		...route,
-		organisation: organisation as OrganisationName,
+		...identity.value,
 		requestClass,
 		method: raw.method,
 		deadlineMs,
