--- a/src/entry/common/callers/refusal.ts
+++ b/src/entry/common/callers/refusal.ts
@@ -4,7 +4,7 @@
  */
 
 import type { AdvertisedEntry, RequestError } from '../../../core/errors/common/errorKinds';
-import { errorAnswers, getOutcomeOf } from '../../../core/errors/common/errorKinds';
+import { errorAnswers, ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
 import type { Outcome } from '../../../core/errors/common/outcome';
 import { headers } from '../../../core/headers/common/headers';
 import type { RequestId } from '../../../core/ids/common/ids';
@@ -32,6 +32,11 @@
 const defaultRetryAfterMs = 1_000;
 const msPerSecond = 1_000;
 
+/** Returns the header of a 401 that names the accepted scheme, which RFC 9110, section 11.6.1 requires. */
+export function listChallengeLines({ kind }: RequestError): readonly HeaderLine[] {
+	return kind === ErrorKind.KeyUnknown ? [{ name: 'www-authenticate', value: 'Bearer' }] : [];
+}
+
 /** Builds the answer that belongs to the kind of an error. */
 export function createRefusal(requestId: RequestId, error: RequestError): Refusal {
 	const answer = errorAnswers[error.kind];
@@ -51,6 +56,7 @@
 		{ name: headers.requestId, value: requestId },
 		{ name: headers.outcome, value: outcome },
 		{ name: headers.error, value: error.kind },
+		...listChallengeLines(error),
 	];
 	if (retryAfterMs !== undefined) {
 		lines.push({ name: 'retry-after', value: String(Math.ceil(retryAfterMs / msPerSecond)) });
--- a/src/entry/common/placement/callPlan.ts
+++ b/src/entry/common/placement/callPlan.ts
@@ -136,7 +136,7 @@
 		return refuseCall(ErrorKind.OrganisationUnknown, `the manifest has no organisation ${call.organisation}`);
 	}
 	if (call.routed !== undefined) {
-		return ok(planRoutedCall(call.routed.route, service, organisation));
+		return checkAllowedRegions(planRoutedCall(call.routed.route, service, organisation));
 	}
 	const path = parseCallPath(call.path);
 	if (path.isErr()) {
@@ -152,6 +152,13 @@
 	return ok(plan);
 }
 
+/** Refuses a call that no region may answer, because the organisation and the route have no home in common. */
+function checkAllowedRegions(plan: CallPlan): Result<CallPlan, RequestError> {
+	return plan.allowedRegions?.size === 0
+		? refuseCall(ErrorKind.WrongRegion, `the route has no region that ${plan.organisation.name} may use`)
+		: ok(plan);
+}
+
 /** Whether a region may read and answer the call. */
 export function isAllowedRegion({ allowedRegions }: CallPlan, region: RegionName): boolean {
 	return allowedRegions === undefined || allowedRegions.has(region);
--- a/src/entry/common/placement/routedPlan.ts
+++ b/src/entry/common/placement/routedPlan.ts
@@ -3,6 +3,7 @@
  * how long a target may be silent.
  */
 
+import type { RegionName } from '../../../core/ids/common/ids';
 import type { ManifestOrganisation, ManifestService } from '../../../core/manifest/common/manifest';
 import { RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
 import type { ManifestRoute } from '../../../core/manifest/common/routes';
@@ -32,6 +33,7 @@
 	organisation: ManifestOrganisation,
 ): CallPlan {
 	const timeouts = computeTimeouts(route);
+	const allowedRegions = computeAllowedRegions(route, organisation);
 	return {
 		service,
 		organisation,
@@ -39,7 +41,7 @@
 		// The entry never retries such a call, and a call that the caller sends again is a new request.
 		unticketed: UnticketedRule.RunOnce,
 		homeRegion: undefined,
-		...(route.homes.length === 0 ? {} : { allowedRegions: new Set(route.homes) }),
+		...(allowedRegions === undefined ? {} : { allowedRegions }),
 		classes: {
 			[RequestClass.Urgent]: timeouts,
 			[RequestClass.Normal]: timeouts,
@@ -48,6 +50,16 @@
 	};
 }
 
+/** Returns the regions that both the route and the organisation allow, or undefined if neither names any. */
+function computeAllowedRegions(
+	route: ManifestRoute,
+	organisation: ManifestOrganisation,
+): ReadonlySet<RegionName> | undefined {
+	const limits = [route.homes, organisation.homes].filter(homes => homes.length > 0);
+	const [homes, others = homes] = limits;
+	return homes && new Set(homes.filter(home => others?.includes(home) === true));
+}
+
 /**
  * Computes the timeouts of a route. A request that must not run twice gets the whole deadline, because after an
  * earlier timeout its outcome would be unknown although the answer may still arrive.
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -14,6 +14,7 @@
 import type { HandlerFixture } from '../../test/callHandlerFixtures';
 import { createHandlerFixture } from '../../test/callHandlerFixtures';
 import { NativeCallerDialect } from '../../../common/dialect/nativeCallerDialect';
+import { createKeyDigests } from '../../keys/test/keyDigestFixtures';
 import { CallerServer } from '../callerServer';
 
 const owned = new DisposableStore();
@@ -29,7 +30,7 @@
 	const limits = { maxHeadBytes: 2_048, maxBodyBytes: 100 };
 	const server = new CallerServer(
 		fixture.handler,
-		new NativeCallerDialect(),
+		new NativeCallerDialect(createKeyDigests()),
 		fixture.heldBytes,
 		limits,
 		new RequestIntake(
--- a/src/entry/node/callers/test/callerSink.test.ts
+++ b/src/entry/node/callers/test/callerSink.test.ts
@@ -5,6 +5,7 @@
 import { createRequestError, ErrorKind } from '../../../../core/errors/common/errorKinds';
 import type { RequestId } from '../../../../core/ids/common/ids';
 import { NativeCallerDialect } from '../../../common/dialect/nativeCallerDialect';
+import { createKeyDigests } from '../../keys/test/keyDigestFixtures';
 import { CallerSink } from '../callerSink';
 
 const uploadBytes = 16_777_216;
@@ -15,7 +16,7 @@
 	const server = createServer((request, response) => {
 		const sink = new CallerSink(
 			'r-1' as RequestId,
-			new NativeCallerDialect(),
+			new NativeCallerDialect(createKeyDigests()),
 			request,
 			response,
 			() => false,
@@ -50,7 +51,15 @@
 
 async function openAnsweringServer(write: WriteAnswer): Promise<Server> {
 	const server = createServer((request, response) => {
-		write(new CallerSink('r-1' as RequestId, new NativeCallerDialect(), request, response, () => false));
+		write(
+			new CallerSink(
+				'r-1' as RequestId,
+				new NativeCallerDialect(createKeyDigests()),
+				request,
+				response,
+				() => false,
+			),
+		);
 	});
 	await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
 	return server;
--- a/src/entry/node/environment/nativeEnvironment.ts
+++ b/src/entry/node/environment/nativeEnvironment.ts
@@ -3,6 +3,7 @@
  */
 
 import type { IRandom } from '../../../base/common/random';
+import { SystemTimerService } from '../../../base/node/systemTimerService';
 import type { EntrySettings } from '../../../core/settings/common/entrySettings';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
 import { NativeTargetDialect } from '../../common/dialect/nativeTargetDialect';
@@ -10,6 +11,7 @@
 import { planShutdown } from '../../common/leaving/shutdownPlan';
 import { ServiceScheduler } from '../../common/scheduling/scheduler';
 import { CostBasedSendAwayPolicy } from '../../common/sendAway/costBasedSendAwayPolicy';
+import { KeyDigestCache } from '../keys/keyDigestCache';
 import { TargetRegistry } from '../targets/targetRegistry';
 import type {
 	EntryPlatform,
@@ -24,7 +26,7 @@
 const defaultNewsWithinMs = 9_000;
 
 export class NativeEnvironment implements IEntryEnvironment {
-	readonly callers = new NativeCallerDialect();
+	readonly callers = new NativeCallerDialect(new KeyDigestCache(new SystemTimerService()));
 	readonly targets = new NativeTargetDialect();
 	readonly leaving: ShutdownTimes;
 
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -30,6 +30,7 @@
 import { TicketIssuer } from '../../common/tickets/ticketIssuer';
 import { CallHandler } from '../callHandler';
 import { HeldBytes } from '../callers/bodyReader';
+import { createKeyDigests } from '../keys/test/keyDigestFixtures';
 import type { PeerConnection } from '../peers/peerClients';
 import { ActiveRuns } from '../requests/activeRuns';
 import type { IRouterContext } from '../requests/requestRouter';
@@ -96,7 +97,7 @@
 	});
 	const handler = new CallHandler(
 		{ id: own.instance, region, zone, boot: own.boot },
-		new NativeCallerDialect(),
+		new NativeCallerDialect(createKeyDigests()),
 		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
 		{
 			listCandidates: () => [createCandidate(neighbour.own.instance)],
