--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -68,6 +68,12 @@
 	readiness: z.strictObject({ listen: listenAddressSchema }).optional(),
 	/** The region of each availability zone. */
 	zones: z.record(z.string(), createNameSchema<RegionName>()).optional(),
+	keys: z
+		.strictObject({
+			/** Milliseconds after which a withdrawn key must no longer work at any entry; no bound if unset. */
+			withdrawn_within_ms: createNumberSchema(1_000, 600_000).optional(),
+		})
+		.prefault({}),
 	leaving: z
 		.strictObject({
 			/** Seconds from SIGTERM until the platform kills the process; unset if it never does. */
@@ -138,6 +144,11 @@
 			const message = 'a key shared by all entries, required with the native protocol';
 			context.addIssue({ code: 'custom', path: ['tickets', 'key'], message });
 		}
+		if (settings.keys.withdrawn_within_ms !== undefined) {
+			// The native protocol does not tell at which time a manifest was current.
+			const message = 'only with the store protocol';
+			context.addIssue({ code: 'custom', path: ['keys', 'withdrawn_within_ms'], message });
+		}
 		return;
 	}
 	for (const section of storeSections) {
