Count delays and suspensions towards the age of what is known of the store

The age of what an entry knows had three gaps. A watch without changes that ended early counted from its end, a relayed message counted from its arrival even if it had been held up for seconds, and a suspended machine saw no time pass. An empty watch now counts from its end only after its whole wait; a message tells how long its feed has been open and is placed in time by when the reader opened the feed; and a clock for ages adds forward jumps of the time of day.

If ages are bounded, the relay also keeps them low: heartbeats count at once, a feed that is too old or has been open for 30 s is replaced, and an entry that the store does not answer asks entries of its own and of other regions while it waits. Without a bound, feeds are read as before.

--- a/src/core/store/common/storeClient.ts
+++ b/src/core/store/common/storeClient.ts
@@ -35,8 +35,10 @@
 	/** The store's revision when the page was read. */
 	readonly revision: number;
 	readonly era?: StoreEra | undefined;
-	/** Milliseconds since the page was current, if another process read it from the store. */
-	readonly ageMs?: number;
+	/** The page describes the state at this time of the reader's clock; undefined for when the call began. */
+	readonly asOfMs?: number;
+	/** Whether another process read the page from the store. */
+	readonly isRelayed?: boolean;
 }
 
 /** Changes of the keys that begin with a prefix, in the order in which they were made. */
@@ -45,8 +47,10 @@
 	/** The revision after which the next watch continues. */
 	readonly revision: number;
 	readonly era?: StoreEra | undefined;
-	/** Milliseconds since the state after the changes was current, if another process read them from the store. */
-	readonly ageMs?: number;
+	/** The changes lead to the state at this time of the reader's clock; undefined if the call alone determines it. */
+	readonly asOfMs?: number;
+	/** Whether another process read the changes from the store. */
+	readonly isRelayed?: boolean;
 }
 
 export enum StoreErrorKind {
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -17,6 +17,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { Channel } from '../../../base/common/channel';
+import type { IClock } from '../../../base/common/elapsedClock';
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
@@ -27,6 +28,7 @@
 import { StoreErrorKind } from './storeClient';
 import type { MirrorChange } from './storeMirror';
 import { StoreMirror } from './storeMirror';
+import { computeWatchAsOfMs } from './watchAge';
 
 /** A change of the items below the prefix. */
 export interface FollowedChange extends MirrorChange {
@@ -80,6 +82,12 @@
 	readonly isRelayed: boolean;
 }
 
+/** How the age of what a follower knows is measured and kept low. */
+export interface FollowedAge {
+	/** Also counts the time for which the machine is suspended. */
+	readonly clock: IClock;
+}
+
 /** Shorter periods of failed calls are not an outage, since entries do not expire within them. */
 const minOutageMs = 1_000;
 
@@ -103,10 +111,16 @@
 	/** Number of restores detected; if it changes, a listing is restarted and a failed read is repeated without a pause. */
 	private restoreCount = 0;
 	private lastAnswerMs: number | undefined;
-	/** The items are known as they were at this time. */
+	private readonly ageClock: IClock;
+	/** The items are known as they were at this time of the age clock. */
 	private currentAsOfMs: number | undefined;
-	/** The time of the state that the answer of the last call describes. */
+	/** The time of the state that the answer of the last call describes, by the age clock. */
 	private answerAsOfMs = 0;
+	private isAnswerListed = false;
+	private isAnswerRelayed = false;
+	/** When the next answer is due at the latest, or the pause before the next call ends. */
+	private nextReadMs: number;
+	private pause: AbortController | undefined;
 	private unreachableSinceMs: number | undefined;
 	private recoveredMs = Number.NEGATIVE_INFINITY;
 
@@ -115,15 +129,21 @@
 	readonly onDidEndCall: Stream<StoreCallEnd> = this.callEnds.stream;
 	readonly onDidRestore: Stream<StoreRestore> = this.restores.stream;
 
-	/** @param maxDelayMs Maximum delay in milliseconds with which a change is received while the store answers. */
+	/**
+	 * @param maxDelayMs Maximum delay in milliseconds with which a change is received while the store answers.
+	 * @param age If given, the age of what is known stays below that delay while the store answers.
+	 */
 	constructor(
 		private readonly prefix: string,
 		private readonly client: IStoreClient,
 		private readonly timers: ITimerService,
 		random: IRandom,
 		maxDelayMs: number,
+		private readonly age?: FollowedAge,
 	) {
 		super();
+		this.ageClock = age?.clock ?? timers;
+		this.nextReadMs = timers.getNow();
 		this.timings = computeWatchTimings(maxDelayMs);
 		this.backoff = new WatchBackoff(this.timings, random);
 		this.register(
@@ -147,7 +167,20 @@
 
 	/** The items are known as they were at this time, in monotonic milliseconds; undefined before the first answer. */
 	getCurrentAsOfMs(): number | undefined {
-		return this.currentAsOfMs;
+		if (this.age === undefined || this.currentAsOfMs === undefined) {
+			return this.currentAsOfMs;
+		}
+		return this.timers.getNow() - (this.ageClock.getNow() - this.currentAsOfMs);
+	}
+
+	/** Milliseconds since the items were known to be those of the store; undefined before the first answer. */
+	getAgeMs(): number | undefined {
+		return this.currentAsOfMs === undefined ? undefined : this.ageClock.getNow() - this.currentAsOfMs;
+	}
+
+	/** Milliseconds until the current call ends at the latest, or until the store is asked again after a failure. */
+	getNextReadInMs(): number {
+		return Math.max(0, this.nextReadMs - this.timers.getNow());
 	}
 
 	/** Whether the latest call was answered. */
@@ -164,6 +197,7 @@
 		await new Promise<void>(resolve => {
 			this.pendingRefreshes.push(resolve);
 			this.currentCall?.abort();
+			this.pause?.abort();
 		});
 	}
 
@@ -206,7 +240,7 @@
 		}
 		if (read.isErr()) {
 			this.recordFailure(read.error);
-			await waitFor(this.timers, this.backoff.computePauseMs(), this.abort.signal);
+			await this.waitBeforeNextRead();
 			return;
 		}
 		this.recordAnswer();
@@ -218,13 +252,37 @@
 				isAfterOutage: nowMs - this.recoveredMs < recoveryGraceMs,
 			});
 		}
-		this.currentAsOfMs = this.answerAsOfMs;
+		// All changes up to the time known before stay applied if a later answer describes an earlier time. A listing does not
+		// go on from what was known.
+		this.currentAsOfMs = this.isAnswerListed
+			? this.answerAsOfMs
+			: Math.max(this.answerAsOfMs, this.currentAsOfMs ?? Number.NEGATIVE_INFINITY);
+	}
+
+	private async waitBeforeNextRead(): Promise<void> {
+		const pauseMs = this.backoff.computePauseMs();
+		const pause = new AbortController();
+		this.pause = pause;
+		this.nextReadMs = this.timers.getNow() + pauseMs;
+		await waitFor(this.timers, pauseMs, AbortSignal.any([this.abort.signal, pause.signal]));
+		this.pause = undefined;
+	}
+
+	/**
+	 * How long the next watch may wait. An answer with changes counts from the start of its call. So that the age stays below
+	 * the longest wait, the next watch waits for less; it asks for the present state if nothing is left.
+	 */
+	private computeWaitMs(): number {
+		const waitMs = this.backoff.computeWaitMs();
+		const ageMs = this.age === undefined || this.isAnswerRelayed ? undefined : this.getAgeMs();
+		return ageMs === undefined ? waitMs : Math.max(0, Math.floor(waitMs - ageMs));
 	}
 
 	private async watchOnce(): Promise<Result<MirrorChange, StoreError>> {
 		const { minPauseMs } = this.timings;
-		const waitMs = this.backoff.computeWaitMs();
+		const waitMs = this.computeWaitMs();
 		const startedMs = this.timers.getNow();
+		const sentMs = this.ageClock.getNow();
 		const result = await this.fetchWithTimeout(
 			StoreCallKind.Watch,
 			waitMs,
@@ -235,12 +293,11 @@
 			return this.listAll();
 		}
 		const isEmpty = result.isOk() && result.value.changes.length === 0;
-		const ageMs = result.isOk() ? result.value.ageMs : undefined;
-		// The store ends a watch without changes once it has waited for them.
-		this.answerAsOfMs =
-			ageMs === undefined
-				? startedMs + (isEmpty ? Math.min(waitMs, this.timers.getNow() - startedMs) : 0)
-				: this.timers.getNow() - ageMs;
+		const tookMs = this.timers.getNow() - startedMs;
+		const asOfMs = result.isOk() ? result.value.asOfMs : undefined;
+		this.answerAsOfMs = asOfMs ?? computeWatchAsOfMs({ sentMs, waitMs, tookMs, isEmpty });
+		this.isAnswerListed = false;
+		this.isAnswerRelayed = result.isOk() && result.value.isRelayed === true;
 		if (isEmpty && waitMs > 0 && this.timers.getNow() - startedMs < minPauseMs) {
 			// Prevents a tight loop if the store ends watches without waiting.
 			await waitFor(this.timers, minPauseMs, this.abort.signal);
@@ -251,7 +308,9 @@
 	private async listAll(): Promise<Result<MirrorChange, StoreError>> {
 		const items: StoreItem[] = [];
 		const { restoreCount } = this;
-		this.answerAsOfMs = this.timers.getNow();
+		this.answerAsOfMs = this.ageClock.getNow();
+		this.isAnswerListed = true;
+		this.isAnswerRelayed = false;
 		let revision: number | undefined;
 		for (;;) {
 			const afterKey = items.at(-1)?.key;
@@ -272,7 +331,8 @@
 			}
 			items.push(...page.value.items);
 			revision ??= page.value.revision;
-			this.answerAsOfMs -= page.value.ageMs ?? 0;
+			this.answerAsOfMs = Math.min(this.answerAsOfMs, page.value.asOfMs ?? this.answerAsOfMs);
+			this.isAnswerRelayed ||= page.value.isRelayed === true;
 			if (!page.value.hasMore || page.value.items.length === 0) {
 				return ok(this.mirror.putAll(items, revision));
 			}
@@ -280,7 +340,7 @@
 	}
 
 	/** Makes a call and aborts it if it takes longer than its wait and the answer timeout. */
-	private async fetchWithTimeout<TValue extends Partial<Pick<StorePage, 'revision' | 'era' | 'ageMs'>>>(
+	private async fetchWithTimeout<TValue extends Partial<Pick<StorePage, 'revision' | 'era' | 'isRelayed'>>>(
 		call: StoreCallKind,
 		waitMs: number,
 		fetch: (signal: AbortSignal) => Promise<Result<TValue, StoreError>>,
@@ -290,6 +350,7 @@
 		const heldRevision = this.mirror.revision;
 		const callController = new AbortController();
 		this.currentCall = callController;
+		this.nextReadMs = startedMs + waitMs + this.timings.answerTimeoutMs;
 		const timer = this.timers.schedule(waitMs + this.timings.answerTimeoutMs, () => {
 			callController.abort();
 		});
@@ -304,7 +365,7 @@
 				fault: answer.isErr() ? answer.error : undefined,
 				era: getEra(answer),
 				isRelayed: answer.isOk()
-					? answer.value.ageMs !== undefined
+					? answer.value.isRelayed === true
 					: answer.error.kind === StoreErrorKind.ListingReady,
 			});
 			return this.checkEra(answer);
--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -1,8 +1,12 @@
 /**
  * One open feed of the store's changes from another entry: keeps the messages until they are taken, and reports when the
- * feed has ended or fallen silent.
+ * feed has ended, fallen silent or become too old.
+ *
+ * A message may be held up on the way for seconds. Its state is therefore placed in time by when this entry opened the feed,
+ * which was before the watcher accepted it, and not by when the message arrived.
  */
 
+import type { IClock } from '../../../base/common/elapsedClock';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { InstanceId } from '../../../core/ids/common/ids';
@@ -19,12 +23,19 @@
 	Cancelled = 'cancelled',
 }
 
+/** A message and the time of the state that it leads to, by the reader's clock. */
+export type ReceivedMessage = FeedMessage & { readonly asOfMs: number };
+
 export class FeedReader implements IFeedObserver, IDisposable {
-	private readonly messages: FeedMessage[] = [];
+	private readonly messages: ReceivedMessage[] = [];
+	private readonly openedMs: number;
+	/** When the watcher accepted the feed, by the age clock; this or earlier. */
+	private acceptedMs: number;
+	private messageCount = 0;
 	private readonly connection: IDisposable;
 	private wake: (() => void) | undefined;
 	private lastHeardMs: number;
-	private latest: FeedMessage | undefined;
+	private latest: ReceivedMessage | undefined;
 	private endReason: string | undefined;
 
 	constructor(
@@ -33,49 +44,87 @@
 		opener: IFeedOpener,
 		private readonly times: FeedTimes,
 		private readonly timers: ITimerService,
+		private readonly ageClock: IClock,
 	) {
 		this.lastHeardMs = timers.getNow();
+		this.openedMs = this.lastHeardMs;
+		this.acceptedMs = ageClock.getNow();
 		this.connection = opener.open(watcher, request, this);
 	}
 
 	/** Why the feed is lost, for the log. */
 	get lostReason(): string {
+		if (this.endReason === undefined && this.isTooOld()) {
+			return `${Math.round(this.getAgeMs())} ms old`;
+		}
 		return this.endReason ?? `silent for ${Math.round(this.timers.getNow() - this.lastHeardMs)} ms`;
 	}
 
+	/** Whether the feed has been open for so long that the drift of the two clocks matters, and all messages are taken. */
+	isRenewalDue(): boolean {
+		const { bounds } = this.times;
+		return (
+			bounds !== undefined &&
+			this.messages.length === 0 &&
+			this.timers.getNow() - this.openedMs >= bounds.maxFeedMs
+		);
+	}
+
 	receive(message: FeedMessage): void {
+		if (message.elapsedMs === undefined && this.times.bounds !== undefined) {
+			this.end('the watcher does not tell how long its messages take');
+			return;
+		}
 		this.lastHeardMs = this.timers.getNow();
-		this.latest = { ...message, isListing: false, written: [], removed: [] };
+		this.messageCount++;
+		const received = { ...message, asOfMs: this.computeAsOfMs(message) };
+		this.latest = { ...received, isListing: false, written: [], removed: [] };
 		if (message.isListing || message.written.length > 0 || message.removed.length > 0) {
-			this.messages.push(message);
+			this.messages.push(received);
 		}
 		this.wake?.();
 	}
 
+	/** Ends a wait, because another reason to read than a message has come up. */
+	endWait(): void {
+		this.messageCount++;
+		this.wake?.();
+	}
+
 	end(reason: string): void {
 		this.endReason ??= reason;
 		this.wake?.();
 	}
 
 	/** Removes and returns the next message with items. */
-	take(): FeedMessage | undefined {
+	take(): ReceivedMessage | undefined {
 		return this.messages.shift();
 	}
 
 	/** The next message with items, which stays the next one. */
-	getNext(): FeedMessage | undefined {
+	getNext(): ReceivedMessage | undefined {
 		return this.messages[0];
 	}
 
-	/** The last message without its items, with the time that has passed since in its age. */
-	getLatest(): FeedMessage | undefined {
-		const { latest } = this;
-		return latest && { ...latest, ageMs: latest.ageMs + this.timers.getNow() - this.lastHeardMs };
+	/** The last message without its items. */
+	getLatest(): ReceivedMessage | undefined {
+		return this.latest;
 	}
 
-	/** Waits for a message with items, for at most `waitMs`. */
+	/**
+	 * Waits for a message with items, for at most `waitMs`. If ages are bounded, a heartbeat also ends the wait, since the
+	 * state is younger with it.
+	 */
 	async wait(waitMs: number, signal: AbortSignal): Promise<FeedWaitEnd> {
-		return this.waitFor(waitMs, signal, () => this.messages.length > 0);
+		const { messageCount } = this;
+		const end = await this.waitFor(
+			waitMs,
+			signal,
+			() =>
+				this.messages.length > 0 ||
+				(this.times.bounds !== undefined && this.latest !== undefined && this.messageCount !== messageCount),
+		);
+		return end === FeedWaitEnd.Message && this.messages.length === 0 ? FeedWaitEnd.Unchanged : end;
 	}
 
 	/** Waits for any message, for at most `waitMs`; lost if none has come by then. */
@@ -90,8 +139,9 @@
 			if (end !== undefined) {
 				return end;
 			}
+			const nowMs = this.timers.getNow();
 			await this.waitForWake(
-				Math.min(endsMs, this.lastHeardMs + this.times.silenceMs) - this.timers.getNow(),
+				Math.min(endsMs - nowMs, this.lastHeardMs + this.times.silenceMs - nowMs, this.computeTooOldInMs()),
 				signal,
 			);
 		}
@@ -115,7 +165,7 @@
 		if (isReached()) {
 			return FeedWaitEnd.Message;
 		}
-		if (this.endReason !== undefined || nowMs - this.lastHeardMs >= this.times.silenceMs) {
+		if (this.endReason !== undefined || nowMs - this.lastHeardMs >= this.times.silenceMs || this.isTooOld()) {
 			return FeedWaitEnd.Lost;
 		}
 		if (nowMs < endsMs) {
@@ -124,6 +174,32 @@
 		return this.latest === undefined ? FeedWaitEnd.Lost : FeedWaitEnd.Unchanged;
 	}
 
+	/**
+	 * A watcher's clock may run faster than the reader's. A message cannot arrive before it is sent, which corrects the time
+	 * of acceptance with each message that was not held up.
+	 */
+	private computeAsOfMs({ elapsedMs, ageMs }: FeedMessage): number {
+		const nowMs = this.ageClock.getNow();
+		if (elapsedMs === undefined || this.times.bounds === undefined) {
+			return nowMs - ageMs;
+		}
+		this.acceptedMs = Math.min(this.acceptedMs, nowMs - elapsedMs);
+		return this.acceptedMs + elapsedMs - ageMs;
+	}
+
+	private getAgeMs(): number {
+		return this.latest === undefined ? 0 : this.ageClock.getNow() - this.latest.asOfMs;
+	}
+
+	private isTooOld(): boolean {
+		return this.computeTooOldInMs() <= 0;
+	}
+
+	private computeTooOldInMs(): number {
+		const { bounds } = this.times;
+		return bounds === undefined ? Number.POSITIVE_INFINITY : bounds.maxReadAgeMs - this.getAgeMs();
+	}
+
 	private async waitForWake(delayMs: number, signal: AbortSignal): Promise<void> {
 		await new Promise<void>(resolve => {
 			const timer = this.timers.schedule(Math.max(1, delayMs), resolve);
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -11,10 +11,19 @@
  * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
  *   entry that would watch the store itself, and by one that has no listing yet.
  * - After a suspension of the process or a restore the present state is wanted, so the store is asked.
+ *
+ * If the age of what this entry knows has a bound, three more rules keep it known while any other entry in reach has the store:
+ *
+ * - The feed is lost and the store does not answer at once. Other entries are asked meanwhile, one after the other, also those
+ *   of other regions, and whoever answers first is read.
+ * - The store did not answer some seconds ago. It is probed beside the feed, which is kept until the store answers.
+ * - Others begin to read here. The store is read at once, so that they do not wait for the end of a feed's wait.
  */
 
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import type { IClock } from '../../../base/common/elapsedClock';
+import type { IDisposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import { waitFor } from '../../../base/common/waitFor';
@@ -27,8 +36,10 @@
 	StoreWatchResult,
 } from '../../../core/store/common/storeClient';
 import { StoreChangeKind, StoreErrorKind } from '../../../core/store/common/storeClient';
+import { computeWatchAsOfMs } from '../../../core/store/common/watchAge';
+import type { ReceivedMessage } from './feedReader';
 import { FeedReader, FeedWaitEnd } from './feedReader';
-import type { FeedMessage, FeedTimes, IFeedOpener } from './storeFeed';
+import type { FeedTimes, IFeedOpener } from './storeFeed';
 
 /** Chooses the entry whose feed is read. */
 export interface IWatcherChooser {
@@ -37,8 +48,13 @@
 	 *
 	 * @param excluded Entries whose feeds failed lately.
 	 * @param isOwnExcluded Whether the store does not answer this entry.
+	 * @param isAnyRegion Whether an entry of another region is preferred.
 	 */
-	pick(excluded: ReadonlySet<InstanceId>, isOwnExcluded: boolean): InstanceId | undefined;
+	pick(
+		excluded: ReadonlySet<InstanceId>,
+		isOwnExcluded: boolean,
+		isAnyRegion?: boolean,
+	): InstanceId | undefined;
 	/** Whether other entries read the changes of a prefix here. */
 	isRead(prefix: string): boolean;
 }
@@ -55,6 +71,8 @@
 const turnedAwayMs = 8_000;
 /** Time for which a watcher whose feed was lost is not chosen. */
 const excludedMs = 30_000;
+/** Entries that one read asks in turn while the store does not answer. */
+const maxAsked = 8;
 
 interface PrefixState {
 	feed: FeedReader | undefined;
@@ -63,6 +81,11 @@
 	lostMs: number;
 	/** The store does not answer this entry, and others are asked until this time. */
 	turnedAwayUntilMs: number;
+	/** Whether the store has not answered since a call failed. */
+	isFailing: boolean;
+	isProbing: boolean;
+	/** Number of entries that were asked since the store last answered. */
+	askedCount: number;
 	/** Whether the last answer came from the store itself. */
 	isDirect: boolean;
 }
@@ -81,6 +104,8 @@
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
 		private readonly noteSource: NoteSource,
+		/** Measures the ages of answers; also counts suspensions if ages are bounded. */
+		private readonly ageClock: IClock = timers,
 	) {
 		this.startedMs = timers.getNow();
 	}
@@ -90,6 +115,19 @@
 		return this.prefixes.get(prefix)?.isDirect ?? false;
 	}
 
+	/** Whether the store does not answer this entry at present, as far as it knows; only if ages are bounded. */
+	isFailing(prefix: string): boolean {
+		const state = this.prefixes.get(prefix);
+		return state !== undefined && this.isAgeBounded() && this.isTurnedAway(state);
+	}
+
+	/** Called when another entry begins to read the changes here. */
+	noteReader(prefix: string): void {
+		if (this.isAgeBounded()) {
+			this.prefixes.get(prefix)?.feed?.endWait();
+		}
+	}
+
 	async list(
 		prefix: string,
 		afterKey: string | undefined,
@@ -99,8 +137,8 @@
 		const listing = state.feed?.getNext();
 		if (afterKey === undefined && listing?.isListing === true) {
 			state.feed?.take();
-			const { written, revision, era, ageMs } = listing;
-			return ok({ items: written, hasMore: false, revision, era, ageMs });
+			const { written, revision, era, asOfMs } = listing;
+			return ok({ items: written, hasMore: false, revision, era, asOfMs, isRelayed: true });
 		}
 		this.closeFeed(prefix, state, 'a listing is needed');
 		if (afterKey === undefined && this.isTurnedAway(state)) {
@@ -132,10 +170,13 @@
 			return this.takeMessage(feed, afterRevision);
 		}
 		const remainingMs = waitMs - (await this.waitUntilSettled(waitMs, signal));
+		const hadFeed = state.feed !== undefined;
 		const feed = this.findFeed(prefix, state, afterRevision);
 		if (feed === undefined) {
-			return this.watchStore(prefix, state, afterRevision, remainingMs, signal);
+			const isAnsweredAtOnce = hadFeed && this.isAgeBounded();
+			return this.watchStore(prefix, state, afterRevision, isAnsweredAtOnce ? 0 : remainingMs, signal);
 		}
+		this.probeStore(prefix, state, afterRevision);
 		switch (await feed.wait(remainingMs, signal)) {
 			case FeedWaitEnd.Message:
 			case FeedWaitEnd.Unchanged:
@@ -145,7 +186,9 @@
 				return err({ kind: StoreErrorKind.Unreachable, detail: 'the call was cancelled' });
 			case FeedWaitEnd.Lost:
 				this.abandonFeed(prefix, state, feed);
-				return this.watchStore(prefix, state, afterRevision, 0, signal);
+				return this.isAgeBounded()
+					? this.watchStoreOrOthers(prefix, state, afterRevision, signal)
+					: this.watchStore(prefix, state, afterRevision, 0, signal);
 		}
 	}
 
@@ -165,12 +208,92 @@
 		signal: AbortSignal,
 	): Promise<Result<StoreWatchResult, StoreError>> {
 		state.isDirect = true;
+		const sentMs = this.ageClock.getNow();
+		const startedMs = this.timers.getNow();
 		const answer = await this.store.watch(prefix, afterRevision, waitMs, signal);
-		return this.noteAnswer(state, answer);
+		const tookMs = this.timers.getNow() - startedMs;
+		return this.noteAnswer(state, answer).map(result => ({
+			...result,
+			asOfMs: computeWatchAsOfMs({ sentMs, waitMs, tookMs, isEmpty: result.changes.length === 0 }),
+		}));
+	}
+
+	/** Asks the store and, if it does not answer soon, also other entries. */
+	private async watchStoreOrOthers(
+		prefix: string,
+		state: PrefixState,
+		afterRevision: number,
+		signal: AbortSignal,
+	): Promise<Result<StoreWatchResult, StoreError>> {
+		const storeCall = new AbortController();
+		const storeAnswer = this.watchStore(
+			prefix,
+			state,
+			afterRevision,
+			0,
+			AbortSignal.any([signal, storeCall.signal]),
+		);
+		const quickAnswer = state.isFailing ? undefined : await this.waitBriefly(storeAnswer);
+		if (quickAnswer?.isOk() === true || signal.aborted) {
+			return quickAnswer ?? storeAnswer;
+		}
+		state.turnedAwayUntilMs = this.timers.getNow() + turnedAwayMs;
+		const search = new AbortController();
+		const first = await Promise.race([
+			this.openWhileTurnedAway(prefix, state, afterRevision, AbortSignal.any([signal, search.signal])),
+			storeAnswer.then(async answer => (answer.isOk() ? answer : new Promise<never>(() => undefined))),
+		]);
+		if (first instanceof FeedReader) {
+			storeCall.abort();
+			state.isDirect = false;
+			return this.takeMessage(first, afterRevision);
+		}
+		if (first !== undefined) {
+			search.abort();
+			this.closeFeed(prefix, state, 'the store answers');
+			state.isDirect = true;
+		}
+		return first ?? storeAnswer;
+	}
+
+	private async waitBriefly<TValue>(work: Promise<TValue>): Promise<TValue | undefined> {
+		let limit: IDisposable | undefined;
+		const first = await Promise.race([
+			work,
+			new Promise<undefined>(resolve => {
+				limit = this.timers.schedule(this.times.settleMs, () => {
+					resolve(undefined);
+				});
+			}),
+		]);
+		limit?.dispose();
+		return first;
+	}
+
+	/** Asks a store that has failed some seconds ago whether it answers again, while a feed is read. */
+	private probeStore(prefix: string, state: PrefixState, afterRevision: number): void {
+		if (!state.isFailing || state.isProbing || this.timers.getNow() < state.turnedAwayUntilMs) {
+			return;
+		}
+		state.isProbing = true;
+		const probe = new AbortController();
+		const limit = this.timers.schedule(this.times.silenceMs, () => {
+			probe.abort();
+		});
+		void this.store.watch(prefix, afterRevision, 0, probe.signal).then(answer => {
+			limit.dispose();
+			state.isProbing = false;
+			this.noteAnswer(state, answer);
+		});
+	}
+
+	private isAgeBounded(): boolean {
+		return this.times.bounds !== undefined;
 	}
 
-	private isTurnedAway({ turnedAwayUntilMs }: PrefixState): boolean {
-		return this.timers.getNow() < turnedAwayUntilMs;
+	/** If ages are bounded, the store counts as failing until a probe is answered. */
+	private isTurnedAway({ turnedAwayUntilMs, isFailing }: PrefixState): boolean {
+		return this.timers.getNow() < turnedAwayUntilMs || (this.isAgeBounded() && isFailing);
 	}
 
 	/** Opens a feed of any other entry, and returns it if its first message comes soon. */
@@ -180,7 +303,23 @@
 		revision: number,
 		signal: AbortSignal,
 	): Promise<FeedReader | undefined> {
-		const watcher = this.chooser.pick(this.listExcluded(this.timers.getNow()), true);
+		const maxAttempts = this.isAgeBounded() ? maxAsked : 1;
+		for (let attempt = 0; attempt < maxAttempts && !signal.aborted; attempt++) {
+			const feed = await this.openNextWhileTurnedAway(prefix, state, revision, signal);
+			if (feed !== undefined) {
+				return feed;
+			}
+		}
+		return undefined;
+	}
+
+	private async openNextWhileTurnedAway(
+		prefix: string,
+		state: PrefixState,
+		revision: number,
+		signal: AbortSignal,
+	): Promise<FeedReader | undefined> {
+		const watcher = this.pickWhileTurnedAway(state);
 		if (watcher === undefined) {
 			return undefined;
 		}
@@ -195,6 +334,22 @@
 		return undefined;
 	}
 
+	/** Asks entries of this region and of others in turn if ages are bounded, and starts again once all have failed. */
+	private pickWhileTurnedAway(state: PrefixState): InstanceId | undefined {
+		const excluded = this.listExcluded(this.timers.getNow());
+		if (!this.isAgeBounded()) {
+			return this.chooser.pick(excluded, true);
+		}
+		const isAnyRegion = state.askedCount % 2 === 1;
+		state.askedCount++;
+		const watcher = this.chooser.pick(excluded, true, isAnyRegion);
+		if (watcher !== undefined || excluded.size === 0) {
+			return watcher;
+		}
+		this.excludedUntilMs.clear();
+		return this.chooser.pick(new Set(), true, isAnyRegion);
+	}
+
 	/** Waits after the start until the other entries are known; returns the time that passed, in milliseconds. */
 	private async waitUntilSettled(waitMs: number, signal: AbortSignal): Promise<number> {
 		const beganMs = this.timers.getNow();
@@ -228,27 +383,43 @@
 			return undefined;
 		}
 		const watcher = this.chooser.pick(this.listExcluded(nowMs), isTurnedAway);
-		if (watcher === undefined) {
+		const isKept = state.feed !== undefined && this.isAgeBounded() && isTurnedAway;
+		if (watcher === undefined && !isKept) {
 			this.closeFeed(prefix, state, 'this entry is a watcher');
 			return undefined;
 		}
+		if (state.feed?.isRenewalDue() === true) {
+			return this.renewFeed(prefix, state, state.feed, revision);
+		}
 		if (state.feed !== undefined) {
 			return state.feed;
 		}
-		if (nowMs < state.directUntilMs) {
+		if (watcher === undefined || nowMs < state.directUntilMs) {
 			return undefined;
 		}
 		return this.openFeed(prefix, state, watcher, revision);
 	}
 
 	private openFeed(prefix: string, state: PrefixState, watcher: InstanceId, revision: number): FeedReader {
-		const request = { prefix, revision, era: this.era };
-		const feed = new FeedReader(watcher, request, this.opener, this.times, this.timers);
+		const feed = this.createFeed(prefix, watcher, revision);
 		state.feed = feed;
 		this.noteSource(prefix, watcher, 'watches the store for this entry');
 		return feed;
 	}
 
+	/** Opens the feed of the same watcher again. */
+	private renewFeed(prefix: string, state: PrefixState, old: FeedReader, revision: number): FeedReader {
+		const feed = this.createFeed(prefix, old.watcher, revision);
+		old.dispose();
+		state.feed = feed;
+		return feed;
+	}
+
+	private createFeed(prefix: string, watcher: InstanceId, revision: number): FeedReader {
+		const request = { prefix, revision, era: this.era };
+		return new FeedReader(watcher, request, this.opener, this.times, this.timers, this.ageClock);
+	}
+
 	private abandonFeed(prefix: string, state: PrefixState, feed: FeedReader): void {
 		const nowMs = this.timers.getNow();
 		this.excludedUntilMs.set(feed.watcher, nowMs + excludedMs);
@@ -288,7 +459,10 @@
 		}
 		if (answer.isOk()) {
 			state.turnedAwayUntilMs = 0;
+			state.isFailing = false;
+			state.askedCount = 0;
 		} else if (isUnanswered(answer.error)) {
+			state.isFailing = true;
 			state.turnedAwayUntilMs = this.timers.getNow() + turnedAwayMs;
 		}
 		return answer;
@@ -304,6 +478,9 @@
 			directUntilMs: 0,
 			lostMs: Number.NEGATIVE_INFINITY,
 			turnedAwayUntilMs: 0,
+			isFailing: false,
+			isProbing: false,
+			askedCount: 0,
 			isDirect: false,
 		};
 		this.prefixes.set(prefix, state);
@@ -311,8 +488,8 @@
 	}
 }
 
-function createAnswer(message: FeedMessage, afterRevision: number): StoreWatchResult {
-	const { written, removed, revision, era, ageMs } = message;
+function createAnswer(message: ReceivedMessage, afterRevision: number): StoreWatchResult {
+	const { written, removed, revision, era, asOfMs } = message;
 	return {
 		changes: [
 			...written.map(item => ({ kind: StoreChangeKind.Written as const, item })),
@@ -320,7 +497,8 @@
 		],
 		revision: Math.max(revision, afterRevision),
 		era,
-		ageMs,
+		asOfMs,
+		isRelayed: true,
 	};
 }
 
--- a/src/entry/common/storeRelay/storeFeed.ts
+++ b/src/entry/common/storeRelay/storeFeed.ts
@@ -24,6 +24,8 @@
 	readonly era: StoreEra | undefined;
 	/** Milliseconds since the state that the message leads to was current. */
 	readonly ageMs: number;
+	/** Milliseconds from the acceptance of the feed to this message; undefined from a watcher of an earlier release. */
+	readonly elapsedMs?: number | undefined;
 	/** Whether the written items are all items, in place of those that the receiver has. */
 	readonly isListing: boolean;
 	readonly written: readonly StoreItem[];
@@ -65,6 +67,13 @@
 const settleShare = 0.2;
 /** The state after an answer counts from the start of its call, which may wait, and so may the next one. */
 const maxAgeShare = 1.6;
+/**
+ * Age beyond which a reader gives a feed up if ages are bounded. A watcher's state is at most 0.6 of the maximum delay old, or
+ * 0.8 between two heartbeats; the rest is for the way.
+ */
+const maxReadAgeShare = 1;
+/** The clocks of a reader and its watcher drift apart by at most 60 ms in this time (2,000 ppm). */
+const maxFeedMs = 30_000;
 
 /** Times of a feed in milliseconds. */
 export interface FeedTimes {
@@ -75,11 +84,26 @@
 	readonly settleMs: number;
 	/** Age beyond which a watcher's own state is not passed on as current. */
 	readonly maxAgeMs: number;
+	/** Limits of a reader; undefined if the age of what an entry knows has no bound. */
+	readonly bounds?: FeedBounds;
+}
+
+/** Limits that keep what a reader knows young, in milliseconds. */
+export interface FeedBounds {
+	/** Age of the latest message beyond which a feed is given up. */
+	readonly maxReadAgeMs: number;
+	/** Time after which a feed is opened again, since its ages are measured with the clocks of two machines. */
+	readonly maxFeedMs: number;
 }
 
-/** @param maxDelayMs Maximum delay of a change in milliseconds while the store answers. */
-export function computeFeedTimes(maxDelayMs: number): FeedTimes {
+/**
+ * @param maxDelayMs Maximum delay of a change in milliseconds while the store answers.
+ * @param isAgeBounded Whether the age of what an entry knows has a bound.
+ */
+export function computeFeedTimes(maxDelayMs: number, isAgeBounded = false): FeedTimes {
+	const bounds = { maxReadAgeMs: maxReadAgeShare * maxDelayMs, maxFeedMs };
 	return {
+		...(isAgeBounded ? { bounds } : {}),
 		heartbeatMs: heartbeatShare * maxDelayMs,
 		silenceMs: silenceShare * maxDelayMs,
 		settleMs: settleShare * maxDelayMs,
--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -18,6 +18,8 @@
 interface Reader {
 	readonly request: FeedRequest;
 	readonly observer: IFeedObserver;
+	/** When the feed was accepted. */
+	readonly acceptedMs: number;
 	/** Whether the reader has all changes that this entry has. */
 	isSynced: boolean;
 }
@@ -26,6 +28,8 @@
 	readonly source: IFeedSource;
 	/** Whether the last answer came from the store, and not from another entry. */
 	readonly isDirect: () => boolean;
+	/** Whether the store does not answer this entry, so that it reads another entry. */
+	readonly isTurnedAway: () => boolean;
 	readonly readers: Set<Reader>;
 	/** When the last reader left. */
 	leftMs: number;
@@ -58,10 +62,16 @@
 		);
 	}
 
-	addSource(prefix: string, source: IFeedSource, isDirect: () => boolean): void {
+	addSource(
+		prefix: string,
+		source: IFeedSource,
+		isDirect: () => boolean,
+		isTurnedAway: () => boolean = () => false,
+	): void {
 		const feed: Feed = {
 			source,
 			isDirect,
+			isTurnedAway,
 			readers: new Set(),
 			leftMs: Number.NEGATIVE_INFINITY,
 		};
@@ -90,7 +100,7 @@
 			observer.end('the store does not answer here either');
 			return toDisposable(() => undefined);
 		}
-		const reader: Reader = { request, observer, isSynced: false };
+		const reader: Reader = { request, observer, acceptedMs: this.timers.getNow(), isSynced: false };
 		feed.readers.add(reader);
 		this.startReader(feed, reader);
 		return toDisposable(() => {
@@ -132,10 +142,9 @@
 	}
 
 	private sendToReaders(feed: Feed, written: readonly StoreItem[], removed: readonly string[]): void {
-		const message = { ...this.describe(feed), isListing: false, written, removed };
 		for (const reader of [...feed.readers]) {
 			if (reader.isSynced) {
-				reader.observer.receive(message);
+				reader.observer.receive({ ...this.describe(feed, reader), isListing: false, written, removed });
 			} else {
 				this.startReader(feed, reader);
 			}
@@ -160,11 +169,11 @@
 		reader.isSynced = true;
 		const isListing = request.revision < source.getRevision();
 		const written = isListing ? source.listItems() : [];
-		observer.receive({ ...this.describe(feed), isListing, written, removed: [] });
+		observer.receive({ ...this.describe(feed, reader), isListing, written, removed: [] });
 	}
 
-	private isStoreLost({ source, isDirect }: Feed): boolean {
-		return isDirect() && !source.isReached() && source.getCurrentAsOfMs() !== undefined;
+	private isStoreLost({ source, isDirect, isTurnedAway }: Feed): boolean {
+		return isTurnedAway() || (isDirect() && !source.isReached() && source.getCurrentAsOfMs() !== undefined);
 	}
 
 	/** Whether what this entry has may be passed on as the state of the store. */
@@ -174,12 +183,18 @@
 		return isDirect() && source.isReached() && isYoung && source.getRevision() > 0;
 	}
 
-	private describe({ source }: Feed): Pick<FeedMessage, 'revision' | 'era' | 'ageMs'> {
+	/** Rounds so that the state never appears fresher than it is. */
+	private describe(
+		{ source }: Feed,
+		{ acceptedMs }: Reader,
+	): Pick<FeedMessage, 'revision' | 'era' | 'ageMs' | 'elapsedMs'> {
 		const asOfMs = source.getCurrentAsOfMs() ?? 0;
+		const nowMs = this.timers.getNow();
 		return {
 			revision: source.getRevision(),
 			era: source.getEra(),
-			ageMs: Math.round(this.timers.getNow() - asOfMs),
+			ageMs: Math.max(0, Math.ceil(nowMs - asOfMs)),
+			elapsedMs: Math.floor(nowMs - acceptedMs),
 		};
 	}
 
--- a/src/entry/node/storeRelay/peerFeeds.ts
+++ b/src/entry/node/storeRelay/peerFeeds.ts
@@ -129,6 +129,7 @@
 	revision,
 	era,
 	ageMs,
+	elapsedMs,
 	isListing,
 	written,
 	removed,
@@ -137,6 +138,7 @@
 		revision: BigInt(revision),
 		...(era === undefined ? {} : { era: BigInt(era) }),
 		ageMs,
+		...(elapsedMs === undefined ? {} : { elapsedMs: BigInt(elapsedMs) }),
 		isListing,
 		written: written.map(item => ({ key: item.key, value: item.value, revision: BigInt(item.revision) })),
 		removed: [...removed],
@@ -144,11 +146,12 @@
 }
 
 function decodeMessage(message: FollowStoreResponse): FeedMessage {
-	const { revision, era, ageMs, isListing, written, removed } = message;
+	const { revision, era, ageMs, elapsedMs, isListing, written, removed } = message;
 	return {
 		revision: Number(revision),
 		era: era === undefined ? undefined : Number(era),
 		ageMs,
+		elapsedMs: elapsedMs === undefined ? undefined : Number(elapsedMs),
 		isListing,
 		written: written.map(item => ({ key: item.key, value: item.value, revision: Number(item.revision) })),
 		removed,
--- a/src/entry/node/storeRelay/storeRelay.ts
+++ b/src/entry/node/storeRelay/storeRelay.ts
@@ -4,6 +4,7 @@
  */
 
 import type { Logger } from 'pino';
+import type { IClock } from '../../../base/common/elapsedClock';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import { Disposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
@@ -22,9 +23,11 @@
 export interface StoreRelayParts {
 	readonly instance: InstanceId;
 	readonly region: RegionName;
-	readonly fleet: Pick<EntryFleet, 'findPeer' | 'listLiveIn'>;
+	readonly fleet: Pick<EntryFleet, 'findPeer' | 'listLiveIn' | 'listLiveRegions'>;
 	/** Maximum delay of a change in milliseconds while the store answers. */
 	readonly maxDelayMs: number;
+	/** Given if the age of what an entry knows has a bound; also counts suspensions. */
+	readonly ageClock?: IClock | undefined;
 	readonly timers: ITimerService;
 	readonly random: IRandom;
 	readonly logger: Logger;
@@ -39,14 +42,15 @@
 		private readonly parts: StoreRelayParts,
 	) {
 		super();
-		const { fleet, maxDelayMs, timers, random, logger } = parts;
-		const times = computeFeedTimes(maxDelayMs);
+		const { fleet, maxDelayMs, ageClock, timers, random, logger } = parts;
+		const times = computeFeedTimes(maxDelayMs, ageClock !== undefined);
 		this.feeds = this.register(new StoreFeeds(times, timers));
 		this.client = new RelayedStoreClient(
 			store,
 			new PeerFeedOpener(instance => fleet.findPeer(instance)),
 			{
-				pick: (excluded, isOwnExcluded) => this.pickWatcher(excluded, isOwnExcluded),
+				pick: (excluded, isOwnExcluded, isAnyRegion = false) =>
+					this.pickWatcher(excluded, isOwnExcluded, isAnyRegion),
 				isRead: prefix => this.feeds.isRead(prefix),
 			},
 			times,
@@ -55,16 +59,24 @@
 			(prefix, watcher, reason) => {
 				logger.info({ dependency: 'store', prefix, watcher, reason }, 'source of the store changed');
 			},
+			ageClock,
 		);
 	}
 
 	addSource(prefix: string, source: IFeedSource): void {
-		this.feeds.addSource(prefix, source, () => this.client.isDirect(prefix));
+		this.feeds.addSource(
+			prefix,
+			source,
+			() => this.client.isDirect(prefix),
+			() => this.client.isFailing(prefix),
+		);
 	}
 
 	/** Begins a feed for another entry. */
 	addReader(request: FeedRequest, observer: IFeedObserver): IDisposable {
-		return this.feeds.add(request, observer);
+		const reader = this.feeds.add(request, observer);
+		this.client.noteReader(request.prefix);
+		return reader;
 	}
 
 	/** Ends the feeds of other entries, which then read the store or another entry. */
@@ -72,12 +84,28 @@
 		this.feeds.close();
 	}
 
-	private pickWatcher(excluded: ReadonlySet<InstanceId>, isOwnExcluded: boolean): InstanceId | undefined {
+	private pickWatcher(
+		excluded: ReadonlySet<InstanceId>,
+		isOwnExcluded: boolean,
+		isAnyRegion: boolean,
+	): InstanceId | undefined {
 		const { instance, region, fleet } = this.parts;
-		const others = fleet
+		const others = this.listRelaying(region, excluded);
+		if (!isOwnExcluded) {
+			return pickWatcher(instance, others);
+		}
+		if (!isAnyRegion) {
+			return pickOther(instance, others);
+		}
+		const regions = fleet.listLiveRegions().filter(other => other !== region);
+		const watchers = regions.flatMap(other => pickOther(instance, this.listRelaying(other, excluded)) ?? []);
+		return pickOther(instance, watchers) ?? pickOther(instance, others);
+	}
+
+	private listRelaying(region: RegionName, excluded: ReadonlySet<InstanceId>): InstanceId[] {
+		return this.parts.fleet
 			.listLiveIn(region)
-			.filter(({ view }) => view.relaysStore && !view.isLeaving && !excluded.has(view.instance));
-		const ids = others.map(({ view }) => view.instance);
-		return isOwnExcluded ? pickOther(instance, ids) : pickWatcher(instance, ids);
+			.filter(({ view }) => view.relaysStore && !view.isLeaving && !excluded.has(view.instance))
+			.map(({ view }) => view.instance);
 	}
 }
