Check the key of a request before each send

A request was accepted by its key once. A key that was withdrawn while its request waited in a queue, for a retry or for a connection was still used, and an entry that had lost the store accepted withdrawn keys without limit. With a bound set, an entry checks the age of its knowledge and the key when it reads a head, when it routes or forwards a request, when it starts an attempt, and before the first byte is written.

--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -34,6 +34,8 @@
 import type { CallHead, RawHead } from '../common/callers/callHead';
 import type { ICallerDialect } from '../common/dialect/callerDialect';
 import type { LookupAnswer, LookupRequest } from '../common/callers/lookup';
+import { noKeyCheck } from '../common/keys/keyConfirmation';
+import type { IKeyCheck } from '../common/keys/keyConfirmation';
 import type { CallPlan, ForwardOrigin } from '../common/placement/callPlan';
 import { checkForwardedCall, planCall } from '../common/placement/callPlan';
 import { isFinishable } from '../common/leaving/finishable';
@@ -101,6 +103,7 @@
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
+		private readonly keys: IKeyCheck = noKeyCheck,
 	) {}
 
 	findHold(): Promise<void> | undefined {
@@ -149,6 +152,10 @@
 				createRequestError(ErrorKind.NoManifest, 'no manifest received from the platform or a peer'),
 			);
 		}
+		const keyRefusal = this.keys.findRefusal(head);
+		if (keyRefusal !== undefined) {
+			return err(keyRefusal);
+		}
 		if (this.ownView.isRefusing() && !this.isOwnTicket(head)) {
 			return err(this.createLeavingError());
 		}
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -6,6 +6,7 @@
 import { randomBytes, randomInt } from 'node:crypto';
 import type { Logger } from 'pino';
 import { subscribeTo } from '../../base/common/channel';
+import { ElapsedClock } from '../../base/common/elapsedClock';
 import { Disposable } from '../../base/common/lifecycle';
 import { SeededRandom } from '../../base/common/random';
 import { SystemTimerService } from '../../base/node/systemTimerService';
@@ -37,6 +38,7 @@
 import type { EntryPlatform, IEntryEnvironment, IEntryPort } from './environment/entryEnvironment';
 import { EntryFleet } from './fleet/entryFleet';
 import { OwnView } from './fleet/ownView';
+import { KeyChecker } from './keyChecker';
 import { ManifestKeeper } from './manifest/manifestKeeper';
 import { getManifestResult } from './manifest/manifestMetrics';
 import { EntryOperatorsSource } from './operatorsSource';
@@ -77,6 +79,8 @@
 	private readonly certificates: EntryCertificates;
 	private readonly heldBytes: HeldBytes;
 	private readonly platform: EntryPlatform;
+	private readonly ageClock: ElapsedClock | undefined;
+	private readonly keyChecker: KeyChecker | undefined;
 	private readonly manifests: ManifestKeeper;
 	private readonly peers: PeerClients;
 	private readonly fleet: EntryFleet;
@@ -137,8 +141,10 @@
 				this.auditTrail,
 			),
 		);
+		this.ageClock = this.createAgeClock();
 		this.platform = this.openPlatform();
 		const { targets } = this.platform;
+		this.keyChecker = this.createKeyChecker();
 		this.crashReporter = this.register(
 			new CrashReporter(sightings => this.fleet.sendCrashReport(region, sightings), this.timers),
 		);
@@ -159,6 +165,7 @@
 				this.timers,
 				this.startGate,
 				this.auditTrail,
+				this.keyChecker,
 			),
 		);
 		this.ownView = new OwnView(settings, this.bootId, {
@@ -287,8 +294,16 @@
 	}
 
 	private openPlatform(): EntryPlatform {
-		const { manifests, fleet, auditTrail: trail, timers, random, logger } = this;
-		const platform = this.environment.openPlatform({ manifests, fleet, trail, timers, random, logger });
+		const { manifests, fleet, auditTrail: trail, timers, ageClock, random, logger } = this;
+		const platform = this.environment.openPlatform({
+			manifests,
+			fleet,
+			trail,
+			timers,
+			ageClock,
+			random,
+			logger,
+		});
 		this.register(platform.targets);
 		this.register(platform.sources);
 		if (platform.relay !== undefined) {
@@ -297,6 +312,23 @@
 		return platform;
 	}
 
+	private createAgeClock(): ElapsedClock | undefined {
+		return this.settings.keys.withdrawn_within_ms === undefined
+			? undefined
+			: this.register(new ElapsedClock(this.timers, () => Date.now()));
+	}
+
+	private createKeyChecker(): KeyChecker | undefined {
+		const { withdrawn_within_ms: withdrawnWithinMs } = this.settings.keys;
+		const { getKeyKnowledge } = this.platform;
+		if (withdrawnWithinMs === undefined || getKeyKnowledge === undefined) {
+			return undefined;
+		}
+		return this.register(
+			new KeyChecker(withdrawnWithinMs, this.manifests, getKeyKnowledge, this.timers, this.logger),
+		);
+	}
+
 	private createPolicies(): IServicePolicies {
 		const { environment, random } = this;
 		return {
@@ -322,6 +354,13 @@
 				timers: this.timers,
 			}),
 		);
+		if (this.ageClock !== undefined) {
+			this.register(
+				subscribeTo(this.ageClock.onDidJump, jumpMs => {
+					this.sleepDetector.recordSleep(jumpMs);
+				}),
+			);
+		}
 		this.register(this.createEventLoopMonitor());
 		this.register(writeAuditLines(this.logger, this.auditTrail));
 		this.register(
@@ -439,7 +478,7 @@
 			this.streams,
 			this.random,
 		);
-		const router = new RequestRouter(context, this.tickets, this.timers, this.startGate);
+		const router = new RequestRouter(context, this.tickets, this.timers, this.startGate, this.keyChecker);
 		return new CallHandler(
 			{ ...this.settings.instance, boot: this.bootId },
 			this.environment.callers,
@@ -455,6 +494,7 @@
 			this.metrics,
 			this.timers,
 			this.random,
+			this.keyChecker,
 		);
 	}
 
--- a/src/entry/node/environment/entryEnvironment.ts
+++ b/src/entry/node/environment/entryEnvironment.ts
@@ -5,6 +5,7 @@
 
 import type { Stream } from 'most';
 import type { Logger } from 'pino';
+import type { IClock } from '../../../base/common/elapsedClock';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
@@ -17,6 +18,7 @@
 import type { ShutdownTimes } from '../../common/leaving/shutdownPlan';
 import type { CallHandler } from '../callHandler';
 import type { EntryFleet } from '../fleet/entryFleet';
+import type { GetKeyKnowledge } from '../keyChecker';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { StoreRelay } from '../storeRelay/storeRelay';
 import type { ITargetRegistry } from '../targets/targetDirectory';
@@ -48,6 +50,8 @@
 	readonly sources: IEntrySources;
 	/** Passes the changes of the platform's store on to other entries, where the platform has a store. */
 	readonly relay?: StoreRelay;
+	/** Returns what is known of the keys, where the platform has a store. */
+	readonly getKeyKnowledge?: GetKeyKnowledge;
 }
 
 /** The components of the entry that are needed to create its targets and sources. */
@@ -56,6 +60,8 @@
 	readonly fleet: EntryFleet;
 	readonly trail: IAuditTrail;
 	readonly timers: ITimerService;
+	/** Measures the age of what is known; given if the settings bound the time until a withdrawn key stops working. */
+	readonly ageClock?: IClock | undefined;
 	readonly random: IRandom;
 	readonly logger: Logger;
 }
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -32,6 +32,8 @@
 
 /** Receives what an attempt observes about its target, and how it ended. */
 export interface IAttemptOwner {
+	/** Returns why the request may not be sent now; asked before the first byte is written. */
+	findSendRefusal(attempt: AttemptRun): RequestError | undefined;
 	noteHandedOver(attempt: AttemptRun): void;
 	noteFirstByte(attempt: AttemptRun): void;
 	/** Receives the head of an answer or a refusal, which may report the target's load or that it is leaving. */
@@ -118,7 +120,14 @@
 		}
 	}
 
+	/** A connection may open, or the process go on, long after the attempt was started, so the request is checked again. */
 	noteHandedOver(): void {
+		const refusal = this.owner.findSendRefusal(this);
+		if (refusal !== undefined) {
+			this.run.noteRefusal(refusal);
+			this.endClosingConnection(AttemptEnd.Cancelled, refusal);
+			return;
+		}
 		this.isHandedOver = true;
 		this.lastActivityMs = this.timers.getNow();
 		this.owner.noteHandedOver(this);
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -12,6 +12,8 @@
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { IStartGate } from '../../common/intake/loopLagGate';
+import { noKeyCheck } from '../../common/keys/keyConfirmation';
+import type { IKeyCheck } from '../../common/keys/keyConfirmation';
 import { isAllowedRegion } from '../../common/placement/callPlan';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import type { VersionRequirement } from '../../common/scheduling/versionMatch';
@@ -99,6 +101,15 @@
 /** Errors of targets that a sound entry reports. */
 const targetErrors: ReadonlySet<ErrorKind> = new Set([ErrorKind.TargetFailed, ErrorKind.TargetSilent]);
 
+/** The end of a forward of a request that was refused here before it was sent. */
+const unsentForward: ForwardEnd = {
+	kind: ForwardEndKind.Abandoned,
+	error: undefined,
+	sentBytes: 0,
+	receivedBytes: 0,
+	isReported: false,
+};
+
 /** Lists the entries that may not get the request again. */
 function listInstances(triedEntries: readonly TriedEntry[]): readonly InstanceId[] {
 	return triedEntries.filter(({ isUsable }) => !isUsable).map(({ instance }) => instance);
@@ -113,6 +124,7 @@
 		tickets: TicketService,
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
+		private readonly keys: IKeyCheck = noKeyCheck,
 	) {
 		this.tickets = new TicketRouter(context, tickets, this, timers);
 		context.watchReturned(run => {
@@ -163,7 +175,7 @@
 	}
 
 	private sendUnticketed(run: RequestRun): void {
-		if (run.hasEnded()) {
+		if (run.hasEnded() || this.refuseKey(run)) {
 			return;
 		}
 		if (run.isOriginMissing()) {
@@ -201,6 +213,17 @@
 		this.sendUnticketed(run);
 	}
 
+	/** Refuses a request whose key may not be used now. */
+	private refuseKey(run: RequestRun): boolean {
+		const refusal = this.keys.findRefusal(run.call.head);
+		if (refusal === undefined) {
+			return false;
+		}
+		run.noteRefusal(refusal);
+		run.fail(refusal);
+		return true;
+	}
+
 	private isLocalRegionAllowed(run: RequestRun): boolean {
 		return isAllowedRegion(run.call.plan, this.context.describeSender().region);
 	}
@@ -210,6 +233,9 @@
 	 * region. Refuses it at once if neither is possible. The ledger of a ticket is here, so its request stays.
 	 */
 	private serveElsewhere(run: RequestRun, triedEntries: readonly TriedEntry[], error: RequestError): void {
+		if (this.refuseKey(run)) {
+			return;
+		}
 		const isForwarded =
 			this.isForwardable(run, triedEntries) &&
 			(this.startAtNeighbour(run, triedEntries) ||
@@ -364,6 +390,9 @@
 			run.markInterrupted();
 			run.lifecycle.send(isAnswering(run) ? RequestEvent.Interrupt : RequestEvent.Retry);
 		}
+		if (this.refuseKey(run)) {
+			return;
+		}
 		if (!this.isLocalRegionAllowed(run) || this.context.isCut(run.call.head.service)) {
 			this.serveElsewhere(run, triedEntries, end.error);
 			return;
@@ -382,6 +411,9 @@
 	}
 
 	async forward(run: RequestRun, way: ForwardRoute): Promise<ForwardEnd> {
+		if (this.refuseKey(run)) {
+			return unsentForward;
+		}
 		const isCountingAttempts = this.context.isCountingAttempts(way.to);
 		const forward = new ForwardRun(run, way, this.context.describeSender(), isCountingAttempts, this.timers);
 		run.setAbandonHandler(() => {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -13,6 +13,8 @@
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { IStartGate } from '../../common/intake/loopLagGate';
 import type { AnswerMetadata, ITargetDialect } from '../../common/dialect/targetDialect';
+import { noKeyCheck } from '../../common/keys/keyConfirmation';
+import type { IKeyCheck } from '../../common/keys/keyConfirmation';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import type {
 	IServiceScheduler,
@@ -61,6 +63,7 @@
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
 		private readonly paths: IPathObserver,
+		private readonly keys: IKeyCheck = noKeyCheck,
 	) {
 		super();
 	}
@@ -168,6 +171,10 @@
 		}
 	}
 
+	findSendRefusal({ run }: AttemptRun): RequestError | undefined {
+		return this.keys.findRefusal(run.call.head);
+	}
+
 	isRetryAllowed({ run }: AttemptRun): boolean {
 		return this.scheduler.isRetriable(run.call.id, this.timers.getNow());
 	}
@@ -370,7 +377,8 @@
 		if (state === undefined) {
 			return;
 		}
-		const refusal = this.crashDetector.findRefusal(state.run.call);
+		const { call } = state.run;
+		const refusal = this.crashDetector.findRefusal(call) ?? this.keys.findRefusal(call.head);
 		if (refusal !== undefined) {
 			this.scheduler.noteEnd(decision.requestId, AttemptEnd.Cancelled, this.timers.getNow());
 			this.refuse(decision.requestId, refusal);
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -12,6 +12,8 @@
 import type { IStartGate } from '../../common/intake/loopLagGate';
 import type { ServiceName } from '../../../core/ids/common/ids';
 import type { ITargetDialect } from '../../common/dialect/targetDialect';
+import { noKeyCheck } from '../../common/keys/keyConfirmation';
+import type { IKeyCheck } from '../../common/keys/keyConfirmation';
 import type { IServiceScheduler } from '../../common/scheduling/serviceScheduler';
 import type { ISendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
 
@@ -61,6 +63,7 @@
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
 		private readonly auditTrail: IAuditTrail,
+		private readonly keys: IKeyCheck = noKeyCheck,
 	) {
 		super();
 		this.register(
@@ -141,6 +144,7 @@
 				this.timers,
 				this.startGate,
 				paths,
+				this.keys,
 			),
 		);
 		this.ownedRunners.add(
--- a/src/entry/node/sleepDetector.ts
+++ b/src/entry/node/sleepDetector.ts
@@ -54,11 +54,9 @@
 		return this.refreshPromise;
 	}
 
-	private checkClock(): void {
-		const nowMs = this.timers.getNow();
-		const sleptMs = nowMs - this.lastCheckMs;
-		this.lastCheckMs = nowMs;
-		if (sleptMs < minSleepMs || this.refreshPromise !== undefined) {
+	/** Records a suspension of the machine, during which the monotonic clock stood still. */
+	recordSleep(sleptMs: number): void {
+		if (this.refreshPromise !== undefined) {
 			return;
 		}
 		this.observeSleep(sleptMs);
@@ -66,4 +64,13 @@
 			this.refreshPromise = undefined;
 		});
 	}
+
+	private checkClock(): void {
+		const nowMs = this.timers.getNow();
+		const sleptMs = nowMs - this.lastCheckMs;
+		this.lastCheckMs = nowMs;
+		if (sleptMs >= minSleepMs) {
+			this.recordSleep(sleptMs);
+		}
+	}
 }
