Confirm the key of a forwarded request at its receiver

A forward named the organisation only, so a receiver would have served a request whose key its own manifest no longer has.

ForwardHead gains the digest of the key. The receiver takes the organisation that the digest has in its own manifest, and refuses the request with key-unconfirmed if there is none, or if its manifest requires a key and the request has none; the sender then serves the request itself. From protocol level 4 on, views say that an entry does so, and other entries are sent no request with a key: they are left out of the neighbours and offers, and a call whose ticket one of them issued is refused with the outcome unknown.

--- a/src/capacity/common/syntheticView.ts
+++ b/src/capacity/common/syntheticView.ts
@@ -49,5 +49,6 @@
 		keepsStreamOrigins: true,
 		countsAttempts: true,
 		relaysStore: true,
+		confirmsKeys: true,
 	};
 }
--- a/src/capacity/node/fakePeers.ts
+++ b/src/capacity/node/fakePeers.ts
@@ -4,7 +4,7 @@
  */
 
 import { create } from '@bufbuild/protobuf';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { Disposable } from '../../base/common/lifecycle';
 import type { IRandom } from '../../base/common/random';
 import { SeededRandom } from '../../base/common/random';
@@ -109,6 +109,7 @@
 			planForwarded: () => err(createRequestError(ErrorKind.Leaving, 'fake peers do not accept requests')),
 			refuseTicketedCall: (_, error) => error,
 			readHead: () => err(createRequestError(ErrorKind.Leaving, 'fake peers do not accept requests')),
+			resolveForwardedKey: () => ok(undefined),
 			accept: () => undefined,
 		};
 	}
--- a/src/entry/common/fleetView/entryView.ts
+++ b/src/entry/common/fleetView/entryView.ts
@@ -62,6 +62,8 @@
 	readonly countsAttempts: boolean;
 	/** Whether the entry passes the changes of the store on, unlike entries of earlier releases. */
 	readonly relaysStore: boolean;
+	/** Whether the entry confirms the keys of forwarded requests, unlike entries of earlier releases. */
+	readonly confirmsKeys: boolean;
 }
 
 /** Returns the capacity that a view reports for a service. */
--- a/src/entry/common/fleetView/test/views.ts
+++ b/src/entry/common/fleetView/test/views.ts
@@ -34,6 +34,7 @@
 		keepsStreamOrigins: true,
 		countsAttempts: true,
 		relaysStore: true,
+		confirmsKeys: true,
 		...more,
 	};
 }
--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -31,8 +31,10 @@
 } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
 import type { IAnswerSink } from '../common/callers/answerSink';
-import type { CallHead, RawHead } from '../common/callers/callHead';
+import type { CallHead, ForwardedKey, RawHead } from '../common/callers/callHead';
 import type { ICallerDialect } from '../common/dialect/callerDialect';
+import type { KeyOwner } from '../common/keys/callerKey';
+import { resolveForwardedKey } from '../common/keys/callerKey';
 import type { LookupAnswer, LookupRequest } from '../common/callers/lookup';
 import type { CallPlan, ForwardOrigin } from '../common/placement/callPlan';
 import { checkForwardedCall, planCall } from '../common/placement/callPlan';
@@ -125,6 +127,11 @@
 		return this.dialect.readHead(raw, manifest?.index);
 	}
 
+	resolveForwardedKey(key: ForwardedKey): Result<KeyOwner | undefined, RequestError> {
+		const index = this.manifests.getCurrent()?.index;
+		return index === undefined ? ok(undefined) : resolveForwardedKey(key.digest, index, false);
+	}
+
 	/**
 	 * True from the moment a stop is requested. Persistent connections are then closed after their next answer,
 	 * even before lookups name other entries.
--- a/src/entry/node/fleet/entryFleet.ts
+++ b/src/entry/node/fleet/entryFleet.ts
@@ -258,6 +258,11 @@
 		return this.fleetView.find(instance, this.timers.getNow())?.view.countsAttempts === true;
 	}
 
+	/** Whether an entry confirms the keys of requests that are forwarded to it. */
+	isConfirmingKeys(instance: InstanceId): boolean {
+		return this.fleetView.find(instance, this.timers.getNow())?.view.confirmsKeys === true;
+	}
+
 	findPeer(instance: InstanceId): PeerConnection | undefined {
 		const url = this.contacts.findUrl(instance, this.timers.getNow());
 		return url === undefined ? undefined : this.peers.open(url);
--- a/src/entry/node/fleet/ownView.ts
+++ b/src/entry/node/fleet/ownView.ts
@@ -108,6 +108,7 @@
 			keepsStreamOrigins: true,
 			countsAttempts: true,
 			relaysStore: true,
+			confirmsKeys: true,
 		};
 	}
 }
--- a/src/entry/node/fleet/test/views.ts
+++ b/src/entry/node/fleet/test/views.ts
@@ -27,6 +27,7 @@
 		keepsStreamOrigins: true,
 		countsAttempts: true,
 		relaysStore: true,
+		confirmsKeys: true,
 		...overrides,
 	};
 }
--- a/src/entry/node/fleet/viewCodec.ts
+++ b/src/entry/node/fleet/viewCodec.ts
@@ -29,21 +29,25 @@
 const maxUint32 = 0xffff_ffff;
 
 /**
- * Levels of the protocol between entries from which an entry knows origins of streams, reports attempts, and passes the
- * changes of the store on.
+ * Levels of the protocol between entries from which an entry knows origins of streams, reports attempts, passes the
+ * changes of the store on, and confirms the keys of forwarded requests.
  */
 const originsLevel = 1;
 const attemptsLevel = 2;
 const relayLevel = 3;
+const keysLevel = 4;
 
-function encodeProtocolLevel({ keepsStreamOrigins, countsAttempts, relaysStore }: EntryView): number {
-	if (!keepsStreamOrigins) {
+function encodeProtocolLevel(view: EntryView): number {
+	if (!view.keepsStreamOrigins) {
 		return 0;
 	}
-	if (!countsAttempts) {
+	if (!view.countsAttempts) {
 		return originsLevel;
 	}
-	return relaysStore ? relayLevel : attemptsLevel;
+	if (!view.relaysStore) {
+		return attemptsLevel;
+	}
+	return view.confirmsKeys ? keysLevel : relayLevel;
 }
 
 /** Encodes a view as a protocol message. */
@@ -92,6 +96,7 @@
 		keepsStreamOrigins: message.protocolLevel >= originsLevel,
 		countsAttempts: message.protocolLevel >= attemptsLevel,
 		relaysStore: message.protocolLevel >= relayLevel,
+		confirmsKeys: message.protocolLevel >= keysLevel,
 		regionSizes: message.regionSizes.map(({ region, entries }) => ({
 			region: region as RegionName,
 			entries,
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -24,6 +24,7 @@
 import type { RequestRun } from '../requests/requestRun';
 import { decodeOrigin, encodeOrigin } from '../streams/originCodec';
 import { decodeHistory, encodeHistory } from './attemptHistoryCodec';
+import { encodeKeyDigest } from './keyDigestCodec';
 import type { PeerConnection } from './peerClients';
 
 /** The entry that a request is forwarded to, and the reason. */
@@ -303,6 +304,7 @@
 					host: head.routed?.host ?? '',
 					lastEventId: this.run.getLastEventId() ?? '',
 					attempts: encodeHistory(this.run.history),
+					...(head.keyDigest === undefined ? {} : { keyDigest: encodeKeyDigest(head.keyDigest) }),
 					...(this.maxRuns === undefined ? {} : { maxRuns: this.maxRuns }),
 					...(continuation?.origin === undefined ? {} : { origin: encodeOrigin(continuation.origin) }),
 					...(startWithinMs === undefined ? {} : { startWithinMs: Math.floor(startWithinMs) }),
--- a/src/entry/node/peers/forwardedCall.ts
+++ b/src/entry/node/peers/forwardedCall.ts
@@ -15,43 +15,51 @@
 } from '../../../core/ids/common/ids';
 import { findRequestClass } from '../../../core/requests/common/requestClass';
 import type { ForwardHead } from '../../../gen/anvilroad/peer/v1/peer_pb';
-import type { CallHead, RawHead } from '../../common/callers/callHead';
+import type { CallHead, ForwardedKey, RawHead } from '../../common/callers/callHead';
 import { listForwardedLines } from '../../common/callers/callHead';
 import type { ReadTime } from '../../common/intake/arrivalTime';
 import { estimateArrivalMs } from '../../common/intake/arrivalTime';
+import type { KeyOwner } from '../../common/keys/callerKey';
 import type { CallPlan } from '../../common/placement/callPlan';
 import { decodeOrigin } from '../streams/originCodec';
 import { decodeHistory } from './attemptHistoryCodec';
+import { decodeKeyDigest } from './keyDigestCodec';
 import type { AcceptedCall } from '../requests/requestRun';
 
 /** Parses a head like one that a caller sent to this entry directly. */
 export type ReadRoutedHead = (raw: RawHead) => Result<CallHead, RequestError>;
 
+/** Finds the owner of the key of a call that names its service, in this entry's own manifest. */
+export type ResolveForwardedKey = (key: ForwardedKey) => Result<KeyOwner | undefined, RequestError>;
+
 /** Parses a forwarded head. A call that is routed by host and path is routed by this entry's own manifest. */
 export function readForwardedHead(
 	message: ForwardHead,
 	readRoutedHead: ReadRoutedHead,
+	resolveKey: ResolveForwardedKey,
 ): Result<CallHead, RequestError> {
+	const forwardedKey = { digest: decodeKeyDigest(message.keyDigest) };
 	if (message.host === '') {
-		return readNamedHead(message);
+		return resolveKey(forwardedKey).andThen(owner => readNamedHead(message, owner));
 	}
 	const { method, path: url } = message;
 	const lines = [...message.headers, { name: 'host', value: message.host }];
-	return readRoutedHead({ method, url, lines }).map(head => {
+	return readRoutedHead({ method, url, lines, forwardedKey }).map(head => {
 		const lastEventId = message.lastEventId === '' ? undefined : message.lastEventId;
 		const routed = head.routed && { ...head.routed, lastEventId };
 		return { ...head, deadlineMs: message.remainingMs, ...(routed === undefined ? {} : { routed }) };
 	});
 }
 
-function readNamedHead(message: ForwardHead): Result<CallHead, RequestError> {
+function readNamedHead(message: ForwardHead, owner: KeyOwner | undefined): Result<CallHead, RequestError> {
 	const requestClass = findRequestClass(message.requestClass);
 	if (requestClass === undefined) {
 		return err(createRequestError(ErrorKind.MalformedClass, message.requestClass));
 	}
 	return ok({
 		service: message.service as ServiceName,
-		organisation: message.organisation as OrganisationName,
+		organisation: owner?.organisation.name ?? (message.organisation as OrganisationName),
+		...(owner === undefined ? {} : { keyDigest: owner.keyDigest }),
 		requestClass,
 		method: message.method,
 		path: message.path,
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -40,13 +40,14 @@
 	ShareCrashesResponseSchema,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import type { IAnswerSink } from '../../common/callers/answerSink';
-import type { CallHead, RawHead } from '../../common/callers/callHead';
+import type { CallHead, ForwardedKey, RawHead } from '../../common/callers/callHead';
 import type { AttemptHistory } from '../../common/requests/attemptHistory';
 import { noAttempts } from '../../common/requests/attemptHistory';
 import { estimateArrivalMs } from '../../common/intake/arrivalTime';
 import type { ReadTime } from '../../common/intake/arrivalTime';
 import type { ILoopLag } from '../../common/intake/loopLagGate';
 import type { IsAbandoned, RequestIntake } from '../../common/intake/requestIntake';
+import type { KeyOwner } from '../../common/keys/callerKey';
 import type { CallPlan, ForwardOrigin } from '../../common/placement/callPlan';
 import type { OriginGroup } from '../../common/streams/originLog';
 import type { StreamKey } from '../../common/streams/streamOrigins';
@@ -78,6 +79,8 @@
 	refuseTicketedCall(ticket: string, error: RequestError): RequestError;
 	/** Parses the head of a call like one that a caller sent to this entry directly. */
 	readHead(raw: RawHead): Result<CallHead, RequestError>;
+	/** Finds the owner of the key of a forwarded call that names its service. */
+	resolveForwardedKey(key: ForwardedKey): Result<KeyOwner | undefined, RequestError>;
 	accept(call: AcceptedCall, sink: IAnswerSink): void;
 }
 
@@ -227,7 +230,11 @@
 		}
 		const message = first.value.part.value;
 		await this.handler.findHold();
-		const head = readForwardedHead(message, raw => this.handler.readHead(raw));
+		const head = readForwardedHead(
+			message,
+			raw => this.handler.readHead(raw),
+			key => this.handler.resolveForwardedKey(key),
+		);
 		const from = { hops: message.hops, region: message.fromRegion as RegionName };
 		const plan = head.andThen(parsed => this.handler.planForwarded(parsed, from));
 		if (head.isErr() || plan.isErr()) {
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -44,6 +44,7 @@
 	findHold: () => undefined,
 	refuseTicketedCall: failCall,
 	readHead: failCall,
+	resolveForwardedKey: () => ok(undefined),
 	accept: failCall,
 };
 
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -42,8 +42,12 @@
 	/** Returns the runner of a service that the manifest lists. */
 	getRunner(service: ServiceName): ServiceRunner;
 	getSendAwayPolicy(service: ServiceName): ISendAwayPolicy;
-	/** Lists entries of other regions with the capacity that they reported for the service. */
-	listOffers(service: ServiceName, required?: VersionRequirement): readonly RemoteOffer[];
+	/** Lists entries of other regions with the capacity that they reported for the service, and that may get the request. */
+	listOffers(
+		service: ServiceName,
+		required: VersionRequirement | undefined,
+		isKeyed: boolean,
+	): readonly RemoteOffer[];
 	/** Finds the origin of the stream that a caller resumes, which the caller may not have named. */
 	findStreamOrigin(service: ServiceName, stream: StreamId | undefined): Promise<KnownOrigin | undefined>;
 	/** Whether this entry reaches no target of the service. */
@@ -52,13 +56,16 @@
 	pickNeighbour(
 		service: ServiceName,
 		triedEntries: readonly InstanceId[],
-		required?: VersionRequirement,
+		required: VersionRequirement | undefined,
+		isKeyed: boolean,
 	): InstanceId | undefined;
 	noteRelayEnd(instance: InstanceId, end: ForwardEnd): void;
 	/** Calls back with each request that waited for a target when the last path to the targets was lost. */
 	watchReturned(serve: (run: RequestRun) => void): void;
 	/** Whether an entry reports the attempts of requests that are forwarded to it. */
 	isCountingAttempts(instance: InstanceId): boolean;
+	/** Whether an entry confirms the keys of requests that are forwarded to it. */
+	isConfirmingKeys(instance: InstanceId): boolean;
 	findPeer(instance: InstanceId): PeerConnection | undefined;
 	/** Describes this entry as the sender of forwarded requests. */
 	describeSender(): ForwardSender;
@@ -230,9 +237,11 @@
 
 	/** Forwards the request to another entry of this region. */
 	private startAtNeighbour(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
-		const { service } = run.call.head;
+		const { service, keyDigest } = run.call.head;
+		const isKeyed = keyDigest !== undefined;
+		const tried = listInstances(triedEntries);
 		const to = this.isLocalRegionAllowed(run)
-			? this.context.pickNeighbour(service, listInstances(triedEntries), run.findRequiredVersion())
+			? this.context.pickNeighbour(service, tried, run.findRequiredVersion(), isKeyed)
 			: undefined;
 		const peer = to === undefined ? undefined : this.context.findPeer(to);
 		if (to === undefined || peer === undefined || !this.isAttemptLimitKept(run, to)) {
@@ -271,7 +280,7 @@
 		const unfitRegions = triedEntries.map(({ unfitRegion }) => unfitRegion);
 		const listOffers = (): readonly RemoteOffer[] =>
 			this.context
-				.listOffers(head.service, required)
+				.listOffers(head.service, required, head.keyDigest !== undefined)
 				.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedInstances.includes(instance))
 				.filter(({ region }) => !unfitRegions.includes(region))
 				.filter(({ instance }) => this.isAttemptLimitKept(run, instance));
--- a/src/entry/node/requests/routerContext.ts
+++ b/src/entry/node/requests/routerContext.ts
@@ -64,14 +64,16 @@
 
 /**
  * Whether an entry reaches targets of the service. An entry of an earlier release would resume a stream at any
- * version, so it gets none.
+ * version, and run a request whose key has been withdrawn, so it gets none.
  */
 function isReaching(
-	{ cutServices, keepsStreamOrigins }: EntryView,
+	{ cutServices, keepsStreamOrigins, confirmsKeys }: EntryView,
 	service: ServiceName,
 	required: VersionRequirement | undefined,
+	isKeyed: boolean,
 ): boolean {
-	return !cutServices.includes(service) && (required === undefined || keepsStreamOrigins);
+	const isFit = (required === undefined || keepsStreamOrigins) && (!isKeyed || confirmsKeys);
+	return !cutServices.includes(service) && isFit;
 }
 
 /** Implements the router's context on top of the parts of one entry. */
@@ -101,14 +103,14 @@
 		return this.runners.getSendAwayPolicy(service);
 	}
 
-	listOffers(service: ServiceName, required?: VersionRequirement): readonly RemoteOffer[] {
+	listOffers(service: ServiceName, required?: VersionRequirement, isKeyed = false): readonly RemoteOffer[] {
 		return this.fleet
 			.listLiveRegions()
 			.filter(
 				region =>
 					region !== this.ownInstance.region && this.targets.isServed(service, region, required?.version),
 			)
-			.flatMap(region => this.createOffers(service, region, required));
+			.flatMap(region => this.createOffers(service, region, required, isKeyed));
 	}
 
 	async findStreamOrigin(
@@ -130,10 +132,13 @@
 		service: ServiceName,
 		triedEntries: readonly InstanceId[],
 		required?: VersionRequirement,
+		isKeyed = false,
 	): InstanceId | undefined {
 		const candidates = this.fleet
 			.listLiveIn(this.ownInstance.region)
-			.filter(({ view }) => isReaching(view, service, required) && !triedEntries.includes(view.instance))
+			.filter(
+				({ view }) => isReaching(view, service, required, isKeyed) && !triedEntries.includes(view.instance),
+			)
 			.map(({ view }) => ({ instance: view.instance, waitMs: findRoom(view, service)?.waitMs ?? 0 }));
 		return this.neighbours.pick(candidates, this.timers.getNow());
 	}
@@ -150,6 +155,10 @@
 		return this.fleet.isCountingAttempts(instance);
 	}
 
+	isConfirmingKeys(instance: InstanceId): boolean {
+		return this.fleet.isConfirmingKeys(instance);
+	}
+
 	findPeer(instance: InstanceId): PeerConnection | undefined {
 		return this.fleet.findPeer(instance);
 	}
@@ -201,6 +210,7 @@
 		service: ServiceName,
 		region: RegionName,
 		required: VersionRequirement | undefined,
+		isKeyed: boolean,
 	): RemoteOffer[] {
 		const link = this.findLink(region);
 		if (link === undefined) {
@@ -208,7 +218,9 @@
 		}
 		const nowMs = this.timers.getNow();
 		const linkBytesPerMs = this.computeOwnLinkRate(link);
-		const reaching = this.fleet.listLiveIn(region).filter(({ view }) => isReaching(view, service, required));
+		const reaching = this.fleet
+			.listLiveIn(region)
+			.filter(({ view }) => isReaching(view, service, required, isKeyed));
 		return reaching.flatMap(({ view, reportedMs }) => {
 			const room = findRoom(view, service);
 			const { instance } = view;
--- a/src/entry/node/requests/ticketRouter.ts
+++ b/src/entry/node/requests/ticketRouter.ts
@@ -32,7 +32,10 @@
 /** Routes calls with a ticket. */
 export class TicketRouter {
 	constructor(
-		private readonly context: Pick<IRouterContext, 'findPeer' | 'getRunner' | 'noteTicket'>,
+		private readonly context: Pick<
+			IRouterContext,
+			'findPeer' | 'getRunner' | 'isConfirmingKeys' | 'noteTicket'
+		>,
 		private readonly tickets: TicketService,
 		private readonly forwarder: IRequestForwarder,
 		private readonly timers: ITimerService,
@@ -144,6 +147,11 @@
 			);
 			return;
 		}
+		if (run.call.head.keyDigest !== undefined && !this.context.isConfirmingKeys(issuer)) {
+			const detail = `${issuer}, which issued the ticket, is of an earlier release and confirms no keys`;
+			run.fail(createRequestError(ErrorKind.KeyUnconfirmed, detail, { isOutcomeUnknown: true }));
+			return;
+		}
 		const end = await this.forwarder.forward(run, { to: issuer, peer, reason: 'issuer of the ticket' });
 		if (end.error === undefined || run.hasEnded()) {
 			return;
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -145,6 +145,7 @@
 		isCut: () => false,
 		pickNeighbour: () => undefined,
 		isCountingAttempts: () => true,
+		isConfirmingKeys: () => true,
 		noteRelayEnd: () => undefined,
 		watchReturned: () => undefined,
 		listOffers: () => [],
--- a/src/entry/node/test/crashReports.test.ts
+++ b/src/entry/node/test/crashReports.test.ts
@@ -88,6 +88,7 @@
 		findHold: () => undefined,
 		refuseTicketedCall: failCall,
 		readHead: failCall,
+		resolveForwardedKey: failCall,
 		accept: failCall,
 	};
 	const turnScheduler = new ImmediateTurnScheduler();
