--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -9,11 +9,13 @@
 	ForwardRequestRequest,
 	ForwardRequestResponse,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import type { CallHead } from '../../../common/callers/callHead';
 import { openStartGate } from '../../../common/intake/test/startGates';
 import { noAttempts } from '../../../common/requests/attemptHistory';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
-import type { RemoteOffer } from '../../../common/sendAway/sendAwayPolicy';
+import type { RemoteOffer, SendAwayContext } from '../../../common/sendAway/sendAwayPolicy';
 import { WorkScheduler } from '../../../common/workScheduling/workScheduler';
+import { computeDigestOf } from '../../keys/test/keyDigestFixtures';
 import type { PeerConnection } from '../../peers/peerClients';
 import { createFaultMessage } from '../../peers/peerSink';
 import type { TicketService } from '../../tickets/ticketService';
@@ -91,7 +93,9 @@
 	readonly peer: ScriptedPeer;
 	readonly ends: RequestEnd[];
 	/** Dispatches a request that the policy sends to the peer. */
-	dispatch(limitMs?: number): CapturingSink;
+	dispatch(limitMs?: number, headChange?: Partial<CallHead>): CapturingSink;
+	/** Whether the offers were limited to entries that confirm keys, for each time they were listed. */
+	readonly keyedOffers: boolean[];
 	/** Advances the clock, then lets pending promises run. */
 	advance(durationMs: number): Promise<void>;
 }
@@ -105,14 +109,18 @@
 	const { timers } = flow;
 	const peer = createPeer();
 	const ends: RequestEnd[] = [];
+	const keyedOffers: boolean[] = [];
 	const journal = new RingRequestJournal(100, () => new Date(0));
 	const context = {
 		getRunner: () => flow.runner,
 		getSendAwayPolicy: () => ({
-			decide: () => ({ sendTo: peerInstance, reason: 'sooner there' }),
+			decide: ({ offers }: SendAwayContext) => ({ sendTo: offers[0]?.instance, reason: 'sooner there' }),
 			recordEnd: () => undefined,
 		}),
-		listOffers: () => [offer],
+		listOffers: (_service: unknown, _required: unknown, isKeyed: boolean) => {
+			keyedOffers.push(isKeyed);
+			return [offer];
+		},
 		isCut: () => false,
 		pickNeighbour: () => undefined,
 		isCountingAttempts: () => true,
@@ -137,11 +145,13 @@
 		flow,
 		peer,
 		ends,
-		dispatch: (limitMs = timeLimitMs) => {
+		keyedOffers,
+		dispatch: (limitMs = timeLimitMs, headChange = {}) => {
 			const sink = new CapturingSink();
 			const nowMs = timers.getNow();
 			const call = createCall('forwarded-1' as RequestId, plan, 'work', nowMs);
-			router.dispatch({ ...call, deadlineMs: nowMs + limitMs }, sink);
+			const head = { ...call.head, ...headChange };
+			router.dispatch({ ...call, head, deadlineMs: nowMs + limitMs }, sink);
 			return sink;
 		},
 		advance: async durationMs => {
@@ -287,3 +297,39 @@
 		expect(readMs + remainingMs + offer.oneWayMs).toBeLessThanOrEqual(timeLimitMs);
 	});
 });
+
+describe('a request with a key that is forwarded to a peer', () => {
+	const keyDigest = computeDigestOf('sk-1');
+
+	it('is sent with the digest of the key, and offered only to entries that confirm keys', async () => {
+		const { peer, keyedOffers, dispatch, advance } = createFixture();
+		dispatch(timeLimitMs, { keyDigest });
+		peer.acceptConnection();
+		await advance(0);
+		const head = peer.requests[0]!.part.value as ForwardHead;
+		expect(Buffer.from(head.keyDigest).toString('hex')).toBe(keyDigest);
+		expect(new Set(keyedOffers)).toEqual(new Set([true]));
+	});
+
+	it('has no digest if it has no key', async () => {
+		const { peer, keyedOffers, dispatch, advance } = createFixture();
+		dispatch();
+		peer.acceptConnection();
+		await advance(0);
+		expect((peer.requests[0]!.part.value as ForwardHead).keyDigest).toHaveLength(0);
+		expect(new Set(keyedOffers)).toEqual(new Set([false]));
+	});
+
+	// Guards against a caller whose new key is refused, because the peer has an older version of the manifest.
+	it('is run at home if the peer does not know the key', async () => {
+		const { flow, peer, dispatch, advance } = createFixture();
+		const sink = dispatch(timeLimitMs, { keyDigest });
+		peer.acceptConnection();
+		await advance(0);
+		const error = createRequestError(ErrorKind.KeyUnconfirmed, 'no organisation has the key');
+		peer.answer(createFaultMessage(error, noAttempts));
+		await advance(0);
+		expect(flow.attempts).toHaveLength(1);
+		expect(sink.refusal).toBeUndefined();
+	});
+});
