--- a/src/core/settings/test/settings.test.ts
+++ b/src/core/settings/test/settings.test.ts
@@ -55,6 +55,24 @@
 		expect(lines.some(line => line.startsWith('[instance] zone is missing'))).toBe(true);
 	});
 
+	// Guards against a bound for withdrawn keys that is accepted and has no effect.
+	it('accepts a bound for withdrawn keys with the store protocol only', () => {
+		const native = createText({
+			'key = a-key-that-is-long-enough':
+				'key = a-key-that-is-long-enough\n[keys]\nwithdrawn_within_ms = 5000',
+		});
+		const lines = parseSettings(entrySettingsSchema, native)._unsafeUnwrapErr().map(formatSettingsError);
+		expect(lines).toEqual(['[keys] withdrawn_within_ms = 5000: only with the store protocol']);
+		const store = native.replace(
+			'url = http://127.0.0.1:7300',
+			'url = http://127.0.0.1:7300\nprotocol = store\n[directory]\nlisten = 127.0.0.1:7401\n' +
+				'[readiness]\nlisten = 127.0.0.1:7402\n[zones]\nkingston-a = kingston',
+		);
+		const settings = parseSettings(entrySettingsSchema, store)._unsafeUnwrap();
+		expect(settings.keys.withdrawn_within_ms).toBe(5_000);
+		expect(parseSettings(entrySettingsSchema, createText())._unsafeUnwrap().keys).toEqual({});
+	});
+
 	// Guards against silently replacing an invalid retry limit by its default. The entry would then retry more often
 	// than the operator allows, or less, without any notice.
 	it('rejects invalid retry limits and accepts valid ones', () => {
