Report the age of the knowledge of keys

Operators could not see how close an entry is to refusing keys. anvilroad_key_knowledge_age_seconds has the age where a bound for withdrawn keys is set, and is absent elsewhere. The test of the recorded metrics runs entries without the bound, so it expects the gauge to be absent, as it does for certificates.

--- a/src/bin/test/metrics.test.ts
+++ b/src/bin/test/metrics.test.ts
@@ -170,8 +170,12 @@
 			const unrecorded = listEntryMetrics()
 				.map(({ name }) => name)
 				.filter(name => !hasSamples(page, name));
-			// These entries have no certificates.
-			const expected = [...listUnrecordedMetrics(), 'anvilroad_certificate_expiry_timestamp_seconds'];
+			// These entries have no certificates, and no bound for withdrawn keys.
+			const expected = [
+				...listUnrecordedMetrics(),
+				'anvilroad_certificate_expiry_timestamp_seconds',
+				'anvilroad_key_knowledge_age_seconds',
+			];
 			expect(unrecorded.sort()).toEqual(expected.sort());
 		},
 		timeoutMs,
--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -117,6 +117,10 @@
 		'certificate_expiry_timestamp_seconds',
 		'Unix time at which the certificate in use expires; absent without TLS.',
 	),
+	keyKnowledgeAge: createDefinition(
+		'key_knowledge_age_seconds',
+		'Time since the keys were known to be those of the store; absent without a bound for withdrawn keys.',
+	),
 	heldBytes: createDefinition('held_body_bytes', 'Bytes of request bodies held in memory.'),
 	ticketsOutstanding: createDefinition(
 		'tickets_outstanding',
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -89,6 +89,7 @@
 	private readonly manifestVersion = this.createGauge(gaugeDefinitions.manifestVersion);
 	private readonly platformLastRead = this.createGauge(gaugeDefinitions.platformLastRead);
 	private readonly certificateExpiry = this.createGauge(gaugeDefinitions.certificateExpiry);
+	private readonly keyKnowledgeAge = this.createGauge(gaugeDefinitions.keyKnowledgeAge);
 	private readonly heldBytes = this.createGauge(gaugeDefinitions.heldBytes);
 	private readonly ticketsOutstanding = this.createGauge(gaugeDefinitions.ticketsOutstanding);
 
@@ -105,6 +106,7 @@
 		this.info.set({ ...processInfo }, 1);
 		// A gauge without labels starts at 0, which would mean a certificate that expired in 1970.
 		this.certificateExpiry.remove({});
+		this.keyKnowledgeAge.remove({});
 		collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: eventLoopSampleMs });
 	}
 
@@ -221,6 +223,10 @@
 		this.certificateExpiry.set(validTo.getTime() / millisecondsPerSecond);
 	}
 
+	setKeyKnowledgeAge(ageMs: number): void {
+		this.keyKnowledgeAge.set(ageMs / millisecondsPerSecond);
+	}
+
 	setHeldBytes(bytes: number): void {
 		this.heldBytes.set(bytes);
 	}
--- a/src/core/telemetry/test/entryMetrics.test.ts
+++ b/src/core/telemetry/test/entryMetrics.test.ts
@@ -78,6 +78,15 @@
 		expect(await metrics.render()).toMatch(new RegExp(`^${name} 2$`, 'm'));
 	});
 
+	// An entry without a bound has no such age. If the metric were 0, it would say that the keys are confirmed.
+	it('reports the age of the knowledge of keys only if it is measured', async () => {
+		const metrics = createMetrics();
+		const name = 'anvilroad_key_knowledge_age_seconds';
+		expect(await metrics.render()).not.toMatch(new RegExp(`^${name} `, 'm'));
+		metrics.setKeyKnowledgeAge(1_500);
+		expect(await metrics.render()).toMatch(new RegExp(`^${name} 1.5$`, 'm'));
+	});
+
 	it('registers each defined metric under a name that follows the conventions', async () => {
 		const names = listEntryMetrics().map(metric => metric.name);
 		const page = await createMetrics().render();
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -351,6 +351,7 @@
 				tickets: this.tickets,
 				callHandler: this.callHandler,
 				heldBytes: this.heldBytes,
+				keyChecker: this.keyChecker,
 				timers: this.timers,
 			}),
 		);
--- a/src/entry/node/entryTelemetry.ts
+++ b/src/entry/node/entryTelemetry.ts
@@ -13,6 +13,7 @@
 import type { CallHandler } from './callHandler';
 import type { HeldBytes } from './callers/bodyReader';
 import type { EntryFleet } from './fleet/entryFleet';
+import type { KeyChecker } from './keyChecker';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
 import { countPeersByState } from './operatorsSource';
 import type { ServiceRunners } from './requests/serviceRunners';
@@ -32,6 +33,8 @@
 	readonly tickets: TicketService;
 	readonly callHandler: CallHandler;
 	readonly heldBytes: HeldBytes;
+	/** Given if the settings bound the time until a withdrawn key stops working. */
+	readonly keyChecker: Pick<KeyChecker, 'getAgeMs'> | undefined;
 	readonly timers: ITimerService;
 }
 
@@ -71,6 +74,10 @@
 		this.metrics.setTicketsOutstanding(tickets.countUsedTickets());
 		this.metrics.setReady(callHandler.getReadiness().isReady);
 		this.metrics.setLeaving(callHandler.isLeaving());
+		const keyAgeMs = this.components.keyChecker?.getAgeMs();
+		if (keyAgeMs !== undefined) {
+			this.metrics.setKeyKnowledgeAge(keyAgeMs);
+		}
 		this.metrics.setPeers(countPeersByState(fleet));
 		for (const service of runners.listServices()) {
 			const room = runners.getRunner(service).measureRoom();
