Find any entry that has the store before the state becomes too old

With the store hanging for 19 of 20 entries, or for a whole region, the state of entries grew to 5.5 to 6.7 s with a bound of 5 s: a reader that became a watcher waited for the hanging store, entries without the store accepted feeds and stayed silent, and a search ended after eight entries. A read of the present state now asks the store and other entries together, the search goes on until all have been asked, and a feed whose first message is too old is not accepted. With held-up answers an old feed was taken again and again before the store's answer came; that is gone too.

--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -191,7 +191,8 @@
 		return this.latest === undefined ? 0 : this.ageClock.getNow() - this.latest.asOfMs;
 	}
 
-	private isTooOld(): boolean {
+	/** Whether the state of the latest message is older than a reader may go on with. */
+	isTooOld(): boolean {
 		return this.computeTooOldInMs() <= 0;
 	}
 
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -71,8 +71,6 @@
 const turnedAwayMs = 8_000;
 /** Time for which a watcher whose feed was lost is not chosen. */
 const excludedMs = 30_000;
-/** Entries that one read asks in turn while the store does not answer. */
-const maxAsked = 8;
 
 interface PrefixState {
 	feed: FeedReader | undefined;
@@ -160,6 +158,9 @@
 		const state = this.getState(prefix);
 		if (waitMs === 0) {
 			this.closeFeed(prefix, state, 'the present state is needed');
+			if (this.isAgeBounded()) {
+				return this.watchStoreOrOthers(prefix, state, afterRevision, signal);
+			}
 			const feed = this.isTurnedAway(state)
 				? await this.openWhileTurnedAway(prefix, state, afterRevision, signal)
 				: undefined;
@@ -173,8 +174,9 @@
 		const hadFeed = state.feed !== undefined;
 		const feed = this.findFeed(prefix, state, afterRevision);
 		if (feed === undefined) {
-			const isAnsweredAtOnce = hadFeed && this.isAgeBounded();
-			return this.watchStore(prefix, state, afterRevision, isAnsweredAtOnce ? 0 : remainingMs, signal);
+			return hadFeed && this.isAgeBounded()
+				? this.watchStoreOrOthers(prefix, state, afterRevision, signal)
+				: this.watchStore(prefix, state, afterRevision, remainingMs, signal);
 		}
 		this.probeStore(prefix, state, afterRevision);
 		switch (await feed.wait(remainingMs, signal)) {
@@ -303,51 +305,53 @@
 		revision: number,
 		signal: AbortSignal,
 	): Promise<FeedReader | undefined> {
-		const maxAttempts = this.isAgeBounded() ? maxAsked : 1;
-		for (let attempt = 0; attempt < maxAttempts && !signal.aborted; attempt++) {
-			const feed = await this.openNextWhileTurnedAway(prefix, state, revision, signal);
-			if (feed !== undefined) {
+		const asked = new Set<InstanceId>();
+		for (;;) {
+			const watcher = this.pickWhileTurnedAway(state, asked);
+			if (watcher === undefined || signal.aborted) {
+				return undefined;
+			}
+			asked.add(watcher);
+			const feed = await this.openOf(watcher, prefix, state, revision, signal);
+			if (feed !== undefined || !this.isAgeBounded()) {
 				return feed;
 			}
 		}
-		return undefined;
 	}
 
-	private async openNextWhileTurnedAway(
+	private async openOf(
+		watcher: InstanceId,
 		prefix: string,
 		state: PrefixState,
 		revision: number,
 		signal: AbortSignal,
 	): Promise<FeedReader | undefined> {
-		const watcher = this.pickWhileTurnedAway(state);
-		if (watcher === undefined) {
-			return undefined;
-		}
 		const feed = this.openFeed(prefix, state, watcher, revision);
 		const end = await feed.waitForFirst(this.times.settleMs, signal);
-		if (end === FeedWaitEnd.Message) {
+		if (end === FeedWaitEnd.Message && !feed.isTooOld()) {
 			return feed;
 		}
-		if (end === FeedWaitEnd.Lost) {
+		if (end !== FeedWaitEnd.Cancelled) {
 			this.abandonFeed(prefix, state, feed);
 		}
 		return undefined;
 	}
 
-	/** Asks entries of this region and of others in turn if ages are bounded, and starts again once all have failed. */
-	private pickWhileTurnedAway(state: PrefixState): InstanceId | undefined {
+	/**
+	 * If ages are bounded, picks entries of this region and of others in turn, and those whose feeds failed lately after all
+	 * others.
+	 */
+	private pickWhileTurnedAway(state: PrefixState, asked: ReadonlySet<InstanceId>): InstanceId | undefined {
 		const excluded = this.listExcluded(this.timers.getNow());
 		if (!this.isAgeBounded()) {
 			return this.chooser.pick(excluded, true);
 		}
 		const isAnyRegion = state.askedCount % 2 === 1;
 		state.askedCount++;
-		const watcher = this.chooser.pick(excluded, true, isAnyRegion);
-		if (watcher !== undefined || excluded.size === 0) {
-			return watcher;
-		}
-		this.excludedUntilMs.clear();
-		return this.chooser.pick(new Set(), true, isAnyRegion);
+		return (
+			this.chooser.pick(new Set([...excluded, ...asked]), true, isAnyRegion) ??
+			this.chooser.pick(asked, true, isAnyRegion)
+		);
 	}
 
 	/** Waits after the start until the other entries are known; returns the time that passed, in milliseconds. */
--- a/src/entry/common/storeRelay/test/relaySimulation.ts
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -1,11 +1,12 @@
 /**
- * Entries of one region on a virtual clock that read a store over the real follower, client and feeds. Entries can be
- * killed, cut off from each other and from the store, and know only some of the others.
+ * Entries of one or more regions on a virtual clock that read a store over the real follower, client and feeds. Entries can be
+ * killed, suspended, cut off from each other and from the store, and know only some of the others. Messages can be held up.
  */
 
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
 import { subscribeTo } from '../../../../base/common/channel';
+import { ElapsedClock } from '../../../../base/common/elapsedClock';
 import type { IDisposable } from '../../../../base/common/lifecycle';
 import { Disposable, toDisposable } from '../../../../base/common/lifecycle';
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
@@ -24,11 +25,13 @@
 import type { FeedRequest, IFeedObserver, IFeedOpener } from '../storeFeed';
 import { computeFeedTimes } from '../storeFeed';
 import { StoreFeeds } from '../storeFeeds';
-import { pickOther, pickWatcher } from '../watcherRanking';
+import { pickOtherAnywhere, pickWatcher } from '../watcherRanking';
+import { SuspendableTimers } from './suspendableTimers';
 
 export const maxDelayMs = 5_000;
 export const prefix = 'servers/';
 const peerDelayMs = 2;
+const clockCheckMs = 250;
 
 /** Counts the calls of one entry, and keeps those from answering that are made while it is cut off from the store. */
 class CountedStore implements IStoreClient {
@@ -36,8 +39,15 @@
 	isCut = false;
 	/** Whether the store turns this entry away. */
 	isRefused = false;
+	/** The store ends watches without changes after this time. */
+	endsWatchesAfterMs = Number.POSITIVE_INFINITY;
+	/** Answers are held up on the way for this time. */
+	answerDelayMs = 0;
 
-	constructor(private readonly store: ModelStore) {}
+	constructor(
+		private readonly store: ModelStore,
+		private readonly timers: SuspendableTimers,
+	) {}
 
 	async list(
 		below: string,
@@ -53,7 +63,9 @@
 		waitMs: number,
 		signal: AbortSignal,
 	): Promise<Result<StoreWatchResult, StoreError>> {
-		return this.countAnswer(signal, () => this.store.watch(below, after, waitMs, signal));
+		return this.countAnswer(signal, () =>
+			this.store.watch(below, after, Math.min(waitMs, this.endsWatchesAfterMs), signal),
+		);
 	}
 
 	close(): Promise<void> {
@@ -70,6 +82,10 @@
 			return err({ kind: StoreErrorKind.Refused, detail: 'turned away' });
 		}
 		const answer = await ask();
+		if (this.answerDelayMs > 0) {
+			await new Promise<void>(resolve => this.timers.schedule(this.answerDelayMs, resolve));
+		}
+		await this.timers.waitUntilAwake();
 		if (!this.isCut) {
 			return answer;
 		}
@@ -96,6 +112,7 @@
 	readonly setBack: string[] = [];
 	isFrozen = false;
 	readonly known: Set<InstanceId>;
+	readonly timers: SuspendableTimers;
 
 	constructor(
 		readonly id: InstanceId,
@@ -104,20 +121,33 @@
 		seed: number,
 	) {
 		super();
-		const times = computeFeedTimes(maxDelayMs);
+		const { maxDelayMs: siteDelayMs, isAgeBounded } = site;
+		const times = computeFeedTimes(siteDelayMs, isAgeBounded);
 		const random = new SeededRandom(seed);
-		const { timers } = site;
+		const timers = new SuspendableTimers(site.timers);
+		this.timers = timers;
+		const ageClock = isAgeBounded
+			? this.register(new ElapsedClock(timers, () => site.timers.getNow()))
+			: undefined;
 		this.known = new Set(knownIds.filter(other => other !== id));
-		this.ownStore = new CountedStore(site.siteStore);
+		this.ownStore = new CountedStore(site.siteStore, timers);
 		this.feeds = this.register(new StoreFeeds(times, timers));
 		this.client = new RelayedStoreClient(
 			this.ownStore,
 			new SimulatedOpener(this, site),
 			{
-				pick: (excluded, isOwnExcluded) => {
-					const others = [...this.known].filter(other => !excluded.has(other));
-					const pick = isOwnExcluded ? pickOther : pickWatcher;
-					return site.isRelaying ? pick(id, others) : undefined;
+				pick: (excluded, isOwnExcluded, isAnyRegion = false) => {
+					const listIn = (region: number): InstanceId[] =>
+						[...this.known].filter(other => site.getRegion(other) === region && !excluded.has(other));
+					const region = site.getRegion(id);
+					const others = listIn(region);
+					if (!site.isRelaying) {
+						return undefined;
+					}
+					const elsewhere = site.listRegions().filter(other => other !== region);
+					return isOwnExcluded
+						? pickOtherAnywhere(id, others, elsewhere.map(listIn), isAnyRegion)
+						: pickWatcher(id, others);
 				},
 				isRead: below => this.feeds.isRead(below),
 			},
@@ -125,9 +155,24 @@
 			timers,
 			random,
 			() => undefined,
+			ageClock,
 		);
-		this.follower = this.register(new StoreFollower(prefix, this.client, timers, random, maxDelayMs));
-		this.feeds.addSource(prefix, this.follower, () => this.client.isDirect(prefix));
+		const age = ageClock && { clock: ageClock };
+		this.follower = this.register(new StoreFollower(prefix, this.client, timers, random, siteDelayMs, age));
+		this.feeds.addSource(
+			prefix,
+			this.follower,
+			() => this.client.isDirect(prefix),
+			() => this.client.isFailing(prefix),
+		);
+		if (ageClock !== undefined) {
+			this.register(
+				subscribeTo(ageClock.onDidJump, () => {
+					void this.follower.refresh();
+				}),
+			);
+			this.register(subscribeTo(timers.watchTicks(clockCheckMs), () => ageClock.getNow()));
+		}
 		this.register(
 			subscribeTo(this.follower.onDidChange, ({ written, removed, isRestored }) => {
 				for (const { key, value } of written) {
@@ -150,6 +195,12 @@
 		void this.follower.follow();
 	}
 
+	addReader(request: FeedRequest, observer: IFeedObserver): IDisposable {
+		const reader = this.feeds.add(request, observer);
+		this.client.noteReader(request.prefix);
+		return reader;
+	}
+
 	isConnectedTo(other: RelayEntry): boolean {
 		return !this.isFrozen && !other.isFrozen && !this.site.isCut(this.id, other.id);
 	}
@@ -165,20 +216,25 @@
 		const { reader, site } = this;
 		let isOpen = true;
 		let feed: IDisposable | undefined;
+		let lastDueMs = 0;
 		const deliver = (apply: () => void): void => {
-			site.timers.schedule(peerDelayMs, () => {
-				const entry = site.entries.get(watcher);
-				if (isOpen && entry !== undefined && reader.isConnectedTo(entry)) {
-					apply();
-				}
+			// A connection keeps the order of its messages.
+			lastDueMs = Math.max(lastDueMs, site.timers.getNow() + site.getDelayMs(watcher, reader.id));
+			site.timers.schedule(lastDueMs - site.timers.getNow(), () => {
+				void reader.timers.waitUntilAwake().then(() => {
+					const entry = site.entries.get(watcher);
+					if (isOpen && entry !== undefined && reader.isConnectedTo(entry)) {
+						apply();
+					}
+				});
 			});
 		};
 		site.timers.schedule(peerDelayMs, () => {
 			const entry = site.entries.get(watcher);
 			if (entry === undefined) {
 				observer.end('connection refused');
-			} else if (isOpen && reader.isConnectedTo(entry)) {
-				feed = entry.feeds.add(request, {
+			} else if (isOpen && reader.isConnectedTo(entry) && !entry.timers.isSuspended) {
+				feed = entry.addReader(request, {
 					receive: message => {
 						deliver(() => {
 							observer.receive(message);
@@ -199,6 +255,12 @@
 	}
 }
 
+export interface SiteSetup {
+	readonly regions?: number;
+	/** Maximum delay of a change in milliseconds; ages are bounded if it is given. */
+	readonly boundedDelayMs?: number;
+}
+
 export class RelaySite extends Disposable {
 	readonly timers = new ManualTimerService();
 	readonly siteStore = new ModelStore(this.timers);
@@ -206,16 +268,28 @@
 	readonly ids: readonly InstanceId[];
 	/** Whether two entries cannot reach each other. */
 	isCut: (left: InstanceId, right: InstanceId) => boolean = () => false;
+	/** Time that a message between two entries takes. */
+	getDelayMs: (from: InstanceId, to: InstanceId) => number = () => peerDelayMs;
+	readonly maxDelayMs: number;
+	readonly isAgeBounded: boolean;
+	private readonly regions: number;
 	private count = 0;
 
-	/** @param isRelaying Whether entries use each other's feeds; if not, each watches the store. */
+	/**
+	 * @param isRelaying Whether entries use each other's feeds; if not, each watches the store.
+	 * @param setup The regions, over which the entries are spread in turn, and the maximum delay where ages are bounded.
+	 */
 	constructor(
 		count: number,
 		readonly isRelaying: boolean,
 		private readonly random: SeededRandom,
 		knownShare = 1,
+		setup: SiteSetup = {},
 	) {
 		super();
+		this.maxDelayMs = setup.boundedDelayMs ?? maxDelayMs;
+		this.isAgeBounded = setup.boundedDelayMs !== undefined;
+		this.regions = setup.regions ?? 1;
 		this.ids = Array.from({ length: count }, (_, index) => `entry-${index}` as InstanceId);
 		for (const id of this.ids) {
 			this.startEntry(
@@ -225,6 +299,14 @@
 		}
 	}
 
+	getRegion(id: InstanceId): number {
+		return this.ids.indexOf(id) % this.regions;
+	}
+
+	listRegions(): readonly number[] {
+		return Array.from({ length: this.regions }, (_, region) => region);
+	}
+
 	startEntry(id: InstanceId, known: readonly InstanceId[] = this.ids): void {
 		this.entries.set(id, new RelayEntry(id, this, known, ++this.count));
 	}
--- a/src/entry/common/storeRelay/watcherRanking.ts
+++ b/src/entry/common/storeRelay/watcherRanking.ts
@@ -34,6 +34,21 @@
 	return pickOf(own, rankWatchers(others));
 }
 
+/**
+ * Returns an entry of this region or, where an entry of another region is preferred and there is one, of that. All entries of
+ * a region may have lost the store together.
+ */
+export function pickOtherAnywhere(
+	own: InstanceId,
+	others: readonly InstanceId[],
+	entriesElsewhere: readonly (readonly InstanceId[])[],
+	isAnyRegion: boolean,
+): InstanceId | undefined {
+	const watchers = entriesElsewhere.flatMap(entries => pickOther(own, entries) ?? []);
+	const elsewhere = isAnyRegion ? pickOther(own, watchers) : undefined;
+	return elsewhere ?? pickOther(own, others);
+}
+
 function pickOf(own: InstanceId, watchers: readonly InstanceId[]): InstanceId | undefined {
 	const ownHash = computeTextHash(own);
 	const mixed = watchers.map(instance => ({
--- a/src/entry/node/storeRelay/storeRelay.ts
+++ b/src/entry/node/storeRelay/storeRelay.ts
@@ -15,7 +15,7 @@
 import type { FeedRequest, IFeedObserver, IFeedSource, IStoreRelay } from '../../common/storeRelay/storeFeed';
 import { computeFeedTimes } from '../../common/storeRelay/storeFeed';
 import { StoreFeeds } from '../../common/storeRelay/storeFeeds';
-import { pickOther, pickWatcher } from '../../common/storeRelay/watcherRanking';
+import { pickOtherAnywhere, pickWatcher } from '../../common/storeRelay/watcherRanking';
 import type { EntryFleet } from '../fleet/entryFleet';
 import { PeerFeedOpener } from './peerFeeds';
 
@@ -94,12 +94,9 @@
 		if (!isOwnExcluded) {
 			return pickWatcher(instance, others);
 		}
-		if (!isAnyRegion) {
-			return pickOther(instance, others);
-		}
-		const regions = fleet.listLiveRegions().filter(other => other !== region);
-		const watchers = regions.flatMap(other => pickOther(instance, this.listRelaying(other, excluded)) ?? []);
-		return pickOther(instance, watchers) ?? pickOther(instance, others);
+		const regions = isAnyRegion ? fleet.listLiveRegions().filter(other => other !== region) : [];
+		const elsewhere = regions.map(other => this.listRelaying(other, excluded));
+		return pickOtherAnywhere(instance, others, elsewhere, isAnyRegion);
 	}
 
 	private listRelaying(region: RegionName, excluded: ReadonlySet<InstanceId>): InstanceId[] {
