--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -7,6 +7,7 @@
 import type { RequestError } from '../../../../core/errors/common/errorKinds';
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
 import type {
+	KeyDigest,
 	OrganisationName,
 	RequestId,
 	ServiceName,
@@ -19,6 +20,8 @@
 import type { AnswerHead, IAnswerSink } from '../../../common/callers/answerSink';
 import { NativeTargetDialect } from '../../../common/dialect/nativeTargetDialect';
 import type { IStartGate } from '../../../common/intake/loopLagGate';
+import type { IKeyCheck } from '../../../common/keys/keyConfirmation';
+import { noKeyCheck } from '../../../common/keys/keyConfirmation';
 import { openStartGate } from '../../../common/intake/test/startGates';
 import { planCall } from '../../../common/placement/callPlan';
 import { ManifestIndex } from '../../../common/placement/manifestIndex';
@@ -99,7 +102,7 @@
 	/** Measurements reported to the run observer, in order, except for the ends of requests. */
 	readonly observations: string[];
 	/** Submits a request, by default with an id of its own. */
-	submit(body?: string, id?: string): CapturingSink;
+	submit(body?: string, id?: string, keyDigest?: KeyDigest): CapturingSink;
 	/** Waits until pending promise callbacks have run. */
 	waitForPromises(): Promise<void>;
 }
@@ -162,6 +165,7 @@
 	scheduler: IServiceScheduler = new ServiceScheduler(new SeededRandom(7)),
 	timers = new ManualTimerService(),
 	startGate: IStartGate = openStartGate,
+	keys: IKeyCheck = noKeyCheck,
 ): Flow {
 	const attempts: CapturedAttempt[] = [];
 	const renewedTargets: TargetId[] = [];
@@ -201,6 +205,7 @@
 		timers,
 		startGate,
 		{ noteSent: () => undefined, noteAnswer: () => undefined, noteTrouble: () => undefined },
+		keys,
 	);
 	const zone = 'kingston-a' as ZoneName;
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
@@ -208,10 +213,11 @@
 	const plan = createPlan(repeat);
 	const observer = createObserver(ends, observations);
 	let submitted = 0;
-	const submit = (body = 'work', id?: string): CapturingSink => {
+	const submit = (body = 'work', id?: string, keyDigest?: KeyDigest): CapturingSink => {
 		submitted++;
 		const sink = new CapturingSink();
-		const call = createCall((id ?? `request-${submitted}`) as RequestId, plan, body, timers.getNow());
+		const requestId = (id ?? `request-${submitted}`) as RequestId;
+		const call = withKey(createCall(requestId, plan, body, timers.getNow()), keyDigest);
 		journal.open(call.id, { service: 'bookings', organisation: 'harbour-hotel', requestClass: 'normal' }, 0);
 		const run = new RequestRun(call, new RequestLifecycle(), sink, journal, timers, observer);
 		run.lifecycle.send(RequestEvent.AcceptHead);
@@ -281,6 +287,11 @@
 	};
 }
 
+/** Returns the call with the digest of a key, if one is given. */
+export function withKey(call: AcceptedCall, keyDigest: KeyDigest | undefined): AcceptedCall {
+	return keyDigest === undefined ? call : { ...call, head: { ...call.head, keyDigest } };
+}
+
 /** Returns the attempt id that was sent to the target. */
 export function getAttemptId(attempt: CapturedAttempt): string {
 	return attempt.request.lines.find(line => line.name === 'anvilroad-attempt')?.value ?? '';
--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -2,13 +2,22 @@
 import { createRequestError, ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
-import type { InstanceId, ManifestVersion, RegionName, RequestId } from '../../../../core/ids/common/ids';
+import type {
+	InstanceId,
+	KeyDigest,
+	ManifestVersion,
+	RegionName,
+	RequestId,
+} from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import type {
 	ForwardHead,
 	ForwardRequestRequest,
 	ForwardRequestResponse,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import type { IKeyCheck } from '../../../common/keys/keyConfirmation';
+import { noKeyCheck } from '../../../common/keys/keyConfirmation';
+import { knownKey, ScriptedKeys, withdrawnWithinMs } from '../../../common/keys/test/scriptedKeys';
 import { openStartGate } from '../../../common/intake/test/startGates';
 import { noAttempts } from '../../../common/requests/attemptHistory';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
@@ -22,7 +31,7 @@
 import type { AcceptedCall, RequestEnd } from '../requestRun';
 import { RequestRun } from '../requestRun';
 import type { Flow } from './flowFixtures';
-import { CapturingSink, createCall, createFlow, createObserver, createPlan } from './flowFixtures';
+import { CapturingSink, createCall, createFlow, createObserver, createPlan, withKey } from './flowFixtures';
 import { createPosition } from '../../../common/workScheduling/test/fleetPositions';
 
 const region = 'kingston' as RegionName;
@@ -91,16 +100,19 @@
 	readonly peer: ScriptedPeer;
 	readonly ends: RequestEnd[];
 	/** Dispatches a request that the policy sends to the peer. */
-	dispatch(limitMs?: number): CapturingSink;
+	dispatch(limitMs?: number, keyDigest?: KeyDigest): CapturingSink;
 	/** Advances the clock, then lets pending promises run. */
 	advance(durationMs: number): Promise<void>;
 }
 
-function createFixture(startGate = openStartGate): ForwardFixture {
+function createFixture(startGate = openStartGate, keys: IKeyCheck = noKeyCheck): ForwardFixture {
 	const flow = createFlow(
 		1,
 		RepeatRule.Idempotent,
 		new WorkScheduler(new SeededRandom(7), () => createPosition(1)),
+		undefined,
+		openStartGate,
+		keys,
 	);
 	const { timers } = flow;
 	const peer = createPeer();
@@ -131,16 +143,16 @@
 			return new RequestRun(call, new RequestLifecycle(), sink, journal, timers, createObserver(ends, []));
 		},
 	} as unknown as IRouterContext;
-	const router = new RequestRouter(context, {} as unknown as TicketService, timers, startGate);
+	const router = new RequestRouter(context, {} as unknown as TicketService, timers, startGate, keys);
 	const plan = { ...createPlan(RepeatRule.Idempotent), homeRegion: undefined };
 	return {
 		flow,
 		peer,
 		ends,
-		dispatch: (limitMs = timeLimitMs) => {
+		dispatch: (limitMs = timeLimitMs, keyDigest = undefined) => {
 			const sink = new CapturingSink();
 			const nowMs = timers.getNow();
-			const call = createCall('forwarded-1' as RequestId, plan, 'work', nowMs);
+			const call = withKey(createCall('forwarded-1' as RequestId, plan, 'work', nowMs), keyDigest);
 			router.dispatch({ ...call, deadlineMs: nowMs + limitMs }, sink);
 			return sink;
 		},
@@ -287,3 +299,34 @@
 		expect(readMs + remainingMs + offer.oneWayMs).toBeLessThanOrEqual(timeLimitMs);
 	});
 });
+
+describe('a request with a key that the policy forwards', () => {
+	// Guards against a forward by knowledge that became too old while the body was read.
+	it('is refused before it is handed to the peer if the knowledge is too old', async () => {
+		const keys = new ScriptedKeys();
+		keys.ageMs = withdrawnWithinMs;
+		const { flow, peer, dispatch, advance } = createFixture(openStartGate, keys);
+		const sink = dispatch(timeLimitMs, knownKey);
+		peer.acceptConnection();
+		await advance(1);
+		expect(sink.refusal?.kind).toBe(ErrorKind.KeyUnconfirmed);
+		expect(peer.requests).toEqual([]);
+		expect(flow.attempts).toEqual([]);
+	});
+
+	// Guards against a run at home with a key that was withdrawn while the peer had the request.
+	it('is refused when the peer gives it back if its key was withdrawn meanwhile', async () => {
+		const keys = new ScriptedKeys();
+		const { flow, peer, dispatch, advance } = createFixture(openStartGate, keys);
+		const sink = dispatch(timeLimitMs, knownKey);
+		peer.acceptConnection();
+		await advance(1);
+		expect(peer.requests.length).toBeGreaterThan(0);
+		keys.isWithdrawn = true;
+		peer.answer(createGiveBack());
+		await advance(1);
+		await advance(1);
+		expect(sink.refusal).toMatchObject({ kind: ErrorKind.KeyUnknown });
+		expect(flow.attempts).toEqual([]);
+	});
+});
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -7,6 +7,7 @@
 import type {
 	BootId,
 	InstanceId,
+	KeyDigest,
 	ManifestVersion,
 	OrganisationName,
 	RegionName,
@@ -23,6 +24,8 @@
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
 import type { LookupCandidate } from '../fleet/entryFleet';
 import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
+import type { IKeyCheck } from '../../common/keys/keyConfirmation';
+import { noKeyCheck } from '../../common/keys/keyConfirmation';
 import { openStartGate } from '../../common/intake/test/startGates';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { NeverSendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
@@ -59,13 +62,17 @@
 	/** Issues a ticket of this entry, or of another entry in its region. */
 	issue(issuer?: 'own' | 'neighbour'): string;
 	/** Sends a call as a caller's connection would. */
-	send(ticket: string | undefined, body?: string): CapturingSink;
+	send(ticket: string | undefined, body?: string, keyDigest?: KeyDigest): CapturingSink;
 	setLeaving(): void;
 }
 
 /** Creates a handler with one scripted target. */
-export function createHandlerFixture(repeat = RepeatRule.AtMostOnce, maxHeldBytes = 1_000): HandlerFixture {
-	const flow = createFlow(1, repeat);
+export function createHandlerFixture(
+	repeat = RepeatRule.AtMostOnce,
+	maxHeldBytes = 1_000,
+	keys: IKeyCheck = noKeyCheck,
+): HandlerFixture {
+	const flow = createFlow(1, repeat, undefined, undefined, openStartGate, keys);
 	const { timers } = flow;
 	const metrics = new EntryMetrics({ version: '1', instance: own.instance, region, zone });
 	metrics.setServices(['bookings']);
@@ -80,7 +87,13 @@
 		new AtMostOnceLedger(own, { maxAnswerBytes: 1_000, maxTickets: 10 }),
 		{ findEntry: instance => (instance === neighbour.own.instance ? neighbour : undefined) },
 	);
-	const router = new RequestRouter(createRouterContext(flow, runs, metrics), tickets, timers, openStartGate);
+	const router = new RequestRouter(
+		createRouterContext(flow, runs, metrics),
+		tickets,
+		timers,
+		openStartGate,
+		keys,
+	);
 	let isLeaving = false;
 	const manifest = createFlowManifest(repeat);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
@@ -118,6 +131,7 @@
 		metrics,
 		timers,
 		new SeededRandom(1),
+		keys,
 	);
 	return {
 		handler,
@@ -130,7 +144,8 @@
 			issuer === 'own'
 				? tickets.issueBatch(1, timers.getNow())[0]!
 				: formatTicket({ issuer: neighbour.own, number: 1, expiresMs: 120_000 }, signer),
-		send: (ticket, body = 'pay') => sendCall(handler, createHead(ticket), body),
+		send: (ticket, body = 'pay', keyDigest = undefined) =>
+			sendCall(handler, { ...createHead(ticket), ...(keyDigest === undefined ? {} : { keyDigest }) }, body),
 		setLeaving: () => {
 			isLeaving = true;
 		},
