--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -149,7 +149,7 @@
 		flow,
 		peer,
 		ends,
-		dispatch: (limitMs = timeLimitMs, keyDigest = undefined) => {
+		dispatch: (limitMs = timeLimitMs, keyDigest) => {
 			const sink = new CapturingSink();
 			const nowMs = timers.getNow();
 			const call = withKey(createCall('forwarded-1' as RequestId, plan, 'work', nowMs), keyDigest);
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -144,7 +144,7 @@
 			issuer === 'own'
 				? tickets.issueBatch(1, timers.getNow())[0]!
 				: formatTicket({ issuer: neighbour.own, number: 1, expiresMs: 120_000 }, signer),
-		send: (ticket, body = 'pay', keyDigest = undefined) =>
+		send: (ticket, body = 'pay', keyDigest) =>
 			sendCall(handler, { ...createHead(ticket), ...(keyDigest === undefined ? {} : { keyDigest }) }, body),
 		setLeaving: () => {
 			isLeaving = true;
--- a/src/entry/node/test/sleepDetector.test.ts
+++ b/src/entry/node/test/sleepDetector.test.ts
@@ -58,4 +58,16 @@
 		await hold;
 		expect(sleeper.detector.findHold()).toBeUndefined();
 	});
+
+	// Guards against requests that are handled with state from before a suspension, which the monotonic clock does not show.
+	it('holds requests after a suspension that another clock has shown', async () => {
+		const fixture = createDetector();
+		fixture.detector.recordSleep(5_000);
+		expect(fixture.sleepDurationsMs).toEqual([5_000]);
+		const hold = fixture.detector.findHold();
+		expect(hold).toBeDefined();
+		fixture.answerRefresh();
+		await hold;
+		expect(fixture.detector.findHold()).toBeUndefined();
+	});
 });
