--- a/src/entry/node/storeRelay/test/peerFeeds.test.ts
+++ b/src/entry/node/storeRelay/test/peerFeeds.test.ts
@@ -26,7 +26,16 @@
 });
 
 function createMessage(part: Partial<FeedMessage>): FeedMessage {
-	return { revision: 9, era: 2, ageMs: 12, elapsedMs: 340, isListing: false, written: [], removed: [], ...part };
+	return {
+		revision: 9,
+		era: 2,
+		ageMs: 12,
+		elapsedMs: 340,
+		isListing: false,
+		written: [],
+		removed: [],
+		...part,
+	};
 }
 
 /** Serves feeds, and keeps what their readers asked for and receive. */
