--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -2,7 +2,12 @@
 import { createRequestError, ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
-import type { InstanceId, ManifestVersion, RegionName, RequestId } from '../../../../core/ids/common/ids';
+import type {
+	InstanceId,
+	ManifestVersion,
+	RegionName,
+	RequestId,
+} from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import type {
 	ForwardHead,
@@ -10,6 +15,9 @@
 	ForwardRequestResponse,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import type { CallHead } from '../../../common/callers/callHead';
+import type { IKeyCheck } from '../../../common/keys/keyConfirmation';
+import { noKeyCheck } from '../../../common/keys/keyConfirmation';
+import { knownKey, ScriptedKeys, withdrawnWithinMs } from '../../../common/keys/test/scriptedKeys';
 import { openStartGate } from '../../../common/intake/test/startGates';
 import { noAttempts } from '../../../common/requests/attemptHistory';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
@@ -100,11 +108,14 @@
 	advance(durationMs: number): Promise<void>;
 }
 
-function createFixture(startGate = openStartGate): ForwardFixture {
+function createFixture(startGate = openStartGate, keys: IKeyCheck = noKeyCheck): ForwardFixture {
 	const flow = createFlow(
 		1,
 		RepeatRule.Idempotent,
 		new WorkScheduler(new SeededRandom(7), () => createPosition(1)),
+		undefined,
+		openStartGate,
+		keys,
 	);
 	const { timers } = flow;
 	const peer = createPeer();
@@ -139,7 +150,7 @@
 			return new RequestRun(call, new RequestLifecycle(), sink, journal, timers, createObserver(ends, []));
 		},
 	} as unknown as IRouterContext;
-	const router = new RequestRouter(context, {} as unknown as TicketService, timers, startGate);
+	const router = new RequestRouter(context, {} as unknown as TicketService, timers, startGate, keys);
 	const plan = { ...createPlan(RepeatRule.Idempotent), homeRegion: undefined };
 	return {
 		flow,
@@ -333,3 +344,34 @@
 		expect(sink.refusal).toBeUndefined();
 	});
 });
+
+describe('a request with a key that the policy forwards', () => {
+	// Guards against a forward by knowledge that became too old while the body was read.
+	it('is refused before it is handed to the peer if the knowledge is too old', async () => {
+		const keys = new ScriptedKeys();
+		keys.ageMs = withdrawnWithinMs;
+		const { flow, peer, dispatch, advance } = createFixture(openStartGate, keys);
+		const sink = dispatch(timeLimitMs, { keyDigest: knownKey });
+		peer.acceptConnection();
+		await advance(1);
+		expect(sink.refusal?.kind).toBe(ErrorKind.KeyUnconfirmed);
+		expect(peer.requests).toEqual([]);
+		expect(flow.attempts).toEqual([]);
+	});
+
+	// Guards against a run at home with a key that was withdrawn while the peer had the request.
+	it('is refused when the peer gives it back if its key was withdrawn meanwhile', async () => {
+		const keys = new ScriptedKeys();
+		const { flow, peer, dispatch, advance } = createFixture(openStartGate, keys);
+		const sink = dispatch(timeLimitMs, { keyDigest: knownKey });
+		peer.acceptConnection();
+		await advance(1);
+		expect(peer.requests.length).toBeGreaterThan(0);
+		keys.isWithdrawn = true;
+		peer.answer(createGiveBack());
+		await advance(1);
+		await advance(1);
+		expect(sink.refusal).toMatchObject({ kind: ErrorKind.KeyUnknown });
+		expect(flow.attempts).toEqual([]);
+	});
+});
