--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -2,12 +2,7 @@
 import { createRequestError, ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
-import type {
-	InstanceId,
-	ManifestVersion,
-	RegionName,
-	RequestId,
-} from '../../../../core/ids/common/ids';
+import type { InstanceId, ManifestVersion, RegionName, RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import type {
 	ForwardHead,
