Remove the listeners of a feed's wait when it ends

A search over more than ten entries added a listener to one signal for each of them, and Node warned of a leak. Each wait now removes its own. The warning is gone from the tests of the relay, which pass.

--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -203,18 +203,14 @@
 
 	private async waitForWake(delayMs: number, signal: AbortSignal): Promise<void> {
 		await new Promise<void>(resolve => {
-			const timer = this.timers.schedule(Math.max(1, delayMs), resolve);
-			signal.addEventListener(
-				'abort',
-				() => {
-					resolve();
-				},
-				{ once: true },
-			);
-			this.wake = () => {
+			const finish = (): void => {
 				timer.dispose();
+				signal.removeEventListener('abort', finish);
 				resolve();
 			};
+			const timer = this.timers.schedule(Math.max(1, delayMs), finish);
+			signal.addEventListener('abort', finish, { once: true });
+			this.wake = finish;
 		});
 	}
 }
