--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -21,6 +21,7 @@
 import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
 import type { CallHead } from '../../common/callers/callHead';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
+import type { IKeyDigests } from '../../common/keys/keyDigests';
 import type { LookupCandidate } from '../fleet/entryFleet';
 import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
 import { openStartGate } from '../../common/intake/test/startGates';
@@ -64,9 +65,15 @@
 	setLeaving(): void;
 }
 
-/** Creates a handler with one scripted target. */
-export function createHandlerFixture(repeat = RepeatRule.AtMostOnce, maxHeldBytes = 1_000): HandlerFixture {
-	const flow = createFlow(1, repeat);
+/** Creates a handler with scripted targets, by default one. */
+export function createHandlerFixture(
+	repeat = RepeatRule.AtMostOnce,
+	maxHeldBytes = 1_000,
+	manifest = createFlowManifest(repeat),
+	keyDigests: IKeyDigests = createKeyDigests(),
+	targets = 1,
+): HandlerFixture {
+	const flow = createFlow(targets, repeat);
 	const { timers } = flow;
 	const metrics = new EntryMetrics({ version: '1', instance: own.instance, region, zone });
 	metrics.setServices(['bookings']);
@@ -83,7 +90,7 @@
 	);
 	const router = new RequestRouter(createRouterContext(flow, runs, metrics), tickets, timers, openStartGate);
 	let isLeaving = false;
-	const manifest = createFlowManifest(repeat);
+	const index = new ManifestIndex(manifest);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
 	const createCandidate = (instance: InstanceId): LookupCandidate => ({
 		instance,
@@ -97,8 +104,8 @@
 	});
 	const handler = new CallHandler(
 		{ id: own.instance, region, zone, boot: own.boot },
-		new NativeCallerDialect(createKeyDigests()),
-		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
+		new NativeCallerDialect(keyDigests),
+		{ getCurrent: () => ({ accepted, index }) },
 		{
 			listCandidates: () => [createCandidate(neighbour.own.instance)],
 			receiveViews: () => [],
