--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -22,6 +22,7 @@
 import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
 import type { CallHead } from '../../common/callers/callHead';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
+import type { IKeyDigests } from '../../common/keys/keyDigests';
 import type { LookupCandidate } from '../fleet/entryFleet';
 import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
 import type { IKeyCheck } from '../../common/keys/keyConfirmation';
@@ -67,13 +68,16 @@
 	setLeaving(): void;
 }
 
-/** Creates a handler with one scripted target. */
+/** Creates a handler with scripted targets, by default one. */
 export function createHandlerFixture(
 	repeat = RepeatRule.AtMostOnce,
 	maxHeldBytes = 1_000,
 	keys: IKeyCheck = noKeyCheck,
+	manifest = createFlowManifest(repeat),
+	keyDigests: IKeyDigests = createKeyDigests(),
+	targets = 1,
 ): HandlerFixture {
-	const flow = createFlow(1, repeat, undefined, undefined, openStartGate, keys);
+	const flow = createFlow(targets, repeat, undefined, undefined, openStartGate, keys);
 	const { timers } = flow;
 	const metrics = new EntryMetrics({ version: '1', instance: own.instance, region, zone });
 	metrics.setServices(['bookings']);
@@ -96,7 +100,7 @@
 		keys,
 	);
 	let isLeaving = false;
-	const manifest = createFlowManifest(repeat);
+	const index = new ManifestIndex(manifest);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
 	const createCandidate = (instance: InstanceId): LookupCandidate => ({
 		instance,
@@ -110,8 +114,8 @@
 	});
 	const handler = new CallHandler(
 		{ id: own.instance, region, zone, boot: own.boot },
-		new NativeCallerDialect(createKeyDigests()),
-		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
+		new NativeCallerDialect(keyDigests),
+		{ getCurrent: () => ({ accepted, index }) },
 		{
 			listCandidates: () => [createCandidate(neighbour.own.instance)],
 			receiveViews: () => [],
