--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -31,9 +31,13 @@
 } from '../../gen/anvilroad/peer/v1/peer_pb';
 import { FetchManifestResponseSchema } from '../../gen/anvilroad/peer/v1/peer_pb';
 import type { IAnswerSink } from '../common/callers/answerSink';
-import type { CallHead, RawHead } from '../common/callers/callHead';
+import type { CallHead, ForwardedKey, RawHead } from '../common/callers/callHead';
 import type { ICallerDialect } from '../common/dialect/callerDialect';
+import type { KeyOwner } from '../common/keys/callerKey';
+import { resolveForwardedKey } from '../common/keys/callerKey';
 import type { LookupAnswer, LookupRequest } from '../common/callers/lookup';
+import { noKeyCheck } from '../common/keys/keyConfirmation';
+import type { IKeyCheck } from '../common/keys/keyConfirmation';
 import type { CallPlan, ForwardOrigin } from '../common/placement/callPlan';
 import { checkForwardedCall, planCall } from '../common/placement/callPlan';
 import { isFinishable } from '../common/leaving/finishable';
@@ -101,6 +105,7 @@
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
+		private readonly keys: IKeyCheck = noKeyCheck,
 	) {}
 
 	findHold(): Promise<void> | undefined {
@@ -125,6 +130,11 @@
 		return this.dialect.readHead(raw, manifest?.index);
 	}
 
+	resolveForwardedKey(key: ForwardedKey): Result<KeyOwner | undefined, RequestError> {
+		const index = this.manifests.getCurrent()?.index;
+		return index === undefined ? ok(undefined) : resolveForwardedKey(key.digest, index, false);
+	}
+
 	/**
 	 * True from the moment a stop is requested. Persistent connections are then closed after their next answer,
 	 * even before lookups name other entries.
@@ -149,6 +159,10 @@
 				createRequestError(ErrorKind.NoManifest, 'no manifest received from the platform or a peer'),
 			);
 		}
+		const keyRefusal = this.keys.findRefusal(head);
+		if (keyRefusal !== undefined) {
+			return err(keyRefusal);
+		}
 		if (this.ownView.isRefusing() && !this.isOwnTicket(head)) {
 			return err(this.createLeavingError());
 		}
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -12,6 +12,8 @@
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { IStartGate } from '../../common/intake/loopLagGate';
+import { noKeyCheck } from '../../common/keys/keyConfirmation';
+import type { IKeyCheck } from '../../common/keys/keyConfirmation';
 import { isAllowedRegion } from '../../common/placement/callPlan';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import type { VersionRequirement } from '../../common/scheduling/versionMatch';
@@ -42,8 +44,12 @@
 	/** Returns the runner of a service that the manifest lists. */
 	getRunner(service: ServiceName): ServiceRunner;
 	getSendAwayPolicy(service: ServiceName): ISendAwayPolicy;
-	/** Lists entries of other regions with the capacity that they reported for the service. */
-	listOffers(service: ServiceName, required?: VersionRequirement): readonly RemoteOffer[];
+	/** Lists entries of other regions with the capacity that they reported for the service, and that may get the request. */
+	listOffers(
+		service: ServiceName,
+		required: VersionRequirement | undefined,
+		isKeyed: boolean,
+	): readonly RemoteOffer[];
 	/** Finds the origin of the stream that a caller resumes, which the caller may not have named. */
 	findStreamOrigin(service: ServiceName, stream: StreamId | undefined): Promise<KnownOrigin | undefined>;
 	/** Whether this entry reaches no target of the service. */
@@ -52,13 +58,16 @@
 	pickNeighbour(
 		service: ServiceName,
 		triedEntries: readonly InstanceId[],
-		required?: VersionRequirement,
+		required: VersionRequirement | undefined,
+		isKeyed: boolean,
 	): InstanceId | undefined;
 	noteRelayEnd(instance: InstanceId, end: ForwardEnd): void;
 	/** Calls back with each request that waited for a target when the last path to the targets was lost. */
 	watchReturned(serve: (run: RequestRun) => void): void;
 	/** Whether an entry reports the attempts of requests that are forwarded to it. */
 	isCountingAttempts(instance: InstanceId): boolean;
+	/** Whether an entry confirms the keys of requests that are forwarded to it. */
+	isConfirmingKeys(instance: InstanceId): boolean;
 	findPeer(instance: InstanceId): PeerConnection | undefined;
 	/** Describes this entry as the sender of forwarded requests. */
 	describeSender(): ForwardSender;
@@ -99,6 +108,15 @@
 /** Errors of targets that a sound entry reports. */
 const targetErrors: ReadonlySet<ErrorKind> = new Set([ErrorKind.TargetFailed, ErrorKind.TargetSilent]);
 
+/** The end of a forward of a request that was refused here before it was sent. */
+const unsentForward: ForwardEnd = {
+	kind: ForwardEndKind.Abandoned,
+	error: undefined,
+	sentBytes: 0,
+	receivedBytes: 0,
+	isReported: false,
+};
+
 /** Lists the entries that may not get the request again. */
 function listInstances(triedEntries: readonly TriedEntry[]): readonly InstanceId[] {
 	return triedEntries.filter(({ isUsable }) => !isUsable).map(({ instance }) => instance);
@@ -113,6 +131,7 @@
 		tickets: TicketService,
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
+		private readonly keys: IKeyCheck = noKeyCheck,
 	) {
 		this.tickets = new TicketRouter(context, tickets, this, timers);
 		context.watchReturned(run => {
@@ -163,7 +182,7 @@
 	}
 
 	private sendUnticketed(run: RequestRun): void {
-		if (run.hasEnded()) {
+		if (run.hasEnded() || this.refuseKey(run)) {
 			return;
 		}
 		if (run.isOriginMissing()) {
@@ -201,6 +220,17 @@
 		this.sendUnticketed(run);
 	}
 
+	/** Refuses a request whose key may not be used now. */
+	private refuseKey(run: RequestRun): boolean {
+		const refusal = this.keys.findRefusal(run.call.head);
+		if (refusal === undefined) {
+			return false;
+		}
+		run.noteRefusal(refusal);
+		run.fail(refusal);
+		return true;
+	}
+
 	private isLocalRegionAllowed(run: RequestRun): boolean {
 		return isAllowedRegion(run.call.plan, this.context.describeSender().region);
 	}
@@ -210,6 +240,9 @@
 	 * region. Refuses it at once if neither is possible. The ledger of a ticket is here, so its request stays.
 	 */
 	private serveElsewhere(run: RequestRun, triedEntries: readonly TriedEntry[], error: RequestError): void {
+		if (this.refuseKey(run)) {
+			return;
+		}
 		const isForwarded =
 			this.isForwardable(run, triedEntries) &&
 			(this.startAtNeighbour(run, triedEntries) ||
@@ -230,9 +263,11 @@
 
 	/** Forwards the request to another entry of this region. */
 	private startAtNeighbour(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
-		const { service } = run.call.head;
+		const { service, keyDigest } = run.call.head;
+		const isKeyed = keyDigest !== undefined;
+		const tried = listInstances(triedEntries);
 		const to = this.isLocalRegionAllowed(run)
-			? this.context.pickNeighbour(service, listInstances(triedEntries), run.findRequiredVersion())
+			? this.context.pickNeighbour(service, tried, run.findRequiredVersion(), isKeyed)
 			: undefined;
 		const peer = to === undefined ? undefined : this.context.findPeer(to);
 		if (to === undefined || peer === undefined || !this.isAttemptLimitKept(run, to)) {
@@ -271,7 +306,7 @@
 		const unfitRegions = triedEntries.map(({ unfitRegion }) => unfitRegion);
 		const listOffers = (): readonly RemoteOffer[] =>
 			this.context
-				.listOffers(head.service, required)
+				.listOffers(head.service, required, head.keyDigest !== undefined)
 				.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedInstances.includes(instance))
 				.filter(({ region }) => !unfitRegions.includes(region))
 				.filter(({ instance }) => this.isAttemptLimitKept(run, instance));
@@ -364,6 +399,9 @@
 			run.markInterrupted();
 			run.lifecycle.send(isAnswering(run) ? RequestEvent.Interrupt : RequestEvent.Retry);
 		}
+		if (this.refuseKey(run)) {
+			return;
+		}
 		if (!this.isLocalRegionAllowed(run) || this.context.isCut(run.call.head.service)) {
 			this.serveElsewhere(run, triedEntries, end.error);
 			return;
@@ -382,6 +420,9 @@
 	}
 
 	async forward(run: RequestRun, way: ForwardRoute): Promise<ForwardEnd> {
+		if (this.refuseKey(run)) {
+			return unsentForward;
+		}
 		const isCountingAttempts = this.context.isCountingAttempts(way.to);
 		const forward = new ForwardRun(run, way, this.context.describeSender(), isCountingAttempts, this.timers);
 		run.setAbandonHandler(() => {
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -7,6 +7,7 @@
 import type {
 	BootId,
 	InstanceId,
+	KeyDigest,
 	ManifestVersion,
 	OrganisationName,
 	RegionName,
@@ -21,8 +22,11 @@
 import { AtMostOnceLedger } from '../../common/atMostOnce/atMostOnceLedger';
 import type { CallHead } from '../../common/callers/callHead';
 import { NativeCallerDialect } from '../../common/dialect/nativeCallerDialect';
+import type { IKeyDigests } from '../../common/keys/keyDigests';
 import type { LookupCandidate } from '../fleet/entryFleet';
 import type { RequestWorkCounts } from '../../common/eventLoop/workCounts';
+import type { IKeyCheck } from '../../common/keys/keyConfirmation';
+import { noKeyCheck } from '../../common/keys/keyConfirmation';
 import { openStartGate } from '../../common/intake/test/startGates';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { NeverSendAwayPolicy } from '../../common/sendAway/sendAwayPolicy';
@@ -30,6 +34,7 @@
 import { TicketIssuer } from '../../common/tickets/ticketIssuer';
 import { CallHandler } from '../callHandler';
 import { HeldBytes } from '../callers/bodyReader';
+import { createKeyDigests } from '../keys/test/keyDigestFixtures';
 import type { PeerConnection } from '../peers/peerClients';
 import { ActiveRuns } from '../requests/activeRuns';
 import type { IRouterContext } from '../requests/requestRouter';
@@ -59,13 +64,20 @@
 	/** Issues a ticket of this entry, or of another entry in its region. */
 	issue(issuer?: 'own' | 'neighbour'): string;
 	/** Sends a call as a caller's connection would. */
-	send(ticket: string | undefined, body?: string): CapturingSink;
+	send(ticket: string | undefined, body?: string, keyDigest?: KeyDigest): CapturingSink;
 	setLeaving(): void;
 }
 
-/** Creates a handler with one scripted target. */
-export function createHandlerFixture(repeat = RepeatRule.AtMostOnce, maxHeldBytes = 1_000): HandlerFixture {
-	const flow = createFlow(1, repeat);
+/** Creates a handler with scripted targets, by default one. */
+export function createHandlerFixture(
+	repeat = RepeatRule.AtMostOnce,
+	maxHeldBytes = 1_000,
+	keys: IKeyCheck = noKeyCheck,
+	manifest = createFlowManifest(repeat),
+	keyDigests: IKeyDigests = createKeyDigests(),
+	targets = 1,
+): HandlerFixture {
+	const flow = createFlow(targets, repeat, undefined, undefined, openStartGate, keys);
 	const { timers } = flow;
 	const metrics = new EntryMetrics({ version: '1', instance: own.instance, region, zone });
 	metrics.setServices(['bookings']);
@@ -80,9 +92,15 @@
 		new AtMostOnceLedger(own, { maxAnswerBytes: 1_000, maxTickets: 10 }),
 		{ findEntry: instance => (instance === neighbour.own.instance ? neighbour : undefined) },
 	);
-	const router = new RequestRouter(createRouterContext(flow, runs, metrics), tickets, timers, openStartGate);
+	const router = new RequestRouter(
+		createRouterContext(flow, runs, metrics),
+		tickets,
+		timers,
+		openStartGate,
+		keys,
+	);
 	let isLeaving = false;
-	const manifest = createFlowManifest(repeat);
+	const index = new ManifestIndex(manifest);
 	const accepted = { version: 1 as ManifestVersion, digest: '', document: '', manifest, source: 'platform' };
 	const createCandidate = (instance: InstanceId): LookupCandidate => ({
 		instance,
@@ -96,8 +114,8 @@
 	});
 	const handler = new CallHandler(
 		{ id: own.instance, region, zone, boot: own.boot },
-		new NativeCallerDialect(),
-		{ getCurrent: () => ({ accepted, index: new ManifestIndex(manifest) }) },
+		new NativeCallerDialect(keyDigests),
+		{ getCurrent: () => ({ accepted, index }) },
 		{
 			listCandidates: () => [createCandidate(neighbour.own.instance)],
 			receiveViews: () => [],
@@ -118,6 +136,7 @@
 		metrics,
 		timers,
 		new SeededRandom(1),
+		keys,
 	);
 	return {
 		handler,
@@ -130,7 +149,8 @@
 			issuer === 'own'
 				? tickets.issueBatch(1, timers.getNow())[0]!
 				: formatTicket({ issuer: neighbour.own, number: 1, expiresMs: 120_000 }, signer),
-		send: (ticket, body = 'pay') => sendCall(handler, createHead(ticket), body),
+		send: (ticket, body = 'pay', keyDigest) =>
+			sendCall(handler, { ...createHead(ticket), ...(keyDigest === undefined ? {} : { keyDigest }) }, body),
 		setLeaving: () => {
 			isLeaving = true;
 		},
@@ -144,6 +164,7 @@
 		isCut: () => false,
 		pickNeighbour: () => undefined,
 		isCountingAttempts: () => true,
+		isConfirmingKeys: () => true,
 		noteRelayEnd: () => undefined,
 		watchReturned: () => undefined,
 		listOffers: () => [],
