Add a call by which entries share the demand of organisations

Reports to a coordinator and sums between coordinators are two parts of one call, with packed lists of numbers and a hash for each organisation.

--- a/src/core/telemetry/common/entryMetricLabels.ts
+++ b/src/core/telemetry/common/entryMetricLabels.ts
@@ -58,6 +58,28 @@
 	Received = 'received',
 }
 
+/** What became of requests of organisations with a limit. */
+export enum LimitResult {
+	Admitted = 'admitted',
+	Refused = 'refused',
+	/** Admitted and then not run. */
+	Credited = 'credited',
+}
+
+export enum LimitMessageKind {
+	/** From an entry to the coordinator of its zone. */
+	Report = 'report',
+	/** From one coordinator to another. */
+	Sums = 'sums',
+}
+
+export enum LimitMessageResult {
+	Done = 'done',
+	Failed = 'failed',
+	/** The receiver is of a release without shared limits. */
+	Unsupported = 'unsupported',
+}
+
 export enum SentAwayResult {
 	Answered = 'answered',
 	/** Refused by the other region without running; this entry decides again how to run the request. */
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -31,6 +31,8 @@
 	ForwardRequestRequest,
 	ForwardRequestResponse,
 	ShareCrashesRequest,
+	ShareDemandRequest,
+	ShareDemandResponse,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import {
 	ExchangeViewsResponseSchema,
@@ -59,6 +61,8 @@
 import { SessionDrainer } from './sessionDrainer';
 import { setSessionWindow, windowSettings } from './flowWindows';
 import { LingeringSockets } from './lingeringSockets';
+import type { DemandReceiver } from '../limits/demandPeers';
+import { serveDemand } from '../limits/demandPeers';
 import type { AddReader } from '../storeRelay/peerFeeds';
 import { serveFeed } from '../storeRelay/peerFeeds';
 import { createFaultMessage, PeerSink } from './peerSink';
@@ -107,6 +111,7 @@
 		private readonly loopLag: ILoopLag,
 		certificates: CertificateStore | undefined,
 		private readonly storeFeeds?: IStoreFeedServer,
+		private readonly demandReceiver?: DemandReceiver,
 	) {
 		super();
 		const routes = (router: ConnectRouter): void => {
@@ -124,6 +129,7 @@
 				findStreamOrigin: ({ streamKey }) => this.createOriginAnswer(streamKey),
 				fetchManifest: () => this.handler.describeManifest(),
 				followStore: (request, context) => this.serveStoreFeed(request, context),
+				shareDemand: request => this.serveDemand(request),
 				forwardRequest: (requests, context) => this.serveForwarded(requests, context),
 			});
 		};
@@ -192,6 +198,13 @@
 		return serveFeed(request, (feed, observer) => storeFeeds.addReader(feed, observer), signal);
 	}
 
+	private serveDemand(request: ShareDemandRequest): ShareDemandResponse {
+		if (this.demandReceiver === undefined) {
+			throw new ConnectError('this entry does not share limits', Code.Unimplemented);
+		}
+		return serveDemand(request, this.demandReceiver);
+	}
+
 	private async *serveForwarded(
 		requests: AsyncIterable<ForwardRequestRequest>,
 		context: HandlerContext,
