Refuse requests beyond the limit of their organisation

The check comes after the plan and before the body is read, for requests that callers sent to this entry; a forwarded request was counted by its sender. A request that was admitted and then not run is credited. Without a limit in the manifest there is no timer, message or work for a request.

Counters, three gauges and log lines show the state; the organisation is not a label.

--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -84,6 +84,17 @@
 		'Bytes of views exchanged with peers, before framing.',
 		'direction',
 	),
+	limitRequests: createDefinition(
+		'limit_requests_total',
+		'Requests of organisations with a limit, by what became of them.',
+		'result',
+	),
+	limitMessages: createDefinition(
+		'limit_messages_total',
+		'Messages sent to share the limits of organisations, by result.',
+		'kind',
+		'result',
+	),
 	auditRecords: createDefinition('audit_records_total', 'Records of the audit trail.', 'kind'),
 };
 
@@ -117,6 +128,18 @@
 		'certificate_expiry_timestamp_seconds',
 		'Unix time at which the certificate in use expires; absent without TLS.',
 	),
+	limitedOrganisations: createDefinition(
+		'limited_organisations',
+		'Organisations whose requests are not all admitted here because of their limit.',
+	),
+	limitCoordinator: createDefinition(
+		'limit_coordinator',
+		'1 when the entry coordinates the limits of its zone, else 0.',
+	),
+	limitAnswerAge: createDefinition(
+		'limit_answer_age_seconds',
+		'Time since the last answer of the limit coordinator; absent without limits.',
+	),
 	heldBytes: createDefinition('held_body_bytes', 'Bytes of request bodies held in memory.'),
 	ticketsOutstanding: createDefinition(
 		'tickets_outstanding',
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -14,6 +14,9 @@
 import type {
 	ByteDirection,
 	ExchangeResult,
+	LimitMessageKind,
+	LimitMessageResult,
+	LimitResult,
 	ManifestResult,
 	PlatformReadKind,
 	SentAwayResult,
@@ -71,6 +74,8 @@
 	private readonly platformReads = this.createCounter(counterDefinitions.platformReads);
 	private readonly peerExchanges = this.createCounter(counterDefinitions.peerExchanges);
 	private readonly peerBytes = this.createCounter(counterDefinitions.peerBytes);
+	private readonly limitRequests = this.createCounter(counterDefinitions.limitRequests);
+	private readonly limitMessages = this.createCounter(counterDefinitions.limitMessages);
 	private readonly auditRecords = this.createCounter(counterDefinitions.auditRecords);
 
 	private readonly info = this.createGauge(gaugeDefinitions.info);
@@ -90,6 +95,9 @@
 	private readonly platformLastRead = this.createGauge(gaugeDefinitions.platformLastRead);
 	private readonly certificateExpiry = this.createGauge(gaugeDefinitions.certificateExpiry);
 	private readonly heldBytes = this.createGauge(gaugeDefinitions.heldBytes);
+	private readonly limitedOrganisations = this.createGauge(gaugeDefinitions.limitedOrganisations);
+	private readonly limitCoordinator = this.createGauge(gaugeDefinitions.limitCoordinator);
+	private readonly limitAnswerAge = this.createGauge(gaugeDefinitions.limitAnswerAge);
 	private readonly ticketsOutstanding = this.createGauge(gaugeDefinitions.ticketsOutstanding);
 
 	private readonly firstByte = this.createHistogram(histogramDefinitions.firstByte);
@@ -105,6 +113,7 @@
 		this.info.set({ ...processInfo }, 1);
 		// A gauge without labels starts at 0, which would mean a certificate that expired in 1970.
 		this.certificateExpiry.remove({});
+		this.limitAnswerAge.remove({});
 		collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: eventLoopSampleMs });
 	}
 
@@ -205,6 +214,26 @@
 		this.auditRecords.inc({ kind });
 	}
 
+	/** Records what became of a request of an organisation with a limit. */
+	noteLimit(result: LimitResult): void {
+		this.limitRequests.inc({ result });
+	}
+
+	noteLimitMessage(kind: LimitMessageKind, result: LimitMessageResult): void {
+		this.limitMessages.inc({ kind, result });
+	}
+
+	/** @param answerAgeMs Undefined if the coordinator has not answered. */
+	setLimits(limited: number, isCoordinator: boolean, answerAgeMs: number | undefined): void {
+		this.limitedOrganisations.set(limited);
+		this.limitCoordinator.set(isCoordinator ? 1 : 0);
+		if (answerAgeMs === undefined) {
+			this.limitAnswerAge.remove({});
+		} else {
+			this.limitAnswerAge.set(answerAgeMs / millisecondsPerSecond);
+		}
+	}
+
 	setReady(isReady: boolean): void {
 		this.ready.set(isReady ? 1 : 0);
 	}
--- a/src/entry/node/callHandler.ts
+++ b/src/entry/node/callHandler.ts
@@ -44,6 +44,7 @@
 import type { IEntrySources } from './environment/entryEnvironment';
 import type { EntryFleet, LookupCandidate } from './fleet/entryFleet';
 import type { OwnView } from './fleet/ownView';
+import type { LimitGate } from './limits/limitGate';
 import type { IndexedManifest, ManifestKeeper } from './manifest/manifestKeeper';
 import type { IPeerHandler } from './peers/peerServer';
 import type { ActiveRuns, RefusedCall } from './requests/activeRuns';
@@ -66,6 +67,7 @@
 >;
 export type CallHandlerRuns = Pick<ActiveRuns, 'has'>;
 export type CallHandlerStreams = Pick<StreamOriginKeeper, 'receive' | 'answer'>;
+export type CallHandlerLimits = Pick<LimitGate, 'admit'>;
 export type CallHandlerSources = Pick<IEntrySources, 'listMissing'>;
 
 /** Selects the entries that are named to a caller. */
@@ -101,6 +103,7 @@
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
+		private readonly limits: CallHandlerLimits,
 	) {}
 
 	findHold(): Promise<void> | undefined {
@@ -157,6 +160,10 @@
 			.andThen(plan => this.checkLeaving(plan, head));
 	}
 
+	admit(head: CallHead, plan: CallPlan): Result<CallPlan, RequestError> {
+		return this.limits.admit(head, plan);
+	}
+
 	planForwarded(head: CallHead, from: ForwardOrigin): Result<CallPlan, RequestError> {
 		return this.plan(head).andThen(plan => checkForwardedCall(plan, from, this.ownInstance.region));
 	}
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -43,6 +43,8 @@
 	findHold(): Promise<void> | undefined;
 	/** Decides by the head alone whether the call may go on to its body. */
 	plan(head: CallHead): Result<CallPlan, RequestError>;
+	/** Checks a call of a caller against the limit of its organisation; returns the plan if it may go on. */
+	admit(head: CallHead, plan: CallPlan): Result<CallPlan, RequestError>;
 	/** Adapts the refusal of a call with a ticket: the outcome may be unknown, since an earlier copy may have run. */
 	refuseTicketedCall(ticket: string, error: RequestError): RequestError;
 	/** Counts and records a call that ended before it was accepted. */
@@ -196,7 +198,7 @@
 			this.refuse(sink, call, findHeader(raw.lines, headers.ticket), head.error);
 			return;
 		}
-		const plan = this.handler.plan(head.value);
+		const plan = this.handler.plan(head.value).andThen(planned => this.handler.admit(head.value, planned));
 		if (plan.isErr()) {
 			this.refuse(sink, call, head.value.ticket, plan.error);
 			return;
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -37,6 +37,7 @@
 import type { EntryPlatform, IEntryEnvironment, IEntryPort } from './environment/entryEnvironment';
 import { EntryFleet } from './fleet/entryFleet';
 import { OwnView } from './fleet/ownView';
+import { EntryLimits } from './limits/entryLimits';
 import { ManifestKeeper } from './manifest/manifestKeeper';
 import { getManifestResult } from './manifest/manifestMetrics';
 import { EntryOperatorsSource } from './operatorsSource';
@@ -84,6 +85,7 @@
 	private readonly startGate: LoopLagGate;
 	private readonly runners: ServiceRunners;
 	private readonly ownView: OwnView;
+	private readonly limits: EntryLimits;
 	private readonly activeRuns: ActiveRuns;
 	private readonly streams: StreamOriginKeeper;
 	private readonly sleepDetector: SleepDetector;
@@ -171,7 +173,15 @@
 		this.streams = this.register(
 			new StreamOriginKeeper({ instance: id, region, zone }, new OriginPeers(id, this.fleet), this.timers),
 		);
-		this.activeRuns = new ActiveRuns(this.journal, this.metrics, this.heldBytes, this.timers, this.streams);
+		this.limits = this.register(this.createLimits());
+		this.activeRuns = new ActiveRuns(
+			this.journal,
+			this.metrics,
+			this.heldBytes,
+			this.timers,
+			this.streams,
+			this.limits.gate,
+		);
 		this.tickets = createTicketService(settings, this.bootId, this.fleet);
 		this.sleepDetector = this.register(this.createSleepDetector());
 		this.startHold = this.register(this.createStartHold());
@@ -197,6 +207,7 @@
 			this.startGate,
 			this.certificates.peers,
 			this.platform.relay,
+			this.limits.shared,
 		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
 		this.ports = environment.createPorts(this.callHandler);
@@ -319,6 +330,7 @@
 				tickets: this.tickets,
 				callHandler: this.callHandler,
 				heldBytes: this.heldBytes,
+				limits: this.limits,
 				timers: this.timers,
 			}),
 		);
@@ -455,9 +467,23 @@
 			this.metrics,
 			this.timers,
 			this.random,
+			this.limits.gate,
 		);
 	}
 
+	private createLimits(): EntryLimits {
+		return new EntryLimits({
+			instance: { ...this.settings.instance, boot: this.bootId },
+			isLeaving: () => this.ownView.isLeaving(),
+			manifests: this.manifests,
+			fleet: this.fleet,
+			metrics: this.metrics,
+			timers: this.timers,
+			random: this.random,
+			logger: this.logger,
+		});
+	}
+
 	private createOperatorsServer(programVersion: string): OperatorsServer {
 		const source = new EntryOperatorsSource(
 			{ ...this.settings.instance, boot: this.bootId, version: programVersion },
--- a/src/entry/node/entryTelemetry.ts
+++ b/src/entry/node/entryTelemetry.ts
@@ -13,6 +13,7 @@
 import type { CallHandler } from './callHandler';
 import type { HeldBytes } from './callers/bodyReader';
 import type { EntryFleet } from './fleet/entryFleet';
+import type { EntryLimits } from './limits/entryLimits';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
 import { countPeersByState } from './operatorsSource';
 import type { ServiceRunners } from './requests/serviceRunners';
@@ -32,6 +33,7 @@
 	readonly tickets: TicketService;
 	readonly callHandler: CallHandler;
 	readonly heldBytes: HeldBytes;
+	readonly limits: Pick<EntryLimits, 'updateMetrics'>;
 	readonly timers: ITimerService;
 }
 
@@ -66,7 +68,8 @@
 	}
 
 	private setGauges(): void {
-		const { heldBytes, tickets, callHandler, fleet, runners, targets } = this.components;
+		const { heldBytes, limits, tickets, callHandler, fleet, runners, targets } = this.components;
+		limits.updateMetrics();
 		this.metrics.setHeldBytes(heldBytes.getTotal());
 		this.metrics.setTicketsOutstanding(tickets.countUsedTickets());
 		this.metrics.setReady(callHandler.getReadiness().isReady);
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -6,6 +6,7 @@
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
+import { Outcome } from '../../../core/errors/common/outcome';
 import type { IRequestJournal } from '../../../core/explain/common/requestJournal';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { RequestId, StreamId } from '../../../core/ids/common/ids';
@@ -18,6 +19,7 @@
 import { RequestLifecycle } from '../../common/requests/requestLifecycle';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import type { HeldBytes } from '../callers/bodyReader';
+import type { LimitGate } from '../limits/limitGate';
 import type { StreamOriginKeeper } from '../streams/streamOriginKeeper';
 import type { AcceptedCall, FindOrigin, IRunObserver, RequestEnd } from './requestRun';
 import { RequestRun } from './requestRun';
@@ -49,6 +51,7 @@
 		private readonly heldBytes: HeldBytes,
 		private readonly timers: ITimerService,
 		private readonly streams: Pick<StreamOriginKeeper, 'noteBegun'>,
+		private readonly limits?: Pick<LimitGate, 'noteNotRun'>,
 	) {}
 
 	/** Returns the amount of work for requests so far. */
@@ -73,6 +76,7 @@
 		const { id, head, line, arrivedMs } = call;
 		const outcome = getOutcomeOf(error);
 		this.noteErrorKind(error.kind);
+		this.noteNotRun(head, outcome);
 		const nowMs = this.timers.getNow();
 		const labels = {
 			service: head?.service ?? unknownLabel,
@@ -136,6 +140,7 @@
 		this.ids.delete(run.call.id);
 		this.heldBytes.release(run.call.body.byteLength);
 		this.noteErrorKind(end.errorKind);
+		this.noteNotRun(run.call.head, end.outcome);
 		this.metrics.noteRequest(service, requestClass, end.outcome, end.errorKind);
 		if (end.firstByteMs !== undefined) {
 			this.metrics.noteFirstByte(service, requestClass, end.firstByteMs);
@@ -148,6 +153,12 @@
 		}
 	}
 
+	private noteNotRun(head: CallHead | undefined, outcome: Outcome): void {
+		if (head !== undefined && outcome === Outcome.NotRun) {
+			this.limits?.noteNotRun(head);
+		}
+	}
+
 	private noteErrorKind(kind: ErrorKind | undefined): void {
 		if (kind === ErrorKind.CallerGone) {
 			this.work.callerCloses++;
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -2,6 +2,7 @@
  * Creates a call handler with scripted targets: the ledger, router, journal and metrics are real, the network is not.
  */
 
+import { ok } from 'neverthrow';
 import { SeededRandom } from '../../../base/common/random';
 import { RingRequestJournal } from '../../../core/explain/common/ringRequestJournal';
 import type {
@@ -118,6 +119,7 @@
 		metrics,
 		timers,
 		new SeededRandom(1),
+		{ admit: (_, plan) => ok(plan) },
 	);
 	return {
 		handler,
