--- a/src/entry/common/limits/fleetBucket.ts
+++ b/src/entry/common/limits/fleetBucket.ts
@@ -23,7 +23,7 @@
 /** The part of the limit that a coordinator may use: all of it unless zones are cut off. */
 export type UsablePart = number;
 
-const recentTimeMs = 300;
+const recentTimeMs = 200;
 const demandTimeMs = 1_000;
 const longTermTimeMs = 5_000;
 const msPerSecond = 1_000;
@@ -32,7 +32,7 @@
  * Time in which the tokens in the bucket may be used. Reports, sums and answers together take about half a second, and a
  * shorter time would admit the same tokens several times before the use is known.
  */
-const surplusSeconds = 0.6;
+const surplusSeconds = 1;
 
 /** Time in which a debt is paid back. */
 const debtSeconds = 1;
--- a/src/entry/common/limits/limitCoordinator.ts
+++ b/src/entry/common/limits/limitCoordinator.ts
@@ -65,6 +65,9 @@
 /** Demand of a zone above this part of an equal share of the limit is sent at each interval. */
 const importantPart = 0.5;
 
+/** Demand above this part of the limit makes entries ask for answers as often as those with requests do. */
+const closePart = 0.5;
+
 /**
  * Weight of a zone's entries in its share of the limit, against its demand before a cut. A zone without demand before
  * the cut can thus still admit some.
@@ -81,6 +84,7 @@
 	private activeSinceMs = 0;
 	private fractionsMs = Number.NEGATIVE_INFINITY;
 	private fractions: readonly AdmittedFraction[] = [];
+	private isClose = false;
 
 	constructor(
 		private readonly self: CoordinatorIdentity,
@@ -119,7 +123,7 @@
 		if (nowMs - this.fractionsMs >= fractionLifetimeMs) {
 			this.computeFractions(nowMs);
 		}
-		return { isReady, fractions: isReady ? this.fractions : [] };
+		return { isReady, isClose: this.isClose, fractions: isReady ? this.fractions : [] };
 	}
 
 	receiveSums(sums: ZoneSums, nowMs: number): void {
@@ -302,6 +306,7 @@
 		this.applyCuts(nowMs);
 		const heard = this.listHeardZones(nowMs);
 		const fractions: AdmittedFraction[] = [];
+		this.isClose = false;
 		for (const [key, state] of this.states) {
 			if (this.table.findByKey(key) === undefined) {
 				continue;
@@ -310,6 +315,7 @@
 			const part = this.computeUsablePart(state);
 			bucket.advance(organisation.limit, part, nowMs);
 			state.demand = bucket.sumDemand(heard);
+			this.isClose ||= state.demand > closePart * organisation.limit.perSecond;
 			state.fraction = bucket.computeFraction(organisation.limit, part, state.demand);
 			if (state.fraction < 1) {
 				fractions.push({ key, fraction: state.fraction, fleetDemand: state.demand });
--- a/src/entry/common/limits/limitMessages.ts
+++ b/src/entry/common/limits/limitMessages.ts
@@ -37,6 +37,8 @@
 export interface DemandAnswer {
 	/** False while the coordinator has just started and does not know the demand of its zone yet. */
 	readonly isReady: boolean;
+	/** Whether the demand of an organisation is so high that a jump would soon exceed its limit. */
+	readonly isClose: boolean;
 	/** Organisations that are not listed may be admitted completely. */
 	readonly fractions: readonly AdmittedFraction[];
 }
--- a/src/entry/common/limits/limitReporter.ts
+++ b/src/entry/common/limits/limitReporter.ts
@@ -33,9 +33,14 @@
 	readonly observeAnswer: (answer: DemandAnswer) => void;
 }
 
-/** Interval while there are requests to report, and the one at which an entry without any gets answers. */
+/**
+ * Interval while there are requests to report, and the one of an entry without any. Such an entry admits its next request
+ * by its last answer; with 500 ms between answers, a jump to seven times the demand at 360 entries admitted 1.11 of what
+ * the limit allows in 8 s.
+ */
 const minIntervalMs = 250;
 const idleIntervalMs = 500;
+const maxIntervalMs = 1_000;
 
 /** Shortest time between two reports when demand grows suddenly. */
 const urgentIntervalMs = 100;
@@ -169,8 +174,8 @@
 			observeAnswer(answer);
 		}
 		const bytes = callBytes + report.items.length * itemBytes + answer.fractions.length * fractionBytes;
-		this.intervalMs = Math.min(idleIntervalMs, Math.max(minIntervalMs, bytes / bytesPerMs));
-		const isIdle = report.items.length === 0 && !admission.hasUnreported();
+		this.intervalMs = Math.min(maxIntervalMs, Math.max(minIntervalMs, bytes / bytesPerMs));
+		const isIdle = report.items.length === 0 && !admission.hasUnreported() && !answer.isClose;
 		this.scheduleReport(isIdle ? idleIntervalMs : this.intervalMs);
 	}
 
--- a/src/entry/node/limits/demandCodec.ts
+++ b/src/entry/node/limits/demandCodec.ts
@@ -88,9 +88,10 @@
 }
 
 /** A fraction is rounded down, so that one below 1 stays below. */
-export function encodeAnswer({ isReady, fractions }: DemandAnswer): ShareDemandResponse {
+export function encodeAnswer({ isReady, isClose, fractions }: DemandAnswer): ShareDemandResponse {
 	return create(ShareDemandResponseSchema, {
 		isReady,
+		isClose,
 		organisationKeys: fractions.map(({ key }) => key),
 		fractions: fractions.map(({ fraction }) => Math.floor(fraction * fractionUnits)),
 		fleetDemands: fractions.map(({ fleetDemand }) => toUint32(fleetDemand)),
@@ -100,6 +101,7 @@
 export function decodeAnswer(message: ShareDemandResponse): DemandAnswer {
 	return {
 		isReady: message.isReady,
+		isClose: message.isClose,
 		fractions: message.organisationKeys.map((key, index) => ({
 			key: key as OrganisationKey,
 			fraction: (message.fractions[index] ?? 0) / fractionUnits,
