--- a/src/entry/node/entryTelemetry.ts
+++ b/src/entry/node/entryTelemetry.ts
@@ -14,6 +14,7 @@
 import type { HeldBytes } from './callers/bodyReader';
 import type { EntryFleet } from './fleet/entryFleet';
 import type { KeyChecker } from './keyChecker';
+import type { EntryLimits } from './limits/entryLimits';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
 import { countPeersByState } from './operatorsSource';
 import type { ServiceRunners } from './requests/serviceRunners';
@@ -35,6 +36,7 @@
 	readonly heldBytes: HeldBytes;
 	/** Given if the settings bound the time until a withdrawn key stops working. */
 	readonly keyChecker: Pick<KeyChecker, 'getAgeMs'> | undefined;
+	readonly limits: Pick<EntryLimits, 'updateMetrics'>;
 	readonly timers: ITimerService;
 }
 
@@ -69,7 +71,8 @@
 	}
 
 	private setGauges(): void {
-		const { heldBytes, tickets, callHandler, fleet, runners, targets } = this.components;
+		const { heldBytes, limits, tickets, callHandler, fleet, runners, targets } = this.components;
+		limits.updateMetrics();
 		this.metrics.setHeldBytes(heldBytes.getTotal());
 		this.metrics.setTicketsOutstanding(tickets.countUsedTickets());
 		this.metrics.setReady(callHandler.getReadiness().isReady);
