Run the test of metrics with a limit, so that its metrics are recorded

The test failed because three new metrics had no samples: its manifest had no organisation with a limit. It has one now, far above the requests that the test sends, and waits for the metrics of limits before it reads the page. The expectation is the same.

--- a/src/bin/test/metrics.test.ts
+++ b/src/bin/test/metrics.test.ts
@@ -51,7 +51,9 @@
 	return JSON.stringify({
 		regions,
 		links: [{ between: ['kingston', 'montego'], oneWayMs: 1, megabitsPerSecond: 100 }],
-		organisations: [{ name: 'harbour-hotel', home: 'kingston' }],
+		organisations: [
+			{ name: 'harbour-hotel', home: 'kingston', limit: { unit: 'requests', perSecond: 1_000 } },
+		],
 		services: [
 			{
 				name: 'bookings',
@@ -164,6 +166,8 @@
 			const [ticket] = (JSON.parse(lookup) as { tickets: string[] }).tickets;
 			expect(await sendCall(here!, '/run/pay', ticket)).toBe(200);
 			await waitUntil(async () => hasSamples(await fetchMetrics(), 'anvilroad_targets'));
+			await waitUntil(async () => hasSamples(await fetchMetrics(), 'anvilroad_limit_answer_age_seconds'));
+			await waitUntil(async () => hasSamples(await fetchMetrics(), 'anvilroad_limit_messages_total'));
 			freezeEventLoop();
 			await waitUntil(async () => hasSamples(await fetchMetrics(), 'anvilroad_event_loop_late_seconds'));
 			const page = await fetchMetrics();
