Read the slowness in load headers, and tell which can't be read

A target that reports how long its work takes at present was heard only for its counts. A header that can't be read is named in the answer's metadata. One whose slowness alone can't be read still gives the counts.

--- a/src/entry/common/dialect/nativeTargetDialect.ts
+++ b/src/entry/common/dialect/nativeTargetDialect.ts
@@ -6,9 +6,10 @@
 import type { AnswerHead } from '../callers/answerSink';
 import type { HeaderLine } from '../callers/callHead';
 import { findHeader, listForwardedLines } from '../callers/callHead';
-import { parseReportedLoad } from '../scheduling/reportedLoad';
+import { readReportedLoad } from '../scheduling/reportedLoad';
 import type { AnswerMetadata, ITargetDialect, SentAttempt } from './targetDialect';
 
+const loadSeparator = '/';
 const refusalStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 export class NativeTargetDialect implements ITargetDialect {
@@ -26,13 +27,15 @@
 
 	readAnswerHead(head: AnswerHead, { attemptId, target }: SentAttempt): AnswerMetadata {
 		const echoed = findHeader(head.lines, headers.attempt);
+		const { load, unreadable } = readReportedLoad(findHeader(head.lines, headers.targetLoad), loadSeparator);
 		const isMismatched = echoed !== undefined && echoed !== String(attemptId);
 		return {
 			isNotRun: refusalStatuses.has(head.status) && findHeader(head.lines, headers.targetNotRun) === '1',
 			fault: isMismatched
 				? `${target} sent attempt id ${echoed} in the answer to attempt ${attemptId}`
 				: undefined,
-			load: parseReportedLoad(findHeader(head.lines, headers.targetLoad)),
+			load,
+			unreadableLoad: unreadable,
 			isLeaving: findHeader(head.lines, headers.targetLeaving) === '1',
 		};
 	}
--- a/src/entry/common/dialect/targetDialect.ts
+++ b/src/entry/common/dialect/targetDialect.ts
@@ -32,6 +32,8 @@
 	/** Why the answer cannot be a complete answer to this attempt, or undefined. */
 	readonly fault: string | undefined;
 	readonly load: ReportedLoad | undefined;
+	/** The load header if it, or one of its known figures, can't be read. */
+	readonly unreadableLoad?: string | undefined;
 	/** Refusals for want of room that the target bears in a second, if it says that it is brittle. */
 	readonly refusalLimit?: number | undefined;
 	/** The target accepts no new requests. */
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -115,6 +115,32 @@
 	readonly slots: number;
 	/** Age of the report when it arrived, in milliseconds. */
 	readonly ageMs: number;
+	/** How long work takes at the target now, as a multiple of the usual time; undefined if the target does not say. */
+	readonly slowness?: number | undefined;
+}
+
+/** Where the estimates of a target's slowness come from. */
+export enum SlownessSource {
+	/** The target reports its slowness. */
+	Reports = 'reports',
+	/** The target reports none, and its answer times are compared with their estimates. */
+	AnswerTimes = 'answer-times',
+	/** Nothing is known of the target yet, so it counts as the others of its service. */
+	OtherTargets = 'other-targets',
+}
+
+/** The estimated slowness of a target: how long work takes there, as a multiple of the usual time. */
+export interface TargetSlowness {
+	readonly target: TargetId;
+	/** Mean over seconds, corrected by answer times. */
+	readonly lasting: number;
+	/** Estimate for now, corrected by answer times. */
+	readonly recent: number;
+	/** Factor by which answer times correct the reports, or the whole slowness without reports. */
+	readonly correction: number;
+	readonly source: SlownessSource;
+	/** Age of the last report of the slowness, in milliseconds; undefined without one. */
+	readonly reportAgeMs: number | undefined;
 }
 
 /** How an attempt ended. */
@@ -241,6 +267,8 @@
 	cancel(requestId: RequestId, nowMs: number): void;
 	/** Returns the capacity for the given request, or for a normal request. */
 	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom;
+	/** Lists how slow the targets are by estimate, for schedulers that estimate it. */
+	listSlowness?(nowMs: number): readonly TargetSlowness[];
 	/** Returns the use of a target, with a limit of 0 for an unknown target. */
 	measureTarget(target: TargetId): TargetRoom;
 }
