Estimate how slow targets are from what they report

Targets of unequal speed were told apart by answer times alone, after some ten answers and only beyond 1.6 times the median. Each target now has a lasting slowness, the mean of some independent reports, and a recent one that begins at the last report and returns to the lasting one by the autocorrelation that the service's reports show. Expected times, capacity, the queue's work, free slots and the pending work assumed at an engine follow them. Answer times are compared with the estimate that includes the reports, so a slowness doesn't count twice and a target that claims to be fast is corrected.

--- a/src/entry/common/workScheduling/queueEstimates.ts
+++ b/src/entry/common/workScheduling/queueEstimates.ts
@@ -60,8 +60,8 @@
 			const { plainRunMs } = this.policy.estimate;
 			return { request, idleFirstByteMs: 0, workMs: plainRunMs, minFirstByteMs };
 		}
-		const idleFirstByteMs = soonest.computeIdleFirstByteMs(request);
-		const workMs = this.computeWorkMs(soonest, idleFirstByteMs);
+		const idleFirstByteMs = soonest.estimateIdleFirstByteMs(request);
+		const workMs = this.computeWorkMs(soonest, soonest.computeIdleFirstByteMs(request));
 		return { request, idleFirstByteMs, workMs, minFirstByteMs };
 	}
 
@@ -181,9 +181,11 @@
 
 /**
  * Counts the targets that work for this entry (proxy process): the other entries have queues as well, and share the
- * engines. Plain targets count as a whole, since their queues are short and differ between entries.
+ * engines. Plain targets count as a whole, since their queues are short and differ between entries. A target that
+ * reports its slowness counts by the work that it does.
  */
 function countOwnTargets(available: readonly TargetLoadModel[]): number {
 	const [first] = available;
-	return Math.max(1, available.length) * (first?.isEngine === true ? first.description.share : 1);
+	const speed = available.length === 0 ? 1 : available.reduce((sum, target) => sum + target.speed, 0);
+	return speed * (first?.isEngine === true ? first.description.share : 1);
 }
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -269,9 +269,10 @@
 ): string {
 	const waitMs = Math.round(target.estimateWaitMs(nowMs));
 	const limits = target.describeLimits(nowMs);
+	const pace = describePace(target, nowMs);
 	const load =
 		`${target.running} own of ${Math.round(target.estimateRunningRequests(nowMs))} running, ${waitMs} ms queued ahead, ` +
-		`${Math.round(prefillMs)} ms prefill, first byte in ${Math.round(firstByteMs)} ms, ` +
+		`${Math.round(prefillMs)} ms prefill${pace}, first byte in ${Math.round(firstByteMs)} ms, ` +
 		`${Math.round(request.deadlineMs - nowMs)} ms left${describePromptSize(request)}${isLate ? ', late' : ''}` +
 		(limits === undefined ? '' : `, ${limits}`);
 	if (shared === undefined) {
@@ -283,3 +284,11 @@
 		: `not cached, fetch source ${fetchSource?.id ?? 'none'}`;
 	return `${rank} part ${shared.id}, ${source}, ${load}`;
 }
+
+/** Describes the slowness that the target reports; empty if it reports none. */
+function describePace(target: TargetLoadModel, nowMs: number): string {
+	const { lasting, recent, reportAgeMs } = target.describeSlowness(nowMs);
+	return reportAgeMs === undefined
+		? ''
+		: `, slowness ${recent.toFixed(2)} now and ${lasting.toFixed(2)} lasting, reported ${Math.round(reportAgeMs)} ms ago`;
+}
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -9,6 +9,10 @@
  *
  * A plain target runs as many requests as it has slots. Further requests wait until a slot becomes free.
  *
+ * If targets report how slow they are (`targetPace.ts`), estimates are multiplied by that pace, and observed times are
+ * compared with the multiplied estimate. What answer times add is therefore only what the reports do not explain, and a
+ * target that claims to be faster than it is gets corrected.
+ *
  * The observed times of each target are compared with the estimate, and their ratio corrects later estimates. An
  * engine that becomes slow is recognised after a few answers, and then avoided as soon as another target would
  * answer sooner, whether or not that target has the prompt cached.
@@ -17,16 +21,23 @@
 import type { RequestId, SoftwareVersion, TargetId } from '../../../core/ids/common/ids';
 import type { PromptShape } from '../prompts/promptShape';
 import { computeTextHash } from '../scheduling/prefixRanking';
-import type { ReportedLoad, SchedulableRequest, SchedulableTarget } from '../scheduling/serviceScheduler';
+import type {
+	ReportedLoad,
+	SchedulableRequest,
+	SchedulableTarget,
+	TargetSlowness,
+} from '../scheduling/serviceScheduler';
 import { AttemptEnd } from '../scheduling/serviceScheduler';
 import { BrittleTargetLimiter } from './brittleTargetLimiter';
 import type { ColdTargetLimit } from './coldTargetRateLimiter';
 import { ColdTargetRateLimiter } from './coldTargetRateLimiter';
 import type { ReportedRequests, TypicalLoad } from './otherRequests';
 import { OtherRequests } from './otherRequests';
+import { PaceMemory } from './paceMemory';
 import { PendingPrefill } from './pendingPrefill';
 import { PrefixCacheModel } from './prefixCacheModel';
 import { getUrgency } from './requestOrder';
+import { TargetPace } from './targetPace';
 import type { WorkEstimateParameters, WorkQueueParameters, WorkRetryParameters } from './workPolicy';
 
 /** A running attempt that this entry sent to the target. */
@@ -37,6 +48,8 @@
 	readonly prefillMs: number;
 	/** Time to the first byte as estimated when the attempt was sent, without the slowness of the target. */
 	readonly expectedFirstByteMs: number;
+	/** The pace of the target as estimated when the attempt was sent. */
+	readonly pace: number;
 	readonly isIsolated: boolean;
 	readonly urgency: number;
 	hasFirstByte: boolean;
@@ -54,6 +67,9 @@
 /** Weight of one answer in the failure rate: some ten answers reveal a target that fails part of its requests. */
 const failureUpdateWeight = 0.1;
 
+/** Answers that count as much as the typical slowness; one answer in a slow period makes no slow target. */
+const typicalSlownessAnswers = 4;
+
 /** Load, cache contents, speed and failures of one target, as estimated by this entry. */
 export class TargetLoadModel {
 	readonly id: TargetId;
@@ -68,7 +84,10 @@
 	private connectingRequest: RequestId | undefined;
 	private otherRequests: OtherRequests;
 	private prefixCache: PrefixCacheModel;
+	/** Slowness by the reports of the target; 1 if it reports none. */
+	readonly pace: TargetPace;
 	private measuredSlowness = 1;
+	private measuredAnswers = 0;
 	private typicalSlowness = 1;
 	private averageFailures = 0;
 	private lastLoad: ReportedLoad | undefined;
@@ -80,12 +99,14 @@
 		private current: SchedulableTarget,
 		private readonly estimate: WorkEstimateParameters,
 		private readonly queueParameters: WorkQueueParameters,
+		paceMemory = new PaceMemory(estimate),
 	) {
 		this.id = current.id;
 		this.idHash = computeTextHash(current.id);
 		this.prefixCache = new PrefixCacheModel(current.registered?.cacheTokens ?? 0);
 		this.pendingPrefill = new PendingPrefill(estimate.pendingPrefillTimeConstantMs);
 		this.otherRequests = new OtherRequests(estimate);
+		this.pace = new TargetPace(paceMemory, estimate);
 	}
 
 	get description(): SchedulableTarget {
@@ -111,11 +132,33 @@
 		return this.averageFailures;
 	}
 
-	/** Moving average of the observed time divided by the estimated time. */
+	/** Moving average of the observed time divided by the estimated time, with the pace that the target reports. */
 	get ownSlowness(): number {
 		return this.measuredSlowness;
 	}
 
+	/** Whether answer times have been compared with estimates, or the target has to be taken as it is without. */
+	get hasOwnSlowness(): boolean {
+		return this.measuredAnswers > 0 || !this.pace.isReported;
+	}
+
+	/** Work that the target does in a time, relative to the usual; 1 if targets do not report their slowness. */
+	get speed(): number {
+		return 1 / this.pace.lasting;
+	}
+
+	describeSlowness(nowMs: number): TargetSlowness {
+		const { correction, pace } = this;
+		return {
+			target: this.id,
+			lasting: pace.lasting * correction,
+			recent: pace.estimate(nowMs) * correction,
+			correction,
+			source: pace.source,
+			reportAgeMs: pace.findReportAgeMs(nowMs),
+		};
+	}
+
 	/** Sets the median slowness of the service's targets, which applies to this target unless it is clearly slower. */
 	setTypicalSlowness(typical: number): void {
 		this.typicalSlowness = typical;
@@ -126,20 +169,33 @@
 		return this.otherRequests.lastReport;
 	}
 
-	/** Sets the load that the engines of the service reported on average. */
-	setTypicalLoad(typical: TypicalLoad): void {
-		this.otherRequests.setTypicalLoad(typical);
+	/**
+	 * Sets the load that the engines of the service reported on average. Entries send each request where its answer
+	 * begins first, so pending work takes about equally long everywhere, and a slow engine has less of it.
+	 */
+	setTypicalLoad({ report, prefillMsPerPending }: TypicalLoad): void {
+		const pending = report.pending * this.speed;
+		this.otherRequests.setTypicalLoad({ report: { ...report, pending }, prefillMsPerPending });
 	}
 
 	/**
 	 * The mean of a few answers varies by a third in both directions. Using it directly would move requests from the
 	 * target that caches their prompt to one that does not.
 	 */
-	private get slowness(): number {
-		const ratio = this.measuredSlowness / this.typicalSlowness;
+	private get correction(): number {
+		const ratio = this.hasOwnSlowness ? this.measuredSlowness / this.typicalSlowness : 1;
 		return ratio > this.estimate.slowTargetRatio ? this.measuredSlowness : this.typicalSlowness;
 	}
 
+	/** Estimates the slowness of work that takes `workMs` at the usual speed and begins now, halfway through it. */
+	private estimateSlowness(workMs: number, nowMs: number): number {
+		return this.correction * this.estimatePace(workMs, nowMs);
+	}
+
+	private estimatePace(workMs: number, nowMs: number): number {
+		return this.pace.estimate(nowMs + (workMs * this.pace.lasting) / 2);
+	}
+
 	/** Updates the description of the target. After a restart the cache is empty and earlier measurements are void. */
 	setTarget(target: SchedulableTarget): void {
 		const hasRestarted = target.registered?.generation !== this.current.registered?.generation;
@@ -148,6 +204,8 @@
 			this.prefixCache = new PrefixCacheModel(target.registered?.cacheTokens ?? 0);
 			this.otherRequests = new OtherRequests(this.estimate);
 			this.measuredSlowness = 1;
+			this.measuredAnswers = 0;
+			this.pace.clear();
 			this.averageFailures = 0;
 			this.consecutivePauses = 0;
 			this.pausedUntilMs = 0;
@@ -242,7 +300,8 @@
 		if (!hasSlot || !this.isEngine) {
 			return hasSlot;
 		}
-		const aheadMs = this.estimateAheadMs(query.urgency, nowMs) * this.slowness;
+		const workMs = this.estimateAheadMs(query.urgency, nowMs);
+		const aheadMs = workMs * this.estimateSlowness(workMs, nowMs);
 		return aheadMs <= maxPrefillAheadMs * (query.isLate ? latePrefillShare : 1);
 	}
 
@@ -294,12 +353,14 @@
 	 */
 	estimateFirstByteMs(request: SchedulableRequest, nowMs: number, fetchedTokens = 0): number {
 		const waitMs = this.estimateWaitMs(nowMs, getUrgency(request));
-		return (waitMs + this.computeIdleFirstByteMs(request, fetchedTokens)) * this.slowness;
+		const workMs = waitMs + this.computeIdleFirstByteMs(request, fetchedTokens);
+		return workMs * this.estimateSlowness(workMs, nowMs);
 	}
 
 	/** Estimates the wait of a request at the target in milliseconds, with the slowness of the target. */
 	estimateBacklogMs(urgency: number, nowMs: number): number {
-		return this.estimateWaitMs(nowMs, urgency) * this.slowness;
+		const waitMs = this.estimateWaitMs(nowMs, urgency);
+		return waitMs * this.estimateSlowness(waitMs, nowMs);
 	}
 
 	/**
@@ -323,7 +384,7 @@
 		nowMs: number,
 	): number {
 		const isIdle = this.attempts.size === 0;
-		const estimateMs = isIdle ? Math.min(firstByteMs, this.computeIdleFirstByteMs(request)) : firstByteMs;
+		const estimateMs = isIdle ? Math.min(firstByteMs, this.estimateIdleFirstByteMs(request)) : firstByteMs;
 		return this.estimateRestMs(estimateMs, getUrgency(request), share, nowMs);
 	}
 
@@ -331,7 +392,10 @@
 	private estimateProgressMs(urgency: number, share: number, nowMs: number): number {
 		for (const attempt of this.attempts.values()) {
 			if (!attempt.hasFirstByte && attempt.urgency <= urgency) {
-				return Math.min(nowMs - attempt.startedMs, attempt.prefillMs * this.slowness * share);
+				return Math.min(
+					nowMs - attempt.startedMs,
+					attempt.prefillMs * this.estimateSlowness(0, nowMs) * share,
+				);
 			}
 		}
 		return 0;
@@ -359,6 +423,11 @@
 		return this.estimate.idleFirstEventMs + this.computePrefillMs(work.prompt, fetchedTokens);
 	}
 
+	/** Estimates the time to the first byte if the target were idle, at the pace that it reports. */
+	estimateIdleFirstByteMs(request: SchedulableRequest): number {
+		return this.computeIdleFirstByteMs(request) * this.pace.lasting;
+	}
+
 	noteStart(request: SchedulableRequest, isIsolated: boolean, fetchedTokens: number, nowMs: number): void {
 		const prompt = request.work?.prompt;
 		const prefillMs = prompt === undefined ? 0 : this.computePrefillMs(prompt, fetchedTokens);
@@ -370,6 +439,7 @@
 			startedMs: nowMs,
 			prefillMs,
 			expectedFirstByteMs,
+			pace: this.estimatePace(expectedFirstByteMs, nowMs),
 			isIsolated,
 			urgency,
 			hasFirstByte: false,
@@ -402,7 +472,7 @@
 		this.brittleLimiter.noteAnswered(requestId);
 		this.consecutivePauses = 0;
 		if (this.isEngine) {
-			this.updateSlowness((nowMs - attempt.startedMs) / Math.max(1, attempt.expectedFirstByteMs));
+			this.updateSlowness(attempt, nowMs);
 		}
 		this.pendingPrefill.noteCompleted(attempt.urgency, attempt.prefillMs, nowMs);
 	}
@@ -459,13 +529,15 @@
 		// The request with whose answer the report came is not pending any more.
 		const ownPending = Math.max(0, this.pendingPrefill.count - 1);
 		const pending = Math.min(requests, Math.max(0, load.waiting - ownPending));
-		this.otherRequests.setReport({ running: requests - pending, pending, timeMs: nowMs - load.ageMs });
+		const timeMs = nowMs - load.ageMs;
+		this.otherRequests.setReport({ running: requests - pending, pending, timeMs });
+		this.pace.noteReport(load.slowness, timeMs);
 	}
 
 	private noteAnswered(attempt: RunningAttempt | undefined, nowMs: number): void {
 		this.averageFailures -= this.averageFailures * failureUpdateWeight;
 		if (attempt !== undefined && !this.isEngine) {
-			this.updateSlowness((nowMs - attempt.startedMs) / Math.max(1, attempt.expectedFirstByteMs));
+			this.updateSlowness(attempt, nowMs);
 		}
 	}
 
@@ -498,9 +570,22 @@
 		return (missing - fetched) / prefillTokensPerMs + fetched / fetchedTokensPerMs;
 	}
 
-	private updateSlowness(ratio: number): void {
+	/**
+	 * Compares the time of an answer with its estimate. The pace during the run is taken as the mean of its estimates at
+	 * both ends, of which the latter includes the report that came with the answer.
+	 */
+	private updateSlowness({ startedMs, expectedFirstByteMs, pace }: RunningAttempt, nowMs: number): void {
 		const { slownessUpdateWeight, minSlowness, maxSlowness } = this.estimate;
+		const { isReported } = this.pace;
+		const meanPace = isReported ? (pace + this.pace.estimate(nowMs)) / 2 : 1;
+		const ratio = (nowMs - startedMs) / Math.max(1, expectedFirstByteMs) / meanPace;
 		const bounded = Math.min(maxSlowness, Math.max(minSlowness, ratio));
-		this.measuredSlowness += (bounded - this.measuredSlowness) * slownessUpdateWeight;
+		if (isReported && this.measuredAnswers === 0) {
+			this.measuredSlowness = this.typicalSlowness;
+		}
+		// An entry among many gets few answers of each target, so the first ones count more.
+		const firstWeight = isReported ? 1 / (this.measuredAnswers + typicalSlownessAnswers) : 0;
+		this.measuredAnswers++;
+		this.measuredSlowness += (bounded - this.measuredSlowness) * Math.max(slownessUpdateWeight, firstWeight);
 	}
 }
--- a/src/entry/common/workScheduling/typicalLoad.ts
+++ b/src/entry/common/workScheduling/typicalLoad.ts
@@ -12,13 +12,18 @@
 /** The parts of a target's load model that are averaged. */
 export interface ReportingTarget {
 	readonly lastReport: ReportedRequests;
+	/** Work that the target does in a time, relative to the usual. */
+	readonly speed: number;
 	readonly pendingPrefill: PendingPrefill;
 }
 
 /** Smaller averages are what is left of requests that were sent long ago. */
 const minMean = 0.001;
 
-/** Returns the average as of the latest report; without any report, one that has no weight. */
+/**
+ * Returns the average as of the latest report; without any report, one that has no weight. Its pending requests are
+ * those of a target of the usual speed.
+ */
 export function computeTypicalLoad(
 	targets: readonly ReportingTarget[],
 	timeConstantMs: number,
@@ -28,7 +33,7 @@
 		return noTypicalLoad;
 	}
 	const report = computeMeanReport(
-		targets.map(({ lastReport }) => lastReport),
+		targets.map(({ lastReport, speed }) => ({ ...lastReport, pending: lastReport.pending / speed })),
 		timeConstantMs,
 		nowMs,
 	);
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -3,8 +3,11 @@
  * observed answers correct. Shares and bounds are used by the other modules of this folder.
  */
 
+import type { PaceMemoryParameters } from './paceMemory';
+import type { PaceParameters } from './targetPace';
+
 /** Parameters of the load estimate of a target. */
-export interface WorkEstimateParameters {
+export interface WorkEstimateParameters extends PaceParameters, PaceMemoryParameters {
 	/** Prompt tokens that an engine processes in a millisecond; within a factor of two for engines in use. */
 	readonly prefillTokensPerMs: number;
 	/** Tokens of a cached part that one engine fetches from another in a millisecond. */
@@ -130,6 +133,13 @@
 		reportTimeConstantMs: 300,
 		typicalReportTimeConstantMs: 1_000,
 		unreportedTimeConstantMs: 10_000,
+		averagedPaceReports: 10,
+		typicalPaceReports: 1,
+		minReportedPace: 0.05,
+		maxReportedPace: 50,
+		initialPaceTimeConstantMs: 300,
+		initialPacePairs: 10,
+		rememberedPacePairs: 200,
 	},
 	choice: {
 		minSharedTokens: 256,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -21,6 +21,7 @@
 	ScheduleDecision,
 	ServiceRoom,
 	TargetRoom,
+	TargetSlowness,
 } from '../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../scheduling/serviceScheduler';
 import { describeUnmatched, hasMatchedTarget, isVersionMatched } from '../scheduling/versionMatch';
@@ -28,6 +29,7 @@
 import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { getUrgency, isDueTimeMissed } from './requestOrder';
+import { PaceMemory } from './paceMemory';
 import { TargetLoadModel } from './targetLoadModel';
 import {
 	describeFullQueue,
@@ -38,6 +40,7 @@
 	describePromptSize,
 	noUsableTargetReason,
 } from './refusalReasons';
+import { computeTypicalPace } from './targetPace';
 import { computeTypicalLoad } from './typicalLoad';
 import type { TrackedRequest } from './trackedRequest';
 import { createTrackedRequest, isRepeatAllowed } from './trackedRequest';
@@ -77,6 +80,7 @@
 	private readonly targetChooser: WorkTargetChooser;
 	private readonly retries: RequestRetries;
 	private readonly estimates: QueueEstimates;
+	private readonly paceMemory: PaceMemory;
 	private decisions: ScheduleDecision[] = [];
 	private lastCheckMs = Number.NEGATIVE_INFINITY;
 	/** What a target of the service said last of the refusals that it bears. */
@@ -88,6 +92,7 @@
 		getFleetPosition: () => FleetPosition,
 		private readonly policy: WorkPolicy = defaultWorkPolicy,
 	) {
+		this.paceMemory = new PaceMemory(policy.estimate);
 		this.targetChooser = new WorkTargetChooser(policy, random);
 		this.retries = new RequestRetries(policy.retry, getFleetPosition);
 		this.estimates = new QueueEstimates(this.queue, policy, random);
@@ -103,7 +108,7 @@
 		for (const target of targets) {
 			const known = this.targets.get(target.id);
 			if (known === undefined) {
-				const model = new TargetLoadModel(target, this.policy.estimate, this.policy.queue);
+				const model = new TargetLoadModel(target, this.policy.estimate, this.policy.queue, this.paceMemory);
 				model.brittleLimiter.setServiceLimit(this.refusalLimit);
 				this.targets.set(target.id, model);
 			} else {
@@ -223,7 +228,7 @@
 		const { request } = tracked;
 		const urgency = getUrgency(request);
 		const hasCapacity = targets.some(target => {
-			const isLate = isDueTimeMissed(request, target.computeIdleFirstByteMs(request), nowMs);
+			const isLate = isDueTimeMissed(request, target.estimateIdleFirstByteMs(request), nowMs);
 			return (
 				target.isAvailable(nowMs) &&
 				target.isSendAllowed(nowMs) &&
@@ -263,12 +268,18 @@
 		return { running: known?.running ?? 0, limit: known?.description.slots ?? 0 };
 	}
 
+	listSlowness(nowMs: number): readonly TargetSlowness[] {
+		return this.targetList.map(target => target.describeSlowness(nowMs));
+	}
+
 	/** The wait is until the first byte if a request is given, otherwise the queueing time of an arriving request. */
 	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom {
 		const matched = request === undefined ? this.targetList : this.listMatched(request);
 		const available = matched.filter(target => target.isAvailable(nowMs) && target.isSendAllowed(nowMs));
 		const waits = available.map(target =>
-			request === undefined ? target.estimateWaitMs(nowMs) : target.estimateFirstByteMs(request, nowMs),
+			request === undefined
+				? target.estimateWaitMs(nowMs) * target.pace.lasting
+				: target.estimateFirstByteMs(request, nowMs),
 		);
 		const idleFirstByteMs =
 			request === undefined ? [] : available.map(target => target.computeIdleFirstByteMs(request));
@@ -276,7 +287,7 @@
 		return {
 			waitMs: Math.min(...waits) + queuedMs,
 			freeSlots: available.reduce(
-				(sum, target) => sum + target.countFreeSlots(nowMs) * target.description.share,
+				(sum, target) => sum + target.countFreeSlots(nowMs) * target.description.share * target.speed,
 				0,
 			),
 			running: this.targetList.reduce((sum, target) => sum + target.running, 0),
@@ -347,10 +358,15 @@
 	}
 
 	private updateTypicalSlowness(): void {
-		const measured = this.targetList.map(target => target.ownSlowness).sort((left, right) => left - right);
+		const measured = this.targetList
+			.filter(target => target.hasOwnSlowness)
+			.map(target => target.ownSlowness)
+			.sort((left, right) => left - right);
 		const typical = measured[Math.floor(measured.length / 2)] ?? 1;
+		const typicalPace = computeTypicalPace(this.targetList.map(({ pace }) => pace));
 		for (const target of this.targetList) {
 			target.setTypicalSlowness(typical);
+			target.pace.setTypical(typicalPace);
 		}
 	}
 
