Count and log load headers that can't be read

A target whose load header was in an unknown form was scheduled by guesses, and no sign told an operator. anvilroad_unreadable_load_headers_total counts such answers, and the first of each target is logged with the beginning of its text. ServiceRunner lists the slowness of its targets for the operators' views.

--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -57,6 +57,11 @@
 		'error',
 	),
 	attempts: createDefinition('attempts_total', 'Attempts at targets, by how they ended.', 'service', 'end'),
+	unreadableLoads: createDefinition(
+		'unreadable_load_headers_total',
+		'Answers of targets whose load header could not be read in whole.',
+		'service',
+	),
 	sentAway: createDefinition(
 		'sent_away_requests_total',
 		'Requests sent to an entry of another region, by result.',
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -64,6 +64,7 @@
 
 	private readonly requests = this.createCounter(counterDefinitions.requests);
 	private readonly attempts = this.createCounter(counterDefinitions.attempts);
+	private readonly unreadableLoads = this.createCounter(counterDefinitions.unreadableLoads);
 	private readonly sentAway = this.createCounter(counterDefinitions.sentAway);
 	private readonly linkBytes = this.createCounter(counterDefinitions.linkBytes);
 	private readonly tickets = this.createCounter(counterDefinitions.tickets);
@@ -169,6 +170,10 @@
 		this.attempts.inc({ service: this.findServiceLabel(service), end });
 	}
 
+	noteUnreadableLoad(service: string): void {
+		this.unreadableLoads.inc({ service: this.findServiceLabel(service) });
+	}
+
 	noteSentAway(service: string, region: string, result: SentAwayResult): void {
 		this.sentAway.inc({ service: this.findServiceLabel(service), region, result });
 	}
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -50,6 +50,7 @@
 import { RouterContext } from './requests/routerContext';
 import type { IServicePolicies } from './requests/serviceRunners';
 import { ServiceRunners } from './requests/serviceRunners';
+import { UnreadableLoads } from './requests/unreadableLoads';
 import { SleepDetector } from './sleepDetector';
 import { StartHold } from './startHold';
 import { OriginPeers } from './streams/originPeers';
@@ -159,6 +160,9 @@
 				this.timers,
 				this.startGate,
 				this.auditTrail,
+				new UnreadableLoads(this.metrics, (fields, message) => {
+					this.logger.warn(fields, message);
+				}),
 			),
 		);
 		this.ownView = new OwnView(settings, this.bootId, {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -22,6 +22,7 @@
 	ServiceRoom,
 	StartDecision,
 	TargetRoom,
+	TargetSlowness,
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
 import { describeUnmatched, hasMatchedTarget } from '../../common/scheduling/versionMatch';
@@ -61,6 +62,8 @@
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
 		private readonly paths: IPathObserver,
+		/** Is told of load headers of targets that can't be read. */
+		private readonly noteUnreadableLoad: (target: TargetId, text: string) => void = () => undefined,
 	) {
 		super();
 	}
@@ -151,6 +154,11 @@
 		return this.scheduler.measureTarget(target);
 	}
 
+	/** Lists how slow the targets are by estimate; empty if the scheduler estimates it otherwise. */
+	listSlowness(): readonly TargetSlowness[] {
+		return this.scheduler.listSlowness?.(this.timers.getNow()) ?? [];
+	}
+
 	noteHandedOver(attempt: AttemptRun): void {
 		this.scheduler.noteHandedOver(attempt.run.call.id, this.timers.getNow());
 	}
@@ -163,6 +171,9 @@
 		this.paths.noteAnswer();
 		this.targets.noteAnswerHead(attempt.target, head, reading);
 		this.scheduler.noteRefusalLimit?.(attempt.target, reading.refusalLimit);
+		if (reading.unreadableLoad !== undefined) {
+			this.noteUnreadableLoad(attempt.target, reading.unreadableLoad);
+		}
 		if (reading.load !== undefined) {
 			this.scheduler.noteLoad(attempt.target, reading.load, this.timers.getNow());
 		}
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -21,6 +21,8 @@
 import type { CrashDetector } from './crashDetector';
 import type { RequestRun } from './requestRun';
 import { ServiceRunner } from './serviceRunner';
+import type { ILoadHeaderObserver } from './unreadableLoads';
+import { ignoredLoadHeaders } from './unreadableLoads';
 
 /** The scheduler and send-away policy for services, and the protocol dialect of their targets. */
 export interface IServicePolicies {
@@ -61,6 +63,7 @@
 		private readonly timers: ITimerService,
 		private readonly startGate: IStartGate,
 		private readonly auditTrail: IAuditTrail,
+		private readonly loadHeaders: ILoadHeaderObserver = ignoredLoadHeaders,
 	) {
 		super();
 		this.register(
@@ -141,6 +144,9 @@
 				this.timers,
 				this.startGate,
 				paths,
+				(target, text) => {
+					this.loadHeaders.noteUnreadable(service, target, text);
+				},
 			),
 		);
 		this.ownedRunners.add(
