Let each entry prefer some targets where these report their slowness

Many entries that each saw all targets sent to those that had looked fast or idle.

An entry now prefers as many targets as answer it within 200 ms each, by its rank. The requests that an engine runs beyond the usual number of answers count as backlog, since an engine with free slots reports none as waiting. How long a reported load stays true is learned like that of the slowness. Fast targets own more of the shared prompt parts. All of this applies only to targets that report their slowness.

--- a/src/entry/common/scheduling/prefixRanking.ts
+++ b/src/entry/common/scheduling/prefixRanking.ts
@@ -36,17 +36,25 @@
 	readonly idHash: number;
 }
 
-/** Returns up to `maxTargets` targets with the highest scores for a prefix, best first. */
+/** Hashes are below this number. */
+const hashRange = 0x1_0000_0000;
+
+/**
+ * Returns up to `maxTargets` targets with the highest scores for a prefix, best first.
+ * @param getWeight the relative number of prefixes that a target ranks first for; equal for all if absent
+ */
 export function findBestRanked<TTarget extends RankedTarget>(
 	targets: readonly TTarget[],
 	prefixKey: string,
 	maxTargets: number,
+	getWeight?: (target: TTarget) => number,
 ): TTarget[] {
 	const keyHash = computeTextHash(prefixKey);
 	const best: TTarget[] = [];
 	const scores: number[] = [];
 	for (const target of targets) {
-		const score = computeMixedHash(keyHash, target.idHash);
+		const hash = computeMixedHash(keyHash, target.idHash);
+		const score = getWeight === undefined ? hash : computeWeightedScore(hash, getWeight(target));
 		if (best.length === maxTargets && score <= (scores[maxTargets - 1] ?? 0)) {
 			continue;
 		}
@@ -61,3 +69,8 @@
 	}
 	return best;
 }
+
+/** The score of weighted rendezvous hashing. With equal weights, the order is that of the hashes. */
+function computeWeightedScore(hash: number, weight: number): number {
+	return -weight / Math.log((hash + 0.5) / hashRange);
+}
--- a/src/entry/common/workScheduling/otherRequests.ts
+++ b/src/entry/common/workScheduling/otherRequests.ts
@@ -69,6 +69,7 @@
 export class OtherRequests {
 	private report = noReport;
 	private typical = noTypicalLoad;
+	private computeLearnedWeight: ((ageMs: number) => number) | undefined;
 
 	constructor(private readonly timeConstants: ReportTimeConstants) {}
 
@@ -80,6 +81,11 @@
 		this.report = report;
 	}
 
+	/** Sets how the weight of the last report falls with its age, where this is learned from reports. */
+	setReportWeight(computeWeightAt: (ageMs: number) => number): void {
+		this.computeLearnedWeight = computeWeightAt;
+	}
+
 	setTypicalLoad(typical: TypicalLoad): void {
 		this.typical = typical;
 	}
@@ -122,6 +128,9 @@
 	}
 
 	private computeReportWeight(nowMs: number): number {
+		if (this.computeLearnedWeight !== undefined) {
+			return this.computeLearnedWeight(nowMs - this.report.timeMs);
+		}
 		return computeWeight(this.report, this.timeConstants.reportTimeConstantMs, nowMs);
 	}
 
--- a/src/entry/common/workScheduling/targetChooser.ts
+++ b/src/entry/common/workScheduling/targetChooser.ts
@@ -11,6 +11,9 @@
  * owner, is free of this extra cost. So entries converge on one copy of each part without coordination, and create
  * another copy only if the owner is slower by more than the copy costs.
  *
+ * Where targets report how slow they are, a fast one owns more parts than a slow one (weighted rendezvous hashing).
+ * Otherwise a third of the parts would be kept where a request that needs them takes more than twice as long.
+ *
  * A copy is fetched from an engine that holds the part, which takes a quarter of the time of its prefill. If this
  * entry knows no such engine, the copy is fetched from the owner, where other entries will have sent the part. An
  * engine that finds nothing there processes the part itself, some milliseconds later. Fetching only the parts that
@@ -59,6 +62,8 @@
 	constructor(
 		private readonly policy: WorkPolicy,
 		private readonly random: IRandom,
+		/** Whether an entry among many should know the target better than others. */
+		private readonly isPreferred: (target: TargetLoadModel) => boolean = () => true,
 	) {}
 
 	/**
@@ -85,7 +90,7 @@
 		const isWorthWaiting =
 			!best.hasCapacity &&
 			nowMs + best.firstByteMs <= getDueMs(query.request) &&
-			best.costMs < bestNow.costMs;
+			best.costMs < bestNow.costMs / bestNow.unpreferredFactor;
 		if (isWorthWaiting) {
 			return undefined;
 		}
@@ -147,7 +152,7 @@
 	): TargetCandidate[] {
 		const { request } = query;
 		const shared = this.findSharedPart(request);
-		const [owner] = shared === undefined ? [] : findBestRanked(available, shared.id, 1);
+		const [owner] = shared === undefined ? [] : findBestRanked(available, shared.id, 1, getPlacementWeight);
 		const sources = shared === undefined ? noSources : findSources(available, shared);
 		return allowed.map(target => {
 			const isCached = shared !== undefined && target.hasPart(shared.id);
@@ -161,15 +166,18 @@
 			const delayMs = target.estimateAddedDelayMs(request, nowMs, fetchedTokens);
 			const isCopy = shared !== undefined && target !== owner && !target.hasPart(shared.id);
 			const copyMs = isCopy ? this.computeCopyCostMs(shared, fetchedTokens > 0) : 0;
-			const { failureCost, jitter, delayCost } = this.policy.choice;
+			const { failureCost, jitter, delayCost, unpreferredCost } = this.policy.choice;
 			const factor = (1 + failureCost * target.failureRate) * (1 + jitter * this.random.pickFraction());
+			const isHolder = shared !== undefined && (target === owner || isCached);
+			const unpreferredFactor = isHolder || this.isPreferred(target) ? 1 : 1 + unpreferredCost;
 			const hasCapacity = hasCapacityFor(target, query, nowMs);
 			return {
 				target,
 				firstByteMs,
 				prefillMs: target.estimatePrefillMs(request, fetchedTokens),
 				fetchedTokens,
-				costMs: (firstByteMs + copyMs + delayCost * delayMs) * factor,
+				costMs: (firstByteMs + copyMs + delayCost * delayMs) * factor * unpreferredFactor,
+				unpreferredFactor,
 				hasCapacity,
 				fetchSource,
 				owner,
@@ -189,6 +197,10 @@
 	}
 }
 
+function getPlacementWeight({ pace }: TargetLoadModel): number {
+	return pace.placementWeight;
+}
+
 /** The engines of one version from which a shared part can be fetched. */
 interface FetchSources {
 	readonly knownHolder: TargetLoadModel | undefined;
@@ -216,7 +228,7 @@
 	for (const engines of groups.values()) {
 		const found = {
 			knownHolder: engines.find(target => target.hasPart(id)),
-			bestRanked: findBestRanked(engines, id, 2),
+			bestRanked: findBestRanked(engines, id, 2, getPlacementWeight),
 		};
 		for (const engine of engines) {
 			sources.set(engine, found);
@@ -247,6 +259,8 @@
 	readonly prefillMs: number;
 	readonly fetchedTokens: number;
 	readonly costMs: number;
+	/** Factor in the cost of a target that this entry does not prefer. */
+	readonly unpreferredFactor: number;
 	readonly hasCapacity: boolean;
 	/** Another target from which the shared part can be fetched. */
 	readonly fetchSource: TargetLoadModel | undefined;
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -28,6 +28,7 @@
 	TargetSlowness,
 } from '../scheduling/serviceScheduler';
 import { AttemptEnd } from '../scheduling/serviceScheduler';
+import { AnswerPhases } from './answerPhases';
 import { BrittleTargetLimiter } from './brittleTargetLimiter';
 import type { ColdTargetLimit } from './coldTargetRateLimiter';
 import { ColdTargetRateLimiter } from './coldTargetRateLimiter';
@@ -53,6 +54,7 @@
 	readonly isIsolated: boolean;
 	readonly urgency: number;
 	hasFirstByte: boolean;
+	firstByteMs: number;
 	/** Whether the target was silent for too long during this attempt. */
 	isSilent: boolean;
 }
@@ -88,6 +90,7 @@
 	readonly pace: TargetPace;
 	private measuredSlowness = 1;
 	private measuredAnswers = 0;
+	private lastDeviation: { readonly deviation: number; readonly timeMs: number } | undefined;
 	private typicalSlowness = 1;
 	private averageFailures = 0;
 	private lastLoad: ReportedLoad | undefined;
@@ -100,6 +103,10 @@
 		private readonly estimate: WorkEstimateParameters,
 		private readonly queueParameters: WorkQueueParameters,
 		paceMemory = new PaceMemory(estimate),
+		/** The phases of answers of the target's service. */
+		private readonly answerPhases = new AnswerPhases(),
+		/** How long the reported load of the service's targets stays true. */
+		private readonly loadMemory = new PaceMemory(estimate),
 	) {
 		this.id = current.id;
 		this.idHash = computeTextHash(current.id);
@@ -443,6 +450,7 @@
 			isIsolated,
 			urgency,
 			hasFirstByte: false,
+			firstByteMs: nowMs,
 			isSilent: false,
 		});
 		this.brittleLimiter.noteSent(request.id);
@@ -469,6 +477,7 @@
 			return;
 		}
 		attempt.hasFirstByte = true;
+		attempt.firstByteMs = nowMs;
 		this.brittleLimiter.noteAnswered(requestId);
 		this.consecutivePauses = 0;
 		if (this.isEngine) {
@@ -525,17 +534,42 @@
 	noteLoad(load: ReportedLoad, nowMs: number): void {
 		this.lastLoad = load;
 		this.lastLoadMs = nowMs;
+		const timeMs = nowMs - load.ageMs;
 		const requests = Math.max(0, load.running + load.waiting - this.attempts.size);
 		// The request with whose answer the report came is not pending any more.
 		const ownPending = Math.max(0, this.pendingPrefill.count - 1);
-		const pending = Math.min(requests, Math.max(0, load.waiting - ownPending));
-		const timeMs = nowMs - load.ageMs;
+		const waiting = this.estimateWaiting(load, timeMs);
+		const pending = Math.min(requests, Math.max(0, waiting - ownPending));
 		this.otherRequests.setReport({ running: requests - pending, pending, timeMs });
 		this.pace.noteReport(load.slowness, timeMs);
 	}
 
+	/** Estimates how many of the reported requests wait for their prefill. */
+	private estimateWaiting({ running, waiting, slowness }: ReportedLoad, timeMs: number): number {
+		if (slowness === undefined || !this.isEngine) {
+			return waiting;
+		}
+		this.answerPhases.noteRequests(running + waiting);
+		this.noteDeviation(this.answerPhases.computeDeviation(running + waiting), timeMs);
+		return Math.max(waiting, this.answerPhases.estimatePending(running + waiting));
+	}
+
+	/** Learns how long a reported load stays true. */
+	private noteDeviation(deviation: number, timeMs: number): void {
+		if (this.lastDeviation !== undefined && timeMs > this.lastDeviation.timeMs) {
+			this.loadMemory.notePair(this.lastDeviation.deviation, deviation, timeMs - this.lastDeviation.timeMs);
+		}
+		this.lastDeviation = { deviation, timeMs };
+		this.otherRequests.setReportWeight(ageMs => this.loadMemory.computeShare(ageMs));
+	}
+
 	private noteAnswered(attempt: RunningAttempt | undefined, nowMs: number): void {
 		this.averageFailures -= this.averageFailures * failureUpdateWeight;
+		if (attempt !== undefined && this.isEngine) {
+			const idleMs = this.estimate.idleFirstEventMs * this.correction * attempt.pace;
+			const { startedMs, firstByteMs } = attempt;
+			this.answerPhases.noteAnswer(firstByteMs - startedMs - idleMs, nowMs - startedMs);
+		}
 		if (attempt !== undefined && !this.isEngine) {
 			this.updateSlowness(attempt, nowMs);
 		}
--- a/src/entry/common/workScheduling/targetPace.ts
+++ b/src/entry/common/workScheduling/targetPace.ts
@@ -33,6 +33,9 @@
 /** Successive answers without a slowness after which a target counts as one that does not report it. */
 const maxMissingReports = 3;
 
+/** How far beyond the boundary of two classes of speed a target has to be to change its class. */
+const speedClassHysteresis = 0.15;
+
 /** Independent reports from which on the deviations from their mean say something about the autocorrelation. */
 const minLearningReports = 3;
 
@@ -44,6 +47,7 @@
 	private last: PaceReport | undefined;
 	private missingReports = 0;
 	private hasOnlyMissing = false;
+	private speedClass = 0;
 
 	constructor(
 		private readonly memory: PaceMemory,
@@ -75,6 +79,19 @@
 	/** Sets the mean slowness of the service's targets that report one; 1 if none does. */
 	setTypical(typical: number): void {
 		this.typical = typical;
+		const speedClass = Math.log2(typical / this.lasting);
+		if (Math.abs(speedClass - this.speedClass) > 0.5 + speedClassHysteresis) {
+			this.speedClass = Math.round(speedClass);
+		}
+	}
+
+	/**
+	 * The relative number of shared prompt parts that the target should keep: a power of two of its speed relative to the
+	 * others. All entries have to find the same owner of a part, and their estimates differ by some percent, so the number
+	 * changes only when the speed is clearly nearer to another power of two.
+	 */
+	get placementWeight(): number {
+		return 2 ** this.speedClass;
 	}
 
 	/** Records the slowness of a load report; undefined if the report names none. */
--- a/src/entry/common/workScheduling/test/modelEntry.ts
+++ b/src/entry/common/workScheduling/test/modelEntry.ts
@@ -38,6 +38,10 @@
 export interface EntryOptions {
 	/** Multiple of the time to the due time after which an attempt without a first byte counts as silent. */
 	readonly silenceFactor: number;
+	/** Returns the slowness that a target reports with an answer now; undefined if it reports none. */
+	readonly findReportedSlowness?: (target: TargetId) => number | undefined;
+	/** Whether the load report of the current answer is lost. */
+	readonly isReportLost?: () => boolean;
 }
 
 /** One entry with its scheduler. */
@@ -180,7 +184,15 @@
 		result.isFirstByteLate = nowMs > open.dueMs;
 		result.hasFirstByte = true;
 		const { slots } = attempt.engine.options;
-		this.scheduler.noteLoad(target, { ...attempt.engine.countRequests(), slots, ageMs: 0 }, nowMs);
+		const { findReportedSlowness, isReportLost } = this.options;
+		if (isReportLost?.() !== true) {
+			const slowness = findReportedSlowness?.(target);
+			this.scheduler.noteLoad(
+				target,
+				{ ...attempt.engine.countRequests(), slots, ageMs: 0, slowness },
+				nowMs,
+			);
+		}
 		this.scheduler.noteFirstByte(open.id, nowMs);
 		this.advance();
 	}
--- a/src/entry/common/workScheduling/test/prefillEngine.ts
+++ b/src/entry/common/workScheduling/test/prefillEngine.ts
@@ -60,6 +60,8 @@
 		readonly options: PrefillEngineOptions,
 		/** Shared parts that any engine of the fleet has processed. */
 		private readonly processedParts: Set<string>,
+		/** Returns how long a step takes now, as a multiple of the usual time. */
+		private readonly getSlowness = () => 1,
 	) {
 		this.memory = new EngineMemory(options.memoryTokens);
 	}
@@ -102,6 +104,11 @@
 		return { running: this.running.length, waiting: this.waiting.length + this.fetching.size };
 	}
 
+	/** Sums the prompt tokens that are to be processed. */
+	sumUnreadTokens(): number {
+		return [...this.running, ...this.waiting].reduce((sum, run) => sum + Math.max(0, countUnread(run)), 0);
+	}
+
 	private addWaiting(request: EngineRequest): void {
 		this.waiting.push(createRun(request, ++this.arrivals, this.timers.getNow()));
 		this.beginStep();
@@ -120,7 +127,8 @@
 		const chunk = this.planChunk();
 		const decoding = this.running.filter(run => countUnread(run) === 0);
 		const readMs = chunk.reduce((sum, { run, tokens }) => sum + this.computeReadMs(run, tokens), 0);
-		this.timers.schedule(stepMs + stepMsPerRequest * this.running.length + readMs, () => {
+		const usualMs = stepMs + stepMsPerRequest * this.running.length + readMs;
+		this.timers.schedule(usualMs * this.getSlowness(), () => {
 			this.isStepping = false;
 			for (const { run, tokens } of chunk.filter(item => this.running.includes(item.run))) {
 				this.finishRead(run, tokens);
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -5,6 +5,7 @@
 
 import type { PaceMemoryParameters } from './paceMemory';
 import type { PaceParameters } from './targetPace';
+import type { SubsetParameters } from './targetSubset';
 
 /** Parameters of the load estimate of a target. */
 export interface WorkEstimateParameters extends PaceParameters, PaceMemoryParameters {
@@ -36,7 +37,9 @@
 }
 
 /** Parameters of the choice of a target. */
-export interface WorkChoiceParameters {
+export interface WorkChoiceParameters extends SubsetParameters {
+	/** Extra cost of a target that this entry does not prefer, as a share of its cost: its load is not known well. */
+	readonly unpreferredCost: number;
 	/** Smaller shared parts do not affect the choice of a target: processing them again takes some 10 ms. */
 	readonly minSharedTokens: number;
 	/**
@@ -147,6 +150,9 @@
 		delayCost: 0.3,
 		failureCost: 4,
 		jitter: 0.05,
+		unpreferredCost: 2,
+		reportIntervalMs: 200,
+		minPreferredTargets: 3,
 	},
 	queue: {
 		maxPrefillAheadMs: 400,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -29,8 +29,10 @@
 import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { getUrgency, isDueTimeMissed } from './requestOrder';
+import { AnswerPhases } from './answerPhases';
 import { PaceMemory } from './paceMemory';
 import { TargetLoadModel } from './targetLoadModel';
+import { TargetSubset } from './targetSubset';
 import {
 	describeFullQueue,
 	describeLongQueue,
@@ -81,6 +83,9 @@
 	private readonly retries: RequestRetries;
 	private readonly estimates: QueueEstimates;
 	private readonly paceMemory: PaceMemory;
+	private readonly loadMemory: PaceMemory;
+	private readonly answerPhases = new AnswerPhases();
+	private readonly subset: TargetSubset<TargetLoadModel>;
 	private decisions: ScheduleDecision[] = [];
 	private lastCheckMs = Number.NEGATIVE_INFINITY;
 	/** What a target of the service said last of the refusals that it bears. */
@@ -89,11 +94,13 @@
 	constructor(
 		random: IRandom,
 		/** Returns the place of this entry among the entries (proxy processes) that share the fleet's retry budget. */
-		getFleetPosition: () => FleetPosition,
+		private readonly getFleetPosition: () => FleetPosition,
 		private readonly policy: WorkPolicy = defaultWorkPolicy,
 	) {
+		this.subset = new TargetSubset(policy.choice);
 		this.paceMemory = new PaceMemory(policy.estimate);
-		this.targetChooser = new WorkTargetChooser(policy, random);
+		this.loadMemory = new PaceMemory(policy.estimate);
+		this.targetChooser = new WorkTargetChooser(policy, random, target => this.isPreferred(target));
 		this.retries = new RequestRetries(policy.retry, getFleetPosition);
 		this.estimates = new QueueEstimates(this.queue, policy, random);
 	}
@@ -108,7 +115,14 @@
 		for (const target of targets) {
 			const known = this.targets.get(target.id);
 			if (known === undefined) {
-				const model = new TargetLoadModel(target, this.policy.estimate, this.policy.queue, this.paceMemory);
+				const model = new TargetLoadModel(
+					target,
+					this.policy.estimate,
+					this.policy.queue,
+					this.paceMemory,
+					this.answerPhases,
+					this.loadMemory,
+				);
 				model.brittleLimiter.setServiceLimit(this.refusalLimit);
 				this.targets.set(target.id, model);
 			} else {
@@ -142,6 +156,7 @@
 			this.lastCheckMs = nowMs;
 			this.updateTypicalSlowness();
 			this.updateTypicalLoad(nowMs);
+			this.updateSubset(nowMs);
 			this.checkWaiting(nowMs);
 		}
 		this.startWaiting(nowMs);
@@ -370,6 +385,17 @@
 		}
 	}
 
+	/** Only reports of the slowness are of so short use that an entry has to hear often from a target. */
+	private updateSubset(nowMs: number): void {
+		const isReported = this.targetList.some(({ pace }) => pace.isReported);
+		const usable = isReported ? this.targetList.filter(target => target.isAvailable(nowMs)) : [];
+		this.subset.update(usable, this.getFleetPosition(), nowMs);
+	}
+
+	private isPreferred(target: TargetLoadModel): boolean {
+		return this.subset.isPreferred(target);
+	}
+
 	/** The load of plain targets differs too much between them. */
 	private updateTypicalLoad(nowMs: number): void {
 		const engines = this.targetList.filter(({ isEngine }) => isEngine);
@@ -502,6 +528,7 @@
 	private start(tracked: TrackedRequest, choice: TargetChoice, nowMs: number): void {
 		const { request } = tracked;
 		this.queue.remove(request.id);
+		this.subset.noteStart(nowMs);
 		tracked.runningOn = choice.target;
 		const isIsolated = request.isKeptApart?.() === true;
 		choice.target.noteStart(request, isIsolated, choice.fetchedTokens, nowMs);
