--- a/src/entry/common/workScheduling/targetSubset.ts
+++ b/src/entry/common/workScheduling/targetSubset.ts
@@ -49,12 +49,13 @@
 		const perMs = this.starts.getValue(nowMs) / rateTimeConstantMs;
 		const { reportIntervalMs, minPreferredTargets } = this.parameters;
 		const isPositionKnown = Number.isFinite(entries) && Number.isFinite(rank);
+		const isLimited = isPositionKnown && Number.isFinite(reportIntervalMs);
 		const count = Math.max(
 			minPreferredTargets,
 			Math.ceil((minEntriesPerTarget * targets.length) / Math.max(1, entries)),
 			Math.ceil(perMs * reportIntervalMs),
 		);
-		if (count >= targets.length || !isPositionKnown) {
+		if (count >= targets.length || !isLimited) {
 			this.preferred = new Set(targets);
 			return;
 		}
