Record unreadable load headers in the test of all metrics

The test that compares the page of metrics with what two entries record failed, since none of its targets sends a load header that can't be read. A second service has one that does. The list of metrics that may stay unrecorded is unchanged.

--- a/src/bin/test/metrics.test.ts
+++ b/src/bin/test/metrics.test.ts
@@ -4,10 +4,12 @@
  */
 
 import { readFileSync } from 'node:fs';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { join } from 'node:path';
 import pino from 'pino';
 import { request } from 'undici';
-import { DisposableStore } from '../../base/common/lifecycle';
+import { DisposableStore, toDisposable } from '../../base/common/lifecycle';
 import { SystemTimerService } from '../../base/node/systemTimerService';
 import { findFreePorts } from '../../demo/node/freePorts';
 import type { LateWindow } from '../../entry/common/eventLoop/eventLoopMonitor';
@@ -45,7 +47,25 @@
 	return { platform: addresses.platform ?? '', admin, bookings: addresses['bookings-1'] ?? '' };
 }
 
-function createManifest(targetUrl: string): string {
+/** Starts a target whose load header can't be read, and returns its address. */
+async function startUnreadableTarget(): Promise<string> {
+	const server = createServer((_, response) => {
+		response.setHeader('anvilroad-load', 'many');
+		response.end('ok');
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	owned.add(
+		toDisposable(() => {
+			server.closeAllConnections();
+			server.close();
+		}),
+	);
+	return `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+}
+
+function createManifest(targetUrl: string, unreadableTargetUrl: string): string {
 	const regions = ['kingston', 'montego'].map(name => ({ name, zones: [`${name}-a`] }));
 	const place = { region: 'kingston', zone: 'kingston-a' };
 	return JSON.stringify({
@@ -60,8 +80,12 @@
 				repeat: 'idempotent',
 				rules: [{ method: '*', path: '/run/pay', repeat: 'at-most-once', residency: 'home' }],
 			},
+			{ name: 'rooms', kind: 'plain', residency: 'any', repeat: 'idempotent' },
+		],
+		targets: [
+			{ id: 'bookings-1', service: 'bookings', ...place, url: targetUrl },
+			{ id: 'rooms-1', service: 'rooms', ...place, url: unreadableTargetUrl },
 		],
-		targets: [{ id: 'bookings-1', service: 'bookings', ...place, url: targetUrl }],
 	});
 }
 
@@ -99,8 +123,13 @@
 	return pages.join('\n');
 }
 
-async function sendCall(entry: RunningEntry, path: string, ticket = ''): Promise<number> {
-	const answer = await request(`${entry.callers}/v1/services/bookings${path}`, {
+async function sendCall(
+	entry: RunningEntry,
+	path: string,
+	ticket = '',
+	service = 'bookings',
+): Promise<number> {
+	const answer = await request(`${entry.callers}/v1/services/${service}${path}`, {
 		headers: {
 			'anvilroad-organisation': 'harbour-hotel',
 			'x-call-id': 'metrics',
@@ -139,7 +168,10 @@
 
 beforeAll(async () => {
 	const standins = await startStandins();
-	const manifest = { method: 'PUT', body: createManifest(standins.bookings) } as const;
+	const manifest = {
+		method: 'PUT',
+		body: createManifest(standins.bookings, await startUnreadableTarget()),
+	} as const;
 	await request(`${standins.admin}/v1/platform/manifest`, manifest);
 	const [first = 0, second = 0] = await findFreePorts(2);
 	await startEntry('kingston', first, second, standins.platform);
@@ -160,6 +192,7 @@
 			const [here, away] = entries;
 			await waitUntil(async () => (await sendCall(here!, '/bytes?n=2000000')) === 200);
 			await waitUntil(async () => (await sendCall(away!, '/bytes?n=10')) === 200);
+			await waitUntil(async () => (await sendCall(here!, '/free', '', 'rooms')) === 200);
 			const lookup = await fetchText(`${here!.callers}/v1/entries?service=bookings&tickets=1`);
 			const [ticket] = (JSON.parse(lookup) as { tickets: string[] }).tickets;
 			expect(await sendCall(here!, '/run/pay', ticket)).toBe(200);
