--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -3,8 +3,12 @@
  * observed answers correct. Shares and bounds are used by the other modules of this folder.
  */
 
+import type { PaceMemoryParameters } from './paceMemory';
+import type { PaceParameters } from './targetPace';
+import type { SubsetParameters } from './targetSubset';
+
 /** Parameters of the load estimate of a target. */
-export interface WorkEstimateParameters {
+export interface WorkEstimateParameters extends PaceParameters, PaceMemoryParameters {
 	/** Prompt tokens that an engine processes in a millisecond; within a factor of two for engines in use. */
 	readonly prefillTokensPerMs: number;
 	/** Tokens of a cached part that one engine fetches from another in a millisecond. */
@@ -33,7 +37,9 @@
 }
 
 /** Parameters of the choice of a target. */
-export interface WorkChoiceParameters {
+export interface WorkChoiceParameters extends SubsetParameters {
+	/** Extra cost of a target that this entry does not prefer, as a share of its cost: its load is not known well. */
+	readonly unpreferredCost: number;
 	/** Smaller shared parts do not affect the choice of a target: processing them again takes some 10 ms. */
 	readonly minSharedTokens: number;
 	/**
@@ -130,6 +136,13 @@
 		reportTimeConstantMs: 300,
 		typicalReportTimeConstantMs: 1_000,
 		unreportedTimeConstantMs: 10_000,
+		averagedPaceReports: 10,
+		typicalPaceReports: 1,
+		minReportedPace: 0.05,
+		maxReportedPace: 50,
+		initialPaceTimeConstantMs: 300,
+		initialPacePairs: 10,
+		rememberedPacePairs: 200,
 	},
 	choice: {
 		minSharedTokens: 256,
@@ -137,6 +150,9 @@
 		delayCost: 0.3,
 		failureCost: 4,
 		jitter: 0.05,
+		unpreferredCost: 2,
+		reportIntervalMs: 200,
+		minPreferredTargets: 3,
 	},
 	queue: {
 		maxPrefillAheadMs: 400,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -21,6 +21,7 @@
 	ScheduleDecision,
 	ServiceRoom,
 	TargetRoom,
+	TargetSlowness,
 } from '../scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../scheduling/serviceScheduler';
 import { describeUnmatched, hasMatchedTarget, isVersionMatched } from '../scheduling/versionMatch';
@@ -28,7 +29,10 @@
 import type { TargetChoice, TargetQuery } from './targetChooser';
 import { WorkTargetChooser } from './targetChooser';
 import { getUrgency, isDueTimeMissed } from './requestOrder';
+import { AnswerPhases } from './answerPhases';
+import { PaceMemory } from './paceMemory';
 import { TargetLoadModel } from './targetLoadModel';
+import { TargetSubset } from './targetSubset';
 import {
 	describeFullQueue,
 	describeLongQueue,
@@ -38,6 +42,7 @@
 	describePromptSize,
 	noUsableTargetReason,
 } from './refusalReasons';
+import { computeTypicalPace } from './targetPace';
 import { computeTypicalLoad } from './typicalLoad';
 import type { TrackedRequest } from './trackedRequest';
 import { createTrackedRequest, isRepeatAllowed } from './trackedRequest';
@@ -77,6 +82,10 @@
 	private readonly targetChooser: WorkTargetChooser;
 	private readonly retries: RequestRetries;
 	private readonly estimates: QueueEstimates;
+	private readonly paceMemory: PaceMemory;
+	private readonly loadMemory: PaceMemory;
+	private readonly answerPhases = new AnswerPhases();
+	private readonly subset: TargetSubset<TargetLoadModel>;
 	private decisions: ScheduleDecision[] = [];
 	private lastCheckMs = Number.NEGATIVE_INFINITY;
 	/** What a target of the service said last of the refusals that it bears. */
@@ -85,10 +94,13 @@
 	constructor(
 		random: IRandom,
 		/** Returns the place of this entry among the entries (proxy processes) that share the fleet's retry budget. */
-		getFleetPosition: () => FleetPosition,
+		private readonly getFleetPosition: () => FleetPosition,
 		private readonly policy: WorkPolicy = defaultWorkPolicy,
 	) {
-		this.targetChooser = new WorkTargetChooser(policy, random);
+		this.subset = new TargetSubset(policy.choice);
+		this.paceMemory = new PaceMemory(policy.estimate);
+		this.loadMemory = new PaceMemory(policy.estimate);
+		this.targetChooser = new WorkTargetChooser(policy, random, target => this.isPreferred(target));
 		this.retries = new RequestRetries(policy.retry, getFleetPosition);
 		this.estimates = new QueueEstimates(this.queue, policy, random);
 	}
@@ -103,7 +115,14 @@
 		for (const target of targets) {
 			const known = this.targets.get(target.id);
 			if (known === undefined) {
-				const model = new TargetLoadModel(target, this.policy.estimate, this.policy.queue);
+				const model = new TargetLoadModel(
+					target,
+					this.policy.estimate,
+					this.policy.queue,
+					this.paceMemory,
+					this.answerPhases,
+					this.loadMemory,
+				);
 				model.brittleLimiter.setServiceLimit(this.refusalLimit);
 				this.targets.set(target.id, model);
 			} else {
@@ -137,6 +156,7 @@
 			this.lastCheckMs = nowMs;
 			this.updateTypicalSlowness();
 			this.updateTypicalLoad(nowMs);
+			this.updateSubset(nowMs);
 			this.checkWaiting(nowMs);
 		}
 		this.startWaiting(nowMs);
@@ -223,7 +243,7 @@
 		const { request } = tracked;
 		const urgency = getUrgency(request);
 		const hasCapacity = targets.some(target => {
-			const isLate = isDueTimeMissed(request, target.computeIdleFirstByteMs(request), nowMs);
+			const isLate = isDueTimeMissed(request, target.estimateIdleFirstByteMs(request), nowMs);
 			return (
 				target.isAvailable(nowMs) &&
 				target.isSendAllowed(nowMs) &&
@@ -263,12 +283,18 @@
 		return { running: known?.running ?? 0, limit: known?.description.slots ?? 0 };
 	}
 
+	listSlowness(nowMs: number): readonly TargetSlowness[] {
+		return this.targetList.map(target => target.describeSlowness(nowMs));
+	}
+
 	/** The wait is until the first byte if a request is given, otherwise the queueing time of an arriving request. */
 	measureRoom(nowMs: number, request?: SchedulableRequest): ServiceRoom {
 		const matched = request === undefined ? this.targetList : this.listMatched(request);
 		const available = matched.filter(target => target.isAvailable(nowMs) && target.isSendAllowed(nowMs));
 		const waits = available.map(target =>
-			request === undefined ? target.estimateWaitMs(nowMs) : target.estimateFirstByteMs(request, nowMs),
+			request === undefined
+				? target.estimateWaitMs(nowMs) * target.pace.lasting
+				: target.estimateFirstByteMs(request, nowMs),
 		);
 		const idleFirstByteMs =
 			request === undefined ? [] : available.map(target => target.computeIdleFirstByteMs(request));
@@ -276,7 +302,7 @@
 		return {
 			waitMs: Math.min(...waits) + queuedMs,
 			freeSlots: available.reduce(
-				(sum, target) => sum + target.countFreeSlots(nowMs) * target.description.share,
+				(sum, target) => sum + target.countFreeSlots(nowMs) * target.description.share * target.speed,
 				0,
 			),
 			running: this.targetList.reduce((sum, target) => sum + target.running, 0),
@@ -347,13 +373,29 @@
 	}
 
 	private updateTypicalSlowness(): void {
-		const measured = this.targetList.map(target => target.ownSlowness).sort((left, right) => left - right);
+		const measured = this.targetList
+			.filter(target => target.hasOwnSlowness)
+			.map(target => target.ownSlowness)
+			.sort((left, right) => left - right);
 		const typical = measured[Math.floor(measured.length / 2)] ?? 1;
+		const typicalPace = computeTypicalPace(this.targetList.map(({ pace }) => pace));
 		for (const target of this.targetList) {
 			target.setTypicalSlowness(typical);
+			target.pace.setTypical(typicalPace);
 		}
 	}
 
+	/** Only reports of the slowness are of so short use that an entry has to hear often from a target. */
+	private updateSubset(nowMs: number): void {
+		const isReported = this.targetList.some(({ pace }) => pace.isReported);
+		const usable = isReported ? this.targetList.filter(target => target.isAvailable(nowMs)) : [];
+		this.subset.update(usable, this.getFleetPosition(), nowMs);
+	}
+
+	private isPreferred(target: TargetLoadModel): boolean {
+		return this.subset.isPreferred(target);
+	}
+
 	/** The load of plain targets differs too much between them. */
 	private updateTypicalLoad(nowMs: number): void {
 		const engines = this.targetList.filter(({ isEngine }) => isEngine);
@@ -486,6 +528,7 @@
 	private start(tracked: TrackedRequest, choice: TargetChoice, nowMs: number): void {
 		const { request } = tracked;
 		this.queue.remove(request.id);
+		this.subset.noteStart(nowMs);
 		tracked.runningOn = choice.target;
 		const isIsolated = request.isKeptApart?.() === true;
 		choice.target.noteStart(request, isIsolated, choice.fetchedTokens, nowMs);
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -53,6 +53,7 @@
 import { RouterContext } from './requests/routerContext';
 import type { IServicePolicies } from './requests/serviceRunners';
 import { ServiceRunners } from './requests/serviceRunners';
+import { UnreadableLoads } from './requests/unreadableLoads';
 import { SleepDetector } from './sleepDetector';
 import { StartHold } from './startHold';
 import { OriginPeers } from './streams/originPeers';
@@ -168,6 +169,9 @@
 				this.startGate,
 				this.auditTrail,
 				this.keyChecker,
+				new UnreadableLoads(this.metrics, (fields, message) => {
+					this.logger.warn(fields, message);
+				}),
 			),
 		);
 		this.ownView = new OwnView(settings, this.bootId, {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -24,6 +24,7 @@
 	ServiceRoom,
 	StartDecision,
 	TargetRoom,
+	TargetSlowness,
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
 import { describeUnmatched, hasMatchedTarget } from '../../common/scheduling/versionMatch';
@@ -64,6 +65,8 @@
 		private readonly startGate: IStartGate,
 		private readonly paths: IPathObserver,
 		private readonly keys: IKeyCheck = noKeyCheck,
+		/** Called with each load header of a target that can't be read. */
+		private readonly noteUnreadableLoad: (target: TargetId, text: string) => void = () => undefined,
 	) {
 		super();
 	}
@@ -154,6 +157,11 @@
 		return this.scheduler.measureTarget(target);
 	}
 
+	/** Lists how slow the targets are by estimate; empty if the scheduler estimates it otherwise. */
+	listSlowness(): readonly TargetSlowness[] {
+		return this.scheduler.listSlowness?.(this.timers.getNow()) ?? [];
+	}
+
 	noteHandedOver(attempt: AttemptRun): void {
 		this.scheduler.noteHandedOver(attempt.run.call.id, this.timers.getNow());
 	}
@@ -166,6 +174,9 @@
 		this.paths.noteAnswer();
 		this.targets.noteAnswerHead(attempt.target, head, reading);
 		this.scheduler.noteRefusalLimit?.(attempt.target, reading.refusalLimit);
+		if (reading.unreadableLoad !== undefined) {
+			this.noteUnreadableLoad(attempt.target, reading.unreadableLoad);
+		}
 		if (reading.load !== undefined) {
 			this.scheduler.noteLoad(attempt.target, reading.load, this.timers.getNow());
 		}
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -23,6 +23,8 @@
 import type { CrashDetector } from './crashDetector';
 import type { RequestRun } from './requestRun';
 import { ServiceRunner } from './serviceRunner';
+import type { ILoadHeaderObserver } from './unreadableLoads';
+import { ignoredLoadHeaders } from './unreadableLoads';
 
 /** The scheduler and send-away policy for services, and the protocol dialect of their targets. */
 export interface IServicePolicies {
@@ -64,6 +66,7 @@
 		private readonly startGate: IStartGate,
 		private readonly auditTrail: IAuditTrail,
 		private readonly keys: IKeyCheck = noKeyCheck,
+		private readonly loadHeaders: ILoadHeaderObserver = ignoredLoadHeaders,
 	) {
 		super();
 		this.register(
@@ -145,6 +148,9 @@
 				this.startGate,
 				paths,
 				this.keys,
+				(target, text) => {
+					this.loadHeaders.noteUnreadable(service, target, text);
+				},
 			),
 		);
 		this.ownedRunners.add(
