Admit requests of limited organisations soon after a restart of all entries

After a restart of the whole fleet, callers of organisations with a limit got 429 for ten seconds: the size of the fleet counts as unknown for that long, and an entry whose fleet is unknown admits nothing. The entries known 0.6 s after the start now count as the fleet for limits, if there are any others, and the first requests of a process wait for the first answer of the coordinator as they do for the configuration. Buckets are empty after a start.

--- a/src/entry/common/limits/sharedLimits.ts
+++ b/src/entry/common/limits/sharedLimits.ts
@@ -134,6 +134,11 @@
 		return this.running?.admission.getAnswerAgeMs(this.parts.timers.getNow());
 	}
 
+	/** Whether no organisation has a limit, or the coordinator has answered. */
+	isShareKnown(): boolean {
+		return this.running === undefined || this.getAnswerAgeMs() !== undefined;
+	}
+
 	/** Number of organisations that this entry does not admit completely. */
 	countLimited(): number {
 		return this.running?.log.countLimited() ?? 0;
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -477,7 +477,10 @@
 	private createStartHold(): StartHold {
 		const { sources } = this.platform;
 		return new StartHold(
-			() => this.manifests.getCurrent() !== undefined && sources.listMissing().length === 0,
+			() =>
+				this.manifests.getCurrent() !== undefined &&
+				sources.listMissing().length === 0 &&
+				this.limits.isShareKnown(),
 			this.timers,
 		);
 	}
--- a/src/entry/node/limits/entryLimits.ts
+++ b/src/entry/node/limits/entryLimits.ts
@@ -81,6 +81,11 @@
 		}
 	}
 
+	/** Whether it is known what this entry may admit: no organisation has a limit, or the coordinator has answered. */
+	isShareKnown(): boolean {
+		return this.shared.isShareKnown();
+	}
+
 	/** Lists each limit with what this entry knows of its use. */
 	listStatus(): readonly LimitStatus[] {
 		return this.shared.listStatus();
--- a/src/entry/node/limits/fleetZones.ts
+++ b/src/entry/node/limits/fleetZones.ts
@@ -27,6 +27,13 @@
  */
 const knownForMs = 30_000;
 
+/**
+ * Time after a start from which the entries known so far count as the fleet, if there are others. Entries that start
+ * together exchange views several times by then. Buckets are empty after a start, so entries that are still unknown cost
+ * little, whereas a longer wait would refuse all requests of limited organisations after each restart of the fleet.
+ */
+const settleMs = 600;
+
 interface ZoneList {
 	readonly region: RegionName;
 	readonly zone: ZoneName;
@@ -54,7 +61,12 @@
 	}
 
 	countFleet(): number {
-		return this.fleet.getFleetPosition().entries;
+		const { entries, startedMs } = this.fleet.getFleetPosition();
+		const isSettled = this.timers.getNow() - startedMs >= settleMs && this.fleet.listViews().length > 0;
+		if (Number.isFinite(entries) || !isSettled) {
+			return entries;
+		}
+		return this.listZones().reduce((sum, { known }) => sum + known, 0);
 	}
 
 	private createZones(): readonly ZoneEntries[] {
