Ask the store and other entries at the same time while the age of keys is bounded

After the store had dropped its history, callers with keys got 503 for up to 6.5 s although the store answered: the answer that the history is gone counted as silence, so each entry went on asking all others one after another, none of which had the store either, until its call to the store had timed out, and the listing after it did the same. An answer of the store other than a refusal now ends the search, and a listing is asked of the store and of others at once.

--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -72,6 +72,9 @@
 /** Time for which a watcher whose feed was lost is not chosen. */
 const excludedMs = 30_000;
 
+/** Shows that the store answered before another entry did. */
+const storeAnswered = Symbol('the store answered');
+
 interface PrefixState {
 	feed: FeedReader | undefined;
 	directUntilMs: number;
@@ -139,14 +142,16 @@
 			return ok({ items: written, hasMore: false, revision, era, asOfMs, isRelayed: true });
 		}
 		this.closeFeed(prefix, state, 'a listing is needed');
+		if (afterKey === undefined && this.isTurnedAway(state) && this.isAgeBounded()) {
+			return this.listFromStoreOrOthers(prefix, state, signal);
+		}
 		if (afterKey === undefined && this.isTurnedAway(state)) {
 			const feed = await this.openWhileTurnedAway(prefix, state, 0, signal);
 			if (feed?.getNext()?.isListing === true) {
 				return this.list(prefix, afterKey, signal);
 			}
 		}
-		state.isDirect = true;
-		return this.noteAnswer(state, await this.store.list(prefix, afterKey, signal));
+		return this.listFromStore(prefix, state, afterKey, signal);
 	}
 
 	async watch(
@@ -220,6 +225,34 @@
 		}));
 	}
 
+	private async listFromStore(
+		prefix: string,
+		state: PrefixState,
+		afterKey: string | undefined,
+		signal: AbortSignal,
+	): Promise<Result<StorePage, StoreError>> {
+		state.isDirect = true;
+		return this.noteAnswer(state, await this.store.list(prefix, afterKey, signal));
+	}
+
+	/** Asks a store that did not answer lately and other entries at the same time. */
+	private async listFromStoreOrOthers(
+		prefix: string,
+		state: PrefixState,
+		signal: AbortSignal,
+	): Promise<Result<StorePage, StoreError>> {
+		const storeCall = new AbortController();
+		const callSignal = AbortSignal.any([signal, storeCall.signal]);
+		const storeAnswer = this.listFromStore(prefix, state, undefined, callSignal);
+		const feed = await this.findFeedUntilAnswer(prefix, state, 0, storeAnswer, signal);
+		if (feed?.getNext()?.isListing !== true) {
+			return storeAnswer;
+		}
+		storeCall.abort();
+		state.isDirect = false;
+		return this.list(prefix, undefined, signal);
+	}
+
 	/** Asks the store and, if it does not answer soon, also other entries. */
 	private async watchStoreOrOthers(
 		prefix: string,
@@ -236,26 +269,44 @@
 			AbortSignal.any([signal, storeCall.signal]),
 		);
 		const quickAnswer = state.isFailing ? undefined : await this.waitBriefly(storeAnswer);
-		if (quickAnswer?.isOk() === true || signal.aborted) {
+		if (signal.aborted || (quickAnswer !== undefined && !isStoreSilent(quickAnswer))) {
 			return quickAnswer ?? storeAnswer;
 		}
 		state.turnedAwayUntilMs = this.timers.getNow() + turnedAwayMs;
+		const feed = await this.findFeedUntilAnswer(prefix, state, afterRevision, storeAnswer, signal);
+		if (feed === undefined) {
+			return storeAnswer;
+		}
+		storeCall.abort();
+		state.isDirect = false;
+		return this.takeMessage(feed, afterRevision);
+	}
+
+	/**
+	 * Searches for a feed of another entry until the store answers, and returns undefined in that case or if there is none.
+	 * That the store no longer has the changes is an answer, too: a listing has to follow at once.
+	 */
+	private async findFeedUntilAnswer(
+		prefix: string,
+		state: PrefixState,
+		revision: number,
+		storeAnswer: Promise<Result<unknown, StoreError>>,
+		signal: AbortSignal,
+	): Promise<FeedReader | undefined> {
 		const search = new AbortController();
 		const first = await Promise.race([
-			this.openWhileTurnedAway(prefix, state, afterRevision, AbortSignal.any([signal, search.signal])),
-			storeAnswer.then(async answer => (answer.isOk() ? answer : new Promise<never>(() => undefined))),
+			this.openWhileTurnedAway(prefix, state, revision, AbortSignal.any([signal, search.signal])),
+			storeAnswer.then(async answer =>
+				isStoreSilent(answer) ? new Promise<never>(() => undefined) : storeAnswered,
+			),
 		]);
-		if (first instanceof FeedReader) {
-			storeCall.abort();
-			state.isDirect = false;
-			return this.takeMessage(first, afterRevision);
-		}
-		if (first !== undefined) {
-			search.abort();
-			this.closeFeed(prefix, state, 'the store answers');
-			state.isDirect = true;
+		if (first === undefined || first instanceof FeedReader) {
+			return first;
 		}
-		return first ?? storeAnswer;
+		search.abort();
+		this.closeFeed(prefix, state, 'the store answers');
+		state.isDirect = true;
+		return undefined;
 	}
 
 	private async waitBriefly<TValue>(work: Promise<TValue>): Promise<TValue | undefined> {
@@ -461,7 +512,7 @@
 		if (era !== undefined && era > (this.era ?? 0)) {
 			this.era = era;
 		}
-		if (answer.isOk()) {
+		if (answer.isOk() || (this.isAgeBounded() && !isUnanswered(answer.error))) {
 			state.turnedAwayUntilMs = 0;
 			state.isFailing = false;
 			state.askedCount = 0;
@@ -506,6 +557,10 @@
 	};
 }
 
+function isStoreSilent(answer: Result<unknown, StoreError>): boolean {
+	return answer.isErr() && isUnanswered(answer.error);
+}
+
 function isUnanswered({ kind }: StoreError): boolean {
 	return kind === StoreErrorKind.Unreachable || kind === StoreErrorKind.Refused;
 }
