Rank the requests of organisations with the same priority by their routes

The organisation's priority now goes first, and the route's ranks requests of organisations with the same one.

--- a/src/entry/common/callers/callHead.ts
+++ b/src/entry/common/callers/callHead.ts
@@ -42,8 +42,10 @@
 /** The parts of a head that exist only in a call matched by host and path. */
 export interface RoutedCall {
 	readonly route: ManifestRoute;
-	/** 0 is the most urgent: the organisation's priority if it has one, or else the route's. */
+	/** Urgency from the priorities of the organisation and the route; 0 is the most urgent. */
 	readonly priority: number;
+	/** The priority of the organisation, if it has one. */
+	readonly organisationPriority?: number;
 	/** The host as the caller sent it. */
 	readonly host: string;
 	/** The request id that the caller sent. */
