Let the wait for plain requests sent to a peer end with time

With few entries in a region, callers of a full region received late answers and refusals, while almost nothing was sent to idle regions (0.03 of the requests). The work sent to a peer counted as waiting there until its next offer, seconds later. So an entry sent some ten requests for each offer and then found every offer too slow.

A plain request sent to a peer now adds its work divided by the free slots that the peer offered, and this wait falls as time passes. Work of requests with a prompt counts as before (promptedDecisions.test.ts).

--- a/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
+++ b/src/entry/common/sendAway/firstByteSendAwayPolicy.ts
@@ -81,6 +81,11 @@
 	offeredMs: number;
 	workMs: number;
 	pausedUntilMs: number;
+	/** The part of `workMs` that is of requests with a prompt. */
+	promptWorkMs: number;
+	/** The wait for the plain requests, as of a time. */
+	plainWaitMs: number;
+	plainWaitAsOfMs: number;
 }
 
 /** An offer with the estimated cost of sending the request there. */
@@ -104,6 +109,14 @@
 	return `${region}/${partId}`;
 }
 
+/**
+ * Returns what is left of the wait for plain requests sent since the offer. Slots work while the offer ages. If the wait
+ * stayed until the next offer, a sender would use a few requests' worth of an idle region in the seconds between offers.
+ */
+function computePlainWaitMs({ plainWaitMs, plainWaitAsOfMs }: PendingWork, nowMs: number): number {
+	return Math.max(0, plainWaitMs - (nowMs - plainWaitAsOfMs));
+}
+
 /** Decides for one service at one entry, by the time to the first byte and the cost to other requests. */
 export class FirstByteSendAwayPolicy implements ISendAwayPolicy {
 	private readonly pendingWork = new Map<InstanceId, PendingWork>();
@@ -184,7 +197,7 @@
 			if (offer.ageMs > this.options.maxOfferAgeMs || nowMs < pending.pausedUntilMs) {
 				continue;
 			}
-			const waitMs = offer.room.waitMs + pending.workMs;
+			const waitMs = offer.room.waitMs + this.computePendingWaitMs(context, pending, nowMs);
 			const isCached = this.isSharedPartCachedAt(context, offer);
 			const cachedMs = isCached ? this.computeSharedReadingMs(context) : 0;
 			const workMs = Math.max(0, this.computeWorkMs(context) - cachedMs);
@@ -236,13 +249,26 @@
 	private recordSent(context: SendAwayContext, offer: RemoteOffer, nowMs: number): void {
 		const pending = this.getPendingWork(offer, nowMs);
 		const workMs = this.computeWorkMs(context);
-		pending.workMs += workMs * this.options.pendingWorkShare;
+		const pendingMs = workMs * this.options.pendingWorkShare;
+		pending.workMs += pendingMs;
+		if (this.hasPrompt(context)) {
+			pending.promptWorkMs += pendingMs;
+		} else {
+			pending.plainWaitMs = computePlainWaitMs(pending, nowMs) + workMs / Math.max(1, offer.room.freeSlots);
+			pending.plainWaitAsOfMs = nowMs;
+		}
 		const shared = this.findSharedPromptPart(context.request);
 		if (shared !== undefined) {
 			this.sentPromptParts.set(createPartKey(offer.region, shared.id), true);
 		}
 	}
 
+	/** Estimates how long the work sent since the offer delays the request, in milliseconds. */
+	private computePendingWaitMs(context: SendAwayContext, pending: PendingWork, nowMs: number): number {
+		const plainMs = computePlainWaitMs(pending, nowMs);
+		return this.hasPrompt(context) ? pending.workMs : pending.promptWorkMs + plainMs;
+	}
+
 	private computeWorkMs({ localRoom }: SendAwayContext): number {
 		return localRoom.unloadedMs ?? this.options.defaultWorkMs;
 	}
@@ -251,13 +277,22 @@
 		const offeredMs = nowMs - ageMs;
 		const known = this.pendingWork.get(instance);
 		if (known === undefined) {
-			const created = { offeredMs, workMs: 0, pausedUntilMs: 0 };
+			const created = {
+				offeredMs,
+				workMs: 0,
+				pausedUntilMs: 0,
+				plainWaitMs: 0,
+				plainWaitAsOfMs: nowMs,
+				promptWorkMs: 0,
+			};
 			this.pendingWork.set(instance, created);
 			return created;
 		}
 		if (offeredMs - known.offeredMs > sameOfferToleranceMs) {
 			known.offeredMs = offeredMs;
 			known.workMs = 0;
+			known.promptWorkMs = 0;
+			known.plainWaitMs = 0;
 		}
 		return known;
 	}
--- a/src/entry/common/sendAway/test/plainFleet.test.ts
+++ b/src/entry/common/sendAway/test/plainFleet.test.ts
@@ -27,6 +27,18 @@
 		timeoutMs,
 	);
 
+	// An entry with many requests gets a few offers, each of which is replaced after seconds. If the work that it sent there
+	// counted as waiting until then, it would send a few requests for each offer and refuse a third of the others.
+	it(
+		'are sent to the other regions by a single entry in each region as well',
+		() => {
+			const { peak } = runPlainFleet({ ...movingPeak, entriesPerRegion: 1 }, 1);
+			expect(peak.inAim).toBeGreaterThan(0.85);
+			expect(peak.refused).toBeLessThan(0.08);
+		},
+		timeoutMs,
+	);
+
 	// Guards against regions that exchange their requests, which costs each a round trip and gains nothing.
 	it(
 		'stay in their region if all regions are equally loaded',
