Serve organisations and the slowness of targets on the operators' port

Operators could not see at an entry which organisations have keys or limits, how much of a limit is used and admitted, how old the knowledge of keys is, or which target is taken for slow. /v1/organisations and /v1/slowness answer this from memory. Keys are counted; no answer has a key or a digest.

--- a/src/core/operators/common/operatorsRouter.ts
+++ b/src/core/operators/common/operatorsRouter.ts
@@ -42,6 +42,10 @@
 				return this.answerReadiness();
 			case '/v1/status':
 				return createJsonAnswer(200, this.source.getStatus());
+			case '/v1/organisations':
+				return createJsonAnswer(200, this.source.getOrganisations());
+			case '/v1/slowness':
+				return createJsonAnswer(200, this.source.getSlowness());
 			case '/v1/trail':
 				return this.answerTrail(query);
 			case '/v1/manifest':
@@ -49,7 +53,7 @@
 			default:
 				return createErrorAnswer(
 					OperatorsErrorCode.UnknownRoute,
-					'Known: /metrics /healthz /readyz /v1/status /v1/explain/{id} /v1/trail /v1/manifest.',
+					'Known: /metrics /healthz /readyz /v1/status /v1/organisations /v1/slowness /v1/explain/{id} /v1/trail /v1/manifest.',
 				);
 		}
 	}
--- a/src/core/operators/common/operatorsSource.ts
+++ b/src/core/operators/common/operatorsSource.ts
@@ -6,6 +6,7 @@
 import type { RequestRecord } from '../../explain/common/requestJournal';
 import type { ManifestVersion, RequestId } from '../../ids/common/ids';
 import type { EntryStatus, Readiness } from '../../status/common/entryStatus';
+import type { OrganisationsAnswer, SlownessAnswer } from '../../status/common/organisationsStatus';
 
 /** The manifest in force, as the platform published it. */
 export interface ManifestInForce {
@@ -19,6 +20,10 @@
 export interface IOperatorsSource {
 	getReadiness(): Readiness;
 	getStatus(): EntryStatus;
+	/** The organisations of the manifest in force; empty before the first. */
+	getOrganisations(): OrganisationsAnswer;
+	/** The slowness of the targets of all services. */
+	getSlowness(): SlownessAnswer;
 	/** The record of a request, or undefined if the request was never received or its record was replaced. */
 	findRecord(id: RequestId): RequestRecord | undefined;
 	/** The newest records, oldest first. */
--- a/src/core/operators/test/operatorsFixtures.ts
+++ b/src/core/operators/test/operatorsFixtures.ts
@@ -8,6 +8,7 @@
 import type { RequestRecord } from '../../explain/common/requestJournal';
 import type { ManifestVersion, RequestId } from '../../ids/common/ids';
 import type { EntryStatus } from '../../status/common/entryStatus';
+import type { OrganisationsAnswer, SlownessAnswer } from '../../status/common/organisationsStatus';
 import type { IMetricsPage, IOperatorsSource } from '../common/operatorsSource';
 
 export function createStatus(overrides: Partial<EntryStatus> = {}): EntryStatus {
@@ -32,6 +33,21 @@
 	};
 }
 
+export function createOrganisations(overrides: Partial<OrganisationsAnswer> = {}): OrganisationsAnswer {
+	return {
+		instance: 'entry-kingston-1',
+		manifestVersion: 12,
+		requiresKeys: false,
+		keyKnowledge: null,
+		organisations: [],
+		...overrides,
+	};
+}
+
+export function createSlowness(overrides: Partial<SlownessAnswer> = {}): SlownessAnswer {
+	return { instance: 'entry-kingston-1', targets: [], ...overrides };
+}
+
 export function createRecord(sequence: number): AuditRecord {
 	return {
 		sequence,
@@ -60,6 +76,8 @@
 	return {
 		getReadiness: () => ({ isReady: true, reasons: [] }),
 		getStatus: () => createStatus(),
+		getOrganisations: () => createOrganisations(),
+		getSlowness: () => createSlowness(),
 		findRecord: id => (id === 'known' ? createRequestRecord(id) : undefined),
 		listTrail: maxRecords => [1, 2, 3].slice(-maxRecords).map(createRecord),
 		getManifest: () => ({ version: 12 as ManifestVersion, digest: 'ab12', text: '{"regions": []}' }),
--- a/src/core/operators/test/operatorsServer.test.ts
+++ b/src/core/operators/test/operatorsServer.test.ts
@@ -1,10 +1,11 @@
 import { request } from 'undici';
 import type { Dispatcher } from 'undici';
 import { entryStatusSchema } from '../../status/common/entryStatus';
+import { organisationsAnswerSchema, slownessAnswerSchema } from '../../status/common/organisationsStatus';
 import { explainAnswerSchema, trailAnswerSchema } from '../../status/common/operatorsAnswers';
 import type { IOperatorsSource } from '../common/operatorsSource';
 import { OperatorsServer } from '../node/operatorsServer';
-import { createMetricsPage, createSource } from './operatorsFixtures';
+import { createMetricsPage, createOrganisations, createSlowness, createSource } from './operatorsFixtures';
 
 interface ReceivedAnswer {
 	readonly status: number;
@@ -70,6 +71,14 @@
 		);
 	});
 
+	it('returns the organisations and the slowness of targets', async () => {
+		const url = await startServer();
+		const organisations = JSON.parse((await fetchAnswer(`${url}/v1/organisations`)).body) as unknown;
+		expect(organisationsAnswerSchema.parse(organisations)).toEqual(createOrganisations());
+		const slowness = JSON.parse((await fetchAnswer(`${url}/v1/slowness`)).body) as unknown;
+		expect(slownessAnswerSchema.parse(slowness)).toEqual(createSlowness());
+	});
+
 	it('answers invalid requests with an error status', async () => {
 		const url = await startServer();
 		expect(await fetchAnswer(`${url}/v1/explain/gone`)).toMatchObject({ status: 404 });
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -540,6 +540,8 @@
 				runners: this.runners,
 				callHandler: this.callHandler,
 				tickets: this.tickets,
+				limits: this.limits,
+				keyAges: this.keyChecker,
 				heldBytes: this.heldBytes,
 				trail: this.auditTrail,
 				journal: this.journal,
--- a/src/entry/node/keyChecker.ts
+++ b/src/entry/node/keyChecker.ts
@@ -54,6 +54,11 @@
 		return this.getKnowledge().ageMs;
 	}
 
+	/** The age up to which keys are accepted, in milliseconds. */
+	getMaxAgeMs(): number {
+		return this.maxAgeMs;
+	}
+
 	private noteKnowledge(knowledge: KeyKnowledge): void {
 		const isNowConfirmed = isConfirmed(knowledge, this.maxAgeMs);
 		if (isNowConfirmed === (this.unconfirmedSinceMs === undefined)) {
--- a/src/entry/node/operatorsSource.ts
+++ b/src/entry/node/operatorsSource.ts
@@ -14,11 +14,15 @@
 	ServiceStatus,
 	TargetStatus,
 } from '../../core/status/common/entryStatus';
+import type { OrganisationsAnswer, SlownessAnswer } from '../../core/status/common/organisationsStatus';
 import type { OwnInstance } from './callHandler';
 import type { CallHandler } from './callHandler';
 import type { HeldBytes } from './callers/bodyReader';
 import type { EntryFleet } from './fleet/entryFleet';
+import type { EntryLimits } from './limits/entryLimits';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
+import type { KeyAges } from './organisationsSource';
+import { describeKeyKnowledge, describeOrganisations, describeSlowness } from './organisationsSource';
 import type { ServiceRunners } from './requests/serviceRunners';
 import type { ITargetRegistry } from './targets/targetDirectory';
 import type { TicketService } from './tickets/ticketService';
@@ -37,6 +41,9 @@
 	readonly runners: ServiceRunners;
 	readonly callHandler: CallHandler;
 	readonly tickets: TicketService;
+	readonly limits: Pick<EntryLimits, 'listStatus'>;
+	/** Undefined if the settings set no bound for withdrawn keys. */
+	readonly keyAges: KeyAges | undefined;
 	readonly heldBytes: HeldBytes;
 	readonly trail: IAuditTrail;
 	readonly journal: IRequestJournal;
@@ -84,6 +91,30 @@
 		};
 	}
 
+	getOrganisations(): OrganisationsAnswer {
+		const { manifests, limits, keyAges } = this.components;
+		const accepted = manifests.getCurrent()?.accepted;
+		return {
+			instance: this.ownInstance.id,
+			manifestVersion: accepted?.version ?? null,
+			requiresKeys: accepted?.manifest.requiresKeys ?? false,
+			keyKnowledge: describeKeyKnowledge(keyAges),
+			organisations:
+				accepted === undefined ? [] : describeOrganisations(accepted.manifest, limits.listStatus()),
+		};
+	}
+
+	getSlowness(): SlownessAnswer {
+		const { runners } = this.components;
+		const targets = runners.listServices().flatMap(service =>
+			runners
+				.getRunner(service)
+				.listSlowness()
+				.map(slowness => describeSlowness(service, slowness)),
+		);
+		return { instance: this.ownInstance.id, targets };
+	}
+
 	findRecord(id: RequestId): RequestRecord | undefined {
 		return this.components.journal.find(id);
 	}
