Show organisations and slow targets in anvilroadctl

anvilroadctl could not show limits, keys or the speed of targets. The commands organisations and slowness list them as text or JSON, the most limited organisation and the slowest target first, and say plainly where a manifest has no keys, no limits or no bound for withdrawn keys. The table with a bounded number of rows moves from the rendering of the status to table.ts.

--- a/src/ctl/common/renderStatus.ts
+++ b/src/ctl/common/renderStatus.ts
@@ -10,7 +10,7 @@
 } from '../../core/status/common/entryStatus';
 import { formatBytes, formatShortDigest, formatDuration, formatForTerminal } from './formatting';
 import type { Column } from './table';
-import { renderTable } from './table';
+import { renderTruncated } from './table';
 
 /** Maximum rows of each table unless `--all` is given. */
 export const defaultMaxRows = 15;
@@ -56,22 +56,6 @@
 	);
 }
 
-function renderTruncated<TRow>(
-	columns: readonly Column<TRow>[],
-	rows: readonly TRow[],
-	maxRows: number,
-): string[] {
-	if (rows.length === 0) {
-		return [];
-	}
-	const hiddenRows = rows.length - maxRows;
-	return [
-		'',
-		...renderTable(columns, rows.slice(0, maxRows)),
-		...(hiddenRows > 0 ? [`... and ${hiddenRows} more: --all shows them`] : []),
-	];
-}
-
 function renderReadiness(status: EntryStatus): string {
 	const { isReady, reasons } = status.readiness;
 	const leaving = status.isLeaving ? ', leaving' : '';
--- a/src/ctl/common/table.ts
+++ b/src/ctl/common/table.ts
@@ -21,3 +21,20 @@
 	];
 	return formatColumns(lines, (_, column) => columns[column]?.isNumber === true);
 }
+
+/** Renders a table of at most `maxRows` rows after a blank line, and the number of rows left out. */
+export function renderTruncated<TRow>(
+	columns: readonly Column<TRow>[],
+	rows: readonly TRow[],
+	maxRows: number,
+): string[] {
+	if (rows.length === 0) {
+		return [];
+	}
+	const hiddenRows = rows.length - maxRows;
+	return [
+		'',
+		...renderTable(columns, rows.slice(0, maxRows)),
+		...(hiddenRows > 0 ? [`... and ${hiddenRows} more: --all shows them`] : []),
+	];
+}
--- a/src/ctl/node/operatorsClient.ts
+++ b/src/ctl/node/operatorsClient.ts
@@ -12,6 +12,11 @@
 import type { ITimerService } from '../../base/common/timerService';
 import type { EntryStatus } from '../../core/status/common/entryStatus';
 import { entryStatusSchema } from '../../core/status/common/entryStatus';
+import type { OrganisationsAnswer, SlownessAnswer } from '../../core/status/common/organisationsStatus';
+import {
+	organisationsAnswerSchema,
+	slownessAnswerSchema,
+} from '../../core/status/common/organisationsStatus';
 import type { ExplainAnswer, ManifestAnswer, TrailAnswer } from '../../core/status/common/operatorsAnswers';
 import {
 	explainAnswerSchema,
@@ -88,6 +93,14 @@
 		return this.fetchAnswer(entry, '/v1/status', entryStatusSchema);
 	}
 
+	fetchOrganisations(entry: string): Promise<FetchResult<OrganisationsAnswer>> {
+		return this.fetchAnswer(entry, '/v1/organisations', organisationsAnswerSchema);
+	}
+
+	fetchSlowness(entry: string): Promise<FetchResult<SlownessAnswer>> {
+		return this.fetchAnswer(entry, '/v1/slowness', slownessAnswerSchema);
+	}
+
 	fetchRequestRecord(entry: string, requestId: string): Promise<FetchResult<ExplainAnswer>> {
 		return this.fetchAnswer(entry, `/v1/explain/${encodeURIComponent(requestId)}`, explainAnswerSchema);
 	}
--- a/src/ctl/node/program.ts
+++ b/src/ctl/node/program.ts
@@ -11,6 +11,7 @@
 import type { CommonOptions, ICommand, ICommandOutput } from './command';
 import { EntriesCommand } from './entriesCommand';
 import { ExplainCommand } from './explainCommand';
+import { createOrganisationsCommand, createSlownessCommand } from './listingCommand';
 import { OperatorsClient } from './operatorsClient';
 import { StatusCommand } from './statusCommand';
 import { readTextFile } from './textFile';
@@ -131,16 +132,11 @@
 
 	private addCommands(parser: Argv<CommonArguments>, run: RunCommand): Argv<CommonArguments> {
 		const { output, timerService, stopSignal: stop } = this.host;
-		return parser
+		return this.addListingCommands(parser, run)
 			.command(
 				'status',
 				"An entry's view of itself, its targets and its peers",
-				command =>
-					command.option('all', {
-						type: 'boolean',
-						default: false,
-						describe: 'Show all rows of long tables',
-					}),
+				command => addAllOption(command),
 				args =>
 					run(args, client => {
 						return new StatusCommand(client, output, {
@@ -193,6 +189,31 @@
 			.command('check', 'Check a manifest or settings', command => this.addCheckCommands(command, run));
 	}
 
+	private addListingCommands(parser: Argv<CommonArguments>, run: RunCommand): Argv<CommonArguments> {
+		const { output } = this.host;
+		return parser
+			.command(
+				'organisations',
+				'The organisations: limits and their use, number of keys, homes; age of the knowledge of keys',
+				command => addAllOption(command),
+				args =>
+					run(args, client => {
+						const options = { ...this.readCommonOptions(args), hasAllRows: args.all };
+						return createOrganisationsCommand(client, output, options);
+					}),
+			)
+			.command(
+				'slowness',
+				'The targets by slowness, the slowest first',
+				command => addAllOption(command),
+				args =>
+					run(args, client => {
+						const options = { ...this.readCommonOptions(args), hasAllRows: args.all };
+						return createSlownessCommand(client, output, options);
+					}),
+			);
+	}
+
 	private addCheckCommands(parser: Argv<CommonArguments>, run: RunCommand): Argv<CommonArguments> {
 		const { output } = this.host;
 		return parser
@@ -241,6 +262,14 @@
 
 type RunCommand = (common: ClientArguments, create: (client: OperatorsClient) => ICommand) => Promise<void>;
 
+function addAllOption<TArguments>(command: Argv<TArguments>): Argv<TArguments & { all: boolean }> {
+	return command.option('all', {
+		type: 'boolean',
+		default: false,
+		describe: 'Show all rows of long tables',
+	});
+}
+
 function checkCount(option: string, value: number, max: number): number {
 	if (!Number.isInteger(value) || value < 1 || value > max) {
 		throw new UsageError(`${option} is a whole number from 1 to ${max}`);
--- a/src/ctl/test/commands.test.ts
+++ b/src/ctl/test/commands.test.ts
@@ -10,6 +10,7 @@
 import { OperatorsServer } from '../../core/operators/node/operatorsServer';
 import {
 	createMetricsPage,
+	createOrganisations,
 	createRecord,
 	createSource,
 	createStatus,
@@ -21,6 +22,7 @@
 import type { ICommandOutput } from '../node/command';
 import { EntriesCommand } from '../node/entriesCommand';
 import { ExplainCommand } from '../node/explainCommand';
+import { createOrganisationsCommand, createSlownessCommand } from '../node/listingCommand';
 import { OperatorsClient } from '../node/operatorsClient';
 import { StatusCommand } from '../node/statusCommand';
 import type { TrailOptions } from '../node/trailCommand';
@@ -146,6 +148,24 @@
 	});
 });
 
+describe('organisations and slowness', () => {
+	it('shows reachable entries, fails for unreachable ones, and prints the answer as JSON', async () => {
+		const harness = createHarness();
+		const url = await startEntry();
+		const options = { entries: [url, unreachableUrl], isJson: true, hasAllRows: false };
+		expect(await createOrganisationsCommand(harness.client, harness, options).run()).toBe(ExitCode.Failure);
+		expect(JSON.parse(harness.lines[0] ?? '')).toEqual(createOrganisations());
+		expect(harness.errors[0]).toMatch(/^http:\/\/127.0.0.1:1: unreachable: /);
+		const textOptions = { ...options, entries: [url], isJson: false };
+		expect(await createOrganisationsCommand(harness.client, harness, textOptions).run()).toBe(
+			ExitCode.Success,
+		);
+		expect(harness.lines).toContain('entry-kingston-1  manifest 12  0 organisations');
+		expect(await createSlownessCommand(harness.client, harness, textOptions).run()).toBe(ExitCode.Success);
+		expect(harness.lines).toContain('entry-kingston-1  0 targets; no target reports its slowness');
+	});
+});
+
 describe('an entry with certificates', () => {
 	it('is readable only for clients that trust its certificate authority', async () => {
 		const folder = owned.add(new CertificateFolder(FixtureName.First));
--- a/src/ctl/test/rendering.test.ts
+++ b/src/ctl/test/rendering.test.ts
@@ -1,12 +1,20 @@
 import { fc, test } from '@fast-check/jest';
 import type { Manifest } from '../../core/manifest/common/manifest';
 import { checkManifest } from '../../core/manifest/common/manifest';
-import { createRecord, createStatus } from '../../core/operators/test/operatorsFixtures';
+import {
+	createOrganisations,
+	createRecord,
+	createSlowness,
+	createStatus,
+} from '../../core/operators/test/operatorsFixtures';
 import type { PeerStatus, TargetStatus } from '../../core/status/common/entryStatus';
+import type { OrganisationStatus, TargetSlownessStatus } from '../../core/status/common/organisationsStatus';
 import { createTrailRecord } from '../../core/status/common/operatorsAnswers';
 import { formatBytes, formatDuration, formatForTerminal } from '../common/formatting';
 import { compareManifests, renderManifestChange } from '../common/manifestDiff';
 import { findManifestDifferences, renderEntries } from '../common/renderEntries';
+import { renderOrganisations } from '../common/renderOrganisations';
+import { renderSlowness } from '../common/renderSlowness';
 import { defaultMaxRows, renderStatus } from '../common/renderStatus';
 import { mergeTrails, renderTrailRecord } from '../common/renderTrail';
 import { renderTable } from '../common/table';
@@ -27,6 +35,25 @@
 	return { instance, region: 'montego', zone: 'montego-a', state: 'live', viewAgeMs, manifestVersion: 12 };
 }
 
+function createOrganisation(
+	organisation: string,
+	overrides: Partial<OrganisationStatus> = {},
+): OrganisationStatus {
+	return { organisation, homes: [], priority: null, keys: 0, limit: null, use: null, ...overrides };
+}
+
+function createTargetSlowness(id: string, lasting: number, recent = lasting): TargetSlownessStatus {
+	return {
+		id,
+		service: 'round-assistant',
+		lasting,
+		recent,
+		source: 'reports',
+		correction: 1,
+		reportAgeMs: 40,
+	};
+}
+
 function createManifest(targetIds: readonly string[], slotsPerTarget = 8): Manifest {
 	const targets = targetIds.map(id => ({
 		id,
@@ -93,6 +120,69 @@
 	});
 });
 
+describe('renderOrganisations', () => {
+	const limited = createOrganisation('reef-tours', {
+		keys: 2,
+		homes: ['kingston', 'montego'],
+		priority: 1,
+		limit: { unit: 'tokens', perSecond: 4_000, burst: 9_000 },
+		use: { ownDemand: 312.44, fleetDemand: 21_000, fraction: 0.19, answerAgeMs: 450 },
+	});
+
+	// Guards against a truncated table that hides the one limited organisation among hundreds.
+	it('shows the organisation of which least is admitted first', () => {
+		const others = Array.from({ length: 40 }, (_, index) => createOrganisation(`a-${index}`));
+		const answer = createOrganisations({ requiresKeys: true, organisations: [...others, limited] });
+		const lines = renderOrganisations(answer, defaultMaxRows);
+		expect(lines[1]).toBe('keys required; 2 keys; 1 limit');
+		const heading = lines.findIndex(line => line.startsWith('ORGANISATION'));
+		expect(lines[heading + 1]).toMatch(
+			/^reef-tours +2 +4000 tokens\/s, burst 9000 +312\.4\/s +21000\.0\/s +0\.190 +450ms +1 +kingston montego$/,
+		);
+		expect(lines).toContain(`... and ${41 - defaultMaxRows} more: --all shows them`);
+	});
+
+	it('says so where there are no keys, no limits, no bound or no manifest', () => {
+		const answer = createOrganisations({ organisations: [createOrganisation('reef-tours')] });
+		expect(renderOrganisations(answer, defaultMaxRows).slice(0, 3)).toEqual([
+			'entry-kingston-1  manifest 12  1 organisation',
+			'keys not required; no organisation has keys; no organisation has a limit',
+			'no bound for withdrawn keys',
+		]);
+		expect(renderOrganisations(createOrganisations({ manifestVersion: null }), defaultMaxRows)[0]).toBe(
+			'entry-kingston-1  no manifest',
+		);
+	});
+
+	// Guards against an age that is shown without its limit: the operator could not tell why keys are refused with 503.
+	it('says when keys are unconfirmed', () => {
+		const render = (ageMs: number | null): string | undefined =>
+			renderOrganisations(
+				createOrganisations({ keyKnowledge: { ageMs, maxAgeMs: 4_807 } }),
+				defaultMaxRows,
+			)[2];
+		expect(render(1_200)).toBe('keys confirmed 1.2s ago, accepted up to an age of 4.8s');
+		expect(render(9_000)).toBe('KEYS UNCONFIRMED: last confirmed 9.0s ago, accepted up to an age of 4.8s');
+		expect(render(null)).toContain('KEYS UNCONFIRMED: the store has not answered yet');
+	});
+});
+
+describe('renderSlowness', () => {
+	it('shows the slowest target first', () => {
+		const targets = [createTargetSlowness('fast', 0.7), createTargetSlowness('slow', 1.72, 4.3)];
+		const lines = renderSlowness(createSlowness({ targets }), defaultMaxRows);
+		expect(lines[0]).toBe('entry-kingston-1  2 targets; 2 with reports');
+		expect(lines[3]).toMatch(/^slow +round-assistant +1\.72 +4\.30 +reports +1\.00 +40ms$/);
+		expect(lines[4]).toMatch(/^fast /);
+	});
+
+	it('says so where no target reports its slowness', () => {
+		const target = { ...createTargetSlowness('any', 1), source: 'answer-times', reportAgeMs: null };
+		const lines = renderSlowness(createSlowness({ targets: [target] }), defaultMaxRows);
+		expect(lines[0]).toBe('entry-kingston-1  1 target; no target reports its slowness');
+	});
+});
+
 describe('renderEntries', () => {
 	it('lists queried entries, and their peers by the newest view', () => {
 		const first = createStatus({ peers: [createPeer('entry-montego-1', 9_000)] });
