--- a/src/standin/common/targetFaults.ts
+++ b/src/standin/common/targetFaults.ts
@@ -28,6 +28,8 @@
 	crashDownMs: durationMsSchema,
 	/** Delay before a change of load is reported, in milliseconds. */
 	loadLagMs: durationMsSchema,
+	/** Adds `slowFactor` in percent to the load header as its fourth figure. */
+	reportSlowness: z.boolean(),
 });
 
 export type TargetFaults = z.output<typeof targetFaultsSchema>;
@@ -44,6 +46,7 @@
 	foreignAttempt: false,
 	crashDownMs: defaultCrashDownMs,
 	loadLagMs: 0,
+	reportSlowness: false,
 };
 
 /** A request body that contains this text makes the target simulate a crash. */
--- a/src/standin/node/targetHost.ts
+++ b/src/standin/node/targetHost.ts
@@ -17,6 +17,7 @@
 import { HttpListener } from './httpListener';
 import { TargetAnswer } from './targetAnswer';
 
+const percent = 100;
 const maxLoadLagMs = 60_000;
 const reopenRetryMs = 200;
 
@@ -66,14 +67,18 @@
 		return new TargetAnswer(
 			response,
 			getHeader(request, headers.attempt),
-			() => {
-				const { running, waiting, slots } = this.getReportedLoad();
-				return `${running}/${waiting}/${slots}`;
-			},
+			() => this.formatLoad(),
 			this.getFaults,
 		);
 	}
 
+	private formatLoad(): string {
+		const { running, waiting, slots } = this.getReportedLoad();
+		const { reportSlowness, slowFactor } = this.getFaults();
+		const counts = `${running}/${waiting}/${slots}`;
+		return reportSlowness ? `${counts}/${Math.round(slowFactor * percent)}` : counts;
+	}
+
 	/** Refuses the request if the fault switches require it. Returns whether it was refused. */
 	refuseByFault(response: ServerResponse): boolean {
 		const faults = this.getFaults();
--- a/src/standin/test/standinHost.test.ts
+++ b/src/standin/test/standinHost.test.ts
@@ -108,6 +108,18 @@
 		expect(answer.headers['anvilroad-attempt']).toBe('r.1');
 	});
 
+	// Guards against a stand-in that reports its slowness without the switch: entries would then no longer compare its
+	// answers with their estimates.
+	it('reports its slowness as the fourth figure of the load header only if a fault switch is set', async () => {
+		const url = getUrl('rounds-1', '/echo');
+		const usual = await send(url);
+		expect(usual.headers['anvilroad-load']).toMatch(/^\d+\/\d+\/8$/);
+		await setFaults('rounds-1', { slowFactor: 2.4, reportSlowness: true });
+		const slow = await send(url);
+		await setFaults('rounds-1', { slowFactor: 1, reportSlowness: false });
+		expect(slow.headers['anvilroad-load']).toMatch(/^\d+\/\d+\/8\/240$/);
+	});
+
 	it('counts the runs of a call and refuses calls without running them if a fault switch is set', async () => {
 		const url = getUrl('bookings-1', '/run/pay');
 		const headers = { 'x-call-id': 'call-7' };
