Send keys, withdraw one and overload a limit in the campaign

The campaign had no keys, limits or slow periods, so it could not show that a withdrawn key stops working, that a limit holds while entries are killed and cut off, or that refusals for either are true. Every caller now sends the key of its organisation. Three checks compare what callers were told with what the targets ran.

--- a/src/prove/common/callSender.ts
+++ b/src/prove/common/callSender.ts
@@ -10,6 +10,7 @@
 import type { ServiceCall, DeploymentContext } from '../../demo/common/scenario';
 import { createServiceCall } from '../../demo/common/scenario';
 import { headers } from '../../core/headers/common/headers';
+import { formatAuthorization, getOrganisationKey } from './campaignKeys';
 import type { CampaignLog } from './campaignLog';
 import type { CallKind, Phase, SendRecord } from './sendRecord';
 import { callerGaveUpFault, createSendRecord } from './sendRecord';
@@ -76,8 +77,15 @@
 }
 
 function createRequest({ call, callId, deadlineMs }: CampaignCall, entry: EntryAddresses): CallRequest {
+	const authorization =
+		call.organisation === undefined ? {} : formatAuthorization(getOrganisationKey(call.organisation));
 	return createServiceCall(entry.callers, {
 		...call,
-		headers: { ...call.headers, [callIdHeader]: callId, [headers.deadlineMs]: String(deadlineMs) },
+		headers: {
+			...authorization,
+			...call.headers,
+			[callIdHeader]: callId,
+			[headers.deadlineMs]: String(deadlineMs),
+		},
 	});
 }
--- a/src/prove/common/calls.ts
+++ b/src/prove/common/calls.ts
@@ -9,6 +9,7 @@
 import { organisations, services } from '../../demo/common/exampleNames';
 import { RequestClass } from '../../core/requests/common/requestClass';
 import { z } from 'zod';
+import { formatAuthorization, guest, overloading } from './campaignKeys';
 import type { CampaignCall } from './callSender';
 import { CallKind } from './sendRecord';
 
@@ -68,6 +69,19 @@
 	};
 }
 
+/** Creates a check with the withdrawn key. */
+export function createWithdrawnCheck(callId: string): CampaignCall {
+	const check = createCheck(callId, 'kingston', CallKind.Withdrawn);
+	const headers = formatAuthorization(guest.withdrawnKey);
+	return { ...check, call: { ...check.call, organisation: guest.organisation, headers } };
+}
+
+/** Creates a check of the organisation that sends more than its limit. */
+export function createOverloadingCheck(callId: string): CampaignCall {
+	const check = createCheck(callId, 'kingston', CallKind.Overloading);
+	return { ...check, call: { ...check.call, organisation: overloading.organisation } };
+}
+
 /** Creates a call with a body of random bytes, which the service must return unchanged. */
 export function createEcho(callId: string, home: RegionKey, random: IRandom): CampaignCall {
 	const body = Uint8Array.from({ length: echoBytes }, () => random.pickBelow(byteValueCount));
--- a/src/prove/common/faultSchedule.ts
+++ b/src/prove/common/faultSchedule.ts
@@ -28,6 +28,10 @@
 	ConcurrentPublications = 'operators-race',
 	IsolateRegion = 'isolate-region',
 	CrashingRequest = 'crashing-request',
+	/** A target works slowly for a while and reports it. */
+	TargetSlow = 'target-slow',
+	WithdrawKey = 'withdraw-key',
+	OverloadingOrganisation = 'overloading-organisation',
 }
 
 /** One fault of a schedule. */
--- a/src/prove/common/invariants.ts
+++ b/src/prove/common/invariants.ts
@@ -22,6 +22,9 @@
 	ManifestPropagates = 'a manifest is in force everywhere within 9 s',
 	ManifestNeverReverts = 'a manifest is never replaced by an older one',
 	CrashesContained = 'a crashing request kills at most 2 targets',
+	WithdrawnKeyNeverRuns = 'no request of a withdrawn key runs once its removal is in force',
+	LimitHolds = 'an organisation stays within the bound of its limit',
+	TrueRefusals = 'a refusal for a key or a limit is true',
 	EveryFaultInjected = 'every kind of fault was injected',
 }
 
@@ -158,7 +161,7 @@
 }
 
 /** Sums the runs of each call over all targets. */
-function sumRuns(runs: readonly RunRecord[]): ReadonlyMap<string, number> {
+export function sumRuns(runs: readonly RunRecord[]): ReadonlyMap<string, number> {
 	const counts = new Map<string, number>();
 	for (const run of runs) {
 		counts.set(run.callId, (counts.get(run.callId) ?? 0) + run.runs);
@@ -176,7 +179,7 @@
 	return [...seen.values()];
 }
 
-function createViolation(invariant: Invariant, send: SendRecord, detail: string): Violation {
+export function createViolation(invariant: Invariant, send: SendRecord, detail: string): Violation {
 	const { callId, entry, told, errorKind, startMs, fault } = send;
 	const what = [told, errorKind, fault].filter(part => part !== '').join(' ');
 	return { invariant, detail: `${callId} at ${entry}, ${Math.round(startMs)} ms, ${what}: ${detail}` };
--- a/src/prove/common/sendRecord.ts
+++ b/src/prove/common/sendRecord.ts
@@ -19,6 +19,10 @@
 	Misdirected = 'misdirected',
 	/** Its body crashes the target that runs it. */
 	Crash = 'crash',
+	/** Carries a key that the manifest in force no longer has. */
+	Withdrawn = 'withdrawn',
+	/** Of an organisation that sends more than its limit. */
+	Overloading = 'overloading',
 }
 
 /** The phases of a campaign. No call of the campaign's callers is in progress between two phases. */
--- a/src/prove/node/campaign.ts
+++ b/src/prove/node/campaign.ts
@@ -10,6 +10,7 @@
 import type { PlannedFault } from '../common/faultSchedule';
 import { FaultKind, listMissing, planFaults } from '../common/faultSchedule';
 import { checkRecords, Invariant } from '../common/invariants';
+import { checkLimit, checkTrueRefusals, checkWithdrawnKeys } from '../common/organisationChecks';
 import { Phase } from '../common/sendRecord';
 import type { CampaignResult } from '../common/verdict';
 import { CampaignCallers } from './campaignCallers';
@@ -49,6 +50,7 @@
 		await waitFor(stage.timers, settlingMs);
 		const runs = await readRuns(stage);
 		this.checkFinalState();
+		const records = { sends: log.sends, runs };
 		return {
 			...this.plan,
 			tookMs: stage.timers.getNow() - startMs,
@@ -56,7 +58,13 @@
 			runs: runs.reduce((sum, record) => sum + record.runs, 0),
 			injected: log.injected,
 			spreadMs: log.spreadMs,
-			violations: [...log.violations, ...checkRecords({ sends: log.sends, runs })],
+			violations: [
+				...log.violations,
+				...checkRecords(records),
+				...checkWithdrawnKeys(records),
+				...checkLimit(records),
+				...checkTrueRefusals(records),
+			],
 		};
 	}
 
--- a/src/prove/node/faults/faultSequences.ts
+++ b/src/prove/node/faults/faultSequences.ts
@@ -6,6 +6,7 @@
 import type { IFault } from '../campaignContext';
 import { FreezeEntryFault, KillEntryFault, StopEntryFault } from './entryFaults';
 import { CutLinksFault, IsolateRegionFault, SilenceLinksFault } from './linkFaults';
+import { OverloadingOrganisationFault, WithdrawKeyFault } from './organisationFaults';
 import {
 	ConcurrentPublicationsFault,
 	createPlatformSettingFaults,
@@ -42,6 +43,15 @@
 	new PlatformServesOldVersionFault(),
 	new ConcurrentPublicationsFault(),
 	new TargetLeavingInManifestFault(),
+	new WithdrawKeyFault(),
 ];
 
-export const faultSequences: readonly (readonly IFault[])[] = [entryFaults, targetFaults, platformFaults];
+/** Faults of organisations that need no other manifest. */
+const organisationFaults: readonly IFault[] = [new OverloadingOrganisationFault()];
+
+export const faultSequences: readonly (readonly IFault[])[] = [
+	entryFaults,
+	targetFaults,
+	platformFaults,
+	organisationFaults,
+];
--- a/src/prove/node/faults/targetFaults.ts
+++ b/src/prove/node/faults/targetFaults.ts
@@ -17,6 +17,7 @@
 import { targetLinks } from '../preparedExample';
 
 const faultMs = 1_200;
+const slowPeriodFactor = 2.5;
 /** Bytes of an answer after which a target resets the connection. Less than any answer of a campaign has. */
 const bytesBeforeReset = 10;
 
@@ -51,6 +52,11 @@
 			{ foreignAttempt: true },
 			{ foreignAttempt: false },
 		),
+		new TargetSettingFault(
+			FaultKind.TargetSlow,
+			{ slowFactor: slowPeriodFactor, reportSlowness: true },
+			{ slowFactor: 1, reportSlowness: false },
+		),
 		new TargetSettingFault(FaultKind.TargetSilent, { silentBeforeHead: true }, { silentBeforeHead: false }),
 	];
 }
--- a/src/prove/node/preparedExample.ts
+++ b/src/prove/node/preparedExample.ts
@@ -1,15 +1,19 @@
 /**
- * Prepares a copy of the example deployment for a campaign: tickets get a short lifetime, and relays are
+ * Prepares a copy of the example deployment for a campaign: organisations get keys, one of them a limit, tickets get a short lifetime, and relays are
  * added between each region and the platform and in front of one target of each service, so that these
  * connections can be cut and silenced too.
  */
 
+import { createHash } from 'node:crypto';
 import { cpSync, mkdtempSync, readdirSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import type { IDisposable } from '../../base/common/lifecycle';
+import type { KeyDigest } from '../../core/ids/common/ids';
+import { regions } from '../../demo/common/exampleNames';
 import { ticketLifetimeMs } from '../common/callers/paymentCaller';
 import { regionKeys } from '../common/calls';
+import { getOrganisationKey, guest, overloading } from '../common/campaignKeys';
 
 /** A relay that is added to the example. */
 interface AddedLink {
@@ -82,12 +86,44 @@
 }
 
 function renderManifest(text: string): string {
-	return addedLinks
+	const linked = addedLinks
 		.filter(link => link.toPort !== platformPort)
 		.reduce(
 			(edited, link) => edited.replace(formatAddress(link.toPort), formatAddress(link.listenPort)),
 			text,
 		);
+	return JSON.stringify(withKeys(JSON.parse(linked) as ExampleManifest), undefined, '\t');
+}
+
+interface ExampleManifest {
+	readonly organisations: readonly {
+		readonly name: string;
+		readonly keys?: readonly KeyDigest[];
+		readonly limit?: unknown;
+		readonly home?: string;
+	}[];
+}
+
+/** Returns the manifest with keys of all organisations, and with the organisations that a campaign adds. */
+function withKeys(manifest: ExampleManifest): unknown {
+	const added: ExampleManifest['organisations'] = [
+		{
+			name: guest.organisation,
+			home: regions.kingston,
+			keys: [computeKeyDigest(guest.withdrawnKey)],
+		},
+		{ name: overloading.organisation, home: regions.kingston, limit: overloading.limit },
+	];
+	const organisations = [...manifest.organisations, ...added].map(organisation => ({
+		...organisation,
+		keys: [computeKeyDigest(getOrganisationKey(organisation.name)), ...(organisation.keys ?? [])],
+	}));
+	return { ...manifest, organisations, requiresKeys: true };
+}
+
+/** Computes the digest under which a manifest has a key. */
+export function computeKeyDigest(key: string): KeyDigest {
+	return createHash('sha256').update(key).digest('hex') as KeyDigest;
 }
 
 function formatLink({ name, listenPort, toPort }: AddedLink): string {
