Use the slowness that targets report only where the settings ask for it

`[targets] use_reported_slowness` switches it on; the default is off. The new test fails without the switch.

--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -74,6 +74,12 @@
 			withdrawn_within_ms: createNumberSchema(1_000, 600_000).optional(),
 		})
 		.prefault({}),
+	targets: z
+		.strictObject({
+			/** Whether the slowness that targets report decides where requests go. */
+			use_reported_slowness: yesOrNoSchema.default(false),
+		})
+		.prefault({}),
 	leaving: z
 		.strictObject({
 			/** Seconds from SIGTERM until the platform kills the process; unset if it never does. */
--- a/src/entry/common/workScheduling/test/unequalTargets.test.ts
+++ b/src/entry/common/workScheduling/test/unequalTargets.test.ts
@@ -2,6 +2,7 @@
 import type { RequestId, TargetId } from '../../../../core/ids/common/ids';
 import type { SchedulableRequest } from '../../scheduling/serviceScheduler';
 import { ScheduleDecisionKind, SlownessSource } from '../../scheduling/serviceScheduler';
+import { createWorkPolicy, defaultWorkPolicy } from '../workPolicy';
 import { WorkScheduler } from '../workScheduler';
 import { createEngineTarget, createPromptedRequest, createUnsharedPrompt } from './engineSimulation';
 import { createPosition } from './fleetPositions';
@@ -14,8 +15,11 @@
 const nowMs = reports * reportIntervalMs;
 
 /** Creates the scheduler of the only entry before a fast and a slow engine, which have reported for minutes. */
-function createScheduler(slowness?: { readonly fast: number; readonly slow: number }): WorkScheduler {
-	const scheduler = new WorkScheduler(new SeededRandom(1), () => createPosition(1));
+function createScheduler(
+	slowness?: { readonly fast: number; readonly slow: number },
+	policy = defaultWorkPolicy,
+): WorkScheduler {
+	const scheduler = new WorkScheduler(new SeededRandom(1), () => createPosition(1), policy);
 	scheduler.setTargets([fast, slow].map(id => createEngineTarget(id, { slots, cacheTokens: 300_000 })));
 	for (let timeMs = 0; timeMs < nowMs; timeMs += reportIntervalMs) {
 		const load = { running: 0, waiting: 0, slots, ageMs: 0 };
@@ -71,6 +75,15 @@
 		expect(createScheduler({ fast: 0.5, slow: 0.5 }).measureRoom(nowMs).freeSlots).toBeCloseTo(usual * 2, 5);
 	});
 
+	// Guards against decisions by reports that the deployment's settings do not ask to use.
+	it('decides as without reports if the settings do not use them', () => {
+		const unused = createScheduler(
+			{ fast: 0.7, slow: 1.4 },
+			createWorkPolicy(defaultWorkPolicy.retry, false),
+		);
+		expect(startRequests(unused, 6)).toEqual(startRequests(createScheduler(), 6));
+	});
+
 	it('predicts a longer wait at slow targets', () => {
 		const request = createRequest('r-0');
 		const usualMs = createScheduler().measureRoom(nowMs, request).waitMs;
--- a/src/entry/common/workScheduling/workPolicy.ts
+++ b/src/entry/common/workScheduling/workPolicy.ts
@@ -9,6 +9,8 @@
 
 /** Parameters of the load estimate of a target. */
 export interface WorkEstimateParameters extends PaceParameters, PaceMemoryParameters {
+	/** Whether the slowness in the load reports of targets is used. */
+	readonly usesReportedSlowness: boolean;
 	/** Prompt tokens that an engine processes in a millisecond; within a factor of two for engines in use. */
 	readonly prefillTokensPerMs: number;
 	/** Tokens of a cached part that one engine fetches from another in a millisecond. */
@@ -114,15 +116,22 @@
 	readonly retry: WorkRetryParameters;
 }
 
-/** Creates the default policy with the retry limits of a deployment. */
+/** Creates the default policy with the retry limits of a deployment and its choice about reported slowness. */
 export function createWorkPolicy(
 	retries: Pick<WorkRetryParameters, 'ratio' | 'slack' | 'windowMs'>,
+	usesReportedSlowness = defaultWorkPolicy.estimate.usesReportedSlowness,
 ): WorkPolicy {
-	return { ...defaultWorkPolicy, retry: { ...defaultWorkPolicy.retry, ...retries } };
+	const { estimate, retry } = defaultWorkPolicy;
+	return {
+		...defaultWorkPolicy,
+		estimate: { ...estimate, usesReportedSlowness },
+		retry: { ...retry, ...retries },
+	};
 }
 
 export const defaultWorkPolicy: WorkPolicy = {
 	estimate: {
+		usesReportedSlowness: true,
 		prefillTokensPerMs: 35,
 		fetchedTokensPerMs: 180,
 		idleFirstEventMs: 45,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -256,7 +256,9 @@
 	}
 
 	noteLoad(target: TargetId, load: ReportedLoad, nowMs: number): void {
-		this.targets.get(target)?.noteLoad(load, nowMs);
+		const { slowness, ...counts } = load;
+		const isUsed = slowness !== undefined && this.policy.estimate.usesReportedSlowness;
+		this.targets.get(target)?.noteLoad(isUsed ? load : counts, nowMs);
 	}
 
 	noteRefusalLimit(target: TargetId, refusalLimit: number | undefined): void {
