Name what coordinators receive by the field's terms

The messages between limit coordinators and their fields said that a zone hears another. They now say whose sums arrive.

--- a/src/entry/common/limits/entryAdmission.ts
+++ b/src/entry/common/limits/entryAdmission.ts
@@ -228,7 +228,7 @@
 	}
 
 	/**
-	 * While demand stays the same, a caller gets a request through with the given probability at each try, so it is told
+	 * While demand stays the same, a caller gets a request through with the given probability at each try, so it is asked
 	 * to come back after as many seconds as tries are needed on average.
 	 */
 	private computeRetryAfterMs(probability: number | undefined): number {
--- a/src/entry/common/limits/fleetBucket.ts
+++ b/src/entry/common/limits/fleetBucket.ts
@@ -87,10 +87,10 @@
 		this.level -= admitted;
 	}
 
-	/** Takes from the bucket what a zone is assumed to have admitted while it was not heard. */
-	recordUnheard(zone: ZoneName, heardMs: number, nowMs: number): void {
-		const admittedRate = this.zones.get(zone)?.admitted.get(heardMs) ?? 0;
-		this.level -= (admittedRate * (nowMs - heardMs)) / msPerSecond;
+	/** Takes from the bucket what a zone is assumed to have admitted while no sums of it arrived. */
+	recordSilence(zone: ZoneName, receivedMs: number, nowMs: number): void {
+		const admittedRate = this.zones.get(zone)?.admitted.get(receivedMs) ?? 0;
+		this.level -= (admittedRate * (nowMs - receivedMs)) / msPerSecond;
 	}
 
 	/** Moves the level towards that of another coordinator, so that lost messages do not keep them apart. */
@@ -119,21 +119,21 @@
 
 	/**
 	 * Estimates the demand of the given zones in units per second. The time of a zone is that of its last message, because
-	 * the demand of a zone that is not heard for a moment continues.
+	 * the demand of a zone whose sums are late continues.
 	 */
 	estimateDemand(zones: ReadonlyMap<ZoneName, number>): number {
 		let recent = 0;
 		let demand = 0;
-		for (const [zone, heardMs] of zones) {
+		for (const [zone, receivedMs] of zones) {
 			const zoneDemand = this.zones.get(zone);
-			recent += zoneDemand?.recent.get(heardMs) ?? 0;
-			demand += zoneDemand?.demand.get(heardMs) ?? 0;
+			recent += zoneDemand?.recent.get(receivedMs) ?? 0;
+			demand += zoneDemand?.demand.get(receivedMs) ?? 0;
 		}
 		return Math.max(demand, recent + trendGain * (recent - demand));
 	}
 
-	getLongTerm(zone: ZoneName, heardMs: number): number {
-		return this.zones.get(zone)?.longTerm.get(heardMs) ?? 0;
+	getLongTerm(zone: ZoneName, receivedMs: number): number {
+		return this.zones.get(zone)?.longTerm.get(receivedMs) ?? 0;
 	}
 
 	/** Returns the fraction of a demand that may be admitted. The bucket has to be filled first. */
--- a/src/entry/common/limits/limitCoordinator.ts
+++ b/src/entry/common/limits/limitCoordinator.ts
@@ -160,12 +160,12 @@
 			intervalMs: important.size > 0 ? sumsIntervalMs : idleSumsIntervalMs,
 			reporting: this.countReporting(nowMs),
 			known: this.countKnown(),
-			hears: this.remoteZones.listHeard(nowMs),
+			receivedZones: this.remoteZones.listReceivedZones(nowMs),
 			counts: sent.map(createCount),
 		};
 	}
 
-	/** Lists the coordinators of another zone that are heard. */
+	/** Lists the coordinators of another zone whose sums arrive. */
 	listSenders(zone: ZoneName, nowMs: number): readonly InstanceId[] {
 		return this.remoteZones.listSenders(zone, nowMs);
 	}
@@ -211,8 +211,8 @@
 	}
 
 	private countReporting(nowMs: number): number {
-		for (const [instance, heardMs] of this.reporters) {
-			if (nowMs - heardMs > reportingWindowMs) {
+		for (const [instance, receivedMs] of this.reporters) {
+			if (nowMs - receivedMs > reportingWindowMs) {
 				this.reporters.delete(instance);
 			}
 		}
@@ -259,29 +259,29 @@
 	}
 
 	private applyCut(state: OrganisationState, change: CutChange, nowMs: number): void {
-		const { zone, isCut, isSilent, heardMs } = change;
+		const { zone, isCut, isSilent, receivedMs } = change;
 		if (!isCut) {
 			state.cutShares.delete(zone);
 			return;
 		}
-		state.cutShares.set(zone, this.computeShare(state, zone, heardMs, nowMs));
+		state.cutShares.set(zone, this.computeShare(state, zone, receivedMs, nowMs));
 		if (isSilent) {
-			state.bucket.recordUnheard(zone, heardMs, nowMs);
+			state.bucket.recordSilence(zone, receivedMs, nowMs);
 		}
 	}
 
-	/** Computes the share of the limit that a zone had by its demand when it was last heard. */
-	private computeShare(state: OrganisationState, zone: ZoneName, heardMs: number, nowMs: number): number {
+	/** Computes the share of the limit that a zone had by its demand when its last sums arrived. */
+	private computeShare(state: OrganisationState, zone: ZoneName, receivedMs: number, nowMs: number): number {
 		const { bucket } = state;
 		const demands = this.zones.map(({ zone: name }) =>
-			bucket.getLongTerm(name, name === zone ? heardMs : (this.findHeardMs(name, nowMs) ?? heardMs)),
+			bucket.getLongTerm(name, name === zone ? receivedMs : (this.findReceivedMs(name, nowMs) ?? receivedMs)),
 		);
 		const total = demands.reduce((sum, demand) => sum + demand, 0);
 		const entriesPart = this.computeEntriesPart(zone);
 		if (total <= 0) {
 			return entriesPart;
 		}
-		const demandPart = bucket.getLongTerm(zone, heardMs) / total;
+		const demandPart = bucket.getLongTerm(zone, receivedMs) / total;
 		return (demandPart + floorPart * entriesPart) / (1 + floorPart);
 	}
 
@@ -290,15 +290,15 @@
 		return (this.zones.find(({ zone: name }) => name === zone)?.known ?? 0) / Math.max(1, total);
 	}
 
-	private findHeardMs(zone: ZoneName, nowMs: number): number | undefined {
-		return zone === this.self.zone ? nowMs : this.remoteZones.findHeardMs(zone);
+	private findReceivedMs(zone: ZoneName, nowMs: number): number | undefined {
+		return zone === this.self.zone ? nowMs : this.remoteZones.findReceivedMs(zone);
 	}
 
 	/** The part of the limit that is not held by zones that are cut off. */
 	private computeUsablePart({ cutShares }: OrganisationState): number {
 		let part = 1;
 		for (const { zone } of this.zones) {
-			if (zone !== this.self.zone && this.remoteZones.findHeardMs(zone) === undefined) {
+			if (zone !== this.self.zone && this.remoteZones.findReceivedMs(zone) === undefined) {
 				part -= cutShares.get(zone) ?? this.computeEntriesPart(zone);
 			}
 		}
@@ -309,7 +309,7 @@
 		this.fractionsMs = nowMs;
 		this.updateZones();
 		this.applyCuts(nowMs);
-		const heard = this.listHeardZones(nowMs);
+		const received = this.listCountedZones(nowMs);
 		const fractions: AdmittedFraction[] = [];
 		this.isClose = false;
 		for (const [key, state] of this.states) {
@@ -319,7 +319,7 @@
 			const { bucket, organisation } = state;
 			const part = this.computeUsablePart(state);
 			bucket.advance(organisation.limit, part, nowMs);
-			state.demand = bucket.estimateDemand(heard);
+			state.demand = bucket.estimateDemand(received);
 			this.isClose ||= state.demand > closePart * organisation.limit.perSecond;
 			state.fraction = bucket.computeFraction(organisation.limit, part, state.demand);
 			if (state.fraction < 1) {
@@ -330,15 +330,15 @@
 	}
 
 	/** The zones whose demand counts, with the time up to which it is known. */
-	private listHeardZones(nowMs: number): ReadonlyMap<ZoneName, number> {
-		const heard = new Map<ZoneName, number>([[this.self.zone, nowMs]]);
+	private listCountedZones(nowMs: number): ReadonlyMap<ZoneName, number> {
+		const received = new Map<ZoneName, number>([[this.self.zone, nowMs]]);
 		for (const { zone } of this.zones) {
-			const heardMs = this.findHeardMs(zone, nowMs);
-			if (heardMs !== undefined) {
-				heard.set(zone, heardMs);
+			const receivedMs = this.findReceivedMs(zone, nowMs);
+			if (receivedMs !== undefined) {
+				received.set(zone, receivedMs);
 			}
 		}
-		return heard;
+		return received;
 	}
 
 	private isImportant({ bucket, organisation, fraction }: OrganisationState, nowMs: number): boolean {
--- a/src/entry/common/limits/limitMessages.ts
+++ b/src/entry/common/limits/limitMessages.ts
@@ -67,8 +67,8 @@
 	readonly reporting: number;
 	/** Number of entries of the zone that the sender knows. */
 	readonly known: number;
-	/** The zones whose coordinators the sender hears. */
-	readonly hears: readonly ZoneName[];
+	/** The zones whose sums arrive at the sender. */
+	readonly receivedZones: readonly ZoneName[];
 	readonly counts: readonly ZoneCount[];
 }
 
--- a/src/entry/common/limits/remoteZones.ts
+++ b/src/entry/common/limits/remoteZones.ts
@@ -1,5 +1,5 @@
 /**
- * The other zones, as one coordinator hears them: which coordinators send their sums, which zones are cut off in either
+ * The other zones, by the sums that one coordinator receives: which coordinators send their sums, which zones are cut off in either
  * direction, and what their cumulative counts have grown by. Counts are cumulative, so a lost message is made up for by
  * the next one.
  */
@@ -17,18 +17,18 @@
 
 interface Sender {
 	instance: InstanceId;
-	heardMs: number;
+	receivedMs: number;
 	intervalMs: number;
 	reporting: number;
 	known: number;
-	hearsOwnZone: boolean;
+	hasReceivedOwnZone: boolean;
 	readonly counts: Map<OrganisationKey, KnownCount>;
 }
 
 interface RemoteZone {
 	readonly senders: Map<BootId, Sender>;
 	isCut: boolean;
-	heardMs: number;
+	receivedMs: number;
 }
 
 /** Growth of the counts of one organisation in one zone. */
@@ -39,13 +39,13 @@
 	readonly overMs: number;
 }
 
-/** A zone whose state changed between cut off and heard. */
+/** A zone that has become cut off or reachable. */
 export interface CutChange {
 	readonly zone: ZoneName;
 	readonly isCut: boolean;
-	/** When the zone was last heard. */
-	readonly heardMs: number;
-	/** Whether the zone was silent. Otherwise it is heard, and does not hear this one. */
+	/** When the last sums of the zone arrived. */
+	readonly receivedMs: number;
+	/** Whether no sums of the zone arrive. Otherwise they do, and those of this zone do not arrive there. */
 	readonly isSilent: boolean;
 }
 
@@ -68,7 +68,7 @@
 
 	constructor(private readonly ownZone: ZoneName) {}
 
-	/** Forgets who was heard, after this process has not coordinated for a while. */
+	/** Removes all senders, after this process has not coordinated for a while. */
 	clear(): void {
 		for (const zone of this.zones.values()) {
 			zone.isCut = true;
@@ -83,9 +83,9 @@
 	receive(sums: ZoneSums, nowMs: number): readonly CountGrowth[] {
 		const zone = this.getZone(sums.zone);
 		const sender = this.updateSender(zone, sums, nowMs);
-		zone.heardMs = nowMs;
+		zone.receivedMs = nowMs;
 		const factor = this.computeFactor(zone, nowMs);
-		const isCounted = !zone.isCut && sender.hearsOwnZone;
+		const isCounted = !zone.isCut && sender.hasReceivedOwnZone;
 		return sums.counts.flatMap(count => {
 			const growth = takeGrowth(sender, sums, count, nowMs);
 			const { asked, admitted } = growth;
@@ -97,49 +97,51 @@
 	update(nowMs: number): readonly CutChange[] {
 		const changes: CutChange[] = [];
 		for (const [name, zone] of this.zones) {
-			const heard = listHeard(zone, nowMs);
-			const isCut = !heard.some(({ hearsOwnZone }) => hearsOwnZone);
+			const received = listReceivedZones(zone, nowMs);
+			const isCut = !received.some(({ hasReceivedOwnZone }) => hasReceivedOwnZone);
 			if (isCut !== zone.isCut) {
 				zone.isCut = isCut;
-				changes.push({ zone: name, isCut, heardMs: zone.heardMs, isSilent: heard.length === 0 });
+				changes.push({ zone: name, isCut, receivedMs: zone.receivedMs, isSilent: received.length === 0 });
 			}
 		}
 		return changes;
 	}
 
-	/** Returns when a zone was last heard, or undefined if it is cut off in either direction. */
-	findHeardMs(zone: ZoneName): number | undefined {
+	/** Returns when the last sums of a zone arrived, or undefined if it is cut off in either direction. */
+	findReceivedMs(zone: ZoneName): number | undefined {
 		const known = this.zones.get(zone);
-		return known === undefined || known.isCut ? undefined : known.heardMs;
+		return known === undefined || known.isCut ? undefined : known.receivedMs;
 	}
 
-	/** Lists the zones that this one hears. */
-	listHeard(nowMs: number): readonly ZoneName[] {
-		return [...this.zones].filter(([, zone]) => listHeard(zone, nowMs).length > 0).map(([name]) => name);
+	/** Lists the zones whose sums arrive. */
+	listReceivedZones(nowMs: number): readonly ZoneName[] {
+		return [...this.zones]
+			.filter(([, zone]) => listReceivedZones(zone, nowMs).length > 0)
+			.map(([name]) => name);
 	}
 
-	/** Lists the coordinators of a zone that are heard. */
+	/** Lists the coordinators of a zone whose sums arrive. */
 	listSenders(zone: ZoneName, nowMs: number): readonly InstanceId[] {
 		const known = this.zones.get(zone);
-		return known === undefined ? [] : listHeard(known, nowMs).map(({ instance }) => instance);
+		return known === undefined ? [] : listReceivedZones(known, nowMs).map(({ instance }) => instance);
 	}
 
 	private getZone(name: ZoneName): RemoteZone {
 		let zone = this.zones.get(name);
 		if (zone === undefined) {
-			zone = { senders: new Map(), isCut: true, heardMs: 0 };
+			zone = { senders: new Map(), isCut: true, receivedMs: 0 };
 			this.zones.set(name, zone);
 		}
 		return zone;
 	}
 
 	private updateSender(zone: RemoteZone, sums: ZoneSums, nowMs: number): Sender {
-		const { instance, boot, intervalMs, reporting, known, hears } = sums;
+		const { instance, boot, intervalMs, reporting, known, receivedZones } = sums;
 		const counts = zone.senders.get(boot)?.counts ?? new Map<OrganisationKey, KnownCount>();
-		const hearsOwnZone = hears.includes(this.ownZone);
-		const sender = { instance, heardMs: nowMs, intervalMs, reporting, known, hearsOwnZone, counts };
+		const hasReceivedOwnZone = receivedZones.includes(this.ownZone);
+		const sender = { instance, receivedMs: nowMs, intervalMs, reporting, known, hasReceivedOwnZone, counts };
 		for (const [otherBoot, other] of zone.senders) {
-			if (nowMs - other.heardMs > newCoordinatorMs) {
+			if (nowMs - other.receivedMs > newCoordinatorMs) {
 				zone.senders.delete(otherBoot);
 			}
 		}
@@ -147,18 +149,18 @@
 		return sender;
 	}
 
-	/** Entries that report to no coordinator that is heard are assumed to have the mean demand of the others. */
+	/** Entries that report to no coordinator whose sums arrive are assumed to have the mean demand of the others. */
 	private computeFactor(zone: RemoteZone, nowMs: number): number {
-		const heard = listHeard(zone, nowMs);
-		const reporting = heard.reduce((sum, sender) => sum + sender.reporting, 0);
-		const known = Math.max(...heard.map(sender => sender.known));
+		const received = listReceivedZones(zone, nowMs);
+		const reporting = received.reduce((sum, sender) => sum + sender.reporting, 0);
+		const known = Math.max(...received.map(sender => sender.known));
 		return Math.max(1, known / Math.max(1, reporting));
 	}
 }
 
-function listHeard(zone: RemoteZone, nowMs: number): readonly Sender[] {
+function listReceivedZones(zone: RemoteZone, nowMs: number): readonly Sender[] {
 	return [...zone.senders.values()].filter(
-		({ heardMs, intervalMs }) => nowMs - heardMs <= silentIntervals * intervalMs + silenceMarginMs,
+		({ receivedMs, intervalMs }) => nowMs - receivedMs <= silentIntervals * intervalMs + silenceMarginMs,
 	);
 }
 
@@ -173,7 +175,7 @@
 			overMs: Math.min(maxCountedMs, nowMs - known.atMs),
 		};
 	}
-	// The counts of a coordinator that has counted for long were heard by others, or by this one before a restart.
+	// The counts of a coordinator that has counted for long were received by others, or by this one before a restart.
 	const isNew = sums.countedMs <= newCoordinatorMs;
 	return {
 		count,
--- a/src/entry/common/limits/sumsExchange.ts
+++ b/src/entry/common/limits/sumsExchange.ts
@@ -1,7 +1,7 @@
 /**
  * Sends the sums of a zone from its coordinator to those of the other zones, while entries report to it. They go to the
- * coordinators that are heard and to the first entry in the order of each zone, so that an entry which takes over knows
- * the other zones; if none is heard, also to the first entry that answered.
+ * coordinators whose sums arrive and to the first entry in the order of each zone, so that an entry which takes over knows
+ * the other zones; if none arrive, also to the first entry that answered.
  */
 
 import type { IDisposable } from '../../../base/common/lifecycle';
@@ -82,10 +82,10 @@
 	}
 
 	private sendToZone({ zone, live }: ZoneEntries, sums: ZoneSums, nowMs: number): void {
-		const heard = this.parts.coordinator.listSenders(zone, nowMs);
+		const received = this.parts.coordinator.listSenders(zone, nowMs);
 		const first = pickCoordinator(live);
 		const next = pickCoordinator(live.filter(instance => (this.excludedUntil.get(instance) ?? 0) <= nowMs));
-		for (const instance of new Set([...heard, first, ...(heard.length > 0 ? [] : [next])])) {
+		for (const instance of new Set([...received, first, ...(received.length > 0 ? [] : [next])])) {
 			if (instance !== undefined) {
 				this.sendTo(instance, sums);
 			}
--- a/src/entry/common/limits/test/limitFailures.test.ts
+++ b/src/entry/common/limits/test/limitFailures.test.ts
@@ -32,7 +32,7 @@
 		},
 		minUse: 0.9,
 	},
-	// Guards against a side that hears the other and takes it for one that hears too.
+	// Guards against a side that receives the other's sums and takes its own for received, too.
 	{
 		name: 'a region is cut off one way',
 		begin: site => {
--- a/src/entry/common/workScheduling/targetSubset.ts
+++ b/src/entry/common/workScheduling/targetSubset.ts
@@ -1,9 +1,9 @@
 /**
- * Chooses which targets an entry (proxy process) prefers, so that it hears often enough from each of them.
+ * Chooses which targets an entry (proxy process) prefers, so that each of them answers it often enough.
  *
  * The load it is designed for is many entries before about as many targets whose speed changes within half a second.
- * Reports come only with answers. An entry that spreads its requests over all targets hears from each every few seconds,
- * knows nothing of its present load, and all entries send to those that looked fast. If it prefers as many targets as
+ * Reports come only with answers. An entry that spreads its requests over all targets has an answer of each every few seconds,
+ * has no report of its present load, and all entries send to those that looked fast. If it prefers as many targets as
  * answer it within the time for which a report is of use, it sees most of their load and slow periods, and few other
  * entries use the same targets.
  *
--- a/src/entry/node/limits/demandCodec.ts
+++ b/src/entry/node/limits/demandCodec.ts
@@ -58,7 +58,7 @@
 		intervalMs: toUint32(sums.intervalMs),
 		reportingEntries: sums.reporting,
 		knownEntries: sums.known,
-		heardZones: [...sums.hears],
+		receivedZones: [...sums.receivedZones],
 		organisationKeys: counts.map(({ key }) => key),
 		asked: counts.map(({ asked }) => asked),
 		admitted: counts.map(({ admitted }) => admitted),
@@ -77,7 +77,7 @@
 		intervalMs: message.intervalMs,
 		reporting: message.reportingEntries,
 		known: message.knownEntries,
-		hears: message.heardZones as ZoneName[],
+		receivedZones: message.receivedZones as ZoneName[],
 		counts: message.organisationKeys.map((key, index) => ({
 			key: key as OrganisationKey,
 			asked: message.asked[index] ?? 0,
--- a/src/entry/node/limits/test/demandPeers.test.ts
+++ b/src/entry/node/limits/test/demandPeers.test.ts
@@ -37,7 +37,7 @@
 	intervalMs: 250,
 	reporting: 12,
 	known: 14,
-	hears: ['khomas-b' as ZoneName],
+	receivedZones: ['khomas-b' as ZoneName],
 	counts: [{ key, asked: 0xffff_ffff, admitted: 5, level: -700 }],
 };
 
