--- a/src/entry/node/requests/unreadableLoads.ts
+++ b/src/entry/node/requests/unreadableLoads.ts
@@ -6,7 +6,7 @@
 import { LRUCache } from 'lru-cache';
 import type { ServiceName, TargetId } from '../../../core/ids/common/ids';
 
-/** Is told of load headers that can't be read in whole. */
+/** Receives the load headers that can't be read in whole. */
 export interface ILoadHeaderObserver {
 	noteUnreadable(service: ServiceName, target: TargetId, text: string): void;
 }
