--- a/src/entry/common/limits/fleetBucket.ts
+++ b/src/entry/common/limits/fleetBucket.ts
@@ -29,8 +29,7 @@
 const msPerSecond = 1_000;
 
 /**
- * How far a rise of the demand is continued, because the averages follow a jump late. Without it, a jump to seven times
- * the demand at 80 entries admitted up to 1.07 of what the limit allows in 8 s (seed 3); with it, 1.04.
+ * How far a rise of the demand is continued, because the averages follow a jump late and would admit too much meanwhile.
  */
 const trendGain = 0.5;
 
@@ -51,8 +50,8 @@
 
 /**
  * Part of the difference that a bucket moves towards that of another coordinator with each of its messages. The sender
- * does not know the latest use of the receiver's zone, so its level is too high by that; with 0.1 and six zones, 5% more
- * than the limit was admitted.
+ * does not have the latest use of the receiver's zone, so its level is too high by that, and a larger part would admit more
+ * than the limit.
  */
 const levelGain = 0.02;
 
--- a/src/entry/common/limits/limitCoordinator.ts
+++ b/src/entry/common/limits/limitCoordinator.ts
@@ -59,8 +59,8 @@
 /** Interval at which a coordinator shows that it is there. */
 export const idleSumsIntervalMs = 1_000;
 /**
- * Interval of the sums of all organisations that had requests. By computation, with 13 bytes for each of 540
- * organisations and six zones, 1 s would take half of the bytes that each of 360 entries may use.
+ * Interval of the sums of all organisations that had requests. A shorter one would use up the bytes for control where
+ * organisations are many.
  */
 export const fullSumsIntervalMs = 4_000;
 
--- a/src/entry/common/limits/limitReporter.ts
+++ b/src/entry/common/limits/limitReporter.ts
@@ -35,8 +35,7 @@
 
 /**
  * Interval while there are requests to report, and the one of an entry without any. Such an entry admits its next request
- * by its last answer; with 500 ms between answers, a jump to seven times the demand at 360 entries admitted 1.11 of what
- * the limit allows in 8 s.
+ * by its last answer, so in a large fleet the idle interval decides how much a jump of the demand exceeds the limit.
  */
 const minIntervalMs = 250;
 const idleIntervalMs = 500;
