Emit the ticks of virtual clocks by one function

The manual timers and the timers of stalled and of suspended processes in tests had the same loop three times, the third added with the tests of suspended machines. No behaviour changes; the tests of the three and of their users pass (90).

--- a/src/base/common/manualTimerService.ts
+++ b/src/base/common/manualTimerService.ts
@@ -5,9 +5,9 @@
 
 import { Heap } from 'heap-js';
 import type { Stream } from 'most';
-import { Channel } from './channel';
 import type { IDisposable } from './lifecycle';
 import { toDisposable } from './lifecycle';
+import { watchScheduledTicks } from './scheduledTicks';
 import type { ITimerService, Tick } from './timerService';
 
 interface PendingTimer {
@@ -49,16 +49,7 @@
 	}
 
 	watchTicks(periodMs: number): Stream<Tick> {
-		const channel = new Channel<Tick>();
-		let lastMs = this.nowMs;
-		const emitTick = (): void => {
-			const elapsedMs = this.nowMs - lastMs;
-			lastMs = this.nowMs;
-			this.schedule(periodMs, emitTick);
-			channel.emit({ nowMs: this.nowMs, elapsedMs });
-		};
-		this.schedule(periodMs, emitTick);
-		return channel.stream;
+		return watchScheduledTicks(this, periodMs);
 	}
 
 	/** Advances the clock and runs the callbacks that become due. */
--- a/src/entry/common/storeRelay/test/suspendableTimers.ts
+++ b/src/entry/common/storeRelay/test/suspendableTimers.ts
@@ -4,10 +4,10 @@
  */
 
 import type { Stream } from 'most';
-import { Channel } from '../../../../base/common/channel';
 import type { IDisposable } from '../../../../base/common/lifecycle';
 import { toDisposable } from '../../../../base/common/lifecycle';
 import type { ManualTimerService } from '../../../../base/common/manualTimerService';
+import { watchScheduledTicks } from '../../../../base/common/scheduledTicks';
 import type { ITimerService, Tick } from '../../../../base/common/timerService';
 
 export class SuspendableTimers implements ITimerService {
@@ -47,17 +47,7 @@
 	}
 
 	watchTicks(periodMs: number): Stream<Tick> {
-		const channel = new Channel<Tick>();
-		let lastMs = this.getNow();
-		const emitTick = (): void => {
-			const nowMs = this.getNow();
-			const elapsedMs = nowMs - lastMs;
-			lastMs = nowMs;
-			this.schedule(periodMs, emitTick);
-			channel.emit({ nowMs, elapsedMs });
-		};
-		this.schedule(periodMs, emitTick);
-		return channel.stream;
+		return watchScheduledTicks(this, periodMs);
 	}
 
 	async waitUntilAwake(): Promise<void> {
--- a/src/entry/node/test/stallableTimers.ts
+++ b/src/entry/node/test/stallableTimers.ts
@@ -4,9 +4,9 @@
  */
 
 import type { Stream } from 'most';
-import { Channel } from '../../../base/common/channel';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import { toDisposable } from '../../../base/common/lifecycle';
+import { watchScheduledTicks } from '../../../base/common/scheduledTicks';
 import type { ITimerService, Tick } from '../../../base/common/timerService';
 
 /** Timers that can be stalled apart from those of other processes. */
@@ -38,16 +38,6 @@
 	}
 
 	watchTicks(periodMs: number): Stream<Tick> {
-		const channel = new Channel<Tick>();
-		let lastMs = this.getNow();
-		const emitTick = (): void => {
-			const nowMs = this.getNow();
-			const elapsedMs = nowMs - lastMs;
-			lastMs = nowMs;
-			this.schedule(periodMs, emitTick);
-			channel.emit({ nowMs, elapsedMs });
-		};
-		this.schedule(periodMs, emitTick);
-		return channel.stream;
+		return watchScheduledTicks(this, periodMs);
 	}
 }
