Log what delimits an answer and what its end shows, and count ends

Three ways in which a broken-off answer could reach its caller as complete could not be told apart: the end of an attempt was logged without the framing of its answer, and no line said with which framing the head went to the caller. 'attempt-ended' now has both and how far the stream has come, 'first-byte' the framing of the caller's head, 'ended' whether the end of the answer was certain. anvilroad_answer_ends_total counts the ends by service. No decision changes.

--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -57,6 +57,12 @@
 		'error',
 	),
 	attempts: createDefinition('attempts_total', 'Attempts at targets, by how they ended.', 'service', 'end'),
+	answerEnds: createDefinition(
+		'answer_ends_total',
+		'Ends of answers that had begun, by what they showed to the caller.',
+		'service',
+		'end',
+	),
 	unreadableLoads: createDefinition(
 		'unreadable_load_headers_total',
 		'Answers of targets whose load header could not be read in whole.',
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -67,6 +67,7 @@
 
 	private readonly requests = this.createCounter(counterDefinitions.requests);
 	private readonly attempts = this.createCounter(counterDefinitions.attempts);
+	private readonly answerEnds = this.createCounter(counterDefinitions.answerEnds);
 	private readonly unreadableLoads = this.createCounter(counterDefinitions.unreadableLoads);
 	private readonly sentAway = this.createCounter(counterDefinitions.sentAway);
 	private readonly linkBytes = this.createCounter(counterDefinitions.linkBytes);
@@ -181,6 +182,10 @@
 		this.attempts.inc({ service: this.findServiceLabel(service), end });
 	}
 
+	noteAnswerEnd(service: string, end: string): void {
+		this.answerEnds.inc({ service: this.findServiceLabel(service), end });
+	}
+
 	noteUnreadableLoad(service: string): void {
 		this.unreadableLoads.inc({ service: this.findServiceLabel(service) });
 	}
--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -28,6 +28,11 @@
 		return this.pendingBytes > 0 || !this.hasEvent;
 	}
 
+	/** Describes for the log how far the stream has come. */
+	describePosition(): string {
+		return `after event ${this.lastId ?? 'none'}, ${this.pendingBytes} bytes of the next one`;
+	}
+
 	/** The most recent id among the complete events so far, or undefined if none had one. */
 	getLastEventId(): string | undefined {
 		return this.lastId;
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -146,6 +146,9 @@
 			this.metrics.noteFirstByte(service, requestClass, end.firstByteMs);
 			this.metrics.noteAnswer(service, requestClass, end.tookMs);
 		}
+		if (end.answerEnd !== undefined) {
+			this.metrics.noteAnswerEnd(service, end.answerEnd);
+		}
 		if (this.runs.size === 0) {
 			for (const resolve of this.idleWaiters.splice(0)) {
 				resolve();
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -11,6 +11,7 @@
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { InstanceId, RegionName, RequestId, StreamId, TargetId } from '../../../core/ids/common/ids';
 import type { ITimerService } from '../../../base/common/timerService';
+import { AnswerEnd, describeFraming } from '../../common/callers/answerEnd';
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead } from '../../common/callers/callHead';
 import { findHeader } from '../../common/callers/callHead';
@@ -61,6 +62,8 @@
 	readonly errorKind: ErrorKind | undefined;
 	readonly firstByteMs: number | undefined;
 	readonly tookMs: number;
+	/** What the caller was shown at the end of an answer that had begun. */
+	readonly answerEnd?: AnswerEnd | undefined;
 }
 
 /** Receives the measurements of a request. */
@@ -200,7 +203,7 @@
 			this.findOrigin = findOrigin;
 		}
 		if (this.hasBegun()) {
-			this.note(JournalStep.FirstByte, `resumed after event ${this.getLastEventId() ?? 'none'}`);
+			this.note(JournalStep.FirstByte, `resumed ${this.describeAnswer()}`);
 			return;
 		}
 		if (isEventStream(this.call, head)) {
@@ -263,6 +266,12 @@
 		return !this.isUnframed;
 	}
 
+	/** Describes how the current target's answer is delimited and how far it has come, for the log. */
+	describeAnswer(): string {
+		const position = this.events === undefined ? '' : `${this.events.describePosition()}, `;
+		return `${position}${describeFraming(this.isUnframed)}`;
+	}
+
 	/** Whether the current target's stream has gone on beyond its first event. */
 	hasGoneOn(): boolean {
 		return this.eventReads > 1;
@@ -321,7 +330,8 @@
 			this.sink.write(rest);
 		}
 		this.sink.end();
-		this.close(Outcome.Answered, undefined, 'the answer is complete');
+		const answerEnd = this.isUnframed ? AnswerEnd.Uncertain : AnswerEnd.Certain;
+		this.close(Outcome.Answered, undefined, `the answer has ended, its end is ${answerEnd}`, answerEnd);
 	}
 
 	/** Ends the request without a complete answer: with an error before the first byte, by cutting it off after. */
@@ -331,12 +341,13 @@
 		}
 		const reported = this.lifecycle.refuse(error);
 		this.sink.noteAttempts?.(this.attempts);
-		if (this.hasBegun()) {
-			this.cutAnswer();
-		} else {
+		const answerEnd = this.hasBegun() ? AnswerEnd.Cut : undefined;
+		if (answerEnd === undefined) {
 			this.sink.refuse(reported);
+		} else {
+			this.cutAnswer();
 		}
-		this.close(getOutcomeOf(reported), reported.kind, `${reported.kind}: ${reported.detail}`);
+		this.close(getOutcomeOf(reported), reported.kind, `${reported.kind}: ${reported.detail}`, answerEnd);
 	}
 
 	/** Ends the request after its caller disconnected, without sending anything. */
@@ -397,12 +408,17 @@
 
 	private noteAnswerBegun(head: AnswerHead): void {
 		this.firstByteMs = this.timers.getNow() - this.call.arrivedMs;
-		this.note(JournalStep.FirstByte, `status ${head.status}`);
 		this.endsWithConnection = head.endsWithConnection === true;
+		this.note(JournalStep.FirstByte, `status ${head.status}, ${describeFraming(this.endsWithConnection)}`);
 		this.sink.begin(head);
 	}
 
-	private close(outcome: Outcome, errorKind: ErrorKind | undefined, detail: string): void {
+	private close(
+		outcome: Outcome,
+		errorKind: ErrorKind | undefined,
+		detail: string,
+		answerEnd?: AnswerEnd,
+	): void {
 		this.isOver = true;
 		this.note(JournalStep.Ended, `${outcome}; ${detail}; ${describeHistory(this.attempts)}`);
 		this.observer.noteEnd(this, {
@@ -410,6 +426,7 @@
 			errorKind,
 			firstByteMs: this.firstByteMs,
 			tookMs: this.timers.getNow() - this.call.arrivedMs,
+			answerEnd,
 		});
 	}
 }
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -202,7 +202,7 @@
 		}
 		run.note(
 			JournalStep.AttemptEnded,
-			`${attempt.id}: ${end}; ${error?.detail ?? `${target}: ${attempt.describePace()}`}`,
+			`${attempt.id}: ${end}; ${error?.detail ?? `${target}: ${attempt.describePace()}`}${describeBegun(run)}`,
 		);
 		this.targets.noteAttemptEnd(target, end, run);
 		this.notePathEnd(target, end);
@@ -457,6 +457,11 @@
 	}
 }
 
+/** An attempt that ended after the head of an answer is logged with how that answer is delimited. */
+function describeBegun(run: RequestRun): string {
+	return run.hasBegun() ? `; ${run.describeAnswer()}` : '';
+}
+
 const unknownSoftware: TargetSoftware = { version: undefined, boot: undefined };
 
 /** Suggested to callers as the retry delay while no target is reached: the time in which the paths are probed twice. */
