--- /dev/null
+++ b/src/entry/node/callers/test/callerUnframedEnds.test.ts
@@ -0,0 +1,130 @@
+import { once } from 'node:events';
+import { SeededRandom } from '../../../../base/common/random';
+import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { NativeCallerDialect } from '../../../common/dialect/nativeCallerDialect';
+import { noLoopLag } from '../../../common/intake/loopLagGate';
+import { RequestIntake } from '../../../common/intake/requestIntake';
+import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
+import { createKeyDigests } from '../../keys/test/keyDigestFixtures';
+import type { HandlerFixture } from '../../test/callHandlerFixtures';
+import { createHandlerFixture } from '../../test/callHandlerFixtures';
+import { CallerServer } from '../callerServer';
+import {
+	openServer,
+	openSocket,
+	receiveAll,
+	readConclusion,
+	observe,
+	writeHalf,
+	observeProcessEnd,
+	observeHalfClose,
+	contentType,
+	heads,
+	unframedCases,
+	Conclusion,
+	disposeOpened,
+} from './answerEndFixtures';
+
+/** How long a stopping server waits for answers in progress. */
+const maxFlushMs = 120_000;
+
+afterEach(() => {
+	disposeOpened();
+});
+
+function createCallerServer({ handler, heldBytes, flow: { timers } }: HandlerFixture): CallerServer {
+	const scheduler = new ImmediateTurnScheduler();
+	return new CallerServer(
+		handler,
+		new NativeCallerDialect(createKeyDigests()),
+		heldBytes,
+		{ maxHeadBytes: 2_048, maxBodyBytes: 100 },
+		new RequestIntake(scheduler, timers, new SeededRandom(1), () => undefined),
+		timers,
+		noLoopLag,
+	);
+}
+
+describe('an answer to a caller that is not framed', () => {
+	// Guards against an answer that a caller takes for a whole one when its entry is killed and the kernel closes the connection.
+	it('is broken off over HTTP/1.1 if the process ends', async () => {
+		expect(await observeProcessEnd(heads[2]!.head, '1.1')).toBe(Conclusion.BrokenOff);
+	});
+
+	// Guards against the entry's close being taken for the end of the answer by a caller that ends its own side early.
+	it.each(unframedCases)(
+		'with $framing over HTTP/$version is broken off if its caller ends its side',
+		async ({ head, version }) => {
+			expect(await observeHalfClose(head, version)).toBe(Conclusion.BrokenOff);
+		},
+	);
+
+	// Guards against a stopping entry that gives up on a slow caller and closes the connection as after a whole answer.
+	it.each([
+		{ name: 'has ended', endAnswer: true },
+		{ name: 'still runs', endAnswer: false },
+	])('is broken off if it $name when the time to send it at a stop is over', async ({ endAnswer }) => {
+		const fixture = createHandlerFixture(RepeatRule.Idempotent);
+		const server = createCallerServer(fixture);
+		const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
+		const socket = openSocket(port);
+		socket.write(
+			'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\n' +
+				'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork',
+		);
+		while (fixture.flow.attempts.length === 0) {
+			await new Promise(resolve => setImmediate(resolve));
+		}
+		const { observer } = fixture.flow.attempts[0]!;
+		observer.noteHandedOver();
+		observer.receiveHead({ status: 200, lines: [contentType], endsWithConnection: true });
+		observer.receiveData(Buffer.alloc(16_777_216, 'a'));
+		if (endAnswer) {
+			observer.noteCompleted();
+		}
+		await once(socket, 'readable');
+		const closed = server.close();
+		fixture.flow.timers.advance(maxFlushMs);
+		await closed;
+		const received = receiveAll(socket, () => false);
+		socket.resume();
+		expect(readConclusion(await received)).toBe(Conclusion.BrokenOff);
+	});
+});
+
+describe('an answer to a caller with a length', () => {
+	// Guards against the next answer on a connection being read as the rest of one that ended before its length.
+	it('is broken off if it ends before its length', async () => {
+		const { head } = heads[0]!;
+		const port = await openServer(
+			sink => {
+				writeHalf(sink, head, () => {
+					sink.end();
+				});
+			},
+			sink => {
+				sink.begin(head);
+				sink.write(Buffer.from('nextnext'));
+				sink.end();
+			},
+		);
+		const conclusion = await observe(port, '1.1', socket => {
+			socket.write('GET / HTTP/1.1\r\nhost: entry\r\n\r\n');
+		});
+		expect(conclusion).toBe(Conclusion.BrokenOff);
+	});
+
+	// Guards against an answer that goes on beyond its length and is read as the start of the next one.
+	it('passes on no bytes beyond its length', async () => {
+		const { head } = heads[0]!;
+		const port = await openServer(sink => {
+			sink.begin(head);
+			sink.write(Buffer.from('wholewholewhole'));
+			sink.end();
+		});
+		const socket = openSocket(port);
+		socket.write('GET / HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n');
+		const { text } = await receiveAll(socket, () => false);
+		expect(text.split('\r\n\r\n')[1]?.length).toBeLessThanOrEqual(8);
+	});
+});
--- a/src/entry/node/requests/test/keptAnswerEnds.test.ts
+++ b/src/entry/node/requests/test/keptAnswerEnds.test.ts
@@ -13,6 +13,11 @@
 	readonly endsWithConnection: boolean;
 }
 
+const unframed: AnswerFraming = {
+	name: 'no framing',
+	lines: [contentType],
+	endsWithConnection: true,
+};
 const withLength: AnswerFraming = {
 	name: 'a length',
 	lines: [contentType, length],
@@ -23,7 +28,7 @@
 	lines: [contentType],
 	endsWithConnection: false,
 };
-const framings = [withLength, inChunks];
+const framings = [unframed, withLength, inChunks];
 
 function beginFramed(attempt: CapturedAttempt, { lines, endsWithConnection }: AnswerFraming): void {
 	attempt.observer.noteHandedOver();
