Keep with an at-most-once answer that its end is that of its connection

What callers saw: a target answered a request with a ticket without length or chunks. The first caller received the answer without framing. A repeat of the ticket, or a request that had joined the first, received the same bytes with the head of a framed answer, for which the sink of a caller writes chunks and a last chunk. If the connection to the target had closed early, only the repeat looked complete.

Cause: CachedAnswer had status, headers and body. RecordingSink dropped endsWithConnection of the head, and sendKeptAnswer began the replay without it.

Change: CachedAnswer has endsWithConnection, filled by RecordingSink and passed on with the head of the replay. The sinks decide about framing by the head alone, so that a replay is now framed as the first answer was. Whether an answer with an uncertain end should be kept at all is a separate decision.

The fixtures of the ledger's tests get the new field; no assertion changes.

--- a/src/entry/common/atMostOnce/test/atMostOnceLedger.test.ts
+++ b/src/entry/common/atMostOnce/test/atMostOnceLedger.test.ts
@@ -28,7 +28,7 @@
 }
 
 function createAnswer(bytes: number): RunResult {
-	const answer = { status: 200, headers: [], body: new Uint8Array(bytes) };
+	const answer = { status: 200, headers: [], body: new Uint8Array(bytes), endsWithConnection: false };
 	return { kind: RunResultKind.Answered, answer };
 }
 
--- a/src/entry/common/atMostOnce/test/ticketModel.ts
+++ b/src/entry/common/atMostOnce/test/ticketModel.ts
@@ -238,7 +238,8 @@
 		if (failure?.isRun !== false) {
 			this.countRun(text);
 		}
-		const answer = { status: 200, headers: [], body: new TextEncoder().encode(`${text} ${body}`) };
+		const encoded = new TextEncoder().encode(`${text} ${body}`);
+		const answer = { status: 200, headers: [], body: encoded, endsWithConnection: false };
 		run.end(
 			failure === undefined
 				? { kind: RunResultKind.Answered, answer }
--- a/src/entry/common/atMostOnce/ticketRun.ts
+++ b/src/entry/common/atMostOnce/ticketRun.ts
@@ -12,6 +12,8 @@
 	/** Names and values in the order in which the target sent them. */
 	readonly headers: readonly (readonly [string, string])[];
 	readonly body: Uint8Array;
+	/** Whether the target sent neither a length nor chunks, so that a resend must not receive either. */
+	readonly endsWithConnection: boolean;
 }
 
 export enum RunResultKind {
--- a/src/entry/node/requests/recordingSink.ts
+++ b/src/entry/node/requests/recordingSink.ts
@@ -6,7 +6,7 @@
 
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
-import type { TicketRun } from '../../common/atMostOnce/ticketRun';
+import type { CachedAnswer, TicketRun } from '../../common/atMostOnce/ticketRun';
 import { RunResultKind } from '../../common/atMostOnce/ticketRun';
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 
@@ -84,7 +84,7 @@
 		return;
 	}
 
-	private createKeptAnswer(): { status: number; headers: [string, string][]; body: Uint8Array } | undefined {
+	private createKeptAnswer(): CachedAnswer | undefined {
 		if (this.head === undefined || this.receivedBytes > maxKeptBytes) {
 			return undefined;
 		}
@@ -92,6 +92,7 @@
 			status: this.head.status,
 			headers: this.head.lines.map(line => [line.name, line.value]),
 			body: Buffer.concat(this.chunks),
+			endsWithConnection: this.head.endsWithConnection === true,
 		};
 	}
 }
--- a/src/entry/node/requests/ticketRouter.ts
+++ b/src/entry/node/requests/ticketRouter.ts
@@ -210,6 +210,7 @@
 	run.beginKeptAnswer({
 		status: answer.status,
 		lines: answer.headers.map(([name, value]) => ({ name, value })),
+		endsWithConnection: answer.endsWithConnection,
 	});
 	run.write(answer.body);
 	run.finish();
