Keep the version of a target certain that accepts connections after it ended one

Callers of streams without framing saw an end where the stream should have gone on at another target.

After such an end the entry probes the target's port. If it accepts within the time in which no process starts again, the process is the same one and the version stays certain. The first of the two tests fails before; the other one keeps late and refused connections in doubt.

--- a/src/entry/common/streams/processContinuity.ts
+++ b/src/entry/common/streams/processContinuity.ts
@@ -22,6 +22,7 @@
 	private lastClosedMs = Number.NEGATIVE_INFINITY;
 	/** Whether the target ended the last connection or refused one, and has not been confirmed since. */
 	private isLost = false;
+	private lostMs = Number.NEGATIVE_INFINITY;
 
 	noteOpened(nowMs: number): void {
 		if (this.openConnections === 0 && nowMs - this.lastClosedMs > minRestartMs) {
@@ -35,7 +36,17 @@
 		this.openConnections--;
 		if (this.openConnections === 0) {
 			this.lastClosedMs = nowMs;
-			this.isLost ||= isByTarget;
+			if (isByTarget && !this.isLost) {
+				this.isLost = true;
+				this.lostMs = nowMs;
+			}
+		}
+	}
+
+	/** Records that the target accepts connections: if it has just ended the last one, its process has not ended with it. */
+	noteAccepted(nowMs: number): void {
+		if (nowMs - this.lostMs <= minRestartMs) {
+			this.isLost = false;
 		}
 	}
 
@@ -45,6 +56,7 @@
 			this.lastClosedMs = Number.NEGATIVE_INFINITY;
 			this.unbrokenSinceMs = undefined;
 			this.isLost = true;
+			this.lostMs = Number.NEGATIVE_INFINITY;
 		}
 	}
 
--- a/src/entry/common/streams/test/processContinuity.test.ts
+++ b/src/entry/common/streams/test/processContinuity.test.ts
@@ -35,6 +35,31 @@
 		expect(continuity.isConfirmed(createOutage(2_000), 7_000)).toBe(false);
 	});
 
+	// Guards against streams that can't go on because a target without framing closes each connection.
+	it('stays confirmed if the target accepts connections right after it has ended the last one', () => {
+		const continuity = new ProcessContinuity();
+		continuity.noteOpened(0);
+		continuity.noteClosed(true, 1_000);
+		expect(continuity.isConfirmed(reached, 1_001)).toBe(false);
+		continuity.noteAccepted(1_001);
+		expect(continuity.isConfirmed(reached, 1_001)).toBe(true);
+	});
+
+	// Guards against taking a process that has started again for the one that ended its connections.
+	it('is in doubt if the target accepts connections only after the time of a restart, or after it refused one', () => {
+		const late = new ProcessContinuity();
+		late.noteOpened(0);
+		late.noteClosed(true, 1_000);
+		late.noteAccepted(1_600);
+		const refusing = new ProcessContinuity();
+		refusing.noteOpened(0);
+		refusing.noteClosed(true, 1_000);
+		refusing.noteRefused();
+		refusing.noteAccepted(1_001);
+		expect(late.isConfirmed(reached, 1_601)).toBe(false);
+		expect(refusing.isConfirmed(reached, 1_001)).toBe(false);
+	});
+
 	// Guards against the same after a refused connection, with which the process is known to be gone.
 	it('is in doubt after a refused connection until the store has confirmed a later one', () => {
 		const continuity = new ProcessContinuity();
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -173,7 +173,11 @@
 
 	async probeForCrash(target: TargetId): Promise<boolean> {
 		const url = this.discovery.find(target)?.target.url;
-		return url !== undefined && (await probePort(new URL(url))) === PortState.Closed;
+		const state = url === undefined ? undefined : await probePort(new URL(url));
+		if (state === PortState.Open) {
+			this.clients.get(target)?.client.continuity.noteAccepted(this.timers.getNow());
+		}
+		return state === PortState.Closed;
 	}
 
 	async probePaths(service: ServiceName, round: number): Promise<ProbeRound> {
