Never show the end of an answer as certain that only a closed connection shows

The head goes to the caller once, with the framing of the first target.

The cause is one of a class: what is known of one attempt (its framing) was taken for a fact about the answer. Now each end carries whether it is certain, from the target's connection over the end message between entries to the caller and to kept answers, and an uncertain end never becomes a framed one. After an uncertain end the entry checks whether the target crashed; the answer then counts as broken off. A resumable stream goes on after its last event at another target, where an answer with framing proves the end. An answer whose caller expects framing is cut if nothing proves its end; one that is unframed for its caller ends as its target ended it, unless the last ends that were checked turned out wrong. UnframedEnds limits what this costs where targets never send framing.

Open, and listed: an entry killed while it passes on an answer without framing.

Tried and left out: chunks for all resumable streams, which show a killed entry.

The tests of kept answers wait for the check of the target; their assertions are unchanged.

--- a/src/entry/common/callers/answerSink.ts
+++ b/src/entry/common/callers/answerSink.ts
@@ -7,6 +7,7 @@
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import type { AttemptHistory } from '../requests/attemptHistory';
 import type { StreamOrigin } from '../streams/streamOrigin';
+import type { AnswerEnd } from './answerEnd';
 import type { HeaderLine } from './callHead';
 
 /** Status and headers of an answer. */
@@ -26,7 +27,11 @@
 	/** Returns false under backpressure. Writing may resume when `waitForDrain` calls back. */
 	write(chunk: Uint8Array): boolean;
 	waitForDrain(resume: () => void): void;
-	end(): void;
+	/**
+	 * Ends the answer. The end is uncertain only after a head with `endsWithConnection`, since framing would present it as
+	 * the end of a whole answer.
+	 */
+	end(end: AnswerEnd.Certain | AnswerEnd.Uncertain): void;
 	/**
 	 * Aborts an answer that has begun and cannot be completed. The reader's HTTP library must report an error,
 	 * because a truncated answer with a clean end would look complete.
--- a/src/entry/common/requests/requestLifecycle.ts
+++ b/src/entry/common/requests/requestLifecycle.ts
@@ -76,6 +76,8 @@
 	Fail = 'Fail',
 	FirstByte = 'FirstByte',
 	LastByte = 'LastByte',
+	/** The answer has ended with its connection, and no other target has shown that it is incomplete. */
+	AcceptEnd = 'AcceptEnd',
 	/** The answer was interrupted, and another target will continue it. */
 	Interrupt = 'Interrupt',
 	/** This entry gives up the request while no attempt is in progress. */
--- a/src/entry/common/scheduling/attempt.ts
+++ b/src/entry/common/scheduling/attempt.ts
@@ -43,6 +43,7 @@
 	[AttemptEnd.Failed]: ErrorKind.TargetFailed,
 	[AttemptEnd.Erred]: ErrorKind.TargetFailed,
 	[AttemptEnd.Silent]: ErrorKind.TargetSilent,
+	[AttemptEnd.Unconfirmed]: ErrorKind.TargetFailed,
 };
 
 /** Whether an attempt with this end can't have run at the target. */
--- a/src/entry/common/scheduling/attemptObserver.ts
+++ b/src/entry/common/scheduling/attemptObserver.ts
@@ -104,6 +104,7 @@
 		const { use } = attempt.target;
 		switch (end) {
 			case AttemptEnd.Answered:
+			case AttemptEnd.Unconfirmed:
 				this.pool.clearFailures(use);
 				return;
 			case AttemptEnd.TargetRefused:
--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -157,6 +157,8 @@
 	Erred = 'erred',
 	/** The target sent nothing for longer than the class allows. */
 	Silent = 'silent',
+	/** The answer ended with its connection, so that it may be incomplete, and another target is to confirm its end. */
+	Unconfirmed = 'unconfirmed',
 	/** The caller disconnected or the deadline passed. */
 	Cancelled = 'cancelled',
 }
--- a/src/entry/common/workScheduling/targetLoadModel.ts
+++ b/src/entry/common/workScheduling/targetLoadModel.ts
@@ -497,6 +497,7 @@
 		}
 		switch (end) {
 			case AttemptEnd.Answered:
+			case AttemptEnd.Unconfirmed:
 				this.noteAnswered(attempt, nowMs);
 				return;
 			case AttemptEnd.Cancelled:
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -64,6 +64,7 @@
 	[AttemptEnd.Failed]: ErrorKind.TargetFailed,
 	[AttemptEnd.Erred]: ErrorKind.TargetFailed,
 	[AttemptEnd.Silent]: ErrorKind.TargetSilent,
+	[AttemptEnd.Unconfirmed]: ErrorKind.TargetFailed,
 };
 
 /** Why a new request is refused. */
--- a/src/entry/node/callers/test/callerServer.test.ts
+++ b/src/entry/node/callers/test/callerServer.test.ts
@@ -7,6 +7,7 @@
 import { SeededRandom } from '../../../../base/common/random';
 import type { RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { AnswerEnd } from '../../../common/callers/answerEnd';
 import { LoopLagGate, noLoopLag } from '../../../common/intake/loopLagGate';
 import type { ILoopLag } from '../../../common/intake/loopLagGate';
 import { RequestIntake } from '../../../common/intake/requestIntake';
@@ -205,7 +206,7 @@
 		let deadlineMs = Number.POSITIVE_INFINITY;
 		fixture.handler.accept = (call, sink) => {
 			({ deadlineMs } = call);
-			sink.end();
+			sink.end(AnswerEnd.Certain);
 		};
 		timers.advanceWithoutTimers(2_000);
 		const answer = await request(`${url}/v1/services/bookings/run`, {
@@ -232,7 +233,7 @@
 		const deadlines: number[] = [];
 		fixture.handler.accept = (call, sink) => {
 			deadlines.push(call.deadlineMs);
-			sink.end();
+			sink.end(AnswerEnd.Certain);
 		};
 		const sentMs = timers.getNow();
 		for (let index = 0; index < connections; index++) {
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -17,6 +17,7 @@
 	ForwardRequestRequest,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestRequestSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
+import { AnswerEnd } from '../../common/callers/answerEnd';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import { describeHistory } from '../../common/requests/attemptHistory';
 import type { KnownOrigin } from '../../common/streams/streamOrigin';
@@ -199,22 +200,32 @@
 				case 'fault':
 					return this.endWithFault(part.value);
 				case 'end':
-					if (this.run.isBrokenOff()) {
-						return this.createEnd(
-							ForwardEndKind.Failed,
-							this.createPeerError(ErrorKind.PeerFailed, 'the stream ended inside an event'),
-						);
-					}
-					this.run.finish();
-					return this.createEnd(ForwardEndKind.Answered, undefined);
+					return this.endAnswer(part.value.isConfirmed);
 				case undefined:
 					break;
 			}
 		}
-		return this.createEnd(
-			ForwardEndKind.Failed,
-			this.createPeerError(ErrorKind.PeerFailed, 'the answer ended without an end message'),
-		);
+		return this.createFailedEnd('the answer ended without an end message');
+	}
+
+	private endAnswer(isConfirmed: boolean): ForwardEnd {
+		if (this.run.isBrokenOff()) {
+			return this.createFailedEnd('the stream ended inside an event');
+		}
+		if (isConfirmed || this.run.isEndCertain()) {
+			this.run.finish(AnswerEnd.Certain);
+			return this.createEnd(ForwardEndKind.Answered, undefined);
+		}
+		this.run.noteUncertainEnd();
+		if (this.run.isFramedForCaller()) {
+			return this.createFailedEnd('nothing shows that the answer is whole');
+		}
+		this.run.finish(AnswerEnd.Uncertain);
+		return this.createEnd(ForwardEndKind.Answered, undefined);
+	}
+
+	private createFailedEnd(detail: string): ForwardEnd {
+		return this.createEnd(ForwardEndKind.Failed, this.createPeerError(ErrorKind.PeerFailed, detail));
 	}
 
 	private begin(head: ForwardAnswerHead): void {
--- a/src/entry/node/peers/peerSink.ts
+++ b/src/entry/node/peers/peerSink.ts
@@ -11,6 +11,7 @@
 import type { AttemptHistory } from '../../common/requests/attemptHistory';
 import { noAttempts } from '../../common/requests/attemptHistory';
 import type { StreamOrigin } from '../../common/streams/streamOrigin';
+import { AnswerEnd } from '../../common/callers/answerEnd';
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 import { encodeOrigin } from '../streams/originCodec';
 import { encodeHistory } from './attemptHistoryCodec';
@@ -78,8 +79,9 @@
 		this.resumeWriter = resume;
 	}
 
-	end(): void {
-		this.pushLast(create(ForwardRequestResponseSchema, { part: { case: 'end', value: {} } }));
+	end(end: AnswerEnd): void {
+		const value = { isConfirmed: end === AnswerEnd.Certain };
+		this.pushLast(create(ForwardRequestResponseSchema, { part: { case: 'end', value } }));
 	}
 
 	cut(): void {
--- a/src/entry/node/peers/test/peerAnswerEnds.test.ts
+++ b/src/entry/node/peers/test/peerAnswerEnds.test.ts
@@ -20,6 +20,7 @@
 	ForwardRequestRequestSchema,
 	ForwardRequestResponseSchema,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import { AnswerEnd } from '../../../common/callers/answerEnd';
 import type { IAnswerSink } from '../../../common/callers/answerSink';
 import { noLoopLag } from '../../../common/intake/loopLagGate';
 import { RequestIntake } from '../../../common/intake/requestIntake';
@@ -195,7 +196,7 @@
 		sink.begin({ status: 200, lines: [] });
 		expect(sink.write(Buffer.alloc(300_000))).toBe(false);
 		sink.write(chunk);
-		sink.end();
+		sink.end(AnswerEnd.Certain);
 		expect(await takeAll(sink)).toEqual(['head', 'body', 'body', 'end']);
 	});
 });
@@ -286,7 +287,7 @@
 		{
 			name: 'an end',
 			stop: (sink: IAnswerSink) => {
-				sink.end();
+				sink.end(AnswerEnd.Certain);
 			},
 			last: ['end', 'stream ends'],
 		},
--- a/src/entry/node/peers/test/peerServer.test.ts
+++ b/src/entry/node/peers/test/peerServer.test.ts
@@ -8,6 +8,7 @@
 import { SeededRandom } from '../../../../base/common/random';
 import type { ForwardRequestRequest } from '../../../../gen/anvilroad/peer/v1/peer_pb';
 import { ForwardRequestRequestSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
+import { AnswerEnd } from '../../../common/callers/answerEnd';
 import type { CallPlan } from '../../../common/placement/callPlan';
 import type { ILoopLag } from '../../../common/intake/loopLagGate';
 import { noLoopLag } from '../../../common/intake/loopLagGate';
@@ -119,7 +120,7 @@
 			refuseTicketedCall: (_, error) => error,
 			accept: ({ id }, sink) => {
 				accepted.push(id);
-				sink.end();
+				sink.end(AnswerEnd.Certain);
 			},
 		};
 		const server = createServer(holdingHandler, new ManualTimerService());
@@ -169,7 +170,7 @@
 			planForwarded: () => ok({} as CallPlan),
 			accept: (call, sink) => {
 				calls.push(call);
-				sink.end();
+				sink.end(AnswerEnd.Certain);
 			},
 		};
 		let connections = 0;
--- a/src/entry/node/requests/attemptEnds.ts
+++ b/src/entry/node/requests/attemptEnds.ts
@@ -14,6 +14,7 @@
 	[AttemptEnd.Failed]: RequestEvent.Retry,
 	[AttemptEnd.Erred]: RequestEvent.Retry,
 	[AttemptEnd.Silent]: RequestEvent.Retry,
+	[AttemptEnd.Unconfirmed]: RequestEvent.Retry,
 };
 
 /** Sends the event for a request that the scheduler will retry after this end of an attempt. */
--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -10,6 +10,7 @@
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { AttemptId, TargetId } from '../../../core/ids/common/ids';
 import { createAttemptId } from '../../../core/ids/common/ids';
+import { AnswerEnd } from '../../common/callers/answerEnd';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { AnswerMetadata, ITargetDialect, SentAttempt } from '../../common/dialect/targetDialect';
 import { describeHistory } from '../../common/requests/attemptHistory';
@@ -38,6 +39,10 @@
 	noteFirstByte(attempt: AttemptRun): void;
 	/** Receives the head of an answer or a refusal, which may report the target's load or that it is leaving. */
 	noteAnswerHead(attempt: AttemptRun, head: AnswerHead, reading: AnswerMetadata): void;
+	/** Receives the head of an answer that is passed on. */
+	noteBegun(attempt: AttemptRun, head: AnswerHead): void;
+	/** Whether the caller may get an uncertain end that no other target confirms. */
+	isEndAcceptable(attempt: AttemptRun): boolean;
 	/** Whether the request would be retried if the target answered with a server error. */
 	isRetryAllowed(attempt: AttemptRun): boolean;
 	/** Called while the target is silent. Returns whether the attempt should end. */
@@ -201,8 +206,14 @@
 			return;
 		}
 		this.close();
-		this.run.finish();
-		this.finishAs(AttemptEnd.Answered, undefined);
+		if (this.run.isEndCertain()) {
+			this.run.finish(AnswerEnd.Certain);
+			this.finishAs(AttemptEnd.Answered, undefined);
+			return;
+		}
+		this.run.noteUncertainEnd(() => this.owner.isEndAcceptable(this));
+		const detail = `${this.target}: the connection ended, which doesn't show that the answer is whole`;
+		this.finishAs(AttemptEnd.Unconfirmed, createRequestError(ErrorKind.TargetFailed, detail));
 	}
 
 	noteFailed(error: Error): void {
@@ -227,6 +238,7 @@
 			{ status, lines: this.dialect.listAnswerLines(head), endsWithConnection },
 			this.createOriginFinder(),
 		);
+		this.owner.noteBegun(this, head);
 		this.silenceTimer?.dispose();
 		this.watchSilence(this.getLimits().idleMs);
 		if (!this.run.call.isDeadlineGiven) {
--- a/src/entry/node/requests/crashDetector.ts
+++ b/src/entry/node/requests/crashDetector.ts
@@ -42,7 +42,7 @@
 
 /** Detects crashed targets for the runners of all services. */
 export class CrashDetector {
-	private readonly pendingChecks = new Map<TargetId, Promise<void>>();
+	private readonly pendingChecks = new Map<TargetId, Promise<boolean>>();
 	/** Caches fingerprints, because a waiting call is checked each time a target is chosen. */
 	private readonly fingerprints = new WeakMap<AcceptedCall, Fingerprint>();
 
@@ -78,17 +78,19 @@
 	 * Checks whether the target crashed, after a connection broke while these calls were in flight. Resolves when
 	 * the result is recorded, because an earlier retry could crash the next target before the first crash is
 	 * recorded. A crash breaks all connections of a target, so concurrent checks of one target share one probe.
+	 *
+	 * @returns Whether the target crashed.
 	 */
-	async checkForCrash(target: TargetId, inFlight: readonly AcceptedCall[]): Promise<void> {
+	async checkForCrash(target: TargetId, inFlight: readonly AcceptedCall[]): Promise<boolean> {
 		const pending = this.pendingChecks.get(target);
 		if (pending !== undefined) {
-			await pending;
-			return;
+			return pending;
 		}
 		const check = this.noteIfCrashed(target, inFlight);
 		this.pendingChecks.set(target, check);
-		await check;
+		const hasCrashed = await check;
 		this.pendingChecks.delete(target);
+		return hasCrashed;
 	}
 
 	private getFingerprint(call: AcceptedCall): Fingerprint {
@@ -105,7 +107,7 @@
 		return this.quarantine.findRefusal(fingerprint, nowMs) !== undefined;
 	}
 
-	private async noteIfCrashed(target: TargetId, inFlight: readonly AcceptedCall[]): Promise<void> {
+	private async noteIfCrashed(target: TargetId, inFlight: readonly AcceptedCall[]): Promise<boolean> {
 		const hasCrashed = await this.probeForCrash(target);
 		if (hasCrashed) {
 			const fingerprints = inFlight.map(call => this.getFingerprint(call));
@@ -120,6 +122,7 @@
 				isRequestRefused: isPartRefused || accepted.some(fingerprint => this.isRefused(fingerprint, nowMs)),
 			});
 		}
+		return hasCrashed;
 	}
 
 	/**
--- a/src/entry/node/requests/recordingSink.ts
+++ b/src/entry/node/requests/recordingSink.ts
@@ -8,6 +8,7 @@
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import type { CachedAnswer, TicketRun } from '../../common/atMostOnce/ticketRun';
 import { RunResultKind } from '../../common/atMostOnce/ticketRun';
+import type { AnswerEnd } from '../../common/callers/answerEnd';
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 
 /** Larger answers are delivered but not kept; a resend then receives the outcome `unknown`. */
@@ -57,9 +58,9 @@
 		this.callerSink.waitForDrain(resumeOnce);
 	}
 
-	end(): void {
+	end(end: AnswerEnd.Certain | AnswerEnd.Uncertain): void {
 		if (!this.isCallerGone) {
-			this.callerSink.end();
+			this.callerSink.end(end);
 		}
 		this.ticketRun.end({ kind: RunResultKind.Answered, answer: this.createKeptAnswer() });
 	}
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -15,11 +15,12 @@
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead } from '../../common/callers/callHead';
 import { findHeader } from '../../common/callers/callHead';
+import { RepeatRule } from '../../../core/manifest/common/manifest';
 import { RouteKind } from '../../../core/manifest/common/routes';
 import type { CallPlan } from '../../common/placement/callPlan';
 import type { AttemptHistory } from '../../common/requests/attemptHistory';
 import { addSend, describeHistory, markLastNotRun, noAttempts } from '../../common/requests/attemptHistory';
-import { RequestEvent, RequestLifecycle } from '../../common/requests/requestLifecycle';
+import { RequestEvent, RequestLifecycle, RequestState } from '../../common/requests/requestLifecycle';
 import type { AttemptEnd } from '../../common/scheduling/serviceScheduler';
 import { describeContinuation } from '../../common/streams/streamOrigin';
 import type { VersionRequirement } from '../../common/scheduling/versionMatch';
@@ -81,6 +82,20 @@
 	noteEnd(run: RequestRun, end: RequestEnd): void;
 }
 
+/** Whether the bytes that the caller has may be its whole answer. */
+enum OpenEnd {
+	None,
+	/** The connection of the last target ended after them, which proves nothing. */
+	Open,
+	/** The connection of another target that was to go on has ended as well, without more bytes. */
+	Repeated,
+	/** Another target had more to send. */
+	Refuted,
+}
+
+/** Whether an uncertain end may be passed on to a caller that expects one. */
+export type IsEndAcceptable = () => boolean;
+
 /** A request in progress. */
 export class RequestRun {
 	private firstByteMs: number | undefined;
@@ -94,6 +109,8 @@
 	private isUnframed = false;
 	/** Whether the caller sees the end of the answer only by the end of its connection. */
 	private endsWithConnection = false;
+	private openEnd = OpenEnd.None;
+	private isOpenEndAcceptable: IsEndAcceptable = () => true;
 	/** The part of the next event that an interrupted attempt left. */
 	private brokenEvent: Uint8Array | undefined;
 	/** Number of reads in which the current target's answer brought whole events. */
@@ -266,6 +283,53 @@
 		return !this.isUnframed;
 	}
 
+	/** Whether the caller takes the end of the answer for certain. */
+	isFramedForCaller(): boolean {
+		return !this.endsWithConnection;
+	}
+
+	/**
+	 * Records that the connection of the current target ended an answer without framing.
+	 *
+	 * @param isAcceptable Asked when no other target can confirm the end.
+	 */
+	noteUncertainEnd(isAcceptable: IsEndAcceptable = () => true): void {
+		this.isOpenEndAcceptable = isAcceptable;
+		this.openEnd = this.openEnd === OpenEnd.Open ? OpenEnd.Repeated : OpenEnd.Open;
+	}
+
+	/** Records that the last uncertain end was that of an incomplete answer. */
+	noteBrokenOff(): void {
+		this.openEnd = OpenEnd.Refuted;
+	}
+
+	/** Whether the caller may have its whole answer, although nothing shows it. */
+	isEndOpen(): boolean {
+		return this.openEnd === OpenEnd.Open || this.openEnd === OpenEnd.Repeated;
+	}
+
+	/** Whether a second target has ended the answer where the one before it did. */
+	isEndRepeated(): boolean {
+		return this.openEnd === OpenEnd.Repeated;
+	}
+
+	/** Whether a target sent more after an uncertain end. */
+	isEndRefuted(): boolean {
+		return this.openEnd === OpenEnd.Refuted;
+	}
+
+	/** Whether the request is for a stream that can go on after any of its events. */
+	isResumable(): boolean {
+		return this.call.head.routed?.route.isResumable === true;
+	}
+
+	/** Whether one more run, at a target that resumes the stream, is allowed. */
+	isResumeAllowed(): boolean {
+		const { head, plan, maxRuns = Number.POSITIVE_INFINITY } = this.call;
+		const isRunLeft = this.attempts.possibleRuns < Math.min(head.routed?.route.attempts ?? 0, maxRuns);
+		return this.isResumable() && plan.repeat === RepeatRule.Idempotent && isRunLeft;
+	}
+
 	/** Describes how the current target's answer is delimited and how far it has come, for the log. */
 	describeAnswer(): string {
 		const position = this.events === undefined ? '' : `${this.events.describePosition()}, `;
@@ -282,11 +346,13 @@
 		const rest = this.events?.takeRemainder();
 		if (rest !== undefined && rest.byteLength > 0) {
 			this.brokenEvent = rest;
+			this.markEndRefuted();
 		}
 	}
 
 	/** Forwards the head of a stored answer. The state machine is already in the state `answering`. */
 	beginKeptAnswer(head: AnswerHead): void {
+		this.isUnframed = head.endsWithConnection === true;
 		this.noteAnswerBegun(head);
 	}
 
@@ -305,6 +371,7 @@
 		if (completeEvents.byteLength > 0) {
 			this.eventReads++;
 			this.brokenEvent = undefined;
+			this.markEndRefuted();
 		}
 		this.noteEvents(this.events);
 		return completeEvents.byteLength === 0 || this.sink.write(completeEvents);
@@ -319,26 +386,38 @@
 		this.abandonHandler = handle;
 	}
 
-	/** Ends the request after its complete answer. */
-	finish(): void {
+	/** Ends the request with its answer, unless its caller would take an uncertain end for certain: that answer is cut. */
+	finish(end: AnswerEnd.Certain | AnswerEnd.Uncertain): void {
 		if (this.isOver) {
 			return;
 		}
-		this.lifecycle.send(RequestEvent.LastByte);
+		if (end === AnswerEnd.Uncertain && this.isFramedForCaller()) {
+			this.fail(createRequestError(Kind.TargetFailed, 'nothing shows that the answer is whole'));
+			return;
+		}
+		const isAnswering = this.lifecycle.getState() === RequestState.Answering;
+		this.lifecycle.send(isAnswering ? RequestEvent.LastByte : RequestEvent.AcceptEnd);
 		const rest = this.events?.takeRemainder();
 		if (rest !== undefined && rest.byteLength > 0) {
 			this.sink.write(rest);
 		}
-		this.sink.end();
-		const answerEnd = this.isUnframed ? AnswerEnd.Uncertain : AnswerEnd.Certain;
-		this.close(Outcome.Answered, undefined, `the answer has ended, its end is ${answerEnd}`, answerEnd);
+		this.sink.end(end);
+		this.close(Outcome.Answered, undefined, `the answer has ended, its end is ${end}`, end);
 	}
 
-	/** Ends the request without a complete answer: with an error before the first byte, by cutting it off after. */
+	/**
+	 * Ends the request without a complete answer: with an error before the first byte, by cutting it off after. An answer
+	 * that may be whole, and whose caller expects an uncertain end, ends regularly.
+	 */
 	fail(error: RequestError): void {
 		if (this.isOver) {
 			return;
 		}
+		if (this.isEndOpen() && !this.isFramedForCaller() && this.isOpenEndAcceptable()) {
+			this.note(JournalStep.AttemptEnded, `the end of the answer is not confirmed: ${error.detail}`);
+			this.finish(AnswerEnd.Uncertain);
+			return;
+		}
 		const reported = this.lifecycle.refuse(error);
 		this.sink.noteAttempts?.(this.attempts);
 		const answerEnd = this.hasBegun() ? AnswerEnd.Cut : undefined;
@@ -372,6 +451,13 @@
 		this.sink.cut();
 	}
 
+	/** A target sends more than the bytes after which another one has ended. */
+	private markEndRefuted(): void {
+		if (this.isEndOpen()) {
+			this.openEnd = OpenEnd.Refuted;
+		}
+	}
+
 	private noteEvents(events: EventStreamSplitter): void {
 		const isReportDue = this.call.origin !== undefined && !this.isOriginReported;
 		if (this.hasPassedEvent && !isReportDue) {
@@ -433,7 +519,8 @@
 
 const eventStreamType = 'text/event-stream';
 
-function isEventStream(call: AcceptedCall, { lines }: AnswerHead): boolean {
+/** Whether the answer with this head is a stream of events on a route for streams. */
+export function isEventStream(call: AcceptedCall, { lines }: AnswerHead): boolean {
 	const isStreamRoute = call.head.routed?.route.kind === RouteKind.Stream;
 	return isStreamRoute && findHeader(lines, 'content-type')?.startsWith(eventStreamType) === true;
 }
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -10,6 +10,7 @@
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { RequestId, TargetId } from '../../../core/ids/common/ids';
+import { AnswerEnd } from '../../common/callers/answerEnd';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { IStartGate } from '../../common/intake/loopLagGate';
 import type { AnswerMetadata, ITargetDialect } from '../../common/dialect/targetDialect';
@@ -28,6 +29,7 @@
 } from '../../common/scheduling/serviceScheduler';
 import { AttemptEnd, ScheduleDecisionKind } from '../../common/scheduling/serviceScheduler';
 import { describeUnmatched, hasMatchedTarget } from '../../common/scheduling/versionMatch';
+import { UnframedEnds } from '../../common/streams/unframedEnds';
 import type { TargetSoftware } from '../../common/streams/streamOrigin';
 import { describeContinuation, describeSoftware } from '../../common/streams/streamOrigin';
 import type { ITargetDirectory } from '../targets/targetDirectory';
@@ -37,6 +39,7 @@
 import type { CrashDetector } from './crashDetector';
 import type { IPathObserver } from '../paths/servicePaths';
 import type { RequestRun } from './requestRun';
+import { isEventStream } from './requestRun';
 import { createSchedulable } from './schedulableRequest';
 
 /** A submitted request with the number of attempts so far and the attempt in progress. */
@@ -46,6 +49,9 @@
 	running: AttemptRun | undefined;
 }
 
+/** How long a caller waits for other targets to confirm the end of its answer, in milliseconds. */
+const maxConfirmationMs = 1_500;
+
 /** Runs the requests of one service. */
 export class ServiceRunner extends Disposable implements IAttemptOwner {
 	private readonly states = new Map<RequestId, RunState>();
@@ -55,6 +61,7 @@
 	private isAdvancePending = false;
 	private isSuspended = false;
 	private mustAdvanceAgain = false;
+	private readonly unframedEnds = new UnframedEnds();
 
 	constructor(
 		private readonly scheduler: IServiceScheduler,
@@ -182,6 +189,17 @@
 		}
 	}
 
+	noteBegun({ run }: AttemptRun, head: AnswerHead): void {
+		if (isEventStream(run.call, head)) {
+			this.unframedEnds.noteHead(head.endsWithConnection !== true);
+		}
+	}
+
+	/** The caller of a stream that breaks off can resume it, so an end that is likely to be wrong is cut. */
+	isEndAcceptable({ run }: AttemptRun): boolean {
+		return !run.isResumable() || !this.unframedEnds.isDoubtful();
+	}
+
 	findSendRefusal({ run }: AttemptRun): RequestError | undefined {
 		return this.keys.findRefusal(run.call.head);
 	}
@@ -209,6 +227,7 @@
 		if (run.hasGoneOn() || (end === AttemptEnd.Answered && run.isEndCertain())) {
 			this.crashDetector.noteAnswered(run.call);
 		}
+		this.noteEndVerdict(run, end);
 		if (error?.kind !== ErrorKind.TargetFailed) {
 			this.finishAttempt(attempt, end, error);
 			return;
@@ -216,6 +235,18 @@
 		void this.finishAfterCrashCheck(attempt, end, error);
 	}
 
+	/** Records whether an attempt shows that the end of the answer before it was the real one. */
+	private noteEndVerdict(run: RequestRun, end: AttemptEnd): void {
+		if (run.isEndRefuted()) {
+			this.unframedEnds.noteRefuted();
+			return;
+		}
+		const isConfirmed = end === AttemptEnd.Answered ? run.isEndOpen() : run.isEndRepeated();
+		if (isConfirmed) {
+			this.unframedEnds.noteConfirmed();
+		}
+	}
+
 	private notePathEnd(target: TargetId, end: AttemptEnd): void {
 		if (end === AttemptEnd.NotConnected || end === AttemptEnd.Failed || end === AttemptEnd.Silent) {
 			this.paths.noteTrouble(`${end} at ${target}`);
@@ -236,14 +267,76 @@
 		for (const { call } of inFlight.filter(other => other.hasGoneOn())) {
 			this.crashDetector.noteAnswered(call);
 		}
-		await this.crashDetector.checkForCrash(
+		const hasCrashed = await this.crashDetector.checkForCrash(
 			target,
 			inFlight.map(({ call }) => call),
 		);
 		deadline.dispose();
+		if (end === AttemptEnd.Unconfirmed) {
+			this.finishUnconfirmed(attempt, error, hasCrashed);
+			return;
+		}
 		this.finishAttempt(attempt, end, error);
 	}
 
+	/** Goes on after an uncertain end: at another target if it has to be confirmed or the target crashed. */
+	private finishUnconfirmed(attempt: AttemptRun, error: RequestError, hasCrashed: boolean): void {
+		const { run, target } = attempt;
+		if (hasCrashed) {
+			run.noteBrokenOff();
+			this.unframedEnds.noteRefuted();
+			this.targets.noteAttemptEnd(target, AttemptEnd.Failed, run);
+			this.finishAttempt(attempt, AttemptEnd.Failed, error);
+			return;
+		}
+		if (this.isConfirmationDue(run)) {
+			this.finishAttempt(attempt, AttemptEnd.Unconfirmed, error);
+			this.scheduleConfirmationEnd(run);
+			return;
+		}
+		run.finish(AnswerEnd.Uncertain);
+		this.finishAttempt(attempt, AttemptEnd.Answered, undefined);
+	}
+
+	private isConfirmationDue(run: RequestRun): boolean {
+		if (run.hasEnded()) {
+			return false;
+		}
+		const isConfirmable =
+			run.findContinuation() !== undefined && run.isResumeAllowed() && !run.isEndRepeated();
+		return run.isFramedForCaller() || (isConfirmable && this.unframedEnds.takeConfirmation());
+	}
+
+	/** Callers leave a stream that brings nothing for some seconds, and the answer may well be whole. */
+	private scheduleConfirmationEnd(run: RequestRun): void {
+		if (run.hasEnded()) {
+			return;
+		}
+		this.timers.schedule(maxConfirmationMs, () => {
+			if (!run.hasEnded() && run.isEndOpen()) {
+				this.endConfirmation(run);
+			}
+		});
+	}
+
+	private endConfirmation(run: RequestRun): void {
+		const error = createRequestError(
+			ErrorKind.TargetSilent,
+			'no target confirmed the end of the answer in time',
+		);
+		const state = this.states.get(run.call.id);
+		if (state?.running?.isUnderWay() === true) {
+			state.running.cancel(error);
+			return;
+		}
+		if (state !== undefined && state.running === undefined) {
+			this.scheduler.cancel(run.call.id, this.timers.getNow());
+			this.states.delete(run.call.id);
+			run.fail(error);
+			this.advance();
+		}
+	}
+
 	/** Lists the requests in flight at a target, including those whose connection just broke. */
 	private listInFlight(target: TargetId): RequestRun[] {
 		return [...this.states.values()]
--- a/src/entry/node/requests/test/keptAnswerEnds.test.ts
+++ b/src/entry/node/requests/test/keptAnswerEnds.test.ts
@@ -64,12 +64,13 @@
 
 describe('the answer of an at-most-once request', () => {
 	// Guards against an end that only a closed connection shows, and that a repeat of the ticket receives as a framed one.
-	it.each(framings)('keeps $name for a repeat of its ticket', framing => {
+	it.each(framings)('keeps $name for a repeat of its ticket', async framing => {
 		const { flow, issue, send } = createHandlerFixture();
 		const ticket = issue();
 		const first = send(ticket);
 		beginFramed(flow.attempts[0]!, framing);
 		finish(flow.attempts[0]!);
+		await flow.waitForPromises();
 		const repeats = [send(ticket), send(ticket)];
 		expect([first, ...repeats].map(describeAnswer)).toEqual(
 			Array.from({ length: 3 }, () => describeWhole(framing)),
@@ -78,7 +79,7 @@
 	});
 
 	// Guards against an end that only a closed connection shows, and that a waiting request receives as a framed one.
-	it.each(framings)('keeps $name for the requests that wait for it', framing => {
+	it.each(framings)('keeps $name for the requests that wait for it', async framing => {
 		const { flow, issue, send } = createHandlerFixture();
 		const ticket = issue();
 		const first = send(ticket);
@@ -86,19 +87,21 @@
 		beginFramed(flow.attempts[0]!, framing);
 		const joinedLate = send(ticket);
 		finish(flow.attempts[0]!);
+		await flow.waitForPromises();
 		expect([first, joinedEarly, joinedLate].map(describeAnswer)).toEqual(
 			Array.from({ length: 3 }, () => describeWhole(framing)),
 		);
 	});
 
 	// Guards against a lost framing where the caller leaves during the answer and sends its ticket again.
-	it.each(framings)('keeps $name for the repeat of a caller that left', framing => {
+	it.each(framings)('keeps $name for the repeat of a caller that left', async framing => {
 		const { flow, issue, send } = createHandlerFixture();
 		const ticket = issue();
 		const first = send(ticket);
 		beginFramed(flow.attempts[0]!, framing);
 		first.abandon?.();
 		finish(flow.attempts[0]!);
+		await flow.waitForPromises();
 		expect(first.hasEnded).toBe(false);
 		expect(describeAnswer(send(ticket))).toEqual(describeWhole(framing));
 	});
--- a/src/entry/node/requests/ticketRouter.ts
+++ b/src/entry/node/requests/ticketRouter.ts
@@ -13,6 +13,7 @@
 import { ReceiveKind } from '../../common/atMostOnce/atMostOnceLedger';
 import type { CachedAnswer, RunResult, TicketRun } from '../../common/atMostOnce/ticketRun';
 import { RunResultKind } from '../../common/atMostOnce/ticketRun';
+import { AnswerEnd } from '../../common/callers/answerEnd';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import { RequestEvent } from '../../common/requests/requestLifecycle';
 import { TicketRouteKind } from '../../common/tickets/ticketRoute';
@@ -213,5 +214,5 @@
 		endsWithConnection: answer.endsWithConnection,
 	});
 	run.write(answer.body);
-	run.finish();
+	run.finish(run.isEndCertain() ? AnswerEnd.Certain : AnswerEnd.Uncertain);
 }
