Never join the bytes of two runs of an answer that can't go on

On a route whose streams may be resumed, a caller could get the first bytes of one run and then the whole of another one in the same answer (ORDER). The route's 'resumable' was taken for a fact about the answer, but one that isn't a stream of events, or whose events have no ids, can't go on: the next target is given no event to go on after and begins anew.

An answer of which bytes were passed on now goes on only after an event with an id, and is cut otherwise, so that its caller knows. Found while looking for the cause of the answers framed as complete elsewhere.

--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -442,7 +442,7 @@
 function isRepeatAllowed(run: RequestRun): boolean {
 	const { plan, head } = run.call;
 	const isRepeatable = plan.repeat === RepeatRule.Idempotent;
-	const mayGoOn = !run.hasBegun() || head.routed?.route.isResumable === true;
+	const mayGoOn = !run.hasBegun() || (run.isResumable() && run.isContinuable());
 	const { attempts = Number.POSITIVE_INFINITY } = head.routed?.route ?? {};
 	return isRepeatable && mayGoOn && run.history.possibleRuns < attempts && run.getRemainingMs() > 0;
 }
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -116,6 +116,7 @@
 	/** Number of reads in which the current target's answer brought whole events. */
 	private eventReads = 0;
 	private hasPassedEvent = false;
+	private hasPassedBytes = false;
 	private isOriginReported = false;
 	private attempts: AttemptHistory;
 
@@ -323,6 +324,14 @@
 		return this.call.head.routed?.route.isResumable === true;
 	}
 
+	/**
+	 * Whether another target can go on with the answer: none of it has been passed on, or it has an event to go on after.
+	 * Otherwise another run would begin anew, and the caller would get parts of two.
+	 */
+	isContinuable(): boolean {
+		return !this.hasPassedBytes || this.events?.getLastEventId() !== undefined;
+	}
+
 	/** Whether one more run, at a target that resumes the stream, is allowed. */
 	isResumeAllowed(): boolean {
 		const { head, plan, maxRuns = Number.POSITIVE_INFINITY } = this.call;
@@ -365,10 +374,12 @@
 		}
 		this.lastChunkMs = nowMs;
 		if (this.events === undefined) {
+			this.hasPassedBytes ||= chunk.byteLength > 0;
 			return this.sink.write(chunk);
 		}
 		const completeEvents = this.events.push(chunk);
 		if (completeEvents.byteLength > 0) {
+			this.hasPassedBytes = true;
 			this.eventReads++;
 			this.brokenEvent = undefined;
 			this.markEndRefuted();
