Let the scheduler decide that an answer can't go on, and see its last event

The scheduler now asks the request whether another target can go on, and learns how the attempt ended. Found by review, by reading.

An event without an id after the last id, such as a closing one, would be sent again by the next target: a stream can be resumed only if its last event with data has an id. Comments don't count.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -44,6 +44,8 @@
 	 * at any. Called each time a target is chosen, because a stream gets its first event while the request runs.
 	 */
 	readonly findRequiredVersion?: () => VersionRequirement | undefined;
+	/** Whether another target can go on with the answer as far as it has come. Defaults to true. */
+	readonly isContinuable?: () => boolean;
 	/** What was done for the request before it was submitted here, by this entry or others. Defaults to nothing. */
 	readonly history?: AttemptHistory;
 	/** Work and time aim of the request, for schedulers that use them. */
--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -22,6 +22,8 @@
 	private pendingBytes = 0;
 	private lastId: string | undefined;
 	private hasEvent = false;
+	/** Whether the last complete event with data has an id. */
+	private isLastIdentified = false;
 
 	/** Whether the bytes so far end inside an event, or contain none. */
 	isInsideEvent(): boolean {
@@ -38,6 +40,11 @@
 		return this.lastId;
 	}
 
+	/** Whether a target can go on after the last complete event: it would send an event without an id again. */
+	isResumable(): boolean {
+		return this.isLastIdentified && this.lastId !== undefined;
+	}
+
 	/** Whether the event that has begun is longer than an event may be. */
 	isEventTooLong(): boolean {
 		return this.pendingBytes > maxEventBytes;
@@ -58,6 +65,7 @@
 		if (whole.byteLength > 0) {
 			this.hasEvent = true;
 			this.lastId = findLastId(whole) ?? this.lastId;
+			this.isLastIdentified = isIdentified(whole) ?? this.isLastIdentified;
 		}
 		return whole;
 	}
@@ -98,6 +106,23 @@
 	);
 }
 
+/** Whether the last of these complete events that is more than a comment has an id, or undefined if there is none. */
+function isIdentified(events: Buffer): boolean | undefined {
+	let rest = events;
+	while (rest.byteLength > 0) {
+		const start = findLastEventEnd(rest.subarray(0, -1));
+		const last = rest.subarray(start);
+		if (findLastId(last) !== undefined) {
+			return true;
+		}
+		if (last.indexOf('data') === 0 || last.includes('\ndata')) {
+			return false;
+		}
+		rest = rest.subarray(0, start);
+	}
+	return undefined;
+}
+
 /** The id of the last event that has one. */
 function findLastId(events: Buffer): string | undefined {
 	const at = events.lastIndexOf('\nid:');
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -59,4 +59,17 @@
 			expect(whole.isEventTooLong()).toBe(false);
 		}
 	});
+
+	// Guards against an event without an id that another target sends once more.
+	it.each([
+		{ text: 'id: 8\ndata: a\n\n', isResumable: true },
+		{ text: 'id: 8\ndata: a\n\ndata: [DONE]\n\n', isResumable: false },
+		{ text: 'id: 8\r\ndata: a\r\n\r\ndata: [DONE]\r\n\r\n', isResumable: false },
+		{ text: 'id: 8\ndata: a\n\n: keep-alive\n\n', isResumable: true },
+		{ text: 'data: a\n\n', isResumable: false },
+	])('can be resumed after $text: $isResumable', ({ text, isResumable }) => {
+		const splitter = new EventStreamSplitter();
+		splitter.push(Buffer.from(text));
+		expect(splitter.isResumable()).toBe(isResumable);
+	});
 });
--- a/src/entry/common/workScheduling/trackedRequest.ts
+++ b/src/entry/common/workScheduling/trackedRequest.ts
@@ -61,7 +61,8 @@
 	const { maxAttempts = 1, maxRuns = maxAttempts } = request.work ?? {};
 	const isRunLeft = tracked.possibleRuns < Math.min(maxAttempts, maxRuns);
 	const isRunAllowed = tracked.mayHaveRun ? request.isRepeatable && isRunLeft : true;
-	const isPartlyAnswered = tracked.hasFirstByte && request.work?.isResumable !== true;
+	const isPartlyAnswered =
+		(tracked.hasFirstByte && request.work?.isResumable !== true) || request.isContinuable?.() === false;
 	const isSentTooOften = tracked.triedTargets.length >= maxAttempts + maxExtraRefusedSends;
 	return isRunAllowed && !isPartlyAnswered && !isSentTooOften && request.deadlineMs - nowMs > minRemainingMs;
 }
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -329,7 +329,7 @@
 	 * Otherwise another run would begin anew, and the caller would get parts of two.
 	 */
 	isContinuable(): boolean {
-		return !this.hasPassedBytes || this.events?.getLastEventId() !== undefined;
+		return !this.hasPassedBytes || this.events?.isResumable() === true;
 	}
 
 	/** Whether one more run, at a target that resumes the stream, is allowed. */
--- a/src/entry/node/requests/schedulableRequest.ts
+++ b/src/entry/node/requests/schedulableRequest.ts
@@ -23,6 +23,7 @@
 		organisationWeight: plan.organisation.weight,
 		...(startByMs === undefined ? {} : { startByMs }),
 		history: run.history,
+		isContinuable: () => run.isContinuable(),
 		...(routed === undefined ? {} : { work: createWork(routed, arrivedMs, maxRuns) }),
 		...(routed?.route.isResumable === true ? { findRequiredVersion: () => run.findRequiredVersion() } : {}),
 	};
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -210,7 +210,7 @@
 
 	noteSilence({ run, target }: AttemptRun): boolean {
 		this.paths.noteTrouble(`${target} is silent`);
-		return run.isContinuable() && this.scheduler.noteSilence(run.call.id, this.timers.getNow());
+		return this.scheduler.noteSilence(run.call.id, this.timers.getNow());
 	}
 
 	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void {
@@ -352,8 +352,7 @@
 		}
 		state.running = undefined;
 		const refusal = run.hasEnded() ? undefined : this.crashDetector.findRefusal(run.call);
-		const isStopped =
-			refusal !== undefined || (run.hasEnded() && end !== AttemptEnd.Answered) || !isAnotherRunFit(run, end);
+		const isStopped = refusal !== undefined || (run.hasEnded() && end !== AttemptEnd.Answered);
 		const schedulerEnd = isStopped ? AttemptEnd.Cancelled : end;
 		const isRetried = this.scheduler.noteEnd(run.call.id, schedulerEnd, this.timers.getNow());
 		if (isRetried) {
@@ -551,11 +550,6 @@
 	}
 }
 
-/** Whether another run would go on where the answer has ended. */
-function isAnotherRunFit(run: RequestRun, end: AttemptEnd): boolean {
-	return end === AttemptEnd.Answered || run.isContinuable();
-}
-
 /** An attempt that ended after the head of an answer is logged with how that answer is delimited. */
 function describeBegun(run: RequestRun): string {
 	return run.hasBegun() ? `; ${run.describeAnswer()}` : '';
