Bound the doubt about ends without framing, and confirm those of other entries

- A target that is leaving may close its port with its last answer.
Its whole unframed answer was taken for one that a crash broke off, and cut.
The port of a target that is leaving or no longer in use isn't asked any more.
- Ends stayed doubtful for good after one that was wrong, so that whole answers were cut wherever no target could confirm them.
Doubt ends after 5 s now, and an end that may not be confirmed for want of attempts is judged like one that couldn't be.
- The limit on confirmations applied to answers that have to be confirmed, and the timer of an earlier end ended the wait for a later one.
It applies to answers without framing only, one timer a request, checked again while a target is checked for a crash.
- On routes with two attempts the entry that a request was forwarded to may not run it twice, so the end of its unframed answer was never confirmed.
The forwarding entry confirms it within the attempt that it keeps.
A sound peer doesn't count as failed for that.

--- a/src/entry/common/streams/unframedEnds.ts
+++ b/src/entry/common/streams/unframedEnds.ts
@@ -16,6 +16,8 @@
 const maxRareShare = 0.1;
 /** Ends that have to prove right in a row before only some are confirmed. */
 const minConfirmedInRow = 3;
+/** How long ends are doubtful after one was wrong, in milliseconds: longer than targets take to start again. */
+const doubtMs = 5_000;
 /** One in this many ends is confirmed afterwards. */
 const sampledEnds = 16;
 
@@ -25,7 +27,7 @@
 	private unframedShare = 0;
 	private confirmedInRow = 0;
 	private unconfirmedEnds = 0;
-	private hasRefutation = false;
+	private refutedMs = Number.NEGATIVE_INFINITY;
 
 	/** Records the head of a stream. */
 	noteHead(isFramed: boolean): void {
@@ -39,14 +41,14 @@
 	}
 
 	/** Records that an unframed stream was broken off. */
-	noteRefuted(): void {
+	noteRefuted(nowMs: number): void {
 		this.confirmedInRow = 0;
-		this.hasRefutation = true;
+		this.refutedMs = nowMs;
 	}
 
-	/** Whether the last end that another target was asked about was wrong. */
-	isDoubtful(): boolean {
-		return this.hasRefutation && this.confirmedInRow === 0;
+	/** Whether the last end that another target was asked about was wrong, a short while ago. */
+	isDoubtful(nowMs: number): boolean {
+		return this.confirmedInRow === 0 && nowMs - this.refutedMs <= doubtMs;
 	}
 
 	/** Whether an end is to be confirmed. Called once for each end. */
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -55,6 +55,8 @@
 	Refused = 'refused',
 	/** The peer or the connection to it failed; the request may have run. */
 	Failed = 'failed',
+	/** The answer was passed on, and its end is uncertain. */
+	Unconfirmed = 'unconfirmed',
 	/** The caller disconnected. */
 	Abandoned = 'abandoned',
 }
@@ -217,11 +219,10 @@
 			return this.createEnd(ForwardEndKind.Answered, undefined);
 		}
 		this.run.noteUncertainEnd();
-		if (this.run.isFramedForCaller()) {
-			return this.createFailedEnd('nothing shows that the answer is whole');
-		}
-		this.run.finish(AnswerEnd.Uncertain);
-		return this.createEnd(ForwardEndKind.Answered, undefined);
+		this.noteUnreportedAttempts(ForwardEndKind.Unconfirmed);
+		this.isReported = true;
+		const error = this.createPeerError(ErrorKind.TargetFailed, 'nothing shows that the answer is whole');
+		return this.createEnd(ForwardEndKind.Unconfirmed, error);
 	}
 
 	private createFailedEnd(detail: string): ForwardEnd {
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -10,6 +10,7 @@
 import type { InstanceId, RegionName, ServiceName, StreamId } from '../../../core/ids/common/ids';
 import { RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
 import type { TicketResult } from '../../../core/telemetry/common/entryMetricLabels';
+import { AnswerEnd } from '../../common/callers/answerEnd';
 import type { IAnswerSink } from '../../common/callers/answerSink';
 import type { IStartGate } from '../../common/intake/loopLagGate';
 import { noKeyCheck } from '../../common/keys/keyConfirmation';
@@ -376,7 +377,7 @@
 		if (region !== undefined) {
 			this.context.noteForwardEnd(service, region, end);
 		}
-		const isAnswered = end.kind === ForwardEndKind.Answered;
+		const isAnswered = end.kind === ForwardEndKind.Answered || end.kind === ForwardEndKind.Unconfirmed;
 		const policy = this.context.getSendAwayPolicy(service);
 		policy.recordEnd(to, isAnswered, tookMs, end.sentBytes + end.receivedBytes, this.timers.getNow());
 		this.handleForwardEnd(run, end, [...triedEntries, this.createTriedEntry(to, end)]);
@@ -390,6 +391,11 @@
 		if (run.hasEnded() || end.error === undefined) {
 			return;
 		}
+		const service = run.call.head.service;
+		if (end.kind === ForwardEndKind.Unconfirmed && !this.context.getRunner(service).isConfirmationDue(run)) {
+			run.finish(AnswerEnd.Uncertain);
+			return;
+		}
 		const isNotRun = end.kind === ForwardEndKind.NotConnected || end.kind === ForwardEndKind.Refused;
 		if (!isNotRun && !isRepeatAllowed(run)) {
 			run.fail(end.error);
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -15,7 +15,6 @@
 import type { AnswerHead, IAnswerSink } from '../../common/callers/answerSink';
 import type { CallHead } from '../../common/callers/callHead';
 import { findHeader } from '../../common/callers/callHead';
-import { RepeatRule } from '../../../core/manifest/common/manifest';
 import { RouteKind } from '../../../core/manifest/common/routes';
 import type { CallPlan } from '../../common/placement/callPlan';
 import type { AttemptHistory } from '../../common/requests/attemptHistory';
@@ -332,13 +331,6 @@
 		return !this.hasPassedBytes || this.events?.isResumable() === true;
 	}
 
-	/** Whether one more run, at a target that resumes the stream, is allowed. */
-	isResumeAllowed(): boolean {
-		const { head, plan, maxRuns = Number.POSITIVE_INFINITY } = this.call;
-		const isRunLeft = this.attempts.possibleRuns < Math.min(head.routed?.route.attempts ?? 0, maxRuns);
-		return this.isResumable() && plan.repeat === RepeatRule.Idempotent && isRunLeft;
-	}
-
 	/** Describes how the current target's answer is delimited and how far it has come, for the log. */
 	describeAnswer(): string {
 		const position = this.events === undefined ? '' : `${this.events.describePosition()}, `;
--- a/src/entry/node/requests/routerContext.ts
+++ b/src/entry/node/requests/routerContext.ts
@@ -54,6 +54,7 @@
 
 const sentAwayResults: Readonly<Partial<Record<ForwardEndKind, SentAwayResult>>> = {
 	[ForwardEndKind.Answered]: SentAwayResult.Answered,
+	[ForwardEndKind.Unconfirmed]: SentAwayResult.Answered,
 	[ForwardEndKind.Refused]: SentAwayResult.Refused,
 	[ForwardEndKind.NotConnected]: SentAwayResult.Failed,
 	[ForwardEndKind.Failed]: SentAwayResult.Failed,
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -47,10 +47,14 @@
 	readonly run: RequestRun;
 	attempts: number;
 	running: AttemptRun | undefined;
+	/** Ends the wait for another target that confirms the end of the answer. */
+	confirmationTimer?: IDisposable;
 }
 
 /** How long a caller waits for other targets to confirm the end of its answer, in milliseconds. */
 const maxConfirmationMs = 1_500;
+/** How soon the limit is checked again while a target is checked for a crash, in milliseconds. */
+const confirmationRecheckMs = 100;
 
 /** Runs the requests of one service. */
 export class ServiceRunner extends Disposable implements IAttemptOwner {
@@ -197,7 +201,7 @@
 
 	/** The caller of a stream that breaks off can resume it, so an end that is likely to be wrong is cut. */
 	isEndAcceptable({ run }: AttemptRun): boolean {
-		return !run.isResumable() || !this.unframedEnds.isDoubtful();
+		return !run.isResumable() || !this.unframedEnds.isDoubtful(this.timers.getNow());
 	}
 
 	findSendRefusal({ run }: AttemptRun): RequestError | undefined {
@@ -238,7 +242,7 @@
 	/** Records whether an attempt shows that the end of the answer before it was the real one. */
 	private noteEndVerdict(run: RequestRun, end: AttemptEnd): void {
 		if (run.isEndRefuted()) {
-			this.unframedEnds.noteRefuted();
+			this.unframedEnds.noteRefuted(this.timers.getNow());
 			return;
 		}
 		const isConfirmed = end === AttemptEnd.Answered ? run.isEndOpen() : run.isEndRepeated();
@@ -267,10 +271,12 @@
 		for (const { call } of inFlight.filter(other => other.hasGoneOn())) {
 			this.crashDetector.noteAnswered(call);
 		}
-		const hasCrashed = await this.crashDetector.checkForCrash(
-			target,
-			inFlight.map(({ call }) => call),
-		);
+		const hasCrashed =
+			!this.isStopExpected(target, end) &&
+			(await this.crashDetector.checkForCrash(
+				target,
+				inFlight.map(({ call }) => call),
+			));
 		deadline.dispose();
 		if (end === AttemptEnd.Unconfirmed) {
 			this.finishUnconfirmed(attempt, error, hasCrashed);
@@ -279,12 +285,18 @@
 		this.finishAttempt(attempt, end, error);
 	}
 
+	/** Whether a target that is leaving may have stopped with its last answer, which an unframed answer doesn't show. */
+	private isStopExpected(target: TargetId, end: AttemptEnd): boolean {
+		const isInUse = this.schedulable.some(({ id, isLeaving }) => id === target && !isLeaving);
+		return end === AttemptEnd.Unconfirmed && !isInUse;
+	}
+
 	/** Goes on after an uncertain end: at another target if it has to be confirmed or the target crashed. */
 	private finishUnconfirmed(attempt: AttemptRun, error: RequestError, hasCrashed: boolean): void {
 		const { run, target } = attempt;
 		if (hasCrashed) {
 			run.noteBrokenOff();
-			this.unframedEnds.noteRefuted();
+			this.unframedEnds.noteRefuted(this.timers.getNow());
 			this.targets.noteAttemptEnd(target, AttemptEnd.Failed, run);
 			this.finishAttempt(attempt, AttemptEnd.Failed, error);
 			return;
@@ -298,21 +310,28 @@
 		this.finishAttempt(attempt, AttemptEnd.Answered, undefined);
 	}
 
-	private isConfirmationDue(run: RequestRun): boolean {
+	/** Whether another target should confirm the uncertain end of an answer, if one can. */
+	isConfirmationDue(run: RequestRun): boolean {
 		if (run.hasEnded()) {
 			return false;
 		}
-		const isConfirmable =
-			run.findContinuation() !== undefined && run.isResumeAllowed() && !run.isEndRepeated();
-		return run.isFramedForCaller() || (isConfirmable && this.unframedEnds.takeConfirmation());
+		return (
+			run.isFramedForCaller() ||
+			(run.isResumable() && !run.isEndRepeated() && this.unframedEnds.takeConfirmation())
+		);
 	}
 
-	/** Callers leave a stream that brings nothing for some seconds, and the answer may well be whole. */
-	private scheduleConfirmationEnd(run: RequestRun): void {
-		if (run.hasEnded()) {
+	/**
+	 * Limits how long the caller of an answer without framing waits, which may well be whole. Callers leave a stream that
+	 * brings nothing for some seconds.
+	 */
+	private scheduleConfirmationEnd(run: RequestRun, delayMs = maxConfirmationMs): void {
+		const state = this.states.get(run.call.id);
+		state?.confirmationTimer?.dispose();
+		if (state === undefined || run.isFramedForCaller()) {
 			return;
 		}
-		this.timers.schedule(maxConfirmationMs, () => {
+		state.confirmationTimer = this.timers.schedule(delayMs, () => {
 			if (!run.hasEnded() && run.isEndOpen()) {
 				this.endConfirmation(run);
 			}
@@ -329,7 +348,11 @@
 			state.running.cancel(error);
 			return;
 		}
-		if (state !== undefined && state.running === undefined) {
+		if (state?.running !== undefined) {
+			this.scheduleConfirmationEnd(run, confirmationRecheckMs);
+			return;
+		}
+		if (state !== undefined) {
 			this.scheduler.cancel(run.call.id, this.timers.getNow());
 			this.states.delete(run.call.id);
 			run.fail(error);
--- a/src/entry/node/requests/ticketRouter.ts
+++ b/src/entry/node/requests/ticketRouter.ts
@@ -157,6 +157,10 @@
 		if (end.error === undefined || run.hasEnded()) {
 			return;
 		}
+		if (end.kind === ForwardEndKind.Unconfirmed) {
+			run.finish(AnswerEnd.Uncertain);
+			return;
+		}
 		const isRefusedByIssuer = end.kind === ForwardEndKind.Refused;
 		run.fail(isRefusedByIssuer ? end.error : createIssuerError(end.error));
 	}
