End answers without exception if targets close while they are paused

What callers saw: if a caller read slowly and the target of its unframed answer closed, the entry's process could end, and the attempt had no end.

Cause: undici's Parser.finish asserts that the parser isn't paused, and undici calls it from its listeners to "end" and, for ECONNRESET, to "error". When a paused parser resumes inside a body without length, llhttp also reports a piece without bytes; an observer that pauses at it pauses the parser again.

Evidence: the new test on the untouched client: "assert(received)" at Parser.finish, called by onHttpSocketEnd; the attempt had no end within jest's 5 s.

Change: a listener before undici's resumes the parser at "end". "end" comes only after the parser has read all bytes of the socket, so no data reaches the paused observer and nothing is buffered; pieces without bytes are ignored. The completion is held until the observer resumes. A reset has another code than the one for which undici calls Parser.finish.

--- a/src/entry/node/targets/connectionState.ts
+++ b/src/entry/node/targets/connectionState.ts
@@ -22,6 +22,7 @@
 	private bytesBefore = 0;
 	private payloadBytes = 0;
 	private discardingSinceMs: number | undefined;
+	private resumeParser: (() => void) | undefined;
 
 	constructor(private readonly getNow: () => number) {}
 
@@ -29,17 +30,23 @@
 	open(socket: Socket | undefined): void {
 		this.socket = socket;
 		this.wasReset = false;
-		this.beginAnswer();
-		socket?.on('error', () => {
+		this.beginAnswer(this.resumeParser);
+		socket?.on('error', (error: NodeJS.ErrnoException) => {
 			this.wasReset = true;
+			carryReset(error);
+		});
+		socket?.on('end', () => {
+			// undici throws from its listener if the connection ends while its parser is paused.
+			this.resumeParser?.();
 		});
 		socket?.on('readable', () => {
 			this.checkBytes(socket);
 		});
 	}
 
-	/** Counts the bytes of the next answer. */
-	beginAnswer(): void {
+	/** Counts the bytes of the next answer. Its parser is resumed when the connection ends. */
+	beginAnswer(resumeParser?: () => void): void {
+		this.resumeParser = resumeParser;
 		this.bytesBefore = this.socket?.bytesRead ?? 0;
 		this.payloadBytes = 0;
 		this.discardingSinceMs = undefined;
@@ -65,3 +72,10 @@
 		}
 	}
 }
+
+/** undici takes an error with this code for the end of an answer, and throws if its parser is paused then. */
+function carryReset(error: NodeJS.ErrnoException): void {
+	if (error.code === 'ECONNRESET') {
+		error.code = 'ERR_CONNECTION_RESET';
+	}
+}
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -191,8 +191,9 @@
 	}
 
 	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		this.state.beginAnswer();
-		options.attempt?.setConnection(this.state);
+		const { attempt } = options;
+		this.state.beginAnswer(() => attempt?.resumeParser());
+		attempt?.setConnection(this.state);
 		return super.dispatch(options, handler);
 	}
 }
@@ -218,6 +219,9 @@
 	private connection: ConnectionState | undefined;
 	private controller: Dispatcher.DispatchController | undefined;
 	private isOver = false;
+	private isPaused = false;
+	/** The whole answer was read, and the observer hasn't resumed yet. */
+	private isEndHeld = false;
 	private cancelReason: string | undefined;
 
 	constructor(
@@ -233,6 +237,16 @@
 	}
 
 	resume(): void {
+		this.isPaused = false;
+		this.controller?.resume();
+		if (this.isEndHeld && !this.isOver) {
+			this.isOver = true;
+			this.observer.noteCompleted();
+		}
+	}
+
+	/** Called when the connection ends. All its bytes were delivered before, so the observer receives none while paused. */
+	resumeParser(): void {
 		this.controller?.resume();
 	}
 
@@ -279,11 +293,13 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (this.isOver) {
+		// The parser repeats the call without bytes when it resumes, and a pause there would have no end.
+		if (this.isOver || chunk.byteLength === 0) {
 			return;
 		}
 		this.connection?.notePayload(chunk.byteLength);
 		if (!this.observer.receiveData(chunk)) {
+			this.isPaused = true;
 			controller.pause();
 		}
 	}
@@ -296,8 +312,13 @@
 		if (this.isOver) {
 			return;
 		}
+		const wasReset = this.connection?.wasReset === true;
+		this.isEndHeld = this.isPaused && !wasReset;
+		if (this.isEndHeld) {
+			return;
+		}
 		this.isOver = true;
-		if (this.connection?.wasReset === true) {
+		if (wasReset) {
 			this.observer.noteFailed(new Error('the connection was reset before the end of the answer'));
 			return;
 		}
--- /dev/null
+++ b/src/entry/node/targets/test/pausedAnswerEnds.test.ts
@@ -0,0 +1,92 @@
+import type { AddressInfo, Socket } from 'node:net';
+import { createServer } from 'node:net';
+import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import type { IAttemptObserver } from '../targetClient';
+import { TargetClient } from '../targetClient';
+
+/** A target that sends one answer without a length, and leaves its close to the test. */
+async function openTarget(): Promise<{ origin: string; asked: Promise<Socket>; close: () => void }> {
+	const server = createServer();
+	const asked = new Promise<Socket>(resolve => {
+		server.once('connection', socket => {
+			socket.on('error', () => undefined);
+			socket.once('data', () => {
+				socket.write('HTTP/1.1 200 OK\r\n\r\nwhole');
+				resolve(socket);
+			});
+		});
+	});
+	await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+	const { port } = server.address() as AddressInfo;
+	return { origin: `http://127.0.0.1:${port}`, asked, close: () => server.close() };
+}
+
+class PausingObserver implements IAttemptObserver {
+	data = '';
+	isPaused = false;
+	readonly ends: string[] = [];
+	readonly paused: Promise<void>;
+	readonly ended: Promise<void>;
+	private notePaused: () => void = () => undefined;
+	private noteEnded: () => void = () => undefined;
+
+	constructor() {
+		this.paused = new Promise(resolve => {
+			this.notePaused = resolve;
+		});
+		this.ended = new Promise(resolve => {
+			this.noteEnded = resolve;
+		});
+	}
+
+	noteHandedOver(): void {
+		this.data = '';
+	}
+
+	receiveHead(): void {
+		this.isPaused = false;
+	}
+
+	receiveData(chunk: Uint8Array): boolean {
+		this.data += Buffer.from(chunk).toString();
+		this.isPaused = true;
+		this.notePaused();
+		return false;
+	}
+
+	noteCompleted(): void {
+		this.finish('completed');
+	}
+
+	noteFailed(error: Error): void {
+		this.finish(`failed: ${error.message}`);
+	}
+
+	private finish(end: string): void {
+		this.ends.push(this.isPaused ? `${end} while paused` : end);
+		this.noteEnded();
+	}
+}
+
+describe('an answer without a length whose observer pauses', () => {
+	// Guards against an exception in undici that ends the process if a target closes while a slow caller pauses the answer.
+	it('completes with all bytes once the observer resumes after the close', async () => {
+		const target = await openTarget();
+		const client = new TargetClient(target.origin, new ManualTimerService());
+		const observer = new PausingObserver();
+		const request = { method: 'GET', path: '/', lines: [], body: new Uint8Array() };
+		const attempt = client.send(request, observer);
+		const socket = await target.asked;
+		await observer.paused;
+		const closed = new Promise(resolve => socket.once('close', resolve));
+		socket.destroySoon();
+		await closed;
+		observer.isPaused = false;
+		attempt.resume();
+		await observer.ended;
+		expect(observer.ends).toEqual(['completed']);
+		expect(observer.data).toBe('whole');
+		target.close();
+		await client.close();
+	});
+});
