Take an answer for framed only if chunks are its last transfer coding

What callers saw: a truncated answer as complete, if its target sent "Transfer-Encoding: identity", "gzip", "chunked, gzip" or an empty one and its connection closed.

Cause: onResponseStart only asked whether the header exists. By section 6.3 of RFC 9112 such an answer is read to the close.

Evidence: the rows of these framings in answerEnds.test.ts expect endsWithConnection and failed before.

Change: an answer is framed if chunks are its last transfer coding, or if it has a length and no transfer coding. All lines of the header are read in their order.

--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -286,10 +286,8 @@
 			return;
 		}
 		this.controller = controller;
-		const isFramed =
-			answerHeaders['content-length'] !== undefined || answerHeaders['transfer-encoding'] !== undefined;
 		const lines = listHeaderLines(answerHeaders);
-		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection: !isFramed });
+		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection: !isFramed(lines) });
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -334,6 +332,16 @@
 	}
 }
 
+/** Section 6.3 of RFC 9112: chunks end an answer only if they are its last transfer coding. */
+function isFramed(lines: readonly HeaderLine[]): boolean {
+	const codings = lines
+		.filter(({ name }) => name === 'transfer-encoding')
+		.flatMap(({ value }) => value.split(','));
+	return codings.length === 0
+		? lines.some(({ name }) => name === 'content-length')
+		: codings.at(-1)?.trim().toLowerCase() === 'chunked';
+}
+
 function listHeaderLines(answerHeaders: Record<string, string | string[] | undefined>): HeaderLine[] {
 	return Object.entries(answerHeaders).flatMap(([name, value]) => {
 		if (value === undefined) {
