Don't let answers without a body end with their connection

What callers saw: answers with status 204 or 304, and those to HEAD, were passed on as answers that may be truncated, although their head is all of them.

Cause: every answer without length and transfer coding was taken to end with its connection.

Change: statuses 204 and 304 and answers to HEAD have no body (section 6.3 of RFC 9112), so the close tells nothing.

--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -50,6 +50,7 @@
 const keepAliveMs = 20_000;
 /** undici's timeouts are disabled: each attempt applies the timeouts of its request class itself. */
 const timeoutDisabled = 0;
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 /** Sends attempts to one target. */
 export interface ITargetClient {
@@ -82,7 +83,7 @@
 	}
 
 	send(request: AttemptRequest, observer: IAttemptObserver): IAttempt {
-		const attempt: Attempt = new Attempt(observer, () => {
+		const attempt: Attempt = new Attempt(request.method, observer, () => {
 			this.waiting.delete(attempt);
 		});
 		this.waiting.add(attempt);
@@ -225,6 +226,7 @@
 	private cancelReason: string | undefined;
 
 	constructor(
+		private readonly method: string,
 		private readonly observer: IAttemptObserver,
 		/** Called once the attempt no longer waits for a connection. */
 		private readonly onDidLeaveQueue: () => void,
@@ -287,7 +289,9 @@
 		}
 		this.controller = controller;
 		const lines = listHeaderLines(answerHeaders);
-		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection: !isFramed(lines) });
+		const hasBody = this.method !== 'HEAD' && !statusesWithoutBody.has(statusCode);
+		const endsWithConnection = hasBody && !isFramed(lines);
+		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection });
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
