Fail unframed answers whose reset arrives together with data

What callers saw: a truncated answer without framing as complete, if its target reset the connection while it was read late or paused.

Cause: libuv turns a partial read with a hang-up into a regular end, so no error is reported.

Change: at "end", a socket without remote address counts as reset. Node asks the kernel at the first read of it, and the kernel has no peer after a reset; after a regular close it has one.

--- a/src/entry/node/targets/connectionState.ts
+++ b/src/entry/node/targets/connectionState.ts
@@ -16,7 +16,7 @@
 const maxDiscardMs = 1_000;
 
 export class ConnectionState {
-	/** Whether the connection ended with an error. */
+	/** Whether the connection ended with an error or a reset. */
 	wasReset = false;
 	private socket: Socket | undefined;
 	private bytesBefore = 0;
@@ -36,6 +36,8 @@
 			carryReset(error);
 		});
 		socket?.on('end', () => {
+			// Node reports a reset that arrives together with data as an end, but the socket has no peer then.
+			this.wasReset ||= socket.remoteAddress === undefined;
 			// undici throws from its listener if the connection ends while its parser is paused.
 			this.resumeParser?.();
 		});
--- a/src/entry/node/targets/test/pausedAnswerEnds.test.ts
+++ b/src/entry/node/targets/test/pausedAnswerEnds.test.ts
@@ -70,23 +70,36 @@
 
 describe('an answer without a length whose observer pauses', () => {
 	// Guards against an exception in undici that ends the process if a target closes while a slow caller pauses the answer.
-	it('completes with all bytes once the observer resumes after the close', async () => {
-		const target = await openTarget();
-		const client = new TargetClient(target.origin, new ManualTimerService());
-		const observer = new PausingObserver();
-		const request = { method: 'GET', path: '/', lines: [], body: new Uint8Array() };
-		const attempt = client.send(request, observer);
-		const socket = await target.asked;
-		await observer.paused;
-		const closed = new Promise(resolve => socket.once('close', resolve));
-		socket.destroySoon();
-		await closed;
-		observer.isPaused = false;
-		attempt.resume();
-		await observer.ended;
-		expect(observer.ends).toEqual(['completed']);
-		expect(observer.data).toBe('whole');
-		target.close();
-		await client.close();
-	});
+	it.each([
+		{ name: 'a close', closes: ['destroySoon'] as const },
+		{ name: 'a close at once', closes: ['destroy'] as const },
+		{ name: 'a half-close and a close', closes: ['end', 'destroy'] as const },
+		{ name: 'a half-close and a reset', closes: ['end', 'resetAndDestroy'] as const },
+	])(
+		'completes with all bytes once the observer resumes after $name',
+		async ({ closes: [first, second] }) => {
+			const target = await openTarget();
+			const client = new TargetClient(target.origin, new ManualTimerService());
+			const observer = new PausingObserver();
+			const request = { method: 'GET', path: '/', lines: [], body: new Uint8Array() };
+			const attempt = client.send(request, observer);
+			const socket = await target.asked;
+			await observer.paused;
+			const closed = new Promise(resolve => socket.once('close', resolve));
+			socket.once('finish', () => {
+				if (second !== undefined) {
+					socket[second]();
+				}
+			});
+			socket[first]();
+			await closed;
+			observer.isPaused = false;
+			attempt.resume();
+			await observer.ended;
+			expect(observer.ends).toEqual(['completed']);
+			expect(observer.data).toBe('whole');
+			target.close();
+			await client.close();
+		},
+	);
 });
