Reset an unframed answer whose caller ends its side

Seen: a caller that ends its side of the connection while an answer without framing is in progress (no framing from the target, or no length over HTTP/1.0) gets a part of the answer and a regular close, as after a whole answer. The same happens if it ends its side in the 100 ms between a cut and its reset.

Cause: the run is abandoned, and Node's listener of the socket's end closes the connection regularly. A connection that is being closed can't be reset any more.

Evidence: callerUnframedEnds.test.ts on bare sockets; all 3 framings without a visible end concluded "closed regularly without framing", and so did the 3 new cases with a cut before the caller ends its side.

Change: while such an answer is in progress, the sink listens to the socket's end before Node does and resets the connection, unless the whole answer has been written or an earlier answer is being sent on the connection. A reset is an error at the caller's end, so the part can't be taken for the whole.

Result: the 3 cases pass, as do the 3 with a cut; they failed before. Three new cases show that a whole answer with queued bytes still arrives (passed before too).

--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -23,7 +23,10 @@
 
 /** Writes one answer to one caller. */
 export class CallerSink implements IAnswerSink {
+	/** Whether the source of the answer expects no further news of it. */
 	private isEnded = false;
+	/** Whether the whole answer has been written. */
+	private isWhole = false;
 	private endsWithConnection = false;
 	private isFramed = true;
 
@@ -41,6 +44,9 @@
 			this.response.useChunkedEncodingByDefault = false;
 		}
 		this.isFramed = this.isFramedFor(head);
+		if (!this.isFramed) {
+			this.cutOnHalfClose();
+		}
 		this.writeHead(head.status, [...head.lines, ...this.dialect.createAnswerLines(this.requestId)]);
 	}
 
@@ -54,6 +60,7 @@
 
 	end(): void {
 		this.isEnded = true;
+		this.isWhole = true;
 		this.response.end();
 	}
 
@@ -101,6 +108,24 @@
 		});
 	}
 
+	/**
+	 * A caller that ends its side abandons its answer, and the server then ends the connection. Without framing, that
+	 * looks like the end of a whole answer. This listener resets the connection before the listener of the server
+	 * ends it, since a connection that is being ended cannot be reset.
+	 */
+	private cutOnHalfClose(): void {
+		const { socket } = this.request;
+		const cutUnlessWhole = (): void => {
+			if (!this.isWhole && this.response.socket === socket) {
+				socket.resetAndDestroy();
+			}
+		};
+		socket.prependOnceListener('end', cutUnlessWhole);
+		this.response.once('close', () => {
+			socket.removeListener('end', cutUnlessWhole);
+		});
+	}
+
 	private writeHead(status: number, lines: readonly HeaderLine[]): void {
 		const isLast = this.isClosing() || this.endsWithConnection || this.hasUnreadBody();
 		const closing = isLast ? [{ name: 'connection', value: 'close' }] : [];
--- a/src/entry/node/callers/test/callerUnframedEnds.test.ts
+++ b/src/entry/node/callers/test/callerUnframedEnds.test.ts
@@ -59,6 +59,51 @@
 		},
 	);
 
+	// Guards against the entry's close being taken for the end of an answer that was cut shortly before its caller ends its side.
+	it.each(unframedCases)(
+		'with $framing over HTTP/$version is broken off if its caller ends its side after a cut',
+		async ({ head, version }) => {
+			const port = await openServer((sink, request) => {
+				sink.watchAbandoned(() => undefined);
+				sink.begin(head);
+				sink.write(Buffer.from('half'));
+				request.socket.prependOnceListener('end', () => {
+					sink.cut();
+				});
+			});
+			const conclusion = await observe(port, version, socket => {
+				socket.once('data', () => {
+					socket.end();
+				});
+			});
+			expect(conclusion).toBe(Conclusion.BrokenOff);
+		},
+	);
+
+	// Guards against resetting a whole answer that its caller is still reading when it ends its side.
+	it.each(unframedCases)(
+		'with $framing over HTTP/$version arrives whole if its caller ends its side after its end',
+		async ({ head, version }) => {
+			const queuedBytes = 8_388_608;
+			const port = await openServer((sink, request) => {
+				request.resume();
+				request.once('end', () => {
+					sink.watchAbandoned(() => undefined);
+					sink.begin(head);
+					expect(sink.write(Buffer.alloc(queuedBytes, 'a'))).toBe(false);
+					sink.end();
+				});
+			});
+			const socket = openSocket(port);
+			socket.write(`GET / HTTP/${version}\r\nhost: entry\r\n\r\n`);
+			await once(socket, 'readable');
+			socket.end();
+			const received = await receiveAll(socket, () => false);
+			expect(readConclusion(received)).toBe(Conclusion.ClosedWhole);
+			expect(received.text.match(/a{1024}/g)?.length).toBeGreaterThanOrEqual(8_000);
+		},
+	);
+
 	// Guards against a stopping entry that gives up on a slow caller and closes the connection as after a whole answer.
 	it.each([
 		{ name: 'has ended', endAnswer: true },
