--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -50,6 +50,7 @@
 const keepAliveMs = 20_000;
 /** undici's timeouts are disabled: each attempt applies the timeouts of its request class itself. */
 const timeoutDisabled = 0;
+const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 /** Sends attempts to one target. */
 export interface ITargetClient {
@@ -82,7 +83,7 @@
 	}
 
 	send(request: AttemptRequest, observer: IAttemptObserver): IAttempt {
-		const attempt: Attempt = new Attempt(observer, () => {
+		const attempt: Attempt = new Attempt(request.method, observer, () => {
 			this.waiting.delete(attempt);
 		});
 		this.waiting.add(attempt);
@@ -191,8 +192,9 @@
 	}
 
 	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-		this.state.beginAnswer();
-		options.attempt?.setConnection(this.state);
+		const { attempt } = options;
+		this.state.beginAnswer(() => attempt?.resumeParser());
+		attempt?.setConnection(this.state);
 		return super.dispatch(options, handler);
 	}
 }
@@ -218,9 +220,13 @@
 	private connection: ConnectionState | undefined;
 	private controller: Dispatcher.DispatchController | undefined;
 	private isOver = false;
+	private isPaused = false;
+	/** The whole answer was read, and the observer hasn't resumed yet. */
+	private isEndHeld = false;
 	private cancelReason: string | undefined;
 
 	constructor(
+		private readonly method: string,
 		private readonly observer: IAttemptObserver,
 		/** Called once the attempt no longer waits for a connection. */
 		private readonly onDidLeaveQueue: () => void,
@@ -233,6 +239,16 @@
 	}
 
 	resume(): void {
+		this.isPaused = false;
+		this.controller?.resume();
+		if (this.isEndHeld && !this.isOver) {
+			this.isOver = true;
+			this.observer.noteCompleted();
+		}
+	}
+
+	/** Called when the connection ends. All its bytes were delivered before, so the observer receives none while paused. */
+	resumeParser(): void {
 		this.controller?.resume();
 	}
 
@@ -272,18 +288,20 @@
 			return;
 		}
 		this.controller = controller;
-		const isFramed =
-			answerHeaders['content-length'] !== undefined || answerHeaders['transfer-encoding'] !== undefined;
 		const lines = listHeaderLines(answerHeaders);
-		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection: !isFramed });
+		const hasBody = this.method !== 'HEAD' && !statusesWithoutBody.has(statusCode);
+		const endsWithConnection = hasBody && !isFramed(lines);
+		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection });
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
-		if (this.isOver) {
+		// The parser repeats the call without bytes when it resumes, and a pause there would have no end.
+		if (this.isOver || chunk.byteLength === 0) {
 			return;
 		}
 		this.connection?.notePayload(chunk.byteLength);
 		if (!this.observer.receiveData(chunk)) {
+			this.isPaused = true;
 			controller.pause();
 		}
 	}
@@ -296,8 +314,13 @@
 		if (this.isOver) {
 			return;
 		}
+		const wasReset = this.connection?.wasReset === true;
+		this.isEndHeld = this.isPaused && !wasReset;
+		if (this.isEndHeld) {
+			return;
+		}
 		this.isOver = true;
-		if (this.connection?.wasReset === true) {
+		if (wasReset) {
 			this.observer.noteFailed(new Error('the connection was reset before the end of the answer'));
 			return;
 		}
@@ -313,6 +336,16 @@
 	}
 }
 
+/** Section 6.3 of RFC 9112: chunks end an answer only if they are its last transfer coding. */
+function isFramed(lines: readonly HeaderLine[]): boolean {
+	const codings = lines
+		.filter(({ name }) => name === 'transfer-encoding')
+		.flatMap(({ value }) => value.split(','));
+	return codings.length === 0
+		? lines.some(({ name }) => name === 'content-length')
+		: codings.at(-1)?.trim().toLowerCase() === 'chunked';
+}
+
 function listHeaderLines(answerHeaders: Record<string, string | string[] | undefined>): HeaderLine[] {
 	return Object.entries(answerHeaders).flatMap(([name, value]) => {
 		if (value === undefined) {
