Don't take a resumed stream of which nothing is left for one that broke off

A stream that is resumed after its last event, at a target without framing, ends without an event. It was taken for broken off inside an event, since one that has just begun must have an event: the target was paused, and where the request had been forwarded, the forwarding entry avoided its peer. An end that a second target repeats now counts as confirmed for forwarded requests too.

--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -21,11 +21,13 @@
 	private pending: Buffer[] = [];
 	private pendingBytes = 0;
 	private lastId: string | undefined;
-	private hasEvent = false;
 	/** Whether the last complete event with data has an id. */
 	private isLastIdentified = false;
 
-	/** Whether the bytes so far end inside an event, or contain none. */
+	/** @param hasEvent Whether the stream goes on after an event, so that nothing may be left of it. */
+	constructor(private hasEvent = false) {}
+
+	/** Whether the bytes so far end inside an event, or contain none though the stream has just begun. */
 	isInsideEvent(): boolean {
 		return this.pendingBytes > 0 || !this.hasEvent;
 	}
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -72,4 +72,12 @@
 		splitter.push(Buffer.from(text));
 		expect(splitter.isResumable()).toBe(isResumable);
 	});
+
+	// Guards against taking a resumed stream of which nothing is left for one that broke off.
+	it('is inside an event before its first one unless it goes on after another', () => {
+		expect([false, true].map(hasEvent => new EventStreamSplitter(hasEvent).isInsideEvent())).toEqual([
+			true,
+			false,
+		]);
+	});
 });
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -224,7 +224,7 @@
 			return;
 		}
 		if (isEventStream(this.call, head)) {
-			this.events = new EventStreamSplitter();
+			this.events = new EventStreamSplitter(this.call.head.routed?.lastEventId !== undefined);
 		}
 		this.noteAnswerBegun(head);
 	}
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -245,8 +245,7 @@
 			this.unframedEnds.noteRefuted(this.timers.getNow());
 			return;
 		}
-		const isConfirmed = end === AttemptEnd.Answered ? run.isEndOpen() : run.isEndRepeated();
-		if (isConfirmed) {
+		if (end === AttemptEnd.Answered && run.isEndOpen()) {
 			this.unframedEnds.noteConfirmed();
 		}
 	}
@@ -315,10 +314,11 @@
 		if (run.hasEnded()) {
 			return false;
 		}
-		return (
-			run.isFramedForCaller() ||
-			(run.isResumable() && !run.isEndRepeated() && this.unframedEnds.takeConfirmation())
-		);
+		if (run.isEndRepeated()) {
+			this.unframedEnds.noteConfirmed();
+		}
+		const isInDoubt = run.isResumable() && !run.isEndRepeated();
+		return run.isFramedForCaller() || (isInDoubt && this.unframedEnds.takeConfirmation());
 	}
 
 	/**
