--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -211,7 +211,7 @@
 			this.finishAs(AttemptEnd.Answered, undefined);
 			return;
 		}
-		this.run.noteUncertainEnd(() => this.owner.isEndAcceptable(this));
+		this.run.openEnd.noteEnd(() => this.owner.isEndAcceptable(this));
 		const detail = `${this.target}: the connection ended, which doesn't show that the answer is whole`;
 		this.finishAs(AttemptEnd.Unconfirmed, createRequestError(ErrorKind.TargetFailed, detail));
 	}
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -24,6 +24,7 @@
 import { describeContinuation } from '../../common/streams/streamOrigin';
 import type { VersionRequirement } from '../../common/scheduling/versionMatch';
 import type { Continuation, KnownOrigin } from '../../common/streams/streamOrigin';
+import { OpenEnd } from '../../common/streams/openEnd';
 import { EventStreamSplitter } from '../../common/streams/eventStreamSplitter';
 
 /** The entry that forwarded a request to this one. */
@@ -81,20 +82,6 @@
 	noteEnd(run: RequestRun, end: RequestEnd): void;
 }
 
-/** Whether the bytes that the caller has may be its whole answer. */
-enum OpenEnd {
-	None,
-	/** The connection of the last target ended after them, which proves nothing. */
-	Open,
-	/** The connection of another target that was to go on has ended as well, without more bytes. */
-	Repeated,
-	/** Another target had more to send. */
-	Refuted,
-}
-
-/** Whether an uncertain end may be passed on to a caller that expects one. */
-export type IsEndAcceptable = () => boolean;
-
 /** A request in progress. */
 export class RequestRun {
 	private firstByteMs: number | undefined;
@@ -108,8 +95,8 @@
 	private isUnframed = false;
 	/** Whether the caller sees the end of the answer only by the end of its connection. */
 	private endsWithConnection = false;
-	private openEnd = OpenEnd.None;
-	private isOpenEndAcceptable: IsEndAcceptable = () => true;
+	/** Whether the caller may have its whole answer, although nothing shows it. */
+	readonly openEnd = new OpenEnd();
 	/** The part of the next event that an interrupted attempt left. */
 	private brokenEvent: Uint8Array | undefined;
 	/** Number of reads in which the current target's answer brought whole events. */
@@ -288,36 +275,6 @@
 		return !this.endsWithConnection;
 	}
 
-	/**
-	 * Records that the connection of the current target ended an answer without framing.
-	 *
-	 * @param isAcceptable Asked when no other target can confirm the end.
-	 */
-	noteUncertainEnd(isAcceptable: IsEndAcceptable = () => true): void {
-		this.isOpenEndAcceptable = isAcceptable;
-		this.openEnd = this.openEnd === OpenEnd.Open ? OpenEnd.Repeated : OpenEnd.Open;
-	}
-
-	/** Records that the last uncertain end was that of an incomplete answer. */
-	noteBrokenOff(): void {
-		this.openEnd = OpenEnd.Refuted;
-	}
-
-	/** Whether the caller may have its whole answer, although nothing shows it. */
-	isEndOpen(): boolean {
-		return this.openEnd === OpenEnd.Open || this.openEnd === OpenEnd.Repeated;
-	}
-
-	/** Whether a second target has ended the answer where the one before it did. */
-	isEndRepeated(): boolean {
-		return this.openEnd === OpenEnd.Repeated;
-	}
-
-	/** Whether a target sent more after an uncertain end. */
-	isEndRefuted(): boolean {
-		return this.openEnd === OpenEnd.Refuted;
-	}
-
 	/** Whether the request is for a stream that can go on after any of its events. */
 	isResumable(): boolean {
 		return this.call.head.routed?.route.isResumable === true;
@@ -347,7 +304,7 @@
 		const rest = this.events?.takeRemainder();
 		if (rest !== undefined && rest.byteLength > 0) {
 			this.brokenEvent = rest;
-			this.markEndRefuted();
+			this.openEnd.noteMoreBytes();
 		}
 	}
 
@@ -374,7 +331,7 @@
 			this.hasPassedBytes = true;
 			this.eventReads++;
 			this.brokenEvent = undefined;
-			this.markEndRefuted();
+			this.openEnd.noteMoreBytes();
 		}
 		this.noteEvents(this.events);
 		return completeEvents.byteLength === 0 || this.sink.write(completeEvents);
@@ -416,7 +373,7 @@
 		if (this.isOver) {
 			return;
 		}
-		if (this.isEndOpen() && !this.isFramedForCaller() && this.isOpenEndAcceptable()) {
+		if (this.openEnd.isAcceptable() && !this.isFramedForCaller()) {
 			this.note(JournalStep.AttemptEnded, `the end of the answer is not confirmed: ${error.detail}`);
 			this.finish(AnswerEnd.Uncertain);
 			return;
@@ -454,13 +411,6 @@
 		this.sink.cut();
 	}
 
-	/** A target sends more than the bytes after which another one has ended. */
-	private markEndRefuted(): void {
-		if (this.isEndOpen()) {
-			this.openEnd = OpenEnd.Refuted;
-		}
-	}
-
 	private noteEvents(events: EventStreamSplitter): void {
 		const isReportDue = this.call.origin !== undefined && !this.isOriginReported;
 		if (this.hasPassedEvent && !isReportDue) {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -241,11 +241,11 @@
 
 	/** Records whether an attempt shows that the end of the answer before it was the real one. */
 	private noteEndVerdict(run: RequestRun, end: AttemptEnd): void {
-		if (run.isEndRefuted()) {
+		if (run.openEnd.isRefuted()) {
 			this.unframedEnds.noteRefuted(this.timers.getNow());
 			return;
 		}
-		if (end === AttemptEnd.Answered && run.isEndOpen()) {
+		if (end === AttemptEnd.Answered && run.openEnd.isOpen()) {
 			this.unframedEnds.noteConfirmed();
 		}
 	}
@@ -294,7 +294,7 @@
 	private finishUnconfirmed(attempt: AttemptRun, error: RequestError, hasCrashed: boolean): void {
 		const { run, target } = attempt;
 		if (hasCrashed) {
-			run.noteBrokenOff();
+			run.openEnd.noteCrash();
 			this.unframedEnds.noteRefuted(this.timers.getNow());
 			this.targets.noteAttemptEnd(target, AttemptEnd.Failed, run);
 			this.finishAttempt(attempt, AttemptEnd.Failed, error);
@@ -314,10 +314,10 @@
 		if (run.hasEnded()) {
 			return false;
 		}
-		if (run.isEndRepeated()) {
+		if (run.openEnd.isRepeated()) {
 			this.unframedEnds.noteConfirmed();
 		}
-		const isInDoubt = run.isResumable() && !run.isEndRepeated();
+		const isInDoubt = run.isResumable() && !run.openEnd.isRepeated();
 		return run.isFramedForCaller() || (isInDoubt && this.unframedEnds.takeConfirmation());
 	}
 
@@ -332,7 +332,7 @@
 			return;
 		}
 		state.confirmationTimer = this.timers.schedule(delayMs, () => {
-			if (!run.hasEnded() && run.isEndOpen()) {
+			if (!run.hasEnded() && run.openEnd.isOpen()) {
 				this.endConfirmation(run);
 			}
 		});
