--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -23,7 +23,7 @@
 
 /** Writes one answer to one caller. */
 export class CallerSink implements IAnswerSink {
-	/** Whether the source of the answer expects no further news of it. */
+	/** Whether the source of the answer is no longer notified when the caller disconnects. */
 	private isEnded = false;
 	/** Whether the whole answer has been written. */
 	private isWhole = false;
--- a/src/entry/node/targets/connectionState.ts
+++ b/src/entry/node/targets/connectionState.ts
@@ -33,7 +33,7 @@
 		this.beginAnswer(this.resumeParser);
 		socket?.on('error', (error: NodeJS.ErrnoException) => {
 			this.wasReset = true;
-			carryReset(error);
+			setResetCode(error);
 		});
 		socket?.on('end', () => {
 			// Node reports a reset that arrives together with data as an end, but the socket has no peer then.
@@ -75,8 +75,8 @@
 	}
 }
 
-/** undici takes an error with this code for the end of an answer, and throws if its parser is paused then. */
-function carryReset(error: NodeJS.ErrnoException): void {
+/** Replaces the code of a reset: undici takes an error with it for the end of an answer, and throws if its parser is paused then. */
+function setResetCode(error: NodeJS.ErrnoException): void {
 	if (error.code === 'ECONNRESET') {
 		error.code = 'ERR_CONNECTION_RESET';
 	}
