--- a/review/common/ports.ts
+++ b/review/common/ports.ts
@@ -18,21 +18,35 @@
 	return address.port;
 }
 
+/** Below the range from which the system takes ports for connections, so that none takes the port of an entry that is down. */
+const firstPort = 21_000;
+const portRange = 10_000;
+
 /** Finds ports that are free at present. */
 export async function findFreePorts(count: number): Promise<number[]> {
-	const servers = Array.from({ length: count }, () => createServer());
-	const ports = await Promise.all(servers.map(async server => listenOnFreePort(server)));
-	await Promise.all(
-		servers.map(
-			async server =>
-				new Promise<void>(resolve => {
-					server.close(() => {
-						resolve();
-					});
-				}),
-		),
-	);
-	return ports;
+	const ports = new Set<number>();
+	while (ports.size < count) {
+		const port = firstPort + Math.floor(Math.random() * portRange);
+		if (await isFree(port)) {
+			ports.add(port);
+		}
+	}
+	return [...ports];
+}
+
+async function isFree(port: number): Promise<boolean> {
+	const server = createServer();
+	try {
+		await listenOnFreePort(server, port);
+	} catch {
+		return false;
+	}
+	await new Promise<void>(resolve => {
+		server.close(() => {
+			resolve();
+		});
+	});
+	return true;
 }
 
 export async function waitFor(delayMs: number): Promise<void> {
