--- a/review/common/entry.ts
+++ b/review/common/entry.ts
@@ -151,6 +151,12 @@
 		}
 	}
 
+	/** Begins a planned stop. */
+	stop(): void {
+		this.isKilled = true;
+		this.process?.kill('SIGTERM');
+	}
+
 	kill(): void {
 		this.isKilled = true;
 		this.process?.kill('SIGKILL');
--- a/review/common/site.ts
+++ b/review/common/site.ts
@@ -48,6 +48,15 @@
 		service: 'bookings',
 		timeout_ms: 4_000,
 	},
+	/** With the time that the sheet gives the longest kind of request. */
+	export: {
+		...routeFigures,
+		name: 'round-export',
+		path_prefix: '/export/',
+		kind: 'idempotent',
+		service: 'bookings',
+		timeout_ms: 10_000,
+	},
 	query: {
 		...routeFigures,
 		name: 'van-query',
--- a/review/common/target.ts
+++ b/review/common/target.ts
@@ -20,6 +20,8 @@
 	/** Plain answers come in this many pieces, without a length, and end with the connection. */
 	readonly unframedPieces?: number;
 	readonly pieceMs?: number;
+	/** While it is cold, the server crashes if more requests than this arrive in a second. */
+	readonly coldCrashPerS?: number;
 }
 
 /** A request that the server began to work on. Times are Unix milliseconds. */
@@ -39,8 +41,11 @@
 	private port = 0;
 	private running = 0;
 	private bornMs = Date.now();
+	private coldFromMs = 0;
 	private coldUntilMs = 0;
 	private writes = 0;
+	/** When the server crashed because of too many requests. */
+	crashedMs: number | undefined;
 
 	constructor(readonly options: TargetOptions) {}
 
@@ -71,7 +76,8 @@
 
 	/** The server tolerates few requests for this time. Its registration and its health answers tell so. */
 	setCold(coldMs: number): void {
-		this.coldUntilMs = Date.now() + coldMs;
+		this.coldFromMs = Date.now();
+		this.coldUntilMs = this.coldFromMs + coldMs;
 	}
 
 	/** Returns what the server writes into the store. */
@@ -135,6 +141,7 @@
 		}
 		const line = `${request.method ?? ''} ${request.url ?? ''}`;
 		this.runs.push({ id, atMs: Date.now(), line, bodyBytes });
+		this.checkColdRate();
 		this.running++;
 		try {
 			await this.answer(request, response, {
@@ -146,6 +153,16 @@
 		}
 	}
 
+	private checkColdRate(): void {
+		const { coldCrashPerS = Number.POSITIVE_INFINITY } = this.options;
+		const sinceMs = Math.max(Date.now() - 1_000, this.coldFromMs);
+		const arrivals = this.runs.filter(({ atMs }) => atMs > sinceMs).length;
+		if (this.computeColdLeftMs() > 0 && arrivals > coldCrashPerS && this.crashedMs === undefined) {
+			this.crashedMs = Date.now();
+			void this.kill();
+		}
+	}
+
 	private findRefusal({ headers }: IncomingMessage): number | undefined {
 		const expected = headers['anvilroad-expect-instance'];
 		if (expected !== undefined && expected !== this.options.id) {
