--- a/src/core/discovery/common/discoveredTarget.ts
+++ b/src/core/discovery/common/discoveredTarget.ts
@@ -8,6 +8,7 @@
 	ServiceName,
 	SoftwareVersion,
 	TargetId,
+	TargetUrl,
 	ZoneName,
 } from '../../ids/common/ids';
 
@@ -17,8 +18,7 @@
 	readonly service: ServiceName;
 	readonly region: RegionName;
 	readonly zone: ZoneName;
-	/** `http://IP:PORT`. */
-	readonly url: string;
+	readonly url: TargetUrl;
 	/** Number of requests that the target runs concurrently. */
 	readonly slots: number;
 	/** The target asked for no new requests. */
--- a/src/core/discovery/test/discovery.test.ts
+++ b/src/core/discovery/test/discovery.test.ts
@@ -5,6 +5,7 @@
 	ServiceName,
 	SoftwareVersion,
 	TargetId,
+	TargetUrl,
 	ZoneName,
 } from '../../ids/common/ids';
 import type { DiscoveredTarget } from '../common/discoveredTarget';
@@ -20,7 +21,7 @@
 		service: 'round-assistant' as ServiceName,
 		region: 'kingston' as RegionName,
 		zone,
-		url: 'http://127.0.0.1:9001',
+		url: 'http://127.0.0.1:9001' as TargetUrl,
 		slots: 8,
 		isLeaving: false,
 		remainingMs: undefined,
--- a/src/core/ids/common/ids.ts
+++ b/src/core/ids/common/ids.ts
@@ -13,6 +13,8 @@
 /** Identifies one start of an instance. A random value, so that a restarted instance is not mistaken for the old one. */
 export type BootId = Brand<string, 'BootId'>;
 export type TargetId = Brand<string, 'TargetId'>;
+/** The base URL of a registered target, `http://IP:PORT`. Always valid, so that connections can be opened without a check. */
+export type TargetUrl = Brand<string, 'TargetUrl'>;
 /** The version of a target's own software, not of the model weights that it serves. */
 export type SoftwareVersion = Brand<string, 'SoftwareVersion'>;
 /** Identifies a stream over its tries: the caller's request id of the try that received the first event. */
--- a/src/entry/node/fleet/test/requestLookups.test.ts
+++ b/src/entry/node/fleet/test/requestLookups.test.ts
@@ -15,6 +15,7 @@
 	ServiceName,
 	SoftwareVersion,
 	TargetId,
+	TargetUrl,
 	ZoneName,
 } from '../../../../core/ids/common/ids';
 import { PeerClients } from '../../peers/peerClients';
@@ -63,7 +64,7 @@
 		service,
 		region,
 		zone: `${region}-a` as ZoneName,
-		url: `http://127.0.0.1:${9_000 + index}`,
+		url: `http://127.0.0.1:${9_000 + index}` as TargetUrl,
 		slots: 8,
 		isLeaving: false,
 		remainingMs: undefined,
--- a/src/entry/node/test/coldTargetFleet.ts
+++ b/src/entry/node/test/coldTargetFleet.ts
@@ -19,6 +19,7 @@
 	ServiceName,
 	SoftwareVersion,
 	TargetId,
+	TargetUrl,
 } from '../../../core/ids/common/ids';
 import type { ManifestService } from '../../../core/manifest/common/manifest';
 import type { EntryView as WireView } from '../../../gen/anvilroad/peer/v1/peer_pb';
@@ -346,7 +347,7 @@
 		service,
 		region: name,
 		zone,
-		url: 'http://127.0.0.1:9001',
+		url: 'http://127.0.0.1:9001' as TargetUrl,
 		slots,
 		isLeaving: false,
 		remainingMs: undefined,
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -21,6 +21,7 @@
 	ServiceName,
 	SoftwareVersion,
 	TargetId,
+	TargetUrl,
 	ZoneName,
 } from '../../../core/ids/common/ids';
 import { checkManifest, RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
@@ -402,7 +403,7 @@
 				service,
 				region: region as RegionName,
 				zone: `${region}-a` as ZoneName,
-				url: 'http://127.0.0.1:9001',
+				url: 'http://127.0.0.1:9001' as TargetUrl,
 				slots: 12,
 				isLeaving: false,
 				remainingMs: undefined,
