Send answers without a length in chunks, so that the end of the process shows

Cause: the entry passed such an answer on in the same form, so that a regular close was the sign of its end. The kernel closes the connections of a process that is killed, or exits with answers in progress, in just that way.

Change: callers of HTTP/1.1 get chunks where there is no length. The last chunk is written when the end of the answer is accepted, by the decision that ended the connection before; all other ends leave it out. Such connections are kept now. Callers of HTTP/1.0 get what they got before.

A caller can no longer see that its answer had no framing at its target. It took the regular close for the end before (RFC 9112, section 8), so an answer that a living target ends early passes as whole as it did.

--- a/src/entry/common/callers/answerEnd.ts
+++ b/src/entry/common/callers/answerEnd.ts
@@ -11,7 +11,7 @@
 	Cut = 'cut',
 }
 
-/** Names for the log what delimits the body of an answer. */
+/** Names for the log what delimits the body of a target's answer. */
 export function describeFraming(endsWithConnection: boolean): string {
 	return endsWithConnection ? 'ends with its connection' : 'has a length or chunks';
 }
--- a/src/entry/common/callers/answerSink.ts
+++ b/src/entry/common/callers/answerSink.ts
@@ -15,8 +15,9 @@
 	readonly status: number;
 	readonly lines: readonly HeaderLine[];
 	/**
-	 * The answer has no length and ends when its connection closes, so its end cannot be told from a
-	 * truncation. If this entry forwarded it with its own framing, a truncated answer would look complete.
+	 * The target sent neither a length nor chunks, so the answer ends when the target's connection closes, and its end
+	 * cannot be told from a truncation. Callers get it in chunks where they read them, but the last chunk only after the
+	 * end was accepted.
 	 */
 	readonly endsWithConnection?: boolean;
 }
@@ -28,8 +29,8 @@
 	write(chunk: Uint8Array): boolean;
 	waitForDrain(resume: () => void): void;
 	/**
-	 * Ends the answer. The end is uncertain only after a head with `endsWithConnection`, since framing would present it as
-	 * the end of a whole answer.
+	 * Ends the answer. The end is uncertain only after a head with `endsWithConnection`: an answer that began with the
+	 * framing of its target may end only with that of a target.
 	 */
 	end(end: AnswerEnd.Certain | AnswerEnd.Uncertain): void;
 	/**
--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -1,5 +1,10 @@
 /**
  * Writes answers and refusals to a caller's HTTP connection.
+ *
+ * An answer is framed by its length or, over HTTP/1.1, by chunks, also if its target sent it with neither. The kernel closes
+ * the connections of a process that is killed as after a regular end, so that only a length that is not reached or a
+ * missing last chunk shows a caller that its answer is incomplete. HTTP/1.0 has no chunks: an answer without a length is
+ * reset when it is given up, and looks complete if the process is killed.
  */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -27,7 +32,7 @@
 	private isEnded = false;
 	/** Whether the whole answer has been written. */
 	private isWhole = false;
-	private endsWithConnection = false;
+	/** Whether the caller can tell an answer that breaks off from a complete one by its length or chunks. */
 	private isFramed = true;
 
 	constructor(
@@ -39,11 +44,7 @@
 	) {}
 
 	begin(head: AnswerHead): void {
-		if (head.endsWithConnection === true) {
-			this.endsWithConnection = true;
-			this.response.useChunkedEncodingByDefault = false;
-		}
-		this.isFramed = this.isFramedFor(head);
+		this.isFramed = this.isReadingChunks() || hasLength(head);
 		if (!this.isFramed) {
 			this.cutOnHalfClose();
 		}
@@ -127,7 +128,7 @@
 	}
 
 	private writeHead(status: number, lines: readonly HeaderLine[]): void {
-		const isLast = this.isClosing() || this.endsWithConnection || this.hasUnreadBody();
+		const isLast = this.isClosing() || !this.isFramed || this.hasUnreadBody();
 		const closing = isLast ? [{ name: 'connection', value: 'close' }] : [];
 		this.response.writeHead(
 			status,
@@ -135,12 +136,9 @@
 		);
 	}
 
-	/** Whether the caller can tell an answer that breaks off from a complete one by its length or chunks. */
-	private isFramedFor(head: AnswerHead): boolean {
+	private isReadingChunks(): boolean {
 		const { httpVersionMajor, httpVersionMinor } = this.request;
-		const readsChunks = httpVersionMajor > 1 || httpVersionMinor > 0;
-		const hasLength = head.lines.some(line => line.name.toLowerCase() === 'content-length');
-		return hasLength || (readsChunks && !this.endsWithConnection);
+		return httpVersionMajor > 1 || httpVersionMinor > 0;
 	}
 
 	/**
@@ -171,3 +169,7 @@
 		});
 	}
 }
+
+function hasLength({ lines }: AnswerHead): boolean {
+	return lines.some(({ name }) => name.toLowerCase() === 'content-length');
+}
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -93,8 +93,8 @@
 	private findOrigin: FindOrigin | undefined;
 	/** Whether the current answer has neither a length nor chunks, so that its end does not show that it is whole. */
 	private isUnframed = false;
-	/** Whether the caller sees the end of the answer only by the end of its connection. */
-	private endsWithConnection = false;
+	/** Whether the answer began at a target that sent neither a length nor chunks. */
+	private beganUnframed = false;
 	/** Whether the caller may have its whole answer, although nothing shows it. */
 	readonly openEnd = new OpenEnd();
 	/** The part of the next event that an interrupted attempt left. */
@@ -270,9 +270,9 @@
 		return !this.isUnframed;
 	}
 
-	/** Whether the caller takes the end of the answer for certain. */
-	isFramedForCaller(): boolean {
-		return !this.endsWithConnection;
+	/** Whether the answer began with framing of its target, so that it may end only where a target's framing shows it. */
+	hasBegunFramed(): boolean {
+		return !this.beganUnframed;
 	}
 
 	/** Whether the request is for a stream that can go on after any of its events. */
@@ -346,12 +346,12 @@
 		this.abandonHandler = handle;
 	}
 
-	/** Ends the request with its answer, unless its caller would take an uncertain end for certain: that answer is cut. */
+	/** Ends the request with its answer. An answer that began with framing is cut if its end is uncertain. */
 	finish(end: AnswerEnd.Certain | AnswerEnd.Uncertain): void {
 		if (this.isOver) {
 			return;
 		}
-		if (end === AnswerEnd.Uncertain && this.isFramedForCaller()) {
+		if (end === AnswerEnd.Uncertain && this.hasBegunFramed()) {
 			this.fail(createRequestError(Kind.TargetFailed, 'nothing shows that the answer is whole'));
 			return;
 		}
@@ -367,13 +367,13 @@
 
 	/**
 	 * Ends the request without a complete answer: with an error before the first byte, by cutting it off after. An answer
-	 * that may be whole, and whose caller expects an uncertain end, ends regularly.
+	 * that began without framing and may be whole ends regularly.
 	 */
 	fail(error: RequestError): void {
 		if (this.isOver) {
 			return;
 		}
-		if (this.openEnd.isAcceptable() && !this.isFramedForCaller()) {
+		if (this.openEnd.isAcceptable() && !this.hasBegunFramed()) {
 			this.note(JournalStep.AttemptEnded, `the end of the answer is not confirmed: ${error.detail}`);
 			this.finish(AnswerEnd.Uncertain);
 			return;
@@ -400,12 +400,12 @@
 	}
 
 	/**
-	 * Ends an incomplete answer. Without framing, some HTTP clients take a reset for its regular end, so that only a
-	 * stream that ends inside an event shows them that it is incomplete.
+	 * Ends an incomplete answer. Callers that read no chunks may take a reset for the regular end of an answer without a
+	 * length, so that only a stream that ends inside an event shows them that it is incomplete.
 	 */
 	private cutAnswer(): void {
 		this.markInterrupted();
-		if (this.endsWithConnection && this.brokenEvent !== undefined) {
+		if (this.beganUnframed && this.brokenEvent !== undefined) {
 			this.sink.write(this.brokenEvent);
 		}
 		this.sink.cut();
@@ -447,8 +447,8 @@
 
 	private noteAnswerBegun(head: AnswerHead): void {
 		this.firstByteMs = this.timers.getNow() - this.call.arrivedMs;
-		this.endsWithConnection = head.endsWithConnection === true;
-		this.note(JournalStep.FirstByte, `status ${head.status}, ${describeFraming(this.endsWithConnection)}`);
+		this.beganUnframed = head.endsWithConnection === true;
+		this.note(JournalStep.FirstByte, `status ${head.status}, ${describeFraming(this.beganUnframed)}`);
 		this.sink.begin(head);
 	}
 
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -318,7 +318,7 @@
 			this.unframedEnds.noteConfirmed();
 		}
 		const isInDoubt = run.isResumable() && !run.openEnd.isRepeated();
-		return run.isFramedForCaller() || (isInDoubt && this.unframedEnds.takeConfirmation());
+		return run.hasBegunFramed() || (isInDoubt && this.unframedEnds.takeConfirmation());
 	}
 
 	/**
@@ -328,7 +328,7 @@
 	private scheduleConfirmationEnd(run: RequestRun, delayMs = maxConfirmationMs): void {
 		const state = this.states.get(run.call.id);
 		state?.confirmationTimer?.dispose();
-		if (state === undefined || run.isFramedForCaller()) {
+		if (state === undefined || run.hasBegunFramed()) {
 			return;
 		}
 		state.confirmationTimer = this.timers.schedule(delayMs, () => {
