Probe the path to the store while others read from this entry

Cause: the entries of a region read the store's changes from one of them. When that one is cut off silently, its watch waits as if nothing changed, for up to 4.5 s with a maximum delay of 5 s, and its heartbeats go on to present its state as current, so that its readers have no reason to ask the store.

Change: while others read here, an entry that waits at the store sends a small stale read beside the watch, which costs a tenth of a call. Without an answer in time the watches of all prefixes end as failed, and a failed read ends the feeds at once. The limit grows with the slowest answer of the last minute, and an answer that waits to be read counts, so that neither a slow store nor a busy entry is taken for a cut. It covers registrations, evacuations and the configuration alike, which come over the same feeds.

--- a/src/core/store/common/storeClient.ts
+++ b/src/core/store/common/storeClient.ts
@@ -76,6 +76,12 @@
 	readonly era?: StoreEra | undefined;
 }
 
+/** Checks whether a store can be reached. */
+export interface IStoreProbe {
+	/** Asks for a small answer at low cost. Any answer is a success, since it shows that the path to the store works. */
+	probe(signal: AbortSignal): Promise<Result<undefined, StoreError>>;
+}
+
 /** Reads a store. Calls are not retried by the client. */
 export interface IStoreClient {
 	/** Returns a page of the items whose keys begin with `prefix` and sort after `afterKey`. */
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -6,6 +6,7 @@
  * - The watcher is killed, frozen, cut off or loses the store. Its feed ends or falls silent, and the store is asked
  *   directly at once. The feed's silence limit leaves enough of the maximum delay of a change for that.
  * - Several watchers cannot be reached. The store is asked directly for a few seconds before the next feed is opened.
+ * - The path to the store is cut silently while others read here. Probes beside the watch find that, and the watch ends.
  * - The entry has just started. Its first watch waits until the other entries are known: all entries may start at once, and
  *   each change would wake all of them.
  * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
@@ -23,6 +24,7 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { IClock } from '../../../base/common/elapsedClock';
+import { subscribeTo } from '../../../base/common/channel';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
@@ -30,6 +32,7 @@
 import type { InstanceId } from '../../../core/ids/common/ids';
 import type {
 	IStoreClient,
+	IStoreProbe,
 	StoreError,
 	StoreEra,
 	StorePage,
@@ -40,6 +43,7 @@
 import type { ReceivedMessage } from './feedReader';
 import { FeedReader, FeedWaitEnd } from './feedReader';
 import type { FeedTimes, IFeedOpener } from './storeFeed';
+import { StorePathMonitor } from './storePathMonitor';
 
 /** Chooses the entry whose feed is read. */
 export interface IWatcherChooser {
@@ -89,16 +93,19 @@
 	askedCount: number;
 	/** Whether the last answer came from the store itself. */
 	isDirect: boolean;
+	/** Whether the store is waiting for a change to answer a call. */
+	isWaiting: boolean;
 }
 
 export class RelayedStoreClient implements IStoreClient {
 	private readonly prefixes = new Map<string, PrefixState>();
 	private readonly excludedUntilMs = new Map<InstanceId, number>();
 	private readonly startedMs: number;
+	private readonly path: StorePathMonitor;
 	private era: StoreEra | undefined;
 
 	constructor(
-		private readonly store: IStoreClient,
+		private readonly store: IStoreClient & IStoreProbe,
 		private readonly opener: IFeedOpener,
 		private readonly chooser: IWatcherChooser,
 		private readonly times: FeedTimes,
@@ -109,6 +116,7 @@
 		private readonly ageClock: IClock = timers,
 	) {
 		this.startedMs = timers.getNow();
+		this.path = new StorePathMonitor(store, times.probes, timers, () => this.isWaitingForReaders());
 	}
 
 	/** Whether the last answer for a prefix came from the store itself. */
@@ -200,6 +208,7 @@
 	}
 
 	async close(): Promise<void> {
+		this.path.dispose();
 		for (const state of this.prefixes.values()) {
 			state.feed?.dispose();
 			state.feed = undefined;
@@ -217,7 +226,10 @@
 		state.isDirect = true;
 		const sentMs = this.ageClock.getNow();
 		const startedMs = this.timers.getNow();
-		const answer = await this.store.watch(prefix, afterRevision, waitMs, signal);
+		const answer =
+			waitMs > 0
+				? await this.watchUntilLost(prefix, state, afterRevision, waitMs, signal)
+				: await this.store.watch(prefix, afterRevision, waitMs, signal);
 		const tookMs = this.timers.getNow() - startedMs;
 		return this.noteAnswer(state, answer).map(result => ({
 			...result,
@@ -225,6 +237,33 @@
 		}));
 	}
 
+	/** Ends the watch as failed if the path to the store is lost meanwhile. */
+	private async watchUntilLost(
+		prefix: string,
+		state: PrefixState,
+		afterRevision: number,
+		waitMs: number,
+		signal: AbortSignal,
+	): Promise<Result<StoreWatchResult, StoreError>> {
+		const loss = new AbortController();
+		const subscription = subscribeTo(this.path.onDidLose, detail => {
+			loss.abort(detail);
+		});
+		state.isWaiting = true;
+		const anySignal = AbortSignal.any([signal, loss.signal]);
+		const answer = await this.store.watch(prefix, afterRevision, waitMs, anySignal);
+		state.isWaiting = false;
+		subscription.dispose();
+		return loss.signal.aborted && answer.isErr()
+			? err({ kind: StoreErrorKind.Unreachable, detail: String(loss.signal.reason) })
+			: answer;
+	}
+
+	/** Whether others depend on a call that waits at the store. */
+	private isWaitingForReaders(): boolean {
+		return [...this.prefixes].some(([prefix, { isWaiting }]) => isWaiting && this.chooser.isRead(prefix));
+	}
+
 	private async listFromStore(
 		prefix: string,
 		state: PrefixState,
@@ -537,6 +576,7 @@
 			isProbing: false,
 			askedCount: 0,
 			isDirect: false,
+			isWaiting: false,
 		};
 		this.prefixes.set(prefix, state);
 		return state;
--- a/src/entry/common/storeRelay/storeFeed.ts
+++ b/src/entry/common/storeRelay/storeFeed.ts
@@ -6,7 +6,8 @@
 import type { IDisposable } from '../../../base/common/lifecycle';
 import type { InstanceId } from '../../../core/ids/common/ids';
 import type { StoreEra, StoreItem } from '../../../core/store/common/storeClient';
-import type { FollowedChange } from '../../../core/store/common/storeFollower';
+import type { FollowedChange, StoreReachability } from '../../../core/store/common/storeFollower';
+import type { ProbeTimes } from './storePathMonitor';
 
 /** What an entry has of the store when it asks for the changes. */
 export interface FeedRequest {
@@ -48,6 +49,7 @@
 /** The state of one prefix of the store at this entry. */
 export interface IFeedSource {
 	readonly onDidChange: Stream<FollowedChange>;
+	readonly onDidChangeReachability: Stream<StoreReachability>;
 	/** The revision up to which all changes are applied; 0 while they are listed. */
 	getRevision(): number;
 	getEra(): StoreEra | undefined;
@@ -65,6 +67,13 @@
 const heartbeatShare = 0.2;
 const silenceShare = 0.4;
 const settleShare = 0.2;
+/**
+ * Interval, limit and timeout of the probes of a watcher. A silent cut is found within the first two together, which leaves
+ * half of a delay of 0.6 of the maximum, the shortest that readers have for a change, to read the store directly.
+ */
+const probeIntervalShare = 0.15;
+const probeLimitShare = 0.15;
+const probeCancelShare = 0.3;
 /** The state after an answer counts from the start of its call, which may wait, and so may the next one. */
 const maxAgeShare = 1.6;
 /**
@@ -84,6 +93,7 @@
 	readonly settleMs: number;
 	/** Age beyond which a watcher's own state is not passed on as current. */
 	readonly maxAgeMs: number;
+	readonly probes: ProbeTimes;
 	/** Limits of a reader; undefined if the age of what an entry knows has no bound. */
 	readonly bounds?: FeedBounds;
 }
@@ -108,5 +118,10 @@
 		silenceMs: silenceShare * maxDelayMs,
 		settleMs: settleShare * maxDelayMs,
 		maxAgeMs: maxAgeShare * maxDelayMs,
+		probes: {
+			intervalMs: probeIntervalShare * maxDelayMs,
+			limitMs: probeLimitShare * maxDelayMs,
+			cancelMs: probeCancelShare * maxDelayMs,
+		},
 	};
 }
--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -81,6 +81,11 @@
 				this.sendChange(feed, change);
 			}),
 		);
+		this.register(
+			subscribeTo(source.onDidChangeReachability, () => {
+				this.endIfLost(feed);
+			}),
+		);
 	}
 
 	/** Whether other entries read the changes here, or did a moment ago. */
@@ -132,15 +137,20 @@
 	}
 
 	private sendHeartbeats(feed: Feed): void {
-		if (this.isStoreLost(feed)) {
-			this.endAll(feed, 'the store does not answer the watcher');
-			return;
-		}
-		if (this.isCurrent(feed)) {
+		if (!this.endIfLost(feed) && this.isCurrent(feed)) {
 			this.sendToReaders(feed, [], []);
 		}
 	}
 
+	/** Ends the feeds of a store that does not answer this entry, so that its readers ask the store themselves. */
+	private endIfLost(feed: Feed): boolean {
+		const isLost = this.isStoreLost(feed);
+		if (isLost) {
+			this.endAll(feed, 'the store does not answer the watcher');
+		}
+		return isLost;
+	}
+
 	private sendToReaders(feed: Feed, written: readonly StoreItem[], removed: readonly string[]): void {
 		for (const reader of [...feed.readers]) {
 			if (reader.isSynced) {
--- a/src/entry/common/storeRelay/test/relaySimulation.ts
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Result } from 'neverthrow';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import { subscribeTo } from '../../../../base/common/channel';
 import { ElapsedClock } from '../../../../base/common/elapsedClock';
 import type { IDisposable } from '../../../../base/common/lifecycle';
@@ -14,6 +14,7 @@
 import type { InstanceId } from '../../../../core/ids/common/ids';
 import type {
 	IStoreClient,
+	IStoreProbe,
 	StoreError,
 	StorePage,
 	StoreWatchResult,
@@ -34,8 +35,9 @@
 const clockCheckMs = 250;
 
 /** Counts the calls of one entry, and keeps those from answering that are made while it is cut off from the store. */
-class CountedStore implements IStoreClient {
+class CountedStore implements IStoreClient, IStoreProbe {
 	calls = 0;
+	probes = 0;
 	isCut = false;
 	/** Whether the store turns this entry away. */
 	isRefused = false;
@@ -68,6 +70,11 @@
 		);
 	}
 
+	async probe(signal: AbortSignal): Promise<Result<undefined, StoreError>> {
+		this.probes++;
+		return this.carryAnswer(signal, ok(undefined));
+	}
+
 	close(): Promise<void> {
 		return Promise.resolve();
 	}
@@ -81,7 +88,13 @@
 		if (this.isRefused) {
 			return err({ kind: StoreErrorKind.Refused, detail: 'turned away' });
 		}
-		const answer = await ask();
+		return this.carryAnswer(signal, await ask());
+	}
+
+	private async carryAnswer<TValue>(
+		signal: AbortSignal,
+		answer: Result<TValue, StoreError>,
+	): Promise<Result<TValue, StoreError>> {
 		if (this.answerDelayMs > 0) {
 			await new Promise<void>(resolve => this.timers.schedule(this.answerDelayMs, resolve));
 		}
--- a/src/entry/node/storeRelay/storeRelay.ts
+++ b/src/entry/node/storeRelay/storeRelay.ts
@@ -10,7 +10,7 @@
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { InstanceId, RegionName } from '../../../core/ids/common/ids';
-import type { IStoreClient } from '../../../core/store/common/storeClient';
+import type { IStoreClient, IStoreProbe } from '../../../core/store/common/storeClient';
 import { RelayedStoreClient } from '../../common/storeRelay/relayedStoreClient';
 import type { FeedRequest, IFeedObserver, IFeedSource, IStoreRelay } from '../../common/storeRelay/storeFeed';
 import { computeFeedTimes } from '../../common/storeRelay/storeFeed';
@@ -38,7 +38,7 @@
 	private readonly feeds: StoreFeeds;
 
 	constructor(
-		store: IStoreClient,
+		store: IStoreClient & IStoreProbe,
 		private readonly parts: StoreRelayParts,
 	) {
 		super();
