End the requests in progress before a stopping process exits

What callers saw: when the time to stop was over, callers of HTTP/1.0 got a regular close in the middle of their answers, and callers that waited for their first byte got no answer, also those whose requests had not run.

Change: 150 ms before the exit no more attempts are started, and each request that is left is ended as a failed one: refused with its outcome (503 if it has not run, else 502), or cut off. Then connections with answers that are not sent completely are reset. The same holds for a server that gives up on a slow caller.

--- a/src/entry/common/leaving/shutdownPlan.ts
+++ b/src/entry/common/leaving/shutdownPlan.ts
@@ -16,6 +16,9 @@
  * seconds that a process takes to finish and to start. Their requests are slow there, or must not be read there.
  * In any case nothing is accepted in the last five eighths of the time. An answer that began in that period, at a
  * target that had become slow, was cut off when the process was killed.
+ *
+ * Requests that are still in progress shortly before the exit are ended by the entry. The exit itself closes connections as
+ * after a whole answer, and sends nothing to callers that wait for one.
  */
 
 /** The phases of a planned stop, in milliseconds. */
@@ -28,6 +31,8 @@
 	readonly maxAcceptMs: number;
 	/** How long the entry keeps listening after that, to refuse requests and report that it is leaving. */
 	readonly refuseMs: number;
+	/** Time from the signal after which the requests that are still in progress are ended. */
+	readonly endRequestsMs: number;
 	/** Time from the signal after which the process exits, even if requests are in progress. */
 	readonly exitMs: number;
 }
@@ -37,6 +42,8 @@
 const acceptAfterAnnounceShare = 0.25;
 const refuseShare = 0.03;
 const exitReserveMs = 300;
+/** Time in which refusals are sent and connections are reset before the exit. */
+const endRequestsReserveMs = 150;
 const msPerSecond = 1_000;
 
 /** Without a kill timeout, requests are refused for as long as callers may use the result of a lookup. */
@@ -45,7 +52,11 @@
 /** Plans a stop. `killedAfterS` is undefined if the platform does not kill the process. */
 export function planShutdown(killedAfterS: number | undefined): ShutdownTimes {
 	if (killedAfterS === undefined) {
-		const unboundedTimes = { maxAcceptMs: Number.POSITIVE_INFINITY, exitMs: Number.POSITIVE_INFINITY };
+		const unboundedTimes = {
+			maxAcceptMs: Number.POSITIVE_INFINITY,
+			endRequestsMs: Number.POSITIVE_INFINITY,
+			exitMs: Number.POSITIVE_INFINITY,
+		};
 		return { maxAnnounceDelayMs: 0, acceptAfterAnnounceMs: 0, refuseMs: defaultRefuseMs, ...unboundedTimes };
 	}
 	const gracePeriodMs = killedAfterS * msPerSecond;
@@ -54,6 +65,7 @@
 		acceptAfterAnnounceMs: gracePeriodMs * acceptAfterAnnounceShare,
 		maxAcceptMs: gracePeriodMs * acceptShare,
 		refuseMs: gracePeriodMs * refuseShare,
+		endRequestsMs: gracePeriodMs - exitReserveMs - endRequestsReserveMs,
 		exitMs: gracePeriodMs - exitReserveMs,
 	};
 }
--- a/src/entry/common/leaving/test/shutdownPlan.test.ts
+++ b/src/entry/common/leaving/test/shutdownPlan.test.ts
@@ -6,10 +6,11 @@
 		fc.assert(
 			fc.property(fc.double({ min: 1, max: 600, noNaN: true }), seconds => {
 				const times = planShutdown(seconds);
-				const { maxAnnounceDelayMs, refuseMs, exitMs } = times;
+				const { maxAnnounceDelayMs, refuseMs, endRequestsMs, exitMs } = times;
 				for (const announcedMs of [0, maxAnnounceDelayMs / 2, maxAnnounceDelayMs]) {
-					expect(computeAcceptMs(times, announcedMs) + refuseMs).toBeLessThan(exitMs);
+					expect(computeAcceptMs(times, announcedMs) + refuseMs).toBeLessThan(endRequestsMs);
 				}
+				expect(endRequestsMs).toBeLessThan(exitMs);
 				expect(exitMs).toBeLessThan(seconds * 1_000);
 			}),
 			{ seed: 3 },
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -86,6 +86,8 @@
 /** Serves lookups and calls over HTTP/1.1. */
 export class CallerServer {
 	private readonly server: Server;
+	/** Answers that have not been sent completely. */
+	private readonly unsentAnswers = new Set<ServerResponse>();
 
 	constructor(
 		private readonly handler: ICallHandler,
@@ -145,6 +147,7 @@
 	async close(): Promise<void> {
 		return new Promise(resolve => {
 			const limit = this.timers.schedule(maxFlushMs, () => {
+				this.cutUnsentAnswers();
 				this.server.closeAllConnections();
 			});
 			this.server.close(() => {
@@ -155,7 +158,23 @@
 		});
 	}
 
+	/**
+	 * Resets the connections of answers that have begun and are not sent completely. A regular close would look like the
+	 * end of an answer without framing.
+	 */
+	cutUnsentAnswers(): void {
+		for (const { headersSent, socket } of this.unsentAnswers) {
+			if (headersSent) {
+				socket?.resetAndDestroy();
+			}
+		}
+	}
+
 	private serve(request: IncomingMessage, response: ServerResponse): void {
+		this.unsentAnswers.add(response);
+		response.once('close', () => {
+			this.unsentAnswers.delete(response);
+		});
 		const raw = readRawHead(request);
 		if (raw.method === 'GET' && raw.url.split('?', 1)[0] === lookupPath) {
 			this.serveLookup(raw.url, request, response);
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -10,6 +10,7 @@
 import { Disposable } from '../../base/common/lifecycle';
 import { SeededRandom } from '../../base/common/random';
 import { SystemTimerService } from '../../base/node/systemTimerService';
+import { createRequestError, ErrorKind } from '../../core/errors/common/errorKinds';
 import { AuditKind } from '../../core/audit/common/auditTrail';
 import { RingAuditTrail } from '../../core/audit/common/ringAuditTrail';
 import { LoggedJournal } from '../../core/explain/common/loggedJournal';
@@ -240,7 +241,8 @@
 
 	/**
 	 * Stops without interrupting requests: announces that this entry is leaving, then refuses new work and names
-	 * other entries instead, and ends when the last active request has ended or the time limit is reached.
+	 * other entries instead, and ends when the last active request has ended or the time limit is reached. Requests that
+	 * are still active then are refused or cut off.
 	 */
 	stop(reason: string): Promise<void> {
 		this.stopPromise ??= this.drainAndClose(reason);
@@ -249,7 +251,7 @@
 
 	private async drainAndClose(reason: string): Promise<void> {
 		const startedMs = this.timers.getNow();
-		const { refuseMs: refusesMs, exitMs: endsMs } = this.environment.leaving;
+		const { refuseMs: refusesMs, endRequestsMs, exitMs: endsMs } = this.environment.leaving;
 		this.ownView.setLatestEnd(startedMs + endsMs);
 		const waitUntil = (ms: number): Promise<void> => this.waitFor(startedMs + ms - this.timers.getNow());
 		await this.waitForSuccessor(reason);
@@ -261,10 +263,13 @@
 		await waitUntil(acceptingMs);
 		this.ownView.setRefusing();
 		await waitUntil(acceptingMs + refusesMs);
-		await Promise.race([this.activeRuns.waitUntilIdle(), waitUntil(endsMs)]);
+		await Promise.race([this.activeRuns.waitUntilIdle(), waitUntil(endRequestsMs)]);
 		const unfinished = this.activeRuns.count();
+		this.runners.pause();
+		this.activeRuns.stopAll(createRequestError(ErrorKind.Leaving, 'the time for this stop is over'));
 		const closed = [this.callers, this.peerServer, ...this.ports].map(port => port.close());
 		await Promise.race([Promise.all(closed), waitUntil(endsMs)]);
+		this.callers.cutUnsentAnswers();
 		this.recordProcess('leaving', 'stopped', `${unfinished} requests in progress`);
 		this.dispose();
 		await Promise.race([this.platform.sources.close(), waitUntil(endsMs)]);
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -100,6 +100,13 @@
 		return this.runs.size;
 	}
 
+	/** Ends all requests in progress because the process is about to end. */
+	stopAll(error: RequestError): void {
+		for (const run of [...this.runs]) {
+			run.stop(error);
+		}
+	}
+
 	/** Resolves when no request is in progress. */
 	async waitUntilIdle(): Promise<void> {
 		if (this.runs.size === 0) {
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -389,6 +389,12 @@
 		this.close(getOutcomeOf(reported), reported.kind, `${reported.kind}: ${reported.detail}`, answerEnd);
 	}
 
+	/** Ends the request without a complete answer, and what is done for it at targets or at another entry. */
+	stop(error: RequestError): void {
+		this.fail(error);
+		this.abandonHandler?.();
+	}
+
 	/** Ends the request after its caller disconnected, without sending anything. */
 	abandon(): void {
 		if (this.isOver) {
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -125,6 +125,13 @@
 		});
 	}
 
+	/** Starts no more attempts. Requests that wait for one are removed, and are left to be ended by the caller. */
+	pause(): void {
+		for (const { runner } of this.services.values()) {
+			runner.pause();
+		}
+	}
+
 	private openService(service: ServiceName): ServiceState {
 		const known = this.services.get(service);
 		if (known !== undefined) {
