Keep draining an entry that gets SIGTERM again

What callers saw: answers cut off in the middle of a planned stop if the signal was sent twice.

Cause: the listener was removed with the first signal, so that the second one had its default effect and ended the process at once.

A second interrupt from the keyboard still ends the process.

--- a/src/bin/entry.ts
+++ b/src/bin/entry.ts
@@ -33,7 +33,8 @@
 		// minutes.
 		void entry.stop(signal).then(() => process.exit(0));
 	};
-	process.once('SIGTERM', stopAndExit);
+	// Without a listener, a repeated SIGTERM would end the process at once. A second interrupt from the keyboard may.
+	process.on('SIGTERM', stopAndExit);
 	process.once('SIGINT', stopAndExit);
 	await entry.start();
 }
