--- a/src/entry/common/callers/answerSink.ts
+++ b/src/entry/common/callers/answerSink.ts
@@ -15,9 +15,8 @@
 	readonly status: number;
 	readonly lines: readonly HeaderLine[];
 	/**
-	 * The target sent neither a length nor chunks, so the answer ends when the target's connection closes, and its end
-	 * cannot be told from a truncation. Callers get it in chunks where they read them, but the last chunk only after the
-	 * end was accepted.
+	 * The target sent neither a length nor chunks, so the answer ends when the target's connection closes, which a crash
+	 * causes as well. Callers of HTTP/1.1 get it in chunks, with the last chunk only after the end was accepted.
 	 */
 	readonly endsWithConnection?: boolean;
 }
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -6,7 +6,7 @@
  * - The watcher is killed, frozen, cut off or loses the store. Its feed ends or falls silent, and the store is asked
  *   directly at once. The feed's silence limit leaves enough of the maximum delay of a change for that.
  * - Several watchers cannot be reached. The store is asked directly for a few seconds before the next feed is opened.
- * - The path to the store is cut silently while others read here. Probes beside the watch find that, and the watch ends.
+ * - The path to the store is cut silently while others read here. Probes detect that, and the watch ends as failed.
  * - The entry has just started. Its first watch waits until the other entries are known: all entries may start at once, and
  *   each change would wake all of them.
  * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
--- a/src/entry/common/storeRelay/storeFeed.ts
+++ b/src/entry/common/storeRelay/storeFeed.ts
@@ -67,10 +67,7 @@
 const heartbeatShare = 0.2;
 const silenceShare = 0.4;
 const settleShare = 0.2;
-/**
- * Interval, limit and timeout of the probes of a watcher. A silent cut is found within the first two together, which leaves
- * half of a delay of 0.6 of the maximum, the shortest that readers have for a change, to read the store directly.
- */
+/** Times of a watcher's probes. A silent cut is detected within the interval and the limit, so that readers have time to react. */
 const probeIntervalShare = 0.15;
 const probeLimitShare = 0.15;
 const probeCancelShare = 0.3;
--- a/src/entry/common/storeRelay/storePathMonitor.ts
+++ b/src/entry/common/storeRelay/storePathMonitor.ts
@@ -1,9 +1,9 @@
 /**
  * Checks the path to the platform's store while this entry waits for changes on behalf of others.
  *
- * A watch looks the same whether nothing changes or the path is cut silently. Until its wait and its timeout are over, the
- * entry would present its state as current, and the entries that read from it would miss changes that they could read
- * themselves. A probe beside the watch finds the cut within the interval and the limit of a probe.
+ * A waiting watch looks the same whether nothing changes or the path is cut silently. Until its wait and its timeout are
+ * over, the entry would present its state as current, and the entries that read from it would miss changes that they could
+ * read themselves. Probes on another connection detect the cut within their interval and limit.
  */
 
 import type { Stream } from 'most';
--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -3,8 +3,8 @@
  *
  * An answer is framed by its length or, over HTTP/1.1, by chunks, also if its target sent it with neither. The kernel closes
  * the connections of a process that is killed as after a regular end, so that only a length that is not reached or a
- * missing last chunk shows a caller that its answer is incomplete. HTTP/1.0 has no chunks: an answer without a length is
- * reset when it is given up, and looks complete if the process is killed.
+ * missing last chunk shows a caller that its answer is incomplete. HTTP/1.0 has no chunks: the connection of an incomplete
+ * answer without a length is reset, but the answer looks complete if the process is killed.
  */
 
 import type { IncomingMessage, ServerResponse } from 'node:http';
@@ -32,7 +32,7 @@
 	private isEnded = false;
 	/** Whether the whole answer has been written. */
 	private isWhole = false;
-	/** Whether the caller can tell an answer that breaks off from a complete one by its length or chunks. */
+	/** Whether a length or chunks show the caller where the answer ends. */
 	private isFramed = true;
 
 	constructor(
