Don't go on with a stream after an event whose id is empty

A caller whose stream breaks off after an event with an empty id (`id:`, or `id` without a colon, as a template writes it for events that have none) could get the stream once more from its begin, under the head of the first answer.

Cause: `isResumable` asked only whether the last event has an id. An empty one was taken for the last event to go on after, so the next target was asked for the events after "", and any first id counted as a later one; `id` without a colon was not seen at all, and the id before it was kept, which the caller has dropped.

Such a stream is cut now, as after an event without an id.

--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -82,9 +82,9 @@
 		return this.lastId;
 	}
 
-	/** Whether a target can go on after the last complete event: it would send an event without an id again. */
+	/** Whether a target can go on after the last complete event: one without an id, or with an empty one, would be sent again. */
 	isResumable(): boolean {
-		return this.isLastIdentified && this.lastId !== undefined;
+		return this.isLastIdentified && this.lastId !== undefined && this.lastId !== '';
 	}
 
 	/** Whether the event that has begun is longer than an event may be. */
@@ -232,8 +232,7 @@
 
 /** The id of the last event that has one. */
 function findLastId(events: Buffer): string | undefined {
-	const at = events.lastIndexOf('\nid:');
-	const start = at >= 0 ? at + 1 : events.indexOf('id:') === 0 ? 0 : -1;
+	const start = findLastIdField(events);
 	if (start < 0) {
 		return undefined;
 	}
@@ -243,3 +242,13 @@
 		.toString('utf8')
 		.trim();
 }
+
+/** The offset of the last id, or -1. A field without a colon has an empty value. */
+function findLastIdField(events: Buffer): number {
+	const at = Math.max(events.lastIndexOf('\nid:'), events.lastIndexOf('\nid\n'));
+	if (at >= 0) {
+		return at + 1;
+	}
+	const first = events.toString('latin1', 0, 'id:'.length);
+	return first === 'id:' || first === 'id\n' ? 0 : -1;
+}
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -67,6 +67,8 @@
 		{ text: 'id: 8\r\ndata: a\r\n\r\ndata: [DONE]\r\n\r\n', isResumable: false },
 		{ text: 'id: 8\ndata: a\n\n: keep-alive\n\n', isResumable: true },
 		{ text: 'data: a\n\n', isResumable: false },
+		{ text: 'id: 8\ndata: a\n\nid:\ndata: [DONE]\n\n', isResumable: false },
+		{ text: 'id: 8\ndata: a\n\nid\ndata: [DONE]\n\n', isResumable: false },
 	])('can be resumed after $text: $isResumable', ({ text, isResumable }) => {
 		const splitter = new EventStreamSplitter();
 		splitter.push(Buffer.from(text));
