Don't go on with a stream that begins anew where its ids are no numbers

What callers saw: a stream that broke off, followed by all of its events from the first one on, and a regular end. The answer looked complete and had events twice.

Cause: ids that are no numbers were only compared for being the same as the last one. A target that doesn't go on where it is asked to, but begins anew, sends the first id, which passed for a later one. An event with an empty id passed as well.

Change: the id of the first event of an answer is kept, and an answer that goes on with it, or with an empty id, is not passed on. Other events that come again, and a stream whose caller resumes it, still show nothing where ids are no numbers.

--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -28,6 +28,8 @@
 export class EventStreamSplitter {
 	private pending: Buffer[] = [];
 	private pendingBytes = 0;
+	/** The id of the first event, empty if that has none. */
+	private firstId: string | undefined;
 	private lastId: string | undefined;
 	/** Whether the last complete event with data has an id. */
 	private isLastIdentified = false;
@@ -117,17 +119,22 @@
 			return;
 		}
 		this.hasEvent ||= hasFields(events);
+		this.firstId ??= findFirstId(events);
 		this.lastId = findLastId(events) ?? this.lastId;
 		this.isLastIdentified = isIdentified(events) ?? this.isLastIdentified;
 	}
 
-	/** Checks the first event of a continuation. One without an id may be any event; ids that are numbers increase. */
+	/**
+	 * Checks the first event of a continuation. One without an id may be any event; ids that are numbers increase, and no others
+	 * show more than that the stream begins anew or repeats its last event.
+	 */
 	private checkContinuation(events: Buffer): void {
 		const first = this.resumedAfter === undefined ? undefined : findFirstEvent(events);
 		if (this.resumedAfter === undefined || first === undefined) {
 			return;
 		}
-		this.isMisplaced = !isLaterId(findLastId(first), this.resumedAfter);
+		const id = findLastId(first);
+		this.isMisplaced = id === this.firstId || !isLaterId(id, this.resumedAfter);
 		this.resumedAfter = undefined;
 	}
 
@@ -200,8 +207,14 @@
 	return first === undefined ? undefined : Buffer.from(first, 'latin1');
 }
 
+/** The id of the first of these complete events that has an id or data: empty if it has none, undefined if there is no such event. */
+function findFirstId(events: Buffer): string | undefined {
+	const first = findFirstEvent(events);
+	return first === undefined ? undefined : (findLastId(first) ?? '');
+}
+
 function isLaterId(id: string | undefined, last: string): boolean {
-	if (id === undefined || id === last) {
+	if (id === undefined || id === '' || id === last) {
 		return false;
 	}
 	return !(numberPattern.test(id) && numberPattern.test(last)) || isLargerNumber(id, last);
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -128,6 +128,25 @@
 		expect(splitter.getLastEventId() === '8').toBe(isElsewhere);
 	});
 
+	// Guards against a stream whose ids are no numbers and that begins anew, so that its caller gets all events twice.
+	it.each([
+		{ begun: 'id: a1\ndata: a\n\nid: a2\ndata: b\n\n', next: 'id: a1\ndata: a\n\n', isElsewhere: true },
+		{
+			begun: 'retry: 9\n\nid: a1\ndata: a\n\nid: a2\ndata: b\n\n',
+			next: 'id: a1\ndata: a\n\n',
+			isElsewhere: true,
+		},
+		{ begun: 'id: a1\ndata: a\n\nid: a2\ndata: b\n\n', next: 'id:\ndata: c\n\n', isElsewhere: true },
+		{ begun: 'id: a1\ndata: a\n\nid: a2\ndata: b\n\n', next: 'id: a3\ndata: c\n\n', isElsewhere: false },
+		{ begun: 'data: a\n\nid: a2\ndata: b\n\n', next: 'id: a3\ndata: c\n\n', isElsewhere: false },
+	])('begins elsewhere if $next goes on after $begun: $isElsewhere', ({ begun, next, isElsewhere }) => {
+		const splitter = new EventStreamSplitter();
+		splitter.push(Buffer.from(begun));
+		splitter.beginContinuation();
+		expect(splitter.push(Buffer.from(next)).toString()).toBe(isElsewhere ? '' : next);
+		expect(splitter.hasMisplacedEvent()).toBe(isElsewhere);
+	});
+
 	// Guards against a stream that begins anew for a caller that resumes it, also at a second target.
 	it.each([0, 1])(
 		'begins elsewhere if its caller has event 8 and it has event 1 (targets before: %d)',
