Keep the connection of an answer that is still being sent when the server stops

Callers of a stopping entry that read more slowly than their answer arrived got only the bytes that the kernel had taken. An answer with a length or chunks was cut; over HTTP/1.0 without a length its connection was closed in the regular way, so that a broken-off answer looked complete.

Cause: a graceful stop waits for the requests in progress, which end when their answers are written, and then closes the caller server. Node closes the idle connections of a server that is closed, and takes a connection for idle once its answer has been ended, also while bytes of it wait in the process. `maxFlushMs` was therefore never used for such answers.

Evidence, before the change: 8,388,608 bytes to a caller that doesn't read, the answer ended, then the server closed: 3,919,638 to 3,919,703 bytes arrived, in 4 of 4 cases (length and chunks over HTTP/1.1, length and none over HTTP/1.0); the last one closed regularly.

Change: the server knows its answers that are not sent completely, and shows Node those that are written as unfinished while it closes idle connections. It closes idle connections again when such an answer has been sent, so that the stop doesn't wait for the callers to close theirs.

--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -4,8 +4,7 @@
  * defined error kinds.
  */
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
@@ -29,6 +28,7 @@
 import type { CallPlan } from '../../common/placement/callPlan';
 import type { RefusedCall } from '../requests/activeRuns';
 import type { AcceptedCall } from '../requests/requestRun';
+import { AnsweringServer } from './answeringServer';
 import type { HeldBytes } from './bodyReader';
 import { readBody } from './bodyReader';
 import { CallerSink } from './callerSink';
@@ -85,9 +85,7 @@
 
 /** Serves lookups and calls over HTTP/1.1. */
 export class CallerServer {
-	private readonly server: Server;
-	/** Answers that have not been sent completely. */
-	private readonly unsentAnswers = new Set<ServerResponse>();
+	private readonly server: AnsweringServer;
 
 	constructor(
 		private readonly handler: ICallHandler,
@@ -98,7 +96,7 @@
 		private readonly timers: ITimerService,
 		private readonly loopLag: ILoopLag,
 	) {
-		this.server = createServer(
+		this.server = new AnsweringServer(
 			{
 				maxHeaderSize: limits.maxHeadBytes,
 				headersTimeout: defaultHeadTimeoutMs,
@@ -114,9 +112,6 @@
 			this.intake.noteConnection();
 			this.loopLag.noteConnection();
 		});
-		this.server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-			this.serve(request, response);
-		});
 		this.server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.answerParseError(error, socket);
 		});
@@ -158,23 +153,12 @@
 		});
 	}
 
-	/**
-	 * Resets the connections of answers that have begun and are not sent completely. A regular close would look like the
-	 * end of an answer without framing.
-	 */
+	/** Resets the connections of answers that have begun and are not sent completely. */
 	cutUnsentAnswers(): void {
-		for (const { headersSent, socket } of this.unsentAnswers) {
-			if (headersSent) {
-				socket?.resetAndDestroy();
-			}
-		}
+		this.server.cutUnsentAnswers();
 	}
 
 	private serve(request: IncomingMessage, response: ServerResponse): void {
-		this.unsentAnswers.add(response);
-		response.once('close', () => {
-			this.unsentAnswers.delete(response);
-		});
 		const raw = readRawHead(request);
 		if (raw.method === 'GET' && raw.url.split('?', 1)[0] === lookupPath) {
 			this.serveLookup(raw.url, request, response);
--- a/src/entry/node/callers/test/callerUnframedEnds.test.ts
+++ b/src/entry/node/callers/test/callerUnframedEnds.test.ts
@@ -1,14 +1,4 @@
 import { once } from 'node:events';
-import { SeededRandom } from '../../../../base/common/random';
-import { RepeatRule } from '../../../../core/manifest/common/manifest';
-import { NativeCallerDialect } from '../../../common/dialect/nativeCallerDialect';
-import { noLoopLag } from '../../../common/intake/loopLagGate';
-import { RequestIntake } from '../../../common/intake/requestIntake';
-import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
-import { createKeyDigests } from '../../keys/test/keyDigestFixtures';
-import type { HandlerFixture } from '../../test/callHandlerFixtures';
-import { createHandlerFixture } from '../../test/callHandlerFixtures';
-import { CallerServer } from '../callerServer';
 import {
 	openServer,
 	openSocket,
@@ -24,6 +14,7 @@
 	Conclusion,
 	disposeOpened,
 } from './answerEndFixtures';
+import { sendToTarget } from './callerServerFixtures';
 
 /** How long a stopping server waits for answers in progress. */
 const maxFlushMs = 120_000;
@@ -32,19 +23,6 @@
 	disposeOpened();
 });
 
-function createCallerServer({ handler, heldBytes, flow: { timers } }: HandlerFixture): CallerServer {
-	const scheduler = new ImmediateTurnScheduler();
-	return new CallerServer(
-		handler,
-		new NativeCallerDialect(createKeyDigests()),
-		heldBytes,
-		{ maxHeadBytes: 2_048, maxBodyBytes: 100 },
-		new RequestIntake(scheduler, timers, new SeededRandom(1), () => undefined),
-		timers,
-		noLoopLag,
-	);
-}
-
 describe('an answer to a caller that is not framed', () => {
 	// Guards against an answer that a caller takes for a whole one when its entry is killed and the kernel closes the connection.
 	it('is broken off over HTTP/1.1 if the process ends', async () => {
@@ -109,19 +87,7 @@
 		{ name: 'has ended', endAnswer: true },
 		{ name: 'still runs', endAnswer: false },
 	])('is broken off if it $name when the time to send it at a stop is over', async ({ endAnswer }) => {
-		const fixture = createHandlerFixture(RepeatRule.Idempotent);
-		const server = createCallerServer(fixture);
-		const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
-		const socket = openSocket(port);
-		socket.write(
-			'POST /v1/services/bookings/run HTTP/1.1\r\nhost: entry\r\n' +
-				'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork',
-		);
-		while (fixture.flow.attempts.length === 0) {
-			await new Promise(resolve => setImmediate(resolve));
-		}
-		const { observer } = fixture.flow.attempts[0]!;
-		observer.noteHandedOver();
+		const { server, fixture, socket, observer } = await sendToTarget('1.1');
 		observer.receiveHead({ status: 200, lines: [contentType], endsWithConnection: true });
 		observer.receiveData(Buffer.alloc(16_777_216, 'a'));
 		if (endAnswer) {
