Reset the connection of an answer in progress at a malformed request after it

A caller whose connection brought bytes that are no request behind one that was still running (a body longer than its length, or a further request that is malformed or too large) got the refusal of those bytes in the middle of its answer. Where the rest of the answer's length was shorter than the refusal, the broken-off answer looked whole, with bytes that are not its own. If the answer had not begun, the caller read `400`, outcome `not-run`, for a request that was running at a target.

Cause: `answerParseError` writes to the socket, past the sink that follows the answer's framing, and looked only whether the socket is writable.

Evidence, before the change: an answer of 200 bytes, 4 of them passed on, then `no request`: the caller received `half` and the refusal, a length reached (HTTP/1.1, HTTP/1.0 with `keep-alive`). In chunks: the refusal in place of a chunk. Before the head: the refusal with `anvilroad-outcome: not-run`.

Change: if a request of the connection has been read and has no whole answer yet, the connection is reset. A refusal still follows an answer that has ended, and answers a request whose own body is malformed.

--- a/src/entry/node/callers/answeringServer.ts
+++ b/src/entry/node/callers/answeringServer.ts
@@ -8,6 +8,7 @@
 
 import type { IncomingMessage, ServerOptions, ServerResponse } from 'node:http';
 import { Server } from 'node:http';
+import type { Socket } from 'node:net';
 
 type ServeRequest = (request: IncomingMessage, response: ServerResponse) => void;
 
@@ -26,6 +27,14 @@
 		this.on('checkContinue', serveAnswered);
 	}
 
+	/** Whether a request of this connection has been read and has no whole answer yet, or an answer that has begun. */
+	isAnswering(socket: Socket): boolean {
+		return [...this.unsentAnswers].some(
+			({ req, headersSent, writableEnded }) =>
+				req.socket === socket && !writableEnded && (req.complete || headersSent),
+		);
+	}
+
 	/** Also called by Node when the server is closed. Connections whose answers are still being sent are closed after that. */
 	override closeIdleConnections(): void {
 		this.isClosingIdle = true;
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -252,7 +252,12 @@
 		return new CallerSink(id, this.dialect, request, response, () => this.handler.isLeaving());
 	}
 
+	/** Bytes of a refusal would be read as a part of an answer that has begun, or as the answer to a request that runs. */
 	private answerParseError(error: NodeJS.ErrnoException, socket: Socket): void {
+		if (this.server.isAnswering(socket)) {
+			socket.resetAndDestroy();
+			return;
+		}
 		if (!socket.writable || error.code === 'ECONNRESET' || error.code === requestTimeoutCode) {
 			socket.destroy();
 			return;
--- a/src/entry/node/callers/test/callerServerFixtures.ts
+++ b/src/entry/node/callers/test/callerServerFixtures.ts
@@ -40,13 +40,14 @@
 	readonly observer: IAttemptObserver;
 }
 
-export async function sendToTarget(version: string): Promise<SentRequest> {
+/** @param connection What the caller asks for its connection. */
+export async function sendToTarget(version: string, connection = 'keep-alive'): Promise<SentRequest> {
 	const fixture = createHandlerFixture(RepeatRule.Idempotent);
 	const server = createCallerServer(fixture);
 	const { port } = await server.listen({ host: '127.0.0.1', port: 0 });
 	const socket = openSocket(port);
 	socket.write(
-		`POST /v1/services/bookings/run HTTP/${version}\r\nhost: entry\r\n` +
+		`POST /v1/services/bookings/run HTTP/${version}\r\nhost: entry\r\nconnection: ${connection}\r\n` +
 			'anvilroad-organisation: harbour-hotel\r\ncontent-length: 4\r\n\r\nwork',
 	);
 	while (fixture.flow.attempts.length === 0) {
