--- a/src/entry/common/streams/test/eventStreamGrammar.test.ts
+++ b/src/entry/common/streams/test/eventStreamGrammar.test.ts
@@ -76,6 +76,14 @@
 		});
 	});
 
+	// Guards against a whole event that is held back, and is dropped where nothing follows.
+	it('are passed on once they are whole', () => {
+		checkTexts(text => {
+			const passed = Buffer.concat(pushChunks(new EventStreamSplitter(), text));
+			return parseEvents(passed).events.length === parseEvents(text.bytes).events.length;
+		});
+	});
+
 	// Guards against an end inside an event that counts as the end of the stream, and the other way round.
 	it('are inside an event where a parser is', () => {
 		checkTexts(text => {
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -185,6 +185,14 @@
 		expect(splitter.isInsideLine()).toBe(isInside);
 	});
 
+	// Guards against an event that is dropped since the connection of its target ends between the two bytes of a line end.
+	it('passes on an event whose last line feed is missing, and then that alone', () => {
+		const splitter = new EventStreamSplitter();
+		expect(splitter.push(Buffer.from('data: a\r\n\r')).toString()).toBe('data: a\r\n\r');
+		expect(splitter.isInsideEvent()).toBe(false);
+		expect(splitter.push(Buffer.from('\ndata: b\r\n\r\n')).toString()).toBe('\ndata: b\r\n\r\n');
+	});
+
 	// Guards against half a comment of one target that becomes part of the first event of the next one.
 	it('drops what is left of the target before', () => {
 		const splitter = new EventStreamSplitter();
--- a/src/entry/node/requests/test/randomRuns.ts
+++ b/src/entry/node/requests/test/randomRuns.ts
@@ -151,7 +151,7 @@
 	const isInsideLine = extra.byteLength > 0 && !/[\r\n]$/.test(extra.toString('latin1'));
 	return {
 		bytes,
-		lastEvent: from + events.length,
+		lastEvent: events.length === 0 ? after : from + events.length,
 		isBetweenEvents: !isInsideEvent && !(run.isUnframed && isInsideLine),
 	};
 }
