Remove the byte order mark of each target from its events

What callers saw: a stream that broke off and went on at a target that begins its answers with a byte order mark (as some UTF-8 writers do) lost the first line of the event after the break, and ended regularly. Readers ignore the mark at the begin of an answer alone; amid it, it makes the line a field without a name that they know. A mark followed by a comment, without any event, also counted as a stream that had begun.

Cause: the splitter took the mark for a part of the first line, and passed it on wherever it came.

Change: the mark that begins a target's events is removed, also if it comes in pieces. Such answers have no length, and readers ignore it anyway.

--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -20,6 +20,7 @@
 const idOrDataPattern = /^(id|data)/m;
 const numberPattern = /^\d+$/;
 const leadingZeros = /^0+/;
+const byteOrderMark = Buffer.from('\uFEFF');
 const empty = Buffer.alloc(0);
 /** Bytes of an event beyond which its target counts as faulty, since an event is held until its end. */
 const maxEventBytes = 262_144;
@@ -36,6 +37,8 @@
 	/** The id of the event that the next one has to follow, until that is checked. */
 	private resumedAfter: string | undefined;
 	private isMisplaced = false;
+	/** Whether the bytes so far may be the begin of a byte order mark. */
+	private isAtStart = true;
 
 	/**
 	 * @param hasEvent Whether nothing may be left of the stream, since it goes on after an event.
@@ -70,6 +73,7 @@
 	 */
 	beginContinuation(): void {
 		this.takeRemainder();
+		this.isAtStart = true;
 		this.isMisplaced = false;
 		this.resumedAfter = this.lastId ?? this.firstAfter;
 	}
@@ -97,6 +101,7 @@
 	/** Appends bytes and returns the events that are now complete. */
 	push(chunk: Uint8Array): Buffer {
 		this.addPending(toBuffer(chunk));
+		this.removeByteOrderMark();
 		if (!this.isEventEndPossible()) {
 			return empty;
 		}
@@ -112,6 +117,17 @@
 		return this.isMisplaced ? empty : whole;
 	}
 
+	/** Removes a byte order mark, which readers ignore at the begin of an answer alone, also where another target goes on. */
+	private removeByteOrderMark(): void {
+		if (!this.isAtStart) {
+			return;
+		}
+		const bytes = this.takeRemainder();
+		const isMark = bytes.subarray(0, byteOrderMark.byteLength).equals(byteOrderMark);
+		this.isAtStart = !isMark && byteOrderMark.subarray(0, bytes.byteLength).equals(bytes);
+		this.addPending(isMark ? bytes.subarray(byteOrderMark.byteLength) : bytes);
+	}
+
 	/** Follows complete events, whose lines end with line feeds. */
 	private noteEvents(events: Buffer): void {
 		this.checkContinuation(events);
--- a/src/entry/common/streams/test/eventStreamSplitter.test.ts
+++ b/src/entry/common/streams/test/eventStreamSplitter.test.ts
@@ -193,6 +193,36 @@
 		expect(splitter.push(Buffer.from('\ndata: b\r\n\r\n')).toString()).toBe('\ndata: b\r\n\r\n');
 	});
 
+	// Guards against a byte order mark amid a stream, which makes its reader drop the line after it.
+	it.each([1, 2, 3, 4, 100])(
+		'drops the byte order mark of each target, cut into pieces of %d bytes',
+		length => {
+			const splitter = new EventStreamSplitter();
+			const send = (text: string): string => {
+				const bytes = Buffer.from(text);
+				let passed = '';
+				for (let start = 0; start < bytes.byteLength; start += length) {
+					passed += splitter.push(bytes.subarray(start, start + length)).toString();
+				}
+				return passed;
+			};
+			const first = send('\uFEFFid: 8\ndata: a\n\n');
+			expect(splitter.isResumable()).toBe(true);
+			splitter.beginContinuation();
+			expect(first + send('\uFEFFdata: b\nid: 9\n\n')).toBe('id: 8\ndata: a\n\ndata: b\nid: 9\n\n');
+		},
+	);
+
+	// Guards against a byte order mark alone, or before a comment, that counts as an event.
+	it.each(['\uFEFF', '\uFEFF: hello\n\n'])('has no event after %j', text => {
+		const splitter = new EventStreamSplitter();
+		splitter.push(Buffer.from(text));
+		expect(splitter.isInsideEvent()).toBe(true);
+		const next = new EventStreamSplitter(true);
+		next.push(Buffer.from(text));
+		expect(next.isInsideEvent()).toBe(false);
+	});
+
 	// Guards against half a comment of one target that becomes part of the first event of the next one.
 	it('drops what is left of the target before', () => {
 		const splitter = new EventStreamSplitter();
