Log that the budget of retries refuses another attempt

Callers saw streams that were cut although the route allowed another attempt and targets of their version were in use. The log of the entry that ran them shows `attempt-ended` with `failed` and then `ended`, and not why nothing went on: a route without an attempt left, a version in doubt and a used-up budget look the same. Only a request that comes back over a forward was refused with the reason.

Change: the scheduler says whether the budget alone refuses another attempt, and the runner notes it as `refused`, with the figures of the budget, before `ended`. Nothing else is decided differently. What an attempt adds to a request is counted in one function for both.

The new test failed before the runner's change.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -251,6 +251,11 @@
 	 * a later `advance` starts or refuses, and false if the scheduler removed the request.
 	 */
 	noteEnd(requestId: RequestId, end: AttemptEnd, nowMs: number): boolean;
+	/**
+	 * Returns why the budget of retries refuses another attempt if the running one ends so, or undefined if it does not, or if there
+	 * would be no other attempt anyway. Schedulers without a budget need not implement it.
+	 */
+	findBudgetRefusal?(requestId: RequestId, end: AttemptEnd, nowMs: number): string | undefined;
 	/** Whether the request of the running attempt would be retried if the target answered with an error. */
 	isRetriable(requestId: RequestId, nowMs: number): boolean;
 	/**
--- a/src/entry/common/workScheduling/trackedRequest.ts
+++ b/src/entry/common/workScheduling/trackedRequest.ts
@@ -47,6 +47,14 @@
 	};
 }
 
+/** Counts an attempt that has ended. */
+export function countAttempt(tracked: TrackedRequest, target: TargetId, end: AttemptEnd): void {
+	const isNotRun = end === AttemptEnd.TargetRefused || end === AttemptEnd.NotConnected;
+	tracked.possibleRuns += isNotRun ? 0 : 1;
+	tracked.mayHaveRun ||= !isNotRun;
+	tracked.triedTargets.push(target);
+}
+
 /** Whether a request may be attempted again after an attempt that ended so, apart from the budget of retries. */
 export function isRepeatAllowed(
 	tracked: TrackedRequest,
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -45,7 +45,7 @@
 import { computeTypicalPace } from './targetPace';
 import { computeTypicalLoad } from './typicalLoad';
 import type { TrackedRequest } from './trackedRequest';
-import { createTrackedRequest, isRepeatAllowed } from './trackedRequest';
+import { countAttempt, createTrackedRequest, isRepeatAllowed } from './trackedRequest';
 import { RequestRetries } from './requestRetries';
 import type { WorkPolicy } from './workPolicy';
 import { defaultWorkPolicy } from './workPolicy';
@@ -58,6 +58,8 @@
  */
 const maxUnplacedRequests = 8;
 
+const notSentAgain = 'not sent to another target';
+
 const errorKindsOfEnds: Readonly<Partial<Record<AttemptEnd, ErrorKind>>> = {
 	[AttemptEnd.TargetRefused]: ErrorKind.TargetRefused,
 	[AttemptEnd.NotConnected]: ErrorKind.NoTarget,
@@ -142,7 +144,7 @@
 		const item = this.estimates.createItem(request, nowMs);
 		const error = this.findAdmissionError(item, nowMs) ?? this.findRetryError(tracked, nowMs);
 		if (error !== undefined) {
-			const sent = tracked.sends === 0 ? 'not sent to any target' : 'not sent to another target';
+			const sent = tracked.sends === 0 ? 'not sent to any target' : notSentAgain;
 			this.refuse(request, error.kind, `${sent}: ${error.reason}`, tracked.mayHaveRun, nowMs);
 			return;
 		}
@@ -204,11 +206,8 @@
 		}
 		tracked.runningOn = undefined;
 		target.noteEnd(requestId, end, this.policy.retry, nowMs);
-		const isNotRun = end === AttemptEnd.TargetRefused || end === AttemptEnd.NotConnected;
-		tracked.possibleRuns += isNotRun ? 0 : 1;
-		tracked.mayHaveRun ||= !isNotRun;
+		countAttempt(tracked, target.id, end);
 		tracked.lastErrorKind = errorKindsOfEnds[end];
-		tracked.triedTargets.push(target.id);
 		if (!this.isRetryAllowed(tracked, end, nowMs)) {
 			this.removeRequest(tracked);
 			return false;
@@ -218,6 +217,17 @@
 		return true;
 	}
 
+	findBudgetRefusal(requestId: RequestId, end: AttemptEnd, nowMs: number): string | undefined {
+		const tracked = this.requests.get(requestId);
+		if (tracked?.runningOn === undefined) {
+			return undefined;
+		}
+		const after = { ...tracked, triedTargets: [...tracked.triedTargets] };
+		countAttempt(after, tracked.runningOn.id, end);
+		const isBudgetUsed = this.isRetryUseful(after, end, nowMs) && !this.retries.isSendAllowed(after, nowMs);
+		return isBudgetUsed ? `${notSentAgain}: ${this.retries.describe(nowMs)}` : undefined;
+	}
+
 	isRetriable(requestId: RequestId, nowMs: number): boolean {
 		const tracked = this.requests.get(requestId);
 		return tracked !== undefined && this.isPlaceable(tracked, this.listMatched(tracked.request), nowMs);
@@ -550,10 +560,14 @@
 	}
 
 	private isRetryAllowed(tracked: TrackedRequest, end: AttemptEnd, nowMs: number): boolean {
+		return this.isRetryUseful(tracked, end, nowMs) && this.retries.isSendAllowed(tracked, nowMs);
+	}
+
+	/** Whether the request may be attempted again, apart from the budget of retries. */
+	private isRetryUseful(tracked: TrackedRequest, end: AttemptEnd, nowMs: number): boolean {
 		return (
 			isRepeatAllowed(tracked, end, this.policy.retry.minRemainingMs, nowMs) &&
-			(!tracked.hasFirstByte || this.findUnusableReason(tracked.request) === undefined) &&
-			this.retries.isSendAllowed(tracked, nowMs)
+			(!tracked.hasFirstByte || this.findUnusableReason(tracked.request) === undefined)
 		);
 	}
 
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -330,19 +330,25 @@
 		const refusal = run.hasEnded() ? undefined : this.crashDetector.findRefusal(run.call);
 		const isStopped = refusal !== undefined || (run.hasEnded() && end !== AttemptEnd.Answered);
 		const schedulerEnd = isStopped ? AttemptEnd.Cancelled : end;
-		const isRetried = this.scheduler.noteEnd(run.call.id, schedulerEnd, this.timers.getNow());
+		const nowMs = this.timers.getNow();
+		const budgetRefusal = this.scheduler.findBudgetRefusal?.(run.call.id, schedulerEnd, nowMs);
+		const isRetried = this.scheduler.noteEnd(run.call.id, schedulerEnd, nowMs);
 		if (isRetried) {
 			this.noteRetry(run, end);
 		} else {
-			this.noteUnresumed(run);
+			this.noteUnresumed(run, budgetRefusal);
 			this.states.delete(run.call.id);
 			endUnanswered(run, refusal ?? error);
 		}
 		this.advance();
 	}
 
-	/** Notes why a stream whose answer broke off does not go on, if the reason is the version that began it. */
-	private noteUnresumed(run: RequestRun): void {
+	/** Notes why a request is not retried, if the reason is the budget of retries or the version that began its stream. */
+	private noteUnresumed(run: RequestRun, budgetRefusal: string | undefined): void {
+		if (budgetRefusal !== undefined) {
+			run.note(JournalStep.Refused, budgetRefusal);
+			return;
+		}
 		const continuation = run.hasEnded() ? undefined : run.findContinuation();
 		const required = continuation && run.findRequiredVersion();
 		if (continuation === undefined || required === undefined || this.hasTarget(createSchedulable(run))) {
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -101,6 +101,8 @@
 	readonly ends: RequestEnd[];
 	/** Measurements reported to the run observer, in order, except for the ends of requests. */
 	readonly observations: string[];
+	/** The steps of all requests. */
+	readonly journal: RingRequestJournal;
 	/** Submits a request, by default with an id of its own. */
 	submit(body?: string, id?: string, keyDigest?: KeyDigest): CapturingSink;
 	/** Waits until pending promise callbacks have run. */
@@ -240,6 +242,7 @@
 		attemptCountsWhenShared,
 		ends,
 		observations,
+		journal,
 		submit,
 		waitForPromises,
 	};
--- a/src/entry/node/requests/test/requestFlow.test.ts
+++ b/src/entry/node/requests/test/requestFlow.test.ts
@@ -1,11 +1,28 @@
 import { SeededRandom } from '../../../../base/common/random';
 import { ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
+import type { RecordedStep } from '../../../../core/explain/common/requestJournal';
+import { JournalStep } from '../../../../core/explain/common/requestJournal';
+import type { RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import { WorkScheduler } from '../../../common/workScheduling/workScheduler';
+import type { Flow } from './flowFixtures';
 import { beginAnswer, createFlow, getAttemptId } from './flowFixtures';
 import { createPosition } from '../../../common/workScheduling/test/fleetPositions';
 
+/** Creates a flow whose entry has too few requests and too large a fleet for a retry. */
+function createFlowWithoutBudget(): Flow {
+	return createFlow(
+		2,
+		RepeatRule.Idempotent,
+		new WorkScheduler(new SeededRandom(7), () => createPosition(Number.POSITIVE_INFINITY)),
+	);
+}
+
+function listSteps({ journal }: Flow): readonly RecordedStep[] {
+	return journal.find('request-1' as RequestId)?.entries ?? [];
+}
+
 describe('request flow through an entry', () => {
 	it('forwards the complete answer of the attempt', () => {
 		const flow = createFlow(1);
@@ -105,6 +122,34 @@
 		);
 	});
 
+	// Guards against logs that don't show whether a failed request had no other attempt or the budget of retries was used up.
+	it('notes that the budget of retries refuses another attempt', async () => {
+		const flow = createFlowWithoutBudget();
+		flow.submit();
+		const { observer } = flow.attempts[0]!;
+		observer.noteHandedOver();
+		observer.receiveHead({ status: 503, lines: [{ name: 'anvilroad-not-run', value: '1' }] });
+		await flow.waitForPromises();
+		expect(listSteps(flow).slice(-3)).toMatchObject([
+			{ step: JournalStep.AttemptEnded },
+			{
+				step: JournalStep.Refused,
+				detail: 'not sent to another target: 0 sent and 0 set aside of 0 retries',
+			},
+			{ step: JournalStep.Ended },
+		]);
+	});
+
+	it('notes no refusal of the budget where no attempt is left', async () => {
+		const flow = createFlowWithoutBudget();
+		flow.submit();
+		const { observer } = flow.attempts[0]!;
+		observer.noteHandedOver();
+		observer.noteFailed(new Error('read ECONNRESET'));
+		await flow.waitForPromises();
+		expect(listSteps(flow).map(({ step }) => step)).not.toContain(JournalStep.Refused);
+	});
+
 	// Guards against answers that are cut off because their target pauses and no other could go on with them.
 	it('delivers the rest of an answer after a pause of its only target', () => {
 		const flow = createFlow(
