Judge events under another status as their readers do

Readers ignore what follows the last event, and no code is changed: the judge now compares the events of such answers.

--- a/src/entry/node/requests/test/randomRunSource.ts
+++ b/src/entry/node/requests/test/randomRunSource.ts
@@ -56,6 +56,7 @@
 		const isWhole = body.isBetweenEvents || !isStream;
 		this.sent.push({
 			isStream,
+			hasEvents: hasEvents(run),
 			isUnframed: run.isUnframed,
 			bytes: hasEvents(run) ? removeMark(body.bytes) : body.bytes,
 			lastEvent: body.lastEvent,
