Test that a stream is whole if its second run goes on

The random answers ask only that nothing wrong looks complete, which a stream that is always cut fulfils. Peers that fall silent are not drawn: a forward ends at its deadline then.

--- a/src/entry/node/requests/test/randomRuns.ts
+++ b/src/entry/node/requests/test/randomRuns.ts
@@ -237,3 +237,35 @@
 	isUnframedUsual: fc.boolean(),
 	writesPerPause: fc.constantFrom(0, 0, 1, 2),
 });
+
+const soundRun: Partial<RandomRun> = {
+	status: 200,
+	type: 'text/event-stream',
+	isUnframed: false,
+	start: Next,
+	events: 9,
+	extraBytes: 0,
+	isError: false,
+	end: RunEnd.Regular,
+	disorder: None,
+};
+const brokenEnds = fc.constantFrom(RunEnd.Broken, RunEnd.Fault, RunEnd.Missing, RunEnd.Crash);
+
+/** Answers whose first run breaks off anywhere, and whose second one goes on as it is asked to. */
+export const mendedAnswers: fc.Arbitrary<RandomAnswer> = fc
+	.tuple(
+		randomAnswers,
+		runs,
+		runs,
+		fc.integer({ min: 0, max: 5 }),
+		fc.integer({ min: 0, max: 60 }),
+		brokenEnds,
+	)
+	.map(([answer, first, second, events, extraBytes, end]) => ({
+		...answer,
+		runs: [
+			{ ...first, ...soundRun, events, extraBytes, end },
+			{ ...second, ...soundRun },
+		],
+	}))
+	.filter(({ stream }) => stream.ids.length > 0 && stream.ids.every(id => id !== ''));
