Don't forward a request again to an entry that refused to send it

Callers of a route with a home region got a cut stream later than need be, and some where another entry of the region was never asked.

Cause: an entry whose budget of retries is used up refuses a request that may have run with the kind of the failure before, target-failed. The entry that forwarded it takes that for a sound entry whose target has just failed, which may get the request again.

Change: the end of a forward says whether a target may have got the request from the peer, by its history. An entry that reports the failure and made no attempt gets the request no more; others are asked, and without any the caller gets the cut at once. What other requests are forwarded there stays as it is.

The new test failed before with two forwards in place of one.

--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -73,6 +73,8 @@
 	readonly receivedBytes: number;
 	/** Whether the peer itself reported the end, and what it did for the request. */
 	readonly isReported: boolean;
+	/** Whether a target may have got the request from the peer. */
+	readonly isSent: boolean;
 }
 
 const errorKindsByName: ReadonlyMap<string, ErrorKind> = new Map(
@@ -102,6 +104,8 @@
 	private length: number | undefined;
 	private isReported = false;
 	private readonly maxRuns: number | undefined;
+	/** Sends of the request before the forward. */
+	private readonly earlierSends: number;
 
 	constructor(
 		private readonly run: RequestRun,
@@ -112,6 +116,7 @@
 		private readonly timers: ITimerService,
 	) {
 		const maxAttempts = run.call.head.routed?.route.attempts;
+		this.earlierSends = run.history.sends;
 		this.maxRuns =
 			maxAttempts === undefined ? undefined : computeMaxRuns(run.history.possibleRuns, maxAttempts);
 	}
@@ -385,7 +390,8 @@
 
 	private createEnd(kind: ForwardEndKind, error: RequestError | undefined): ForwardEnd {
 		const { sentBytes, receivedBytes, isReported } = this;
-		return { kind, error, sentBytes, receivedBytes, isReported };
+		const isSent = this.run.history.sends > this.earlierSends;
+		return { kind, error, sentBytes, receivedBytes, isReported, isSent };
 	}
 }
 
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -104,7 +104,10 @@
 	readonly instance: InstanceId;
 	/** The region of the entry, if no target there may run the request. The entries of a region share its targets. */
 	readonly unfitRegion?: RegionName;
-	/** Whether the entry is sound and may get the request again: a target there failed. */
+	/**
+	 * Whether the entry is sound and may get the request again: a target there failed. An entry that reports the failure of an earlier
+	 * attempt and has made none refuses it, as its budget of retries is used up.
+	 */
 	readonly isUsable: boolean;
 }
 
@@ -118,6 +121,7 @@
 	sentBytes: 0,
 	receivedBytes: 0,
 	isReported: false,
+	isSent: false,
 };
 
 /** Lists the entries that may not get the request again. */
@@ -354,7 +358,7 @@
 		const region = isVersionFault(end) ? this.context.findRegion(instance) : undefined;
 		return {
 			instance,
-			isUsable: isTargetFailure(end),
+			isUsable: isTargetFailure(end) && end.isSent,
 			...(region === undefined ? {} : { unfitRegion: region }),
 		};
 	}
--- a/src/entry/node/requests/test/forwardedRequests.test.ts
+++ b/src/entry/node/requests/test/forwardedRequests.test.ts
@@ -2,7 +2,13 @@
 import { createRequestError, ErrorKind, getOutcomeOf } from '../../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../../core/errors/common/outcome';
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
-import type { InstanceId, ManifestVersion, RegionName, RequestId } from '../../../../core/ids/common/ids';
+import type {
+	InstanceId,
+	ManifestVersion,
+	RegionName,
+	RequestId,
+	TargetId,
+} from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import type {
 	ForwardHead,
@@ -14,7 +20,7 @@
 import { noKeyCheck } from '../../../common/keys/keyConfirmation';
 import { knownKey, ScriptedKeys, withdrawnWithinMs } from '../../../common/keys/test/scriptedKeys';
 import { openStartGate } from '../../../common/intake/test/startGates';
-import { noAttempts } from '../../../common/requests/attemptHistory';
+import { addSend, noAttempts } from '../../../common/requests/attemptHistory';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import type { RemoteOffer, SendAwayContext } from '../../../common/sendAway/sendAwayPolicy';
 import { RemoteEnd } from '../../../common/sendAway/sendAwayPolicy';
@@ -250,6 +256,26 @@
 		expect(remoteEnds).toEqual([remoteEnd]);
 	});
 
+	// Guards against forwarding a request again to a peer that refuses it because its budget of retries is used up.
+	it.each([
+		{ name: 'once to a peer that refused to send it', history: noAttempts, forwards: 1 },
+		{
+			name: 'again to a peer whose target failed',
+			history: addSend(noAttempts, 'bookings-9' as TargetId),
+			forwards: 2,
+		},
+	])('is forwarded $name', async ({ history, forwards }) => {
+		const { peer, dispatch, advance } = createFixture();
+		dispatch();
+		peer.acceptConnection();
+		await advance(0);
+		const failure = createRequestError(ErrorKind.TargetFailed, 'the target failed');
+		peer.answer(createFaultMessage(failure, history));
+		await advance(0);
+		await advance(0);
+		expect(peer.requests.filter(({ part }) => part.case === 'head')).toHaveLength(forwards);
+	});
+
 	// Guards against a run at home for a caller that left while the peer kept the request.
 	it('is not run at home if its caller left before it was given back', async () => {
 		const { flow, peer, ends, dispatch, advance } = createFixture();
