Test what a forward says and counts, and the attempts at a stream, where a check is missing

Change: tests of these, with fixtures that record the heads sent to peers and let time pass between messages. No product code is changed.

--- a/src/entry/node/peers/test/scriptedPeers.ts
+++ b/src/entry/node/peers/test/scriptedPeers.ts
@@ -11,6 +11,7 @@
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import { RouteKind } from '../../../../core/manifest/common/routes';
 import type {
+	ForwardHead,
 	ForwardRequestRequest,
 	ForwardRequestResponse,
 } from '../../../../gen/anvilroad/peer/v1/peer_pb';
@@ -57,8 +58,8 @@
 /** In place of a last message: the stream of messages fails. */
 export const reset = Symbol('reset');
 
-/** What a peer sends for one forwarded request. */
-export type PeerScript = readonly (ForwardRequestResponse | typeof reset)[];
+/** What a peer sends for one forwarded request, and what happens between its messages. */
+export type PeerScript = readonly (ForwardRequestResponse | typeof reset | (() => void))[];
 
 const lastEvent = 4;
 
@@ -90,21 +91,27 @@
 	manifestVersion: 1 as ManifestVersion,
 };
 
+export interface ForwardedOptions {
+	readonly method?: string;
+	/** Whether the caller set the deadline. */
+	readonly isDeadlineGiven?: boolean;
+}
+
 /** A request for a resumable stream whose answer comes from peers. */
 export class ForwardedStream {
 	readonly sink = new EndCapturingSink();
 	readonly run: RequestRun;
-	private readonly timers = new ManualTimerService();
-	private lastEventIds: string[] = [];
+	readonly timers = new ManualTimerService();
+	private readonly heads: ForwardHead[] = [];
 
-	constructor() {
+	constructor({ method = 'POST', isDeadlineGiven = true }: ForwardedOptions = {}) {
 		const journal = new RingRequestJournal(100, () => new Date(0));
 		const call = createCall('forwarded-1' as RequestId, createPlan(RepeatRule.Idempotent), 'work', 0);
 		const route = { kind: RouteKind.Stream, isResumable: true, attempts: 3, firstByteAimMs: 500 };
 		const routed = { route, host: 'rounds.example', callerRequestId: 'r1', priority: 0 } as RoutedCall;
 		journal.open(call.id, { service: 'bookings', organisation: 'a', requestClass: 'normal' }, 0);
 		this.run = new RequestRun(
-			{ ...call, head: { ...call.head, routed } },
+			{ ...call, isDeadlineGiven, head: { ...call.head, method, routed } },
 			new RequestLifecycle(),
 			this.sink,
 			journal,
@@ -114,9 +121,14 @@
 		this.run.lifecycle.send(RequestEvent.AcceptHead);
 	}
 
+	/** The heads of the request as the peers got it. */
+	get sentHeads(): readonly ForwardHead[] {
+		return this.heads;
+	}
+
 	/** The events after which the peers were asked to go on. */
 	get askedAfter(): readonly string[] {
-		return this.lastEventIds;
+		return this.heads.map(({ lastEventId }) => lastEventId);
 	}
 
 	/** Lets the answer begin at a target of this entry that breaks it off after some bytes. */
@@ -133,19 +145,25 @@
 
 	/** Forwards the request to a peer that sends these messages. */
 	async forward(script: PeerScript): Promise<ForwardEnd> {
-		const { lastEventIds } = this;
+		const { heads } = this;
 		const forwardRequest = async function* answer(
 			requests: AsyncIterable<ForwardRequestRequest>,
+			{ signal }: { signal: AbortSignal },
 		): AsyncGenerator<ForwardRequestResponse> {
 			for await (const { part } of requests) {
 				if (part.case === 'head') {
-					lastEventIds.push(part.value.lastEventId);
+					heads.push(part.value);
 				}
 			}
 			for (const message of script) {
 				if (message === reset) {
 					throw new Error('the stream was reset');
 				}
+				if (typeof message === 'function') {
+					message();
+					signal.throwIfAborted();
+					continue;
+				}
 				yield message;
 			}
 		};
--- a/src/entry/node/requests/test/streamEnds.test.ts
+++ b/src/entry/node/requests/test/streamEnds.test.ts
@@ -63,6 +63,17 @@
 	});
 });
 
+describe('the first event of a target that goes on for a caller that resumed a stream', () => {
+	// Guards against events repeated after a second target, which goes on after a later event than the caller named.
+	it('has to follow the last one that was passed on', () => {
+		const streamRun = beginStream(new StreamRun({ lastEventId: '2' }), stream, createEvent(3));
+		streamRun.markInterrupted();
+		const { run, sink } = beginStream(streamRun, stream, createEvent(3));
+		expect(run.findStreamFault()).toBeDefined();
+		expect(sink.text).toBe(createEvent(3));
+	});
+});
+
 describe('an event without end', () => {
 	// Guards against an entry that holds the bytes of such an event for as long as they come.
 	it('is a fault of its stream', () => {
--- a/src/entry/node/requests/test/streamRuns.ts
+++ b/src/entry/node/requests/test/streamRuns.ts
@@ -1,5 +1,5 @@
 /**
- * Test fixtures: a request for a stream that has been handed over to a target, and the heads of its answers.
+ * Test fixtures: a request for a stream, and the heads of the answers of its targets.
  */
 
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
@@ -42,6 +42,7 @@
 /** A request for a stream whose answer the test gives. */
 export class StreamRun {
 	readonly sink = new CapturingSink();
+	readonly timers = new ManualTimerService();
 	readonly run: RequestRun;
 
 	constructor({ lastEventId, maxOutputTokens, ...options }: StreamOptions = {}) {
@@ -56,17 +57,19 @@
 			new RequestLifecycle(),
 			this.sink,
 			journal,
-			new ManualTimerService(),
+			this.timers,
 			createObserver([], []),
 		);
 		for (const event of [RequestEvent.AcceptHead, RequestEvent.Enqueue]) {
 			this.run.lifecycle.send(event);
 		}
-		this.sendToTarget();
 	}
 
-	/** Begins an answer, also one that goes on. Returns why it can't go on. */
+	/** Begins the answer of the next target. Returns why it can't go on with the one before. */
 	begin(head: AnswerHead): string | undefined {
+		for (const event of [RequestEvent.Start, RequestEvent.HandOver]) {
+			this.run.lifecycle.send(event);
+		}
 		return this.run.begin(head, () => undefined);
 	}
 
@@ -74,16 +77,9 @@
 		this.run.write(Buffer.from(text));
 	}
 
-	/** Breaks the answer off, and hands the request over to the next target. */
+	/** Breaks the answer off, so that the next target goes on. */
 	markInterrupted(): void {
 		this.run.markInterrupted();
 		this.run.lifecycle.send(RequestEvent.Interrupt);
-		this.sendToTarget();
-	}
-
-	private sendToTarget(): void {
-		for (const event of [RequestEvent.Start, RequestEvent.HandOver]) {
-			this.run.lifecycle.send(event);
-		}
 	}
 }
