--- a/src/entry/node/requests/test/streamEnds.test.ts
+++ b/src/entry/node/requests/test/streamEnds.test.ts
@@ -194,6 +194,14 @@
 	});
 });
 
+describe('a stream whose last event has an empty id', () => {
+	// Guards against a target that is asked to go on after no event, so that its caller gets all events again.
+	it('does not go on', () => {
+		const { run } = beginStream(new StreamRun(), stream, `${createEvent(1)}id:\ndata: a\n\n`);
+		expect(run.isContinuable()).toBe(false);
+	});
+});
+
 describe('an answer that is no stream', () => {
 	// Guards against another run of a request whose caller has the head of an answer without events of a stream.
 	it('does not go on if it has events under the status of an error', () => {
