--- a/src/entry/common/streams/eventStreamSplitter.ts
+++ b/src/entry/common/streams/eventStreamSplitter.ts
@@ -37,7 +37,7 @@
 	/** The id of the event that the next one has to follow, until that is checked. */
 	private resumedAfter: string | undefined;
 	private isMisplaced = false;
-	/** Whether the bytes so far may be the begin of a byte order mark. */
+	/** Whether the bytes so far may be the beginning of a byte order mark. */
 	private isAtStart = true;
 
 	/**
@@ -117,7 +117,7 @@
 		return this.isMisplaced ? empty : whole;
 	}
 
-	/** Removes a byte order mark, which readers ignore at the begin of an answer alone, also where another target goes on. */
+	/** Removes a byte order mark: readers ignore it only at the beginning of an answer, and would keep it where another target continues. */
 	private removeByteOrderMark(): void {
 		if (!this.isAtStart) {
 			return;
--- a/src/entry/common/streams/test/eventStreamGrammar.test.ts
+++ b/src/entry/common/streams/test/eventStreamGrammar.test.ts
@@ -69,7 +69,7 @@
 		});
 	});
 
-	// Guards against a part of an event that is passed on, and is then taken for the begin of the next target's event.
+	// Guards against a part of an event that is passed on, and is then taken for the beginning of the next target's event.
 	it('are passed on as whole events after each chunk', () => {
 		checkTexts(text => {
 			const parts = pushChunks(new EventStreamSplitter(), text);
--- a/src/entry/common/streams/test/referenceEvents.ts
+++ b/src/entry/common/streams/test/referenceEvents.ts
@@ -51,7 +51,7 @@
 		}
 	}
 
-	/** An event without data is dropped, and the id that it has counts all the same. */
+	/** An event without data is dropped, but its id counts. */
 	private finishEvent(): void {
 		this.lastEventId = this.id;
 		if (this.data.length > 0) {
--- a/src/entry/node/callers/test/malformedRequests.test.ts
+++ b/src/entry/node/callers/test/malformedRequests.test.ts
@@ -34,7 +34,7 @@
 		},
 	);
 
-	// Guards against the caller of a request that runs being told that it was not run.
+	// Guards against `not-run` for a request that runs.
 	it('is not answered in place of one that runs', async () => {
 		const { server, fixture, socket } = await sendToTarget('1.1');
 		const received = receiveAll(socket, () => false);
--- a/src/entry/node/requests/test/forwardFixtures.ts
+++ b/src/entry/node/requests/test/forwardFixtures.ts
@@ -96,7 +96,7 @@
 	readonly flow: Flow;
 	readonly peer: ScriptedPeer;
 	readonly ends: RequestEnd[];
-	/** What the policy was told of each forward. */
+	/** The ends of forwards that the policy received. */
 	readonly remoteEnds: RemoteEnd[];
 	/** Dispatches a request that the policy sends to the peer. */
 	dispatch(limitMs?: number, headChange?: Partial<CallHead>): CapturingSink;
--- a/src/entry/node/requests/test/randomRunSource.ts
+++ b/src/entry/node/requests/test/randomRunSource.ts
@@ -77,7 +77,7 @@
 		return { status, lines, endsWithConnection: isUnframed };
 	}
 
-	/** A peer is told by another target that an end without framing is one only where it is. */
+	/** Another target confirms an end without framing to a peer only where it is one. */
 	private findShownEnd({ end, isUnframed, way, disorder }: RandomRun, body: RunBody): AnswerEnd {
 		const isEmpty = body.bytes.byteLength === 0;
 		const isInOrder = disorder === RunDisorder.None || (disorder === RunDisorder.LateHead && isEmpty);
--- a/src/entry/node/requests/test/streamEnds.test.ts
+++ b/src/entry/node/requests/test/streamEnds.test.ts
@@ -176,7 +176,7 @@
 });
 
 describe('an answer without framing that is cut', () => {
-	// Guards against an end that callers who read no chunks can't tell from a regular one.
+	// Guards against an end that callers who read no chunks take for a regular one.
 	it('ends with the half event at which it broke off', () => {
 		const text = `${createEvent(1)}id: 2\nda`;
 		const { run, sink } = beginStream(new StreamRun(), unframedStream, text);
