Ask other entries which versions they have seen for callers that name no stream

What callers saw: a caller whose stream was cut resumes it at once with Last-Event-Id, on a new request id and without naming a stream. An entry in its first 15 s refused all of these as stream-unknown, although others knew that one version alone had served.

Cause: an entry calls a version the only one after it has followed the registrations for 15 s, and has nothing but its own view for that. Found while the change was tested: that view also misses what comes while the store doesn't reach the entry. A version that started elsewhere meanwhile was not known there for up to 15 s, and its streams went on at the version before.

Change: before an entry answers such a caller, it asks two entries of its region, and two of others if that is not enough or the store does not answer it, for the versions that they have seen (FindVersionHistory). All callers share the questions, once in 500 ms at most. The time before the start is taken over only if the other entry's view has no gap up to a revision of the store that is at least that of this entry's own listing, in the same era; no clock decides that. Each version in an answer counts as seen whatever its revision, which can only lead to a refusal. Without answers, or from entries of an earlier release, an entry decides as before.

Tried and not kept: asking only for the time before the start.

--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -17,8 +17,18 @@
 import { Disposable } from '../../../base/common/lifecycle';
 import type { IAuditTrail } from '../../audit/common/auditTrail';
 import { AuditKind } from '../../audit/common/auditTrail';
-import type { BootId, ServiceName, SoftwareVersion, TargetId, ZoneName } from '../../ids/common/ids';
+import type {
+	BootId,
+	InstanceId,
+	ServiceName,
+	SoftwareVersion,
+	TargetId,
+	ZoneName,
+} from '../../ids/common/ids';
+import type { FollowStart, StorePosition } from '../../store/common/storeFollower';
 import type { DiscoveredTarget } from './discoveredTarget';
+import type { VersionHistory } from './seenVersions';
+import { SeenVersions } from './seenVersions';
 
 /** Registrations that were written or removed since the previous read. */
 export interface RegistrationChange {
@@ -45,8 +55,10 @@
 	/** The registrations are known as they were at this time, in monotonic milliseconds. */
 	getCurrentAsOfMs(): number | undefined;
 	isReached(): boolean;
-	/** Since when all registrations are known, in monotonic milliseconds; undefined before the first answer. */
-	getFollowedSinceMs(): number | undefined;
+	/** The listing since which all registrations are known; undefined before the first answer. */
+	getFollowStart(): FollowStart | undefined;
+	/** The position of the store up to which changes have been applied; undefined if that is not certain. */
+	getEmittedPosition(): StorePosition | undefined;
 }
 
 /** Up to when the store has confirmed a registration. */
@@ -56,15 +68,6 @@
 	readonly isReached: boolean;
 }
 
-interface PastVersion {
-	readonly service: ServiceName;
-	readonly version: SoftwareVersion | undefined;
-	readonly untilMs: number;
-}
-
-/** How long versions that are no longer registered are kept, in milliseconds. */
-const pastVersionRetentionMs = 60_000;
-
 /** How long an expired registration may take to be written again after an outage of the store, in milliseconds. */
 export const reregistrationGraceMs = 2_200;
 
@@ -79,8 +82,7 @@
 	private readonly removedBoots = new LRUCache<TargetId, BootId>({ max: maxRemovedBoots });
 	private source: IRegistrationSource | undefined;
 	private restoredMs = Number.NEGATIVE_INFINITY;
-	/** Versions of registrations that were replaced or removed. */
-	private pastVersions: PastVersion[] = [];
+	private readonly seenVersions = new SeenVersions();
 	private evacuated: ReadonlySet<ZoneName> = new Set();
 	private hasRead = false;
 	private hasChanged = false;
@@ -126,20 +128,49 @@
 
 	/**
 	 * Returns the version of a service's targets if the store has shown no other one for `spanMs`. Returns undefined if it has, if it
-	 * has not answered for so long, or if this entry has not followed it for so long: the targets of another version may have left just
-	 * before.
+	 * has not answered for so long, or if neither this entry nor one whose history it took over has followed it for so long: the targets
+	 * of another version may have left just before.
 	 */
 	findOnlyVersion(service: ServiceName, spanMs: number, nowMs: number): SoftwareVersion | undefined {
-		const asOfMs = this.source?.getCurrentAsOfMs() ?? Number.NEGATIVE_INFINITY;
-		const present = this.list()
-			.filter(({ target }) => target.service === service)
-			.map(({ target }) => target.version);
-		const past = this.pastVersions.filter(seen => seen.service === service && nowMs - seen.untilMs < spanMs);
-		const versions = new Set([...present, ...past.map(({ version }) => version)]);
-		const [only] = versions;
-		const followedSinceMs = this.source?.getFollowedSinceMs() ?? Number.POSITIVE_INFINITY;
-		const isKnown = nowMs - followedSinceMs >= spanMs && nowMs - asOfMs < spanMs;
-		return isKnown && versions.size === 1 ? only : undefined;
+		const { only, isFollowed } = this.describeVersions(service, spanMs, nowMs);
+		return isFollowed ? only : undefined;
+	}
+
+	/** Whether this entry has seen one version alone within `spanMs`, also if it has followed the store for less time. */
+	hasOneVersion(service: ServiceName, spanMs: number, nowMs: number): boolean {
+		return this.describeVersions(service, spanMs, nowMs).only !== undefined;
+	}
+
+	/** Whether the store answers at present. */
+	isStoreReached(): boolean {
+		return this.source?.isReached() === true;
+	}
+
+	/** Describes the registered versions for another entry; undefined if they are not certain. */
+	describeVersionHistory(nowMs: number): VersionHistory | undefined {
+		const position = this.source?.getEmittedPosition();
+		const start = this.source?.getFollowStart();
+		if (position === undefined || start === undefined) {
+			return undefined;
+		}
+		const present = this.list().map(({ target }) => target);
+		return this.seenVersions.describe(present, position, start, nowMs);
+	}
+
+	/** Adds the versions that another entry has seen, and the time before this one followed the store, if it knows that. */
+	addVersionHistory(history: VersionHistory, from: InstanceId, receivedMs: number): void {
+		const start = this.source?.getFollowStart();
+		if (start === undefined) {
+			return;
+		}
+		const beforeMs = this.seenVersions.getKnownSinceMs(start);
+		this.seenVersions.add(history, start, receivedMs);
+		const sinceMs = this.seenVersions.getKnownSinceMs(start);
+		if (sinceMs < beforeMs) {
+			const describe = (knownSinceMs: number): string =>
+				`known for ${Math.round(receivedMs - knownSinceMs)} ms`;
+			this.record('versions', describe(beforeMs), describe(sinceMs), `history of ${from}`);
+		}
 	}
 
 	isEvacuated(zone: ZoneName): boolean {
@@ -195,6 +226,25 @@
 		this.emitChange();
 	}
 
+	/** The only version of a service within `spanMs`, if there is one, and whether all versions since then are known. */
+	private describeVersions(
+		service: ServiceName,
+		spanMs: number,
+		nowMs: number,
+	): { readonly only: SoftwareVersion | undefined; readonly isFollowed: boolean } {
+		const asOfMs = this.source?.getCurrentAsOfMs() ?? Number.NEGATIVE_INFINITY;
+		const present = this.list()
+			.filter(({ target }) => target.service === service)
+			.map(({ target }) => target.version);
+		const versions = new Set([...present, ...this.seenVersions.listPast(service, spanMs, nowMs)]);
+		const [only] = versions;
+		const sinceMs = this.seenVersions.getKnownSinceMs(this.source?.getFollowStart());
+		return {
+			only: versions.size === 1 && nowMs - asOfMs < spanMs ? only : undefined,
+			isFollowed: nowMs - sinceMs >= spanMs,
+		};
+	}
+
 	private emitChange(): void {
 		if (this.hasChanged) {
 			this.hasChanged = false;
@@ -226,7 +276,7 @@
 		}
 		this.hasChanged = true;
 		if (before !== undefined && isNewBoot) {
-			this.recordPastVersion(before.target, nowMs);
+			this.seenVersions.noteEnd(before.target, nowMs);
 		}
 		this.known.set(id, {
 			target,
@@ -266,7 +316,7 @@
 			this.hasChanged = true;
 			this.known.delete(id);
 			this.recordRemovedBoot(known.target);
-			this.recordPastVersion(known.target, nowMs);
+			this.seenVersions.noteEnd(known.target, nowMs);
 			this.record(id, describeState(known.target), 'gone', sign);
 		}
 	}
@@ -277,11 +327,6 @@
 		}
 	}
 
-	private recordPastVersion({ service, version }: DiscoveredTarget, nowMs: number): void {
-		this.pastVersions = this.pastVersions.filter(({ untilMs }) => nowMs - untilMs < pastVersionRetentionMs);
-		this.pastVersions.push({ service, version, untilMs: nowMs });
-	}
-
 	private setZoneCold(zone: ZoneName, coldUntilMs: number): void {
 		for (const [id, known] of this.known) {
 			if (known.target.zone === zone) {
--- a/src/core/discovery/test/discovery.test.ts
+++ b/src/core/discovery/test/discovery.test.ts
@@ -48,7 +48,8 @@
 	const state = { asOfMs: undefined as number | undefined, followedSinceMs: 0, reached: true };
 	const source = {
 		getCurrentAsOfMs: () => state.asOfMs,
-		getFollowedSinceMs: () => state.followedSinceMs,
+		getFollowStart: () => ({ sinceMs: state.followedSinceMs, revision: 1, era: 1 }),
+		getEmittedPosition: () => ({ revision: 1, era: 1 }),
 		isReached: () => state.reached,
 	};
 	return Object.assign(state, { source });
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -82,6 +82,18 @@
 	readonly isRelayed: boolean;
 }
 
+/** How far the changes of the store are known. Revisions are comparable only within one era. */
+export interface StorePosition {
+	readonly revision: number;
+	readonly era: StoreEra | undefined;
+}
+
+/** The listing since which all changes are known. */
+export interface FollowStart extends StorePosition {
+	/** In monotonic milliseconds. */
+	readonly sinceMs: number;
+}
+
 /** How the age of what a follower knows is measured and kept low. */
 export interface FollowedAge {
 	/** Also counts the time for which the machine is suspended. */
@@ -119,6 +131,10 @@
 	private currentAsOfMs: number | undefined;
 	/** All changes since this time of the age clock are known. */
 	private followedSinceMs: number | undefined;
+	/** The position of the listing at that time; undefined if a restore was noticed while it was applied. */
+	private followedFrom: StorePosition | undefined;
+	/** All changes up to this position have been emitted. */
+	private emittedPosition: StorePosition | undefined;
 	/** The time of the state that the answer of the last call describes, by the age clock. */
 	private answerAsOfMs = 0;
 	private isAnswerListed = false;
@@ -180,6 +196,19 @@
 		return this.toMonotonic(this.followedSinceMs);
 	}
 
+	/** The listing since which all changes are known; undefined before the first one. */
+	getFollowStart(): FollowStart | undefined {
+		const sinceMs = this.getFollowedSinceMs();
+		return sinceMs === undefined || this.followedFrom === undefined
+			? undefined
+			: { ...this.followedFrom, sinceMs };
+	}
+
+	/** The position up to which all changes have been emitted; undefined before the first listing and after a restore. */
+	getEmittedPosition(): StorePosition | undefined {
+		return this.emittedPosition;
+	}
+
 	/** Milliseconds since the items were known to be those of the store; undefined before the first answer. */
 	getAgeMs(): number | undefined {
 		return this.currentAsOfMs === undefined ? undefined : this.ageClock.getNow() - this.currentAsOfMs;
@@ -266,9 +295,12 @@
 				isAfterOutage: nowMs - this.recoveredMs < recoveryGraceMs,
 			});
 		}
+		const { revision } = this.mirror;
+		this.emittedPosition = revision === 0 ? undefined : { revision, era: this.era };
 		const unseenMs = this.answerAsOfMs - (this.currentAsOfMs ?? Number.NEGATIVE_INFINITY);
 		if (this.isAnswerListed && unseenMs > maxUnseenMs) {
 			this.followedSinceMs = this.answerAsOfMs;
+			this.followedFrom = this.emittedPosition;
 		}
 		// All changes up to the time known before stay applied if a later answer describes an earlier time. A listing does not
 		// go on from what was known.
@@ -418,6 +450,7 @@
 		const heldRevision = this.mirror.revision;
 		this.era = toEra;
 		this.restoreCount++;
+		this.emittedPosition = undefined;
 		this.recoveredMs = this.timers.getNow();
 		this.mirror.markRestored();
 		this.restores.emit({ fromEra, toEra, heldRevision, foundRevision });
--- a/src/core/store/test/storeFollower.test.ts
+++ b/src/core/store/test/storeFollower.test.ts
@@ -157,6 +157,23 @@
 		await store.fail(StoreErrorKind.HistoryGone);
 		await store.answer({ items: [], hasMore: false, revision: 3 });
 		expect(follower.getFollowedSinceMs()).toBe(4_100);
+		expect(follower.getFollowStart()).toEqual({ sinceMs: 4_100, revision: 3, era: undefined });
+		stop();
+	});
+
+	// Guards against changes that another entry takes for known although this one has not emitted them, or that a restore took back.
+	it('is at a position once all changes up to it have been emitted, until the store is restored', async () => {
+		const { store, follower, stop } = await startFollowing();
+		const positions: unknown[] = [];
+		follower.onDidChange.observe(() => positions.push(follower.getEmittedPosition())).catch(() => undefined);
+		expect(follower.getEmittedPosition()).toBeUndefined();
+		await store.answer({ items: [createItem('a', 1)], hasMore: false, revision: 4, era: 1 });
+		expect(follower.getEmittedPosition()).toEqual({ revision: 4, era: 1 });
+		await store.answer({ changes: [createWrite('b', 6)], revision: 6, era: 1 });
+		expect(positions).toEqual([undefined, { revision: 4, era: 1 }]);
+		expect(follower.getEmittedPosition()).toEqual({ revision: 6, era: 1 });
+		follower.updateEra(2);
+		expect(follower.getEmittedPosition()).toBeUndefined();
 		stop();
 	});
 
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -57,6 +57,7 @@
 import { UnreadableLoads } from './requests/unreadableLoads';
 import { SleepDetector } from './sleepDetector';
 import { StartHold } from './startHold';
+import { OnlyVersionFinder } from './streams/onlyVersionFinder';
 import { OriginPeers } from './streams/originPeers';
 import { StreamOriginKeeper } from './streams/streamOriginKeeper';
 import { createTicketService } from './tickets/createTicketService';
@@ -94,6 +95,7 @@
 	private readonly limits: EntryLimits;
 	private readonly activeRuns: ActiveRuns;
 	private readonly streams: StreamOriginKeeper;
+	private readonly onlyVersions: OnlyVersionFinder;
 	private readonly sleepDetector: SleepDetector;
 	private readonly startHold: StartHold;
 	private readonly tickets: TicketService;
@@ -182,9 +184,11 @@
 			quarantine: this.quarantine,
 			timers: this.timers,
 		});
+		const originPeers = new OriginPeers(id, this.fleet);
 		this.streams = this.register(
-			new StreamOriginKeeper({ instance: id, region, zone }, new OriginPeers(id, this.fleet), this.timers),
+			new StreamOriginKeeper({ instance: id, region, zone }, originPeers, this.timers),
 		);
+		this.onlyVersions = new OnlyVersionFinder(region, targets, originPeers, this.timers, this.random);
 		this.limits = this.register(this.createLimits());
 		this.activeRuns = new ActiveRuns(
 			this.journal,
@@ -220,6 +224,7 @@
 			this.certificates.peers,
 			this.platform.relay,
 			this.limits.shared,
+			targets,
 		);
 		this.operators = this.register(this.createOperatorsServer(programVersion));
 		this.ports = environment.createPorts(this.callHandler);
@@ -501,6 +506,7 @@
 			this.metrics,
 			this.timers,
 			this.streams,
+			this.onlyVersions,
 			this.random,
 		);
 		const router = new RequestRouter(context, this.tickets, this.timers, this.startGate, this.keyChecker);
--- a/src/entry/node/fleet/test/keyLevel.test.ts
+++ b/src/entry/node/fleet/test/keyLevel.test.ts
@@ -18,7 +18,19 @@
 	const own = { id: 'own', region, zone: 'khomas-a' } as never;
 	const random = new SeededRandom(1);
 	const timers = new ManualTimerService();
-	return new RouterContext(own, unused, unused, unused, fleet, unused, unused, timers, unused, random);
+	return new RouterContext(
+		own,
+		unused,
+		unused,
+		unused,
+		fleet,
+		unused,
+		unused,
+		timers,
+		unused,
+		unused,
+		random,
+	);
 }
 
 describe('the protocol level of a view', () => {
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -55,6 +55,8 @@
 import type { StreamKey } from '../../common/streams/streamOrigins';
 import { decodeGroups, encodeOrigin } from '../streams/originCodec';
 import type { ReportedOrigin } from '../streams/originPeers';
+import { encodeHistory } from '../streams/versionHistoryCodec';
+import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
 import { decodeHistory } from './attemptHistoryCodec';
@@ -115,6 +117,7 @@
 		certificates: CertificateStore | undefined,
 		private readonly storeFeeds?: IStoreFeedServer,
 		private readonly demandReceiver?: DemandReceiver,
+		private readonly versions?: Pick<ITargetRegistry, 'describeVersionHistory'>,
 	) {
 		super();
 		const routes = (router: ConnectRouter): void => {
@@ -130,6 +133,7 @@
 					return create(KeepStreamOriginsResponseSchema);
 				},
 				findStreamOrigin: ({ streamKey }) => this.createOriginAnswer(streamKey),
+				findVersionHistory: () => encodeHistory(this.versions?.describeVersionHistory()),
 				fetchManifest: () => this.handler.describeManifest(),
 				followStore: (request, context) => this.serveStoreFeed(request, context),
 				shareDemand: request => this.serveDemand(request),
--- a/src/entry/node/requests/routerContext.ts
+++ b/src/entry/node/requests/routerContext.ts
@@ -29,6 +29,7 @@
 import { findRoom } from '../../common/fleetView/entryView';
 import type { VersionRequirement } from '../../common/scheduling/versionMatch';
 import type { KnownOrigin } from '../../common/streams/streamOrigin';
+import type { OnlyVersionFinder } from '../streams/onlyVersionFinder';
 import type { StreamOriginKeeper } from '../streams/streamOriginKeeper';
 import type { EntryFleet } from '../fleet/entryFleet';
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
@@ -91,6 +92,7 @@
 		private readonly metrics: EntryMetrics,
 		private readonly timers: ITimerService,
 		private readonly streams: Pick<StreamOriginKeeper, 'find'>,
+		private readonly onlyVersions: Pick<OnlyVersionFinder, 'find'>,
 		random: IRandom,
 	) {
 		this.neighbours = new NeighbourPicker(random);
@@ -121,7 +123,7 @@
 		if (stream !== undefined) {
 			return this.streams.find(stream);
 		}
-		const version = this.targets.findOnlyVersion(service);
+		const version = await this.onlyVersions.find(service);
 		return version && { service, version, source: onlyVersionSource, learnedMs: this.timers.getNow() };
 	}
 
--- a/src/entry/node/streams/originPeers.ts
+++ b/src/entry/node/streams/originPeers.ts
@@ -3,9 +3,11 @@
  */
 
 import { create } from '@bufbuild/protobuf';
+import type { VersionHistory } from '../../../core/discovery/common/seenVersions';
 import type { BootId, InstanceId } from '../../../core/ids/common/ids';
 import {
 	FindStreamOriginRequestSchema,
+	FindVersionHistoryRequestSchema,
 	KeepStreamOriginsRequestSchema,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import type { HolderCandidate } from '../../common/streams/originHolders';
@@ -15,6 +17,7 @@
 import type { EntryFleet } from '../fleet/entryFleet';
 import type { PeerConnection } from '../peers/peerClients';
 import { decodeOrigin, encodeGroup } from './originCodec';
+import { decodeHistory } from './versionHistoryCodec';
 
 /** Another entry that knows origins of streams. */
 export interface OriginPeer extends HolderCandidate {
@@ -36,7 +39,14 @@
 	askOrigin(peer: InstanceId, key: StreamKey, timeoutMs: number): Promise<ReportedOrigin | undefined>;
 }
 
-export class OriginPeers implements IOriginPeers {
+/** Other entries that know which versions were registered before this one started. */
+export interface IHistoryPeers {
+	list(): readonly OriginPeer[];
+	/** Asks an entry for the versions that it has seen; rejects if it has not answered in time. */
+	askVersionHistory(peer: InstanceId, timeoutMs: number): Promise<VersionHistory | undefined>;
+}
+
+export class OriginPeers implements IOriginPeers, IHistoryPeers {
 	constructor(
 		private readonly self: InstanceId,
 		private readonly fleet: Pick<EntryFleet, 'listLiveRegions' | 'listLiveIn' | 'findPeer'>,
@@ -64,6 +74,11 @@
 		return origin === undefined ? undefined : { origin: decodeOrigin(origin), ageMs };
 	}
 
+	async askVersionHistory(peer: InstanceId, timeoutMs: number): Promise<VersionHistory | undefined> {
+		const request = create(FindVersionHistoryRequestSchema);
+		return decodeHistory(await this.findClient(peer).findVersionHistory(request, { timeoutMs }));
+	}
+
 	private findClient(instance: InstanceId): PeerConnection['client'] {
 		const peer = this.fleet.findPeer(instance);
 		if (peer === undefined) {
--- a/src/entry/node/targets/discoveredTargetRegistry.ts
+++ b/src/entry/node/targets/discoveredTargetRegistry.ts
@@ -9,7 +9,14 @@
 import { Disposable, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { Discovery, KnownTarget } from '../../../core/discovery/common/discovery';
-import type { RegionName, ServiceName, SoftwareVersion, TargetId } from '../../../core/ids/common/ids';
+import type { VersionHistory } from '../../../core/discovery/common/seenVersions';
+import type {
+	InstanceId,
+	RegionName,
+	ServiceName,
+	SoftwareVersion,
+	TargetId,
+} from '../../../core/ids/common/ids';
 import type { ManifestService } from '../../../core/manifest/common/manifest';
 import { computeSenderRank } from '../../common/fleetView/entryRoster';
 import { findBestRanked } from '../../common/scheduling/prefixRanking';
@@ -142,6 +149,22 @@
 		return this.discovery.findOnlyVersion(service, onlyVersionSpanMs, this.timers.getNow());
 	}
 
+	hasOneVersion(service: ServiceName): boolean {
+		return this.discovery.hasOneVersion(service, onlyVersionSpanMs, this.timers.getNow());
+	}
+
+	isStoreReached(): boolean {
+		return this.discovery.isStoreReached();
+	}
+
+	describeVersionHistory(): VersionHistory | undefined {
+		return this.discovery.describeVersionHistory(this.timers.getNow());
+	}
+
+	addVersionHistory(history: VersionHistory, from: InstanceId): void {
+		this.discovery.addVersionHistory(history, from, this.timers.getNow());
+	}
+
 	noteAnswerHead(): void {
 		return;
 	}
--- a/src/entry/node/targets/targetDirectory.ts
+++ b/src/entry/node/targets/targetDirectory.ts
@@ -5,7 +5,9 @@
 
 import type { Stream } from 'most';
 import type { IDisposable } from '../../../base/common/lifecycle';
+import type { VersionHistory } from '../../../core/discovery/common/seenVersions';
 import type {
+	InstanceId,
 	RegionName,
 	ServiceName,
 	SoftwareVersion,
@@ -78,6 +80,14 @@
 	isServed(service: ServiceName, region: RegionName, version?: SoftwareVersion): boolean;
 	/** The only version that targets of the service have run lately, or undefined if that is not certain. */
 	findOnlyVersion(service: ServiceName): SoftwareVersion | undefined;
+	/** Whether this entry has seen one version alone, also if it has not followed the registrations for long enough. */
+	hasOneVersion(service: ServiceName): boolean;
+	/** Whether new registrations reach this entry at present, as far as it knows. */
+	isStoreReached(): boolean;
+	/** Describes the versions that were registered lately for another entry; undefined if they are not certain. */
+	describeVersionHistory(): VersionHistory | undefined;
+	/** Takes over the versions that another entry knows for the time before this one followed the registrations. */
+	addVersionHistory(history: VersionHistory, from: InstanceId): void;
 	/**
 	 * Finds the region of the target that ranks highest for a shared prompt part, among the allowed regions or,
 	 * if none are given, among all. Undefined if the targets of other regions are not known.
--- a/src/entry/node/targets/targetRegistry.ts
+++ b/src/entry/node/targets/targetRegistry.ts
@@ -164,6 +164,22 @@
 		return undefined;
 	}
 
+	hasOneVersion(): boolean {
+		return false;
+	}
+
+	isStoreReached(): boolean {
+		return false;
+	}
+
+	describeVersionHistory(): undefined {
+		return undefined;
+	}
+
+	addVersionHistory(): void {
+		return;
+	}
+
 	findAddress(target: TargetId): string | undefined {
 		const url = this.clients.get(target)?.url;
 		return url === undefined ? undefined : new URL(url).host;
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -286,6 +286,7 @@
 			metrics,
 			timers,
 			{ find: async () => Promise.resolve(undefined) },
+			{ find: async () => Promise.resolve(undefined) },
 			random,
 		);
 		this.router = new RequestRouter(context, {} as unknown as TicketService, timers, openStartGate);
