Pass no end on by habit where targets that send framing are many

Callers saw streams that look complete with events missing where half of the targets send no framing and end streams early, at entries whose retries are used up or that have none: nobody could be asked, and the end was passed on since most streams without framing seemed usual.

The reason of the rule was that a resumed stream would end no more certainly; with half of the targets it would.

The evidence of the cases in unframedEnds.test.ts and unconfirmedEnds.test.ts has the new field; their goals are unchanged.

--- a/src/entry/common/streams/openEnd.ts
+++ b/src/entry/common/streams/openEnd.ts
@@ -87,8 +87,11 @@
 		return this.state === EndState.Open;
 	}
 
-	/** @param isVersionUnknown Whether the version that began the answer is not known. */
-	getEvidence(isVersionUnknown: boolean): EndEvidence {
+	/**
+	 * @param isVersionUnknown Whether the version that began the answer is not known.
+	 * @param isProofLikely Whether a resumed answer is likely to get a target that sends framing.
+	 */
+	getEvidence(isVersionUnknown: boolean, isProofLikely: boolean): EndEvidence {
 		const { hasConfirmationFailed, isInterrupted, endedTargets, unnamedEnd } = this;
 		return {
 			endedTargets: endedTargets.size,
@@ -96,6 +99,7 @@
 			isInterrupted,
 			isVersionUnknown,
 			isAcceptedElsewhere: unnamedEnd !== undefined,
+			isProofLikely,
 		};
 	}
 
--- a/src/entry/common/streams/test/unconfirmedEnds.test.ts
+++ b/src/entry/common/streams/test/unconfirmedEnds.test.ts
@@ -93,10 +93,12 @@
 			this.endFramed(isEarly);
 			return;
 		}
-		this.openEnd.noteEnd(() => this.ends.isAcceptable(this.openEnd.getEvidence(false), this.nowMs));
+		this.openEnd.noteEnd(() =>
+			this.ends.isAcceptable(this.openEnd.getEvidence(false, this.framing.isLikely()), this.nowMs),
+		);
 		this.openEnd.setEndedTarget(id);
 		this.openEnd.watch(
-			() => this.ends.isAcceptable(this.openEnd.getEvidence(false), this.nowMs),
+			() => this.ends.isAcceptable(this.openEnd.getEvidence(false, this.framing.isLikely()), this.nowMs),
 			() => {
 				this.ends.noteRefuted(this.nowMs);
 			},
@@ -119,7 +121,7 @@
 			return false;
 		}
 		if (this.openEnd.isOpen()) {
-			if (this.ends.isProved(this.openEnd.getEvidence(false), this.nowMs)) {
+			if (this.ends.isProved(this.openEnd.getEvidence(false, this.framing.isLikely()), this.nowMs)) {
 				this.ends.noteConfirmed();
 				return false;
 			}
--- a/src/entry/common/streams/test/unframedEnds.test.ts
+++ b/src/entry/common/streams/test/unframedEnds.test.ts
@@ -183,6 +183,7 @@
 			hasConfirmationFailed: false,
 			isVersionUnknown: false,
 			isAcceptedElsewhere: false,
+			isProofLikely: false,
 		};
 		const interrupted = { ...evidence, isInterrupted: true };
 		noteHeads(ends, 30, true);
@@ -203,11 +204,15 @@
 			isInterrupted: false,
 			isVersionUnknown: true,
 			isAcceptedElsewhere: false,
+			isProofLikely: false,
 		};
 		noteHeads(ends, 100, true);
 		noteHeads(ends, 60, false);
 		expect(ends.isAcceptable(unconfirmed, 0)).toBe(false);
 		expect(ends.isAcceptable({ ...unconfirmed, isVersionUnknown: false }, 0)).toBe(true);
+		expect(ends.isAcceptable({ ...unconfirmed, isVersionUnknown: false, isProofLikely: true }, 0)).toBe(
+			false,
+		);
 		noteHeads(ends, 60, false);
 		expect(ends.isAcceptable(unconfirmed, 0)).toBe(true);
 	});
--- a/src/entry/common/streams/unframedEnds.ts
+++ b/src/entry/common/streams/unframedEnds.ts
@@ -9,7 +9,8 @@
  *
  * The caller of a stream that is cut can resume it and loses time; that of a stream that ends too early loses events and
  * never knows. So an end that nobody confirms is passed on only where nothing speaks against it, and where a caller that
- * resumes the stream would hardly get a certain end either: most targets of the service send no framing.
+ * resumes the stream would hardly get a certain end either: most streams of the service have no framing, and most
+ * of its targets send none.
  */
 
 /** Heads of streams to see before their framing counts as known. */
@@ -51,6 +52,8 @@
 	readonly isVersionUnknown: boolean;
 	/** Whether another entry ran the stream and accepts its end. It knows more of its targets than this one. */
 	readonly isAcceptedElsewhere: boolean;
+	/** Whether a stream that is resumed is likely to get a target that sends framing, which proves its end. */
+	readonly isProofLikely: boolean;
 }
 
 /** A moving share of unframed streams, in which the first heads all weigh the same. */
@@ -135,7 +138,8 @@
 		const isSuspect = evidence.hasConfirmationFailed || this.isRare() || this.isDoubtful(nowMs);
 		const mayTargetsFail = evidence.isInterrupted || evidence.isVersionUnknown;
 		const isUsual = mayTargetsFail ? this.isLongUsual() : this.isUsual();
-		return !isSuspect && (evidence.isAcceptedElsewhere || isUsual || this.isTrusted());
+		const isHabit = isUsual && !evidence.isProofLikely;
+		return !isSuspect && (evidence.isAcceptedElsewhere || isHabit || this.isTrusted());
 	}
 
 	private isTrusted(): boolean {
--- a/src/entry/node/requests/endConfirmations.ts
+++ b/src/entry/node/requests/endConfirmations.ts
@@ -119,7 +119,7 @@
 
 	/** The caller of a stream that breaks off can resume it, so an end that is likely to be wrong is cut. */
 	isAcceptable(run: RequestRun): boolean {
-		return !run.isResumable() || this.ends.isAcceptable(getEvidence(run), this.timers.getNow());
+		return !run.isResumable() || this.ends.isAcceptable(this.getEvidence(run), this.timers.getNow());
 	}
 
 	/**
@@ -139,7 +139,7 @@
 		if (!run.isResumable()) {
 			return false;
 		}
-		if (this.ends.isProved(getEvidence(run), this.timers.getNow())) {
+		if (this.ends.isProved(this.getEvidence(run), this.timers.getNow())) {
 			this.ends.noteConfirmed();
 			return false;
 		}
@@ -163,6 +163,12 @@
 		this.waits.set(run, wait);
 	}
 
+	private getEvidence(run: RequestRun): EndEvidence {
+		const required = run.findRequiredVersion();
+		const isVersionUnknown = required !== undefined && required.version === undefined;
+		return run.openEnd.getEvidence(isVersionUnknown, this.framing.isLikely());
+	}
+
 	private watch(run: RequestRun, target: TargetId | undefined): void {
 		run.openEnd.watch(
 			() => this.isAcceptable(run),
@@ -176,11 +182,6 @@
 	}
 }
 
-function getEvidence(run: RequestRun): EndEvidence {
-	const required = run.findRequiredVersion();
-	return run.openEnd.getEvidence(required !== undefined && required.version === undefined);
-}
-
 const unconfirmed = createRequestError(
 	ErrorKind.TargetSilent,
 	'no target confirmed the end of the answer in time',
