Avoid targets that end streams without framing while such ends are wrong

Callers had more streams cut where a target ends them early without framing than where it does so visibly. A visible failure makes its target avoided at once; an end without framing only after another target has refuted it, which takes a retry, and with the retries used up never.

--- a/src/entry/node/requests/endConfirmations.ts
+++ b/src/entry/node/requests/endConfirmations.ts
@@ -132,6 +132,9 @@
 			return false;
 		}
 		this.watch(run, target);
+		if (target !== undefined && this.isEarlyEndLikely()) {
+			this.owner.handleEarlyEnd(target);
+		}
 		this.runsAtEnds.set(run, run.history.possibleRuns);
 		if (run.hasBegunFramed()) {
 			return true;
@@ -146,6 +149,14 @@
 		return this.ends.takeConfirmation();
 	}
 
+	/**
+	 * Whether a target that ended without framing is to be avoided before another one shows that it ended early, which takes a
+	 * retry. Where targets that send framing are few, this would leave too few of them.
+	 */
+	private isEarlyEndLikely(): boolean {
+		return this.ends.isDoubtful(this.timers.getNow()) && this.framing.isLikely();
+	}
+
 	/**
 	 * Limits how long the caller of an answer without framing waits, which may well be whole. Callers leave a stream that
 	 * brings nothing for some seconds.
