--- a/src/ctl/test/compiledSources.ts
+++ b/src/ctl/test/compiledSources.ts
@@ -18,17 +18,19 @@
 /**
  * Compiles all sources of the given folders below `src` and of the `platform` folder, and returns the output
  * folder.
+ *
+ * @param sources The root of another release's sources, which runs with the packages that are installed here.
  */
-export function buildSources(folders: readonly string[]): string {
+export function buildSources(folders: readonly string[], sources = root): string {
 	mkdirSync(cache, { recursive: true });
 	const output = mkdtempSync(join(cache, 'anvilroad-test-'));
-	copyFileSync(join(root, 'package.json'), join(output, 'package.json'));
-	cpSync(join(root, 'charts'), join(output, 'charts'), { recursive: true });
+	copyFileSync(join(sources, 'package.json'), join(output, 'package.json'));
+	cpSync(join(sources, 'charts'), join(output, 'charts'), { recursive: true });
 	for (const folder of [...folders.map(name => join('src', name)), 'platform']) {
-		for (const file of readdirSync(join(root, folder), { recursive: true, encoding: 'utf8' })) {
-			const source = join(root, folder, file);
+		for (const file of readdirSync(join(sources, folder), { recursive: true, encoding: 'utf8' })) {
+			const source = join(sources, folder, file);
 			if (file.endsWith('.ts') && !file.split('/').includes('test')) {
-				buildSource(source, join(output, relative(root, source)).replace(/\.ts$/, '.js'));
+				buildSource(source, join(output, relative(sources, source)).replace(/\.ts$/, '.js'));
 			}
 		}
 	}
