Count versions that came and went within one answer of the store

Callers who resume a stream without naming it could get one joined from two versions: an entry that had not reached the store for a while calls a version the only one, although another one was registered and removed meanwhile. Since a fresh entry that takes its history over says so too, where it refused before.

Cause: a watch that catches up returns all changes at once, and StoreMirror keeps their net effect.

Change: the mirror reports the items that were replaced or removed within one answer, and the versions of such registrations count as seen until that answer.

--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -34,6 +34,8 @@
 export interface RegistrationChange {
 	readonly registered: readonly DiscoveredTarget[];
 	readonly removed: readonly TargetId[];
+	/** Registrations that were written since the previous read and are no longer present. */
+	readonly replaced?: readonly DiscoveredTarget[];
 	readonly isAfterOutage: boolean;
 	/** Read from a store restored from an older copy; registrations of a known boot may be outdated. */
 	readonly isRestored?: boolean;
@@ -190,6 +192,9 @@
 				this.putTarget(target, nowMs);
 			}
 		}
+		for (const target of change.replaced ?? []) {
+			this.seenVersions.noteEnd(target, nowMs);
+		}
 		for (const id of change.removed) {
 			this.handleRemoval(id, change.isAfterOutage, nowMs);
 		}
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -287,7 +287,8 @@
 			return;
 		}
 		this.recordAnswer();
-		if (read.value.written.length > 0 || read.value.removed.length > 0) {
+		const { written, removed, passed } = read.value;
+		if (written.length + removed.length + passed.length > 0) {
 			const nowMs = this.timers.getNow();
 			this.changes.emit({
 				...read.value,
--- a/src/core/store/common/storeMirror.ts
+++ b/src/core/store/common/storeMirror.ts
@@ -16,6 +16,8 @@
 export interface MirrorChange {
 	readonly written: readonly StoreItem[];
 	readonly removed: readonly string[];
+	/** Items that were written and then replaced or removed within the changes; a key may occur several times. */
+	readonly passed: readonly StoreItem[];
 	/** First listing after a restore; it may contain items that were changed or removed after the copy was made. */
 	readonly isRestored: boolean;
 }
@@ -51,6 +53,7 @@
 		return {
 			written: items.filter(item => isRestored || before.get(item.key)?.revision !== item.revision),
 			removed: [...before.keys()].filter(key => !this.items.has(key)),
+			passed: [],
 			isRestored,
 		};
 	}
@@ -58,10 +61,16 @@
 	/** Applies the changes that a watch returned. */
 	apply(result: StoreWatchResult): MirrorChange {
 		const touched = new Set<string>();
+		const passed: StoreItem[] = [];
 		for (const change of result.changes) {
-			const key = this.applyOne(change);
-			if (key !== undefined) {
-				touched.add(key);
+			const key = getKey(change);
+			const before = touched.has(key) ? this.items.get(key) : undefined;
+			if (!this.applyOne(change)) {
+				continue;
+			}
+			touched.add(key);
+			if (before !== undefined) {
+				passed.push(before);
 			}
 		}
 		this.heldRevision = Math.max(this.heldRevision, result.revision);
@@ -69,25 +78,29 @@
 		return {
 			written: present,
 			removed: [...touched].filter(key => !this.items.has(key)),
+			passed,
 			isRestored: false,
 		};
 	}
 
-	/** Returns the key if the change is newer than the local item, otherwise undefined. */
-	private applyOne(change: StoreChange): string | undefined {
+	/** Returns whether the change is newer than the local item. */
+	private applyOne(change: StoreChange): boolean {
 		if (change.kind === StoreChangeKind.Removed) {
-			const isNewer = change.revision > this.getRevision(change.key) && this.items.delete(change.key);
-			return isNewer ? change.key : undefined;
+			return change.revision > this.getRevision(change.key) && this.items.delete(change.key);
 		}
 		const { item } = change;
 		if (item.revision <= this.getRevision(item.key)) {
-			return undefined;
+			return false;
 		}
 		this.items.set(item.key, item);
-		return item.key;
+		return true;
 	}
 
 	private getRevision(key: string): number {
 		return this.items.get(key)?.revision ?? 0;
 	}
 }
+
+function getKey(change: StoreChange): string {
+	return change.kind === StoreChangeKind.Removed ? change.key : change.item.key;
+}
--- a/src/core/store/test/storeFollower.test.ts
+++ b/src/core/store/test/storeFollower.test.ts
@@ -139,6 +139,26 @@
 		expect(change.written.map(({ revision }) => revision)).toEqual([3]);
 		expect(change.removed).toEqual([]);
 	});
+
+	// Guards against values that nobody sees because they came and went between two answers.
+	it('reports items that were replaced or removed within one answer', () => {
+		const mirror = new StoreMirror();
+		mirror.putAll([createItem('a', 1), createItem('b', 2)], 2);
+		const changes = [
+			createWrite('a', 3),
+			createWrite('c', 4),
+			createWrite('a', 5),
+			createRemoval('c', 6),
+			createRemoval('b', 7),
+		];
+		const { written, removed, passed } = mirror.apply({ changes, revision: 7 });
+		expect(passed.map(({ key, revision }) => [key, revision])).toEqual([
+			['a', 3],
+			['c', 4],
+		]);
+		expect(written.map(({ revision }) => revision)).toEqual([5]);
+		expect(removed).toEqual(['c', 'b']);
+	});
 });
 
 describe('StoreFollower', () => {
