Take no history over from a store that tells no era

Callers could get a stream joined from two versions after the store was restored from an older copy, where its answers carry no era: an entry that started after the restore took the history of one that had not noticed it for complete, since its revision was higher.

--- a/src/core/discovery/common/seenVersions.ts
+++ b/src/core/discovery/common/seenVersions.ts
@@ -75,7 +75,9 @@
 		for (const seen of history.versions) {
 			this.past.push({ service: seen.service, version: seen.version, untilMs: receivedMs - seen.ageMs });
 		}
-		if (history.era === start.era && history.revision >= start.revision) {
+		// Without an era, a restore from an older copy can't be told from the store before it.
+		const isSameStore = start.era !== undefined && history.era === start.era;
+		if (isSameStore && history.revision >= start.revision) {
 			const sinceMs = Math.min(this.getKnownSinceMs(start), receivedMs - history.followedMs);
 			const { revision, era } = start;
 			this.earlier = { start: { revision, era }, sinceMs };
--- a/src/core/discovery/test/seenVersions.test.ts
+++ b/src/core/discovery/test/seenVersions.test.ts
@@ -36,6 +36,14 @@
 		expect(seen.getKnownSinceMs(createStart())).toBe(100_000);
 	});
 
+	// Guards against the revisions of a store that was restored from an older copy, where nothing tells it from the one before.
+	it('fill no gap if the store tells no era', () => {
+		const seen = new SeenVersions();
+		const start = createStart({ era: undefined });
+		seen.add(createHistory({ revision: 500, era: undefined }), start, 100_200);
+		expect(seen.getKnownSinceMs(start)).toBe(100_000);
+	});
+
 	// Guards against the same after this entry has lost track of the store itself.
 	it('fill no gap before a later listing', () => {
 		const seen = new SeenVersions();
@@ -64,7 +72,7 @@
 		seen.noteEnd({ service, version: v2 }, 90_000);
 		seen.add(createHistory(), createStart(), 100_200);
 		const position = { revision: 44, era: 1 };
-		const described = seen.describe([{ service, version: v1 }], position, createStart(), 101_200);
+		const described = seen.describe([{ service, version: v1, ageMs: 0 }], position, createStart(), 101_200);
 		expect(described).toEqual({
 			...position,
 			followedMs: 31_000,
