Report versions with the age of what the store has shown

Callers who resume a stream without naming it were refused by entries that need not have asked: another entry that had lost the store long ago listed its last versions as present.

Cause: the history of an entry gave all present registrations the age 0, however old its view was.

Change: a present registration is as old as the last state of the store that it is known from. One of more than a minute is left out.

--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -152,10 +152,12 @@
 	describeVersionHistory(nowMs: number): VersionHistory | undefined {
 		const position = this.source?.getEmittedPosition();
 		const start = this.source?.getFollowStart();
-		if (position === undefined || start === undefined) {
+		const asOfMs = this.source?.getCurrentAsOfMs();
+		if (position === undefined || start === undefined || asOfMs === undefined) {
 			return undefined;
 		}
-		const present = this.list().map(({ target }) => target);
+		const ageMs = Math.max(0, nowMs - asOfMs);
+		const present = this.list().map(({ target: { service, version } }) => ({ service, version, ageMs }));
 		return this.seenVersions.describe(present, position, start, nowMs);
 	}
 
--- a/src/core/discovery/common/seenVersions.ts
+++ b/src/core/discovery/common/seenVersions.ts
@@ -15,7 +15,7 @@
 export interface SeenVersion {
 	readonly service: ServiceName;
 	readonly version: SoftwareVersion | undefined;
-	/** Milliseconds since the registration was replaced or removed; 0 if it is present. */
+	/** Milliseconds since the registration was known to be present. */
 	readonly ageMs: number;
 }
 
@@ -86,7 +86,7 @@
 
 	/** Describes what is known for another entry. */
 	describe(
-		present: readonly Omit<SeenVersion, 'ageMs'>[],
+		present: readonly SeenVersion[],
 		position: StorePosition,
 		start: FollowStart,
 		nowMs: number,
@@ -96,14 +96,13 @@
 			version,
 			ageMs: Math.max(0, nowMs - untilMs),
 		}));
-		const seen = [...present.map(({ service, version }) => ({ service, version, ageMs: 0 })), ...past];
 		const { revision, era } = position;
 		return {
 			revision,
 			era,
 			// Versions that left before that are not kept.
 			followedMs: Math.min(retentionMs, Math.max(0, nowMs - this.getKnownSinceMs(start))),
-			versions: listLatest(seen.filter(({ ageMs }) => ageMs < retentionMs)),
+			versions: listLatest([...present, ...past].filter(({ ageMs }) => ageMs < retentionMs)),
 		};
 	}
 
--- a/src/core/discovery/test/discovery.test.ts
+++ b/src/core/discovery/test/discovery.test.ts
@@ -90,6 +90,34 @@
 		expect(discovery.findConfirmation(id)).toBeDefined();
 	});
 
+	// Guards against a version that came and went unseen while this entry did not reach the store.
+	it('count those of registrations that were replaced before they were read', () => {
+		const discovery = createDiscovery(createTarget({ version: v1 }));
+		const store = createSource();
+		discovery.setSource(store.source);
+		const replaced = [createTarget({ id: 'other' as TargetId, version: v2 })];
+		discovery.applyRegistrations({ registered: [], removed: [], replaced, isAfterOutage: false }, 20_000);
+		store.asOfMs = 20_000;
+		expect(discovery.findOnlyVersion(service, 15_000, 20_000)).toBeUndefined();
+		expect(discovery.describeVersionHistory(20_100)?.versions).toContainEqual({
+			service,
+			version: v2,
+			ageMs: 100,
+		});
+	});
+
+	// Guards against refusals because of a version that another entry still lists long after it has lost the store.
+	it('are reported with the age of what the store has shown', () => {
+		const discovery = createDiscovery(createTarget({ version: v1 }));
+		const store = createSource();
+		discovery.setSource(store.source);
+		expect(discovery.describeVersionHistory(1_000)).toBeUndefined();
+		store.asOfMs = 1_000;
+		const versions = [{ service, version: v1, ageMs: 12_000 }];
+		expect(discovery.describeVersionHistory(13_000)).toMatchObject({ versions });
+		expect(discovery.describeVersionHistory(121_000)).toMatchObject({ versions: [] });
+	});
+
 	// Guards against a stream of a version that has just left, resumed by a caller that doesn't name it.
 	it('are one only after the store has shown no other for a time', () => {
 		const discovery = new Discovery(new RingAuditTrail(10, () => new Date(0)));
