--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -35,7 +35,7 @@
 	readonly registered: readonly DiscoveredTarget[];
 	readonly removed: readonly TargetId[];
 	/** Registrations that were written since the previous read and are no longer present. */
-	readonly replaced?: readonly DiscoveredTarget[];
+	readonly superseded?: readonly DiscoveredTarget[];
 	readonly isAfterOutage: boolean;
 	/** Read from a store restored from an older copy; registrations of a known boot may be outdated. */
 	readonly isRestored?: boolean;
@@ -194,7 +194,7 @@
 				this.putTarget(target, nowMs);
 			}
 		}
-		for (const target of change.replaced ?? []) {
+		for (const target of change.superseded ?? []) {
 			this.seenVersions.noteEnd(target, nowMs);
 		}
 		for (const id of change.removed) {
--- a/src/core/discovery/common/seenVersions.ts
+++ b/src/core/discovery/common/seenVersions.ts
@@ -75,7 +75,7 @@
 		for (const seen of history.versions) {
 			this.past.push({ service: seen.service, version: seen.version, untilMs: receivedMs - seen.ageMs });
 		}
-		// Without an era, a restore from an older copy can't be told from the store before it.
+		// Without an era, a store restored from an older copy looks like the one before.
 		const isSameStore = start.era !== undefined && history.era === start.era;
 		if (isSameStore && history.revision >= start.revision) {
 			const sinceMs = Math.min(this.getKnownSinceMs(start), receivedMs - history.followedMs);
--- a/src/core/discovery/test/discovery.test.ts
+++ b/src/core/discovery/test/discovery.test.ts
@@ -95,8 +95,8 @@
 		const discovery = createDiscovery(createTarget({ version: v1 }));
 		const store = createSource();
 		discovery.setSource(store.source);
-		const replaced = [createTarget({ id: 'other' as TargetId, version: v2 })];
-		discovery.applyRegistrations({ registered: [], removed: [], replaced, isAfterOutage: false }, 20_000);
+		const superseded = [createTarget({ id: 'other' as TargetId, version: v2 })];
+		discovery.applyRegistrations({ registered: [], removed: [], superseded, isAfterOutage: false }, 20_000);
 		store.asOfMs = 20_000;
 		expect(discovery.findOnlyVersion(service, 15_000, 20_000)).toBeUndefined();
 		expect(discovery.describeVersionHistory(20_100)?.versions).toContainEqual({
--- a/src/core/discovery/test/seenVersions.test.ts
+++ b/src/core/discovery/test/seenVersions.test.ts
@@ -36,7 +36,7 @@
 		expect(seen.getKnownSinceMs(createStart())).toBe(100_000);
 	});
 
-	// Guards against the revisions of a store that was restored from an older copy, where nothing tells it from the one before.
+	// Guards against comparing revisions of a restored store with those before the restore.
 	it('fill no gap if the store tells no era', () => {
 		const seen = new SeenVersions();
 		const start = createStart({ era: undefined });
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -287,8 +287,8 @@
 			return;
 		}
 		this.recordAnswer();
-		const { written, removed, passed } = read.value;
-		if (written.length + removed.length + passed.length > 0) {
+		const { written, removed, superseded } = read.value;
+		if (written.length + removed.length + superseded.length > 0) {
 			const nowMs = this.timers.getNow();
 			this.changes.emit({
 				...read.value,
--- a/src/core/store/common/storeMirror.ts
+++ b/src/core/store/common/storeMirror.ts
@@ -17,7 +17,7 @@
 	readonly written: readonly StoreItem[];
 	readonly removed: readonly string[];
 	/** Items that were written and then replaced or removed within the changes; a key may occur several times. */
-	readonly passed: readonly StoreItem[];
+	readonly superseded: readonly StoreItem[];
 	/** First listing after a restore; it may contain items that were changed or removed after the copy was made. */
 	readonly isRestored: boolean;
 }
@@ -53,7 +53,7 @@
 		return {
 			written: items.filter(item => isRestored || before.get(item.key)?.revision !== item.revision),
 			removed: [...before.keys()].filter(key => !this.items.has(key)),
-			passed: [],
+			superseded: [],
 			isRestored,
 		};
 	}
@@ -61,7 +61,7 @@
 	/** Applies the changes that a watch returned. */
 	apply(result: StoreWatchResult): MirrorChange {
 		const touched = new Set<string>();
-		const passed: StoreItem[] = [];
+		const superseded: StoreItem[] = [];
 		for (const change of result.changes) {
 			const key = getKey(change);
 			const before = touched.has(key) ? this.items.get(key) : undefined;
@@ -70,7 +70,7 @@
 			}
 			touched.add(key);
 			if (before !== undefined) {
-				passed.push(before);
+				superseded.push(before);
 			}
 		}
 		this.heldRevision = Math.max(this.heldRevision, result.revision);
@@ -78,7 +78,7 @@
 		return {
 			written: present,
 			removed: [...touched].filter(key => !this.items.has(key)),
-			passed,
+			superseded,
 			isRestored: false,
 		};
 	}
--- a/src/core/store/test/storeFollower.test.ts
+++ b/src/core/store/test/storeFollower.test.ts
@@ -140,7 +140,7 @@
 		expect(change.removed).toEqual([]);
 	});
 
-	// Guards against values that nobody sees because they came and went between two answers.
+	// Guards against values that are lost because they came and went between two answers.
 	it('reports items that were replaced or removed within one answer', () => {
 		const mirror = new StoreMirror();
 		mirror.putAll([createItem('a', 1), createItem('b', 2)], 2);
@@ -151,8 +151,8 @@
 			createRemoval('c', 6),
 			createRemoval('b', 7),
 		];
-		const { written, removed, passed } = mirror.apply({ changes, revision: 7 });
-		expect(passed.map(({ key, revision }) => [key, revision])).toEqual([
+		const { written, removed, superseded } = mirror.apply({ changes, revision: 7 });
+		expect(superseded.map(({ key, revision }) => [key, revision])).toEqual([
 			['a', 3],
 			['c', 4],
 		]);
