Share the steps of an uncertain answer between two tests

answerUnframed and advance stood in uncertainEnds.test.ts and again in crashCheckEnds.test.ts. Both use those of flowFixtures now.

--- a/src/entry/node/requests/test/crashCheckEnds.test.ts
+++ b/src/entry/node/requests/test/crashCheckEnds.test.ts
@@ -3,9 +3,9 @@
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
 import { ServiceScheduler } from '../../../common/scheduling/scheduler';
 import type { RequestRun } from '../requestRun';
-import type { CapturedAttempt, Flow } from './flowFixtures';
 import { createHandlerFixture } from '../../test/callHandlerFixtures';
-import { createFlow } from './flowFixtures';
+import type { Flow } from './flowFixtures';
+import { advance, answerUnframed, createFlow } from './flowFixtures';
 
 const probeMs = 200;
 const deadlineMs = 30_000;
@@ -23,18 +23,6 @@
 	return { flow, runs };
 }
 
-function answerUnframed({ observer }: CapturedAttempt): void {
-	observer.noteHandedOver();
-	observer.receiveHead({ status: 200, lines: [], endsWithConnection: true });
-	observer.receiveData(Buffer.from('paid'));
-	observer.noteCompleted();
-}
-
-async function advance(flow: Flow, durationMs: number): Promise<void> {
-	flow.timers.advance(durationMs);
-	await flow.waitForPromises();
-}
-
 describe('a plain answer without framing whose target has crashed', () => {
 	// Guards against an early end that looks complete because a stop, a deadline or a lost registration comes before the crash check ends.
 	it.failing(
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -309,3 +309,16 @@
 	attempt.observer.receiveHead({ status: more.status ?? 200, lines: more.lines ?? [] });
 	attempt.observer.receiveData(Buffer.from(text));
 }
+
+/** Sends an answer without framing whose connection then ends. */
+export function answerUnframed({ observer }: CapturedAttempt): void {
+	observer.noteHandedOver();
+	observer.receiveHead({ status: 200, lines: [], endsWithConnection: true });
+	observer.receiveData(Buffer.from('paid'));
+	observer.noteCompleted();
+}
+
+export async function advance(flow: Flow, durationMs: number): Promise<void> {
+	flow.timers.advance(durationMs);
+	await flow.waitForPromises();
+}
--- a/src/entry/node/requests/test/uncertainEnds.test.ts
+++ b/src/entry/node/requests/test/uncertainEnds.test.ts
@@ -5,8 +5,8 @@
 import { AnswerEnd } from '../../../common/callers/answerEnd';
 import { ServiceScheduler } from '../../../common/scheduling/scheduler';
 import { AttemptEnd } from '../../../common/scheduling/serviceScheduler';
-import type { CapturedAttempt, CapturingSink, Flow } from './flowFixtures';
-import { createFlow } from './flowFixtures';
+import type { CapturingSink, Flow } from './flowFixtures';
+import { advance, answerUnframed, createFlow } from './flowFixtures';
 
 /** The slots of a target of `createFlow`. */
 const slots = 8;
@@ -33,19 +33,6 @@
 	};
 }
 
-/** Sends an answer without framing whose connection then ends. */
-function answerUnframed({ observer }: CapturedAttempt): void {
-	observer.noteHandedOver();
-	observer.receiveHead({ status: 200, lines: [], endsWithConnection: true });
-	observer.receiveData(Buffer.from('paid'));
-	observer.noteCompleted();
-}
-
-async function advance(flow: Flow, durationMs: number): Promise<void> {
-	flow.timers.advance(durationMs);
-	await flow.waitForPromises();
-}
-
 function describeSink({ text, hasEnded, isCut, refusal }: CapturingSink): object {
 	return { text, hasEnded, isCut, isRefused: refusal !== undefined };
 }
