--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -55,7 +55,7 @@
 import type { StreamKey } from '../../common/streams/streamOrigins';
 import { decodeGroups, encodeOrigin } from '../streams/originCodec';
 import type { ReportedOrigin } from '../streams/originPeers';
-import { encodeHistory } from '../streams/versionHistoryCodec';
+import { encodeVersionHistory } from '../streams/versionHistoryCodec';
 import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { HeldBytes } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
@@ -133,7 +133,7 @@
 					return create(KeepStreamOriginsResponseSchema);
 				},
 				findStreamOrigin: ({ streamKey }) => this.createOriginAnswer(streamKey),
-				findVersionHistory: () => encodeHistory(this.versions?.describeVersionHistory()),
+				findVersionHistory: () => encodeVersionHistory(this.versions?.describeVersionHistory()),
 				fetchManifest: () => this.handler.describeManifest(),
 				followStore: (request, context) => this.serveStoreFeed(request, context),
 				shareDemand: request => this.serveDemand(request),
--- a/src/entry/node/streams/originPeers.ts
+++ b/src/entry/node/streams/originPeers.ts
@@ -17,7 +17,7 @@
 import type { EntryFleet } from '../fleet/entryFleet';
 import type { PeerConnection } from '../peers/peerClients';
 import { decodeOrigin, encodeGroup } from './originCodec';
-import { decodeHistory } from './versionHistoryCodec';
+import { decodeVersionHistory } from './versionHistoryCodec';
 
 /** Another entry that knows origins of streams. */
 export interface OriginPeer extends HolderCandidate {
@@ -76,7 +76,7 @@
 
 	async askVersionHistory(peer: InstanceId, timeoutMs: number): Promise<VersionHistory | undefined> {
 		const request = create(FindVersionHistoryRequestSchema);
-		return decodeHistory(await this.findClient(peer).findVersionHistory(request, { timeoutMs }));
+		return decodeVersionHistory(await this.findClient(peer).findVersionHistory(request, { timeoutMs }));
 	}
 
 	private findClient(instance: InstanceId): PeerConnection['client'] {
--- a/src/entry/node/streams/test/versionHistoryCodec.test.ts
+++ b/src/entry/node/streams/test/versionHistoryCodec.test.ts
@@ -2,7 +2,7 @@
 import type { VersionHistory } from '../../../../core/discovery/common/seenVersions';
 import type { ServiceName, SoftwareVersion } from '../../../../core/ids/common/ids';
 import { FindVersionHistoryResponseSchema } from '../../../../gen/anvilroad/peer/v1/peer_pb';
-import { decodeHistory, encodeHistory } from '../versionHistoryCodec';
+import { decodeVersionHistory, encodeVersionHistory } from '../versionHistoryCodec';
 
 function createHistory(change: Partial<VersionHistory> = {}): VersionHistory {
 	const versions = [
@@ -13,8 +13,8 @@
 }
 
 function sendHistory(history: VersionHistory | undefined): VersionHistory | undefined {
-	const bytes = toBinary(FindVersionHistoryResponseSchema, encodeHistory(history));
-	return decodeHistory(fromBinary(FindVersionHistoryResponseSchema, bytes));
+	const bytes = toBinary(FindVersionHistoryResponseSchema, encodeVersionHistory(history));
+	return decodeVersionHistory(fromBinary(FindVersionHistoryResponseSchema, bytes));
 }
 
 describe('a history of versions between entries', () => {
--- a/src/entry/node/streams/versionHistoryCodec.ts
+++ b/src/entry/node/streams/versionHistoryCodec.ts
@@ -12,7 +12,7 @@
 import { FindVersionHistoryResponseSchema, SeenVersionSchema } from '../../../gen/anvilroad/peer/v1/peer_pb';
 
 /** Encodes a history; the receiver gets an empty one if there is none. Times are rounded so that less is known. */
-export function encodeHistory(history: VersionHistory | undefined): FindVersionHistoryResponse {
+export function encodeVersionHistory(history: VersionHistory | undefined): FindVersionHistoryResponse {
 	if (history === undefined) {
 		return create(FindVersionHistoryResponseSchema);
 	}
@@ -26,7 +26,7 @@
 }
 
 /** Decodes a history; undefined if the peer has none. */
-export function decodeHistory(message: FindVersionHistoryResponse): VersionHistory | undefined {
+export function decodeVersionHistory(message: FindVersionHistoryResponse): VersionHistory | undefined {
 	const { revision, era, followedMs, versions } = message;
 	if (revision === 0n) {
 		return undefined;
