Send a request again on another connection than its last attempt

A target that answers with an error or a refusal may send a second answer on the connection once the next request arrives there. The check that an answer belongs to its attempt compares the request's id, which is the same for all attempts of a request. So if the same request was sent there again, the caller got the second answer of its earlier attempt: after a stream had begun and a run that goes on was refused, an empty one would have ended it as complete.

The client knows the request that each open connection was used for last, and sends an attempt of the same request on a connection of its own. A later request that reads such an answer refuses it by its id, as before.

The new test on sockets failed before: status 503 in place of 200.

--- a/src/entry/node/requests/attemptRun.ts
+++ b/src/entry/node/requests/attemptRun.ts
@@ -90,9 +90,10 @@
 		this.deadlineTimer = this.timers.schedule(this.run.getRemainingMs(), () => {
 			this.endAtDeadline();
 		});
-		const { head, body } = this.run.call;
+		const { id, head, body } = this.run.call;
 		this.attempt = this.client.send(
 			{
+				requestId: id,
 				method: head.method,
 				path: head.path,
 				lines: this.dialect.createRequestLines(this.createSentAttempt()),
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -6,6 +6,9 @@
  * An answer without a length ends when its connection closes. undici treats a connection reset as that end and
  * would deliver a truncated answer as complete, so each connection records whether it was reset.
  *
+ * A faulty target may send a second answer on a connection once the next request arrives there. Its request id does not
+ * show that it belongs to an earlier attempt of the same request, so such a request is sent on another connection.
+ *
  * Pipelining is off. Otherwise undici would resend the requests queued behind a failed answer on a new
  * connection, without notice, and an at-most-once call could run twice.
  */
@@ -14,6 +17,7 @@
 import { buildConnector, Client, Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { ITimerService } from '../../../base/common/timerService';
+import type { RequestId } from '../../../core/ids/common/ids';
 import type { AnswerHead } from '../../common/callers/answerSink';
 import type { HeaderLine } from '../../common/callers/callHead';
 import { ProcessContinuity } from '../../common/streams/processContinuity';
@@ -21,6 +25,8 @@
 
 /** The HTTP request of an attempt. */
 export interface AttemptRequest {
+	/** The request that this is an attempt of, if it may be sent again. */
+	readonly requestId?: RequestId;
 	readonly method: string;
 	readonly path: string;
 	readonly lines: readonly HeaderLine[];
@@ -50,6 +56,12 @@
 const keepAliveMs = 20_000;
 /** undici's timeouts are disabled: each attempt applies the timeouts of its request class itself. */
 const timeoutDisabled = 0;
+const connectionOptions: Client.Options = {
+	pipelining: 1,
+	keepAliveTimeout: keepAliveMs,
+	headersTimeout: timeoutDisabled,
+	bodyTimeout: timeoutDisabled,
+};
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 
 /** Sends attempts to one target. */
@@ -73,6 +85,8 @@
 	private pool: Pool;
 	/** Attempts that no connection has taken yet. */
 	private readonly waiting = new Set<Attempt>();
+	/** The requests that the open connections of the pool were used for last. */
+	private readonly latestRequests = new Set<RequestId>();
 	readonly continuity = new ProcessContinuity();
 
 	constructor(
@@ -83,7 +97,8 @@
 	}
 
 	send(request: AttemptRequest, observer: IAttemptObserver): IAttempt {
-		const attempt: Attempt = new Attempt(request.method, observer, () => {
+		const { requestId } = request;
+		const attempt: Attempt = new Attempt(request.method, requestId, observer, () => {
 			this.waiting.delete(attempt);
 		});
 		this.waiting.add(attempt);
@@ -98,10 +113,21 @@
 					: Buffer.from(request.body.buffer, request.body.byteOffset, request.body.byteLength),
 			idempotent: false,
 		};
-		this.pool.dispatch(options, attempt);
+		if (requestId !== undefined && this.latestRequests.has(requestId)) {
+			this.dispatchAlone(options, attempt);
+		} else {
+			this.pool.dispatch(options, attempt);
+		}
 		return attempt;
 	}
 
+	/** Sends an attempt on a connection of its own, which is closed after it. */
+	private dispatchAlone(options: AttemptDispatchOptions, attempt: Attempt): void {
+		const client = this.createClient(this.origin, connectionOptions, new Set());
+		client.dispatch(options, attempt);
+		client.close().catch(() => undefined);
+	}
+
 	/**
 	 * Replaces all open connections. A middlebox can lose the state of open connections, which then stay
 	 * unresponsive forever while new ones work. One unresponsive connection therefore makes all connections of
@@ -127,23 +153,28 @@
 
 	private createPool(): Pool {
 		return new Pool(this.origin, {
-			pipelining: 1,
+			...connectionOptions,
 			connections: null,
-			keepAliveTimeout: keepAliveMs,
-			headersTimeout: timeoutDisabled,
-			bodyTimeout: timeoutDisabled,
-			factory: (origin, options: Client.Options) =>
-				new ResetTrackingClient(
-					origin,
-					options,
-					socket => {
-						this.noteConnection(socket);
-					},
-					() => this.timers.getNow(),
-				),
+			factory: (origin, options: Client.Options) => this.createClient(origin, options, this.latestRequests),
 		});
 	}
 
+	private createClient(
+		origin: string | URL,
+		options: Client.Options,
+		latestRequests: Set<RequestId>,
+	): ResetTrackingClient {
+		return new ResetTrackingClient(
+			origin,
+			options,
+			socket => {
+				this.noteConnection(socket);
+			},
+			() => this.timers.getNow(),
+			latestRequests,
+		);
+	}
+
 	private noteConnection(socket: Socket | undefined): void {
 		if (socket === undefined) {
 			this.continuity.noteRefused();
@@ -181,24 +212,41 @@
 /** Runs one attempt at a time, and gives each attempt access to the state of its connection. */
 class ResetTrackingClient extends Client {
 	private readonly state: ConnectionState;
+	private latestRequest: RequestId | undefined;
 
 	constructor(
 		origin: string | URL,
 		options: Client.Options,
 		noteConnection: NoteConnection,
 		getNow: () => number,
+		/** Holds the request that was sent last on each open connection. */
+		private readonly latestRequests: Set<RequestId>,
 	) {
 		const state = new ConnectionState(getNow);
 		super(origin, { ...options, connect: createResetTrackingConnector(state, noteConnection) });
 		this.state = state;
+		this.on('disconnect', () => {
+			this.setLatestRequest(undefined);
+		});
 	}
 
 	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
 		const { attempt } = options;
 		this.state.beginAnswer(() => attempt?.resumeParser());
 		attempt?.setConnection(this.state);
+		this.setLatestRequest(attempt?.requestId);
 		return super.dispatch(options, handler);
 	}
+
+	private setLatestRequest(request: RequestId | undefined): void {
+		if (this.latestRequest !== undefined) {
+			this.latestRequests.delete(this.latestRequest);
+		}
+		this.latestRequest = request;
+		if (request !== undefined) {
+			this.latestRequests.add(request);
+		}
+	}
 }
 
 /** Registers its error listener before undici does, so that a reset is recorded before undici sees an end. */
@@ -229,6 +277,7 @@
 
 	constructor(
 		private readonly method: string,
+		readonly requestId: RequestId | undefined,
 		private readonly observer: IAttemptObserver,
 		/** Called once the attempt no longer waits for a connection. */
 		private readonly onDidLeaveQueue: () => void,
--- a/src/entry/node/targets/test/targetClient.test.ts
+++ b/src/entry/node/targets/test/targetClient.test.ts
@@ -1,6 +1,8 @@
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
+import type { RequestId } from '../../../../core/ids/common/ids';
+import type { AnswerHead } from '../../../common/callers/answerSink';
 import type { IAttemptObserver } from '../targetClient';
 import { TargetClient } from '../targetClient';
 
@@ -27,14 +29,18 @@
 
 type Event = 'handed over' | 'head' | 'completed' | 'failed';
 
-async function sendOnce(client: TargetClient, noteHead = (): void => undefined): Promise<Event[]> {
+async function sendOnce(
+	client: TargetClient,
+	noteHead: (head: AnswerHead) => void = () => undefined,
+	requestId?: RequestId,
+): Promise<Event[]> {
 	const events: Event[] = [];
 	return new Promise(resolve => {
 		const observer: IAttemptObserver = {
 			noteHandedOver: () => events.push('handed over'),
-			receiveHead: () => {
+			receiveHead: head => {
 				events.push('head');
-				noteHead();
+				noteHead(head);
 			},
 			receiveData: () => true,
 			noteCompleted: () => {
@@ -46,7 +52,8 @@
 				resolve(events);
 			},
 		};
-		client.send({ method: 'GET', path: '/', lines: [], body: new Uint8Array() }, observer);
+		const request = { method: 'GET', path: '/', lines: [], body: new Uint8Array() };
+		client.send(requestId === undefined ? request : { ...request, requestId }, observer);
 	});
 }
 
@@ -59,6 +66,7 @@
 
 const reachedStore = { asOfMs: 0, isReached: true };
 
+const refusal = 'HTTP/1.1 503 Service Unavailable\r\ncontent-length: 2\r\n\r\nno';
 const answer = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
 
 describe('TargetClient', () => {
@@ -80,6 +88,47 @@
 		await client.close();
 	});
 
+	// Guards against the second answer of an attempt that is taken for that of the next attempt of its request.
+	it('sends a request again on a connection that it was not sent on before', async () => {
+		const connections: Socket[] = [];
+		const target = await openTarget((socket, requestNumber) => {
+			connections.push(socket);
+			const isSecondOfConnection = connections.indexOf(socket) < requestNumber - 1;
+			socket.write(isSecondOfConnection ? `${refusal}${answer}` : requestNumber === 1 ? refusal : answer);
+		});
+		const client = new TargetClient(target.origin, new ManualTimerService());
+		const statuses: number[] = [];
+		const noteHead = ({ status }: AnswerHead): void => {
+			statuses.push(status);
+		};
+		await sendOnce(client, noteHead, 'order-1' as RequestId);
+		await waitForEvents();
+		await sendOnce(client, noteHead, 'order-1' as RequestId);
+		expect(statuses).toEqual([503, 200]);
+		target.server.close();
+		await client.close();
+	});
+
+	// Guards against a connection for each request once one was sent again.
+	it('reuses a connection for another request, and one that was closed for none', async () => {
+		const connections = new Set<Socket>();
+		const target = await openTarget((socket, requestNumber) => {
+			connections.add(socket);
+			socket.write(answer);
+			if (requestNumber === 2) {
+				socket.end();
+			}
+		});
+		const client = new TargetClient(target.origin, new ManualTimerService());
+		for (const id of ['order-1', 'order-2', 'order-2', 'order-1']) {
+			await sendOnce(client, undefined, id as RequestId);
+			await waitForEvents();
+		}
+		expect(connections.size).toBe(2);
+		target.server.close();
+		await client.close();
+	});
+
 	it('does not report a hand-over if no connection could be opened', async () => {
 		// No process listens on the port. If this counted as handed over, the caller would receive the outcome
 		// "unknown" for a payment that was never sent.
