End a cut stream with its half event for callers that read no chunks

Callers of HTTP/1.0 may take a reset for the regular end of an answer, and an event that is broken off is then all that shows them an early end.

A sink now tells whether its reader may miss a cut. An entry that serves a forwarded request passes the half event on, since only the forwarding entry knows its caller. Callers that read chunks get whole events only, as before. An early end exactly between two events still shows only by the reset.

The new cases of streamEnds and continuedForwards failed before.

--- a/src/entry/common/callers/answerSink.ts
+++ b/src/entry/common/callers/answerSink.ts
@@ -37,6 +37,8 @@
 	 * because a truncated answer with a clean end would look complete.
 	 */
 	cut(): void;
+	/** Whether the reader, or the caller behind it, may take a cut for a regular end, since neither a length nor chunks show the end. */
+	isCutHidden?(): boolean;
 	/** Answers with an error. Allowed only before `begin`. */
 	refuse(error: RequestError): void;
 	/** Receives the origin of a stream once it is certain, where the reader has to know it. */
--- a/src/entry/node/callers/callerSink.ts
+++ b/src/entry/node/callers/callerSink.ts
@@ -87,6 +87,10 @@
 		this.response.end();
 	}
 
+	isCutHidden(): boolean {
+		return !this.isFramed;
+	}
+
 	cut(): void {
 		this.isEnded = true;
 		if (this.isFramed) {
--- a/src/entry/node/callers/test/callerAnswerEnds.test.ts
+++ b/src/entry/node/callers/test/callerAnswerEnds.test.ts
@@ -54,6 +54,22 @@
 		expect(await observe(port, version)).toBe(Conclusion.BrokenOff);
 	});
 
+	// Guards against an early end of a stream that its caller can't tell from a regular one, although half an event would show it.
+	it.each(cases)(
+		'with $framing over HTTP/$version says whether a cut may look like its end',
+		async ({ framing, head, version }) => {
+			let isCutHidden: boolean | undefined;
+			const port = await openServer(sink => {
+				sink.begin(head);
+				isCutHidden = sink.isCutHidden();
+				sink.write(Buffer.from('half'));
+				sink.cut();
+			});
+			await observe(port, version);
+			expect(isCutHidden).toBe(!isFramedFor(framing, version));
+		},
+	);
+
 	// Guards against a framed answer that a caller takes for a whole one when its entry is killed and the kernel closes the connection.
 	it.each(framedCases)(
 		'with $framing over HTTP/$version is broken off if the process ends',
--- a/src/entry/node/peers/peerSink.ts
+++ b/src/entry/node/peers/peerSink.ts
@@ -84,6 +84,11 @@
 		this.pushLast(create(ForwardRequestResponseSchema, { part: { case: 'end', value } }));
 	}
 
+	/** Only the forwarding entry knows what its caller reads. */
+	isCutHidden(): boolean {
+		return true;
+	}
+
 	cut(): void {
 		const error = createRequestError(ErrorKind.TargetFailed, 'the answer is incomplete');
 		this.pushLast(createFaultMessage(error, this.history));
--- a/src/entry/node/peers/test/continuedForwards.test.ts
+++ b/src/entry/node/peers/test/continuedForwards.test.ts
@@ -145,6 +145,23 @@
 	});
 });
 
+describe('a stream that breaks off inside an event over a forward', () => {
+	const half = 'id: 4\nda';
+
+	// Guards against an early end that callers of HTTP/1.0 take for a regular one, since they read no chunks.
+	it.each([
+		{ caller: 'reads no chunks', isReadingChunks: false, rest: half },
+		{ caller: 'reads chunks', isReadingChunks: true, rest: '' },
+	])('ends with "$rest" if its caller $caller', async ({ isReadingChunks, rest }) => {
+		const stream = new ForwardedStream();
+		stream.sink.isReadingChunks = isReadingChunks;
+		stream.beginAtTarget(begun, false);
+		const script = [streamHead, createBody(createEvent(3)), createBody(half)];
+		const received = await forwardLast(stream, script);
+		expect(received).toEqual({ end: AnswerEnd.Cut, text: begun + createEvent(3) + rest });
+	});
+});
+
 describe('a stream over a peer of an earlier release', () => {
 	// Guards against a peer that joins to its answer one of a target that begins anew, which it does not check itself.
 	it.each([
--- a/src/entry/node/requests/recordingSink.ts
+++ b/src/entry/node/requests/recordingSink.ts
@@ -65,6 +65,10 @@
 		this.ticketRun.end({ kind: RunResultKind.Answered, answer: this.createKeptAnswer() });
 	}
 
+	isCutHidden(): boolean {
+		return this.callerSink.isCutHidden?.() === true;
+	}
+
 	cut(): void {
 		if (!this.isCallerGone) {
 			this.callerSink.cut();
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -462,7 +462,8 @@
 	 * length, so that only a stream that ends inside an event shows them that it is incomplete.
 	 */
 	private cutAnswer(): void {
-		if (this.beganUnframed && this.brokenEvent !== undefined) {
+		const isHidden = this.beganUnframed || this.sink.isCutHidden?.() === true;
+		if (isHidden && this.brokenEvent !== undefined) {
 			this.sink.write(this.brokenEvent);
 		}
 		this.sink.cut();
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -54,6 +54,7 @@
 	isCut = false;
 	refusal: RequestError | undefined;
 	isReading = true;
+	isReadingChunks = true;
 	drain: (() => void) | undefined;
 	abandon: (() => void) | undefined;
 
@@ -74,6 +75,10 @@
 		this.hasEnded = true;
 	}
 
+	isCutHidden(): boolean {
+		return !this.isReadingChunks;
+	}
+
 	cut(): void {
 		this.isCut = true;
 	}
--- a/src/entry/node/requests/test/streamEnds.test.ts
+++ b/src/entry/node/requests/test/streamEnds.test.ts
@@ -194,6 +194,25 @@
 	});
 });
 
+describe('a stream with framing that is cut', () => {
+	const text = `${createEvent(1)}id: 2\nda`;
+
+	// Guards against an early end that callers of HTTP/1.0 take for a regular one, since they read no chunks.
+	it('ends with the half event at which it broke off if its caller reads no chunks', () => {
+		const streamRun = new StreamRun();
+		streamRun.sink.isReadingChunks = false;
+		const { run, sink } = beginStream(streamRun, stream, text);
+		run.fail(targetFailed);
+		expect(sink).toMatchObject({ ...cut, text });
+	});
+
+	it('ends with its last event if its caller reads chunks', () => {
+		const { run, sink } = beginStream(new StreamRun(), stream, text);
+		run.fail(targetFailed);
+		expect(sink).toMatchObject({ ...cut, text: createEvent(1) });
+	});
+});
+
 describe('a stream whose last event has an empty id', () => {
 	// Guards against a target that is asked to go on after no event, so that its caller gets all events again.
 	it('does not go on', () => {
