--- a/src/entry/node/requests/test/forwardFixtures.ts
+++ b/src/entry/node/requests/test/forwardFixtures.ts
@@ -49,14 +49,14 @@
 	readonly connection: PeerConnection;
 	readonly requests: ForwardRequestRequest[];
 	acceptConnection(): void;
-	answer(message: ForwardRequestResponse): void;
+	answer(...messages: readonly ForwardRequestResponse[]): void;
 	isCancelled(): boolean;
 }
 
 function createPeer(): ScriptedPeer {
 	const requests: ForwardRequestRequest[] = [];
 	let resolveConnect: (state: string) => void = () => undefined;
-	let resolveAnswer: (message: ForwardRequestResponse) => void = () => undefined;
+	let resolveAnswer: (messages: readonly ForwardRequestResponse[]) => void = () => undefined;
 	let isCancelled = false;
 	const connected = new Promise<string>(resolve => {
 		resolveConnect = resolve;
@@ -68,7 +68,7 @@
 		for await (const message of sent) {
 			requests.push(message);
 		}
-		yield await new Promise<ForwardRequestResponse>((resolve, reject) => {
+		yield* await new Promise<readonly ForwardRequestResponse[]>((resolve, reject) => {
 			resolveAnswer = resolve;
 			signal.addEventListener('abort', () => {
 				isCancelled = true;
@@ -85,8 +85,8 @@
 		acceptConnection: () => {
 			resolveConnect('open');
 		},
-		answer: message => {
-			resolveAnswer(message);
+		answer: (...messages) => {
+			resolveAnswer(messages);
 		},
 		isCancelled: () => isCancelled,
 	};
