Forget the request of a connection that could not be opened

Found on reading afresh: the client remembered the request of each connection until that closed, but one that never opened doesn't close, and the pool drops it. So it kept an id for each request to a target that accepts no connection. The new test failed before (1 request remembered).

--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -85,7 +85,7 @@
 	private pool: Pool;
 	/** Attempts that no connection has taken yet. */
 	private readonly waiting = new Set<Attempt>();
-	/** The requests that the open connections of the pool were used for last. */
+	/** The requests that the connections of the pool were used for last. */
 	private readonly latestRequests = new Set<RequestId>();
 	readonly continuity = new ProcessContinuity();
 
@@ -121,6 +121,11 @@
 		return attempt;
 	}
 
+	/** The number of requests whose connection is remembered. */
+	countLatestRequests(): number {
+		return this.latestRequests.size;
+	}
+
 	/** Sends an attempt on a connection of its own, which is closed after it. */
 	private dispatchAlone(options: AttemptDispatchOptions, attempt: Attempt): void {
 		const client = this.createClient(this.origin, connectionOptions, new Set());
@@ -225,9 +230,11 @@
 		const state = new ConnectionState(getNow);
 		super(origin, { ...options, connect: createResetTrackingConnector(state, noteConnection) });
 		this.state = state;
-		this.on('disconnect', () => {
+		const forgetRequest = (): void => {
 			this.setLatestRequest(undefined);
-		});
+		};
+		this.on('disconnect', forgetRequest);
+		this.on('connectionError', forgetRequest);
 	}
 
 	override dispatch(options: AttemptDispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
--- a/src/entry/node/targets/test/targetClient.test.ts
+++ b/src/entry/node/targets/test/targetClient.test.ts
@@ -129,6 +129,17 @@
 		await client.close();
 	});
 
+	// Guards against memory that grows with each request to a target that accepts no connection.
+	it('remembers no request whose connection could not be opened', async () => {
+		const target = await openTarget(() => undefined);
+		await new Promise(resolve => target.server.close(resolve));
+		const client = new TargetClient(target.origin, new ManualTimerService());
+		await sendOnce(client, undefined, 'order-1' as RequestId);
+		await waitForEvents();
+		expect(client.countLatestRequests()).toBe(0);
+		await client.close();
+	});
+
 	it('does not report a hand-over if no connection could be opened', async () => {
 		// No process listens on the port. If this counted as handed over, the caller would receive the outcome
 		// "unknown" for a payment that was never sent.
