--- a/src/entry/node/requests/test/randomEntry.ts
+++ b/src/entry/node/requests/test/randomEntry.ts
@@ -45,7 +45,8 @@
 import { createRandomTarget } from './randomTarget';
 
 const service = 'bookings' as ServiceName;
-const version = 'v1' as SoftwareVersion;
+/** The version of all targets. */
+export const version = 'v1' as SoftwareVersion;
 const targetIds = ['bookings-1', 'bookings-2', 'bookings-3'].map(id => id as TargetId);
 const offers: readonly RemoteOffer[] = ['entry-7', 'entry-8', 'entry-9'].map(instance => ({
 	instance: instance as InstanceId,
@@ -68,7 +69,8 @@
 	readonly steps: readonly string[];
 }
 
-function createTarget(id: TargetId): SchedulableTarget {
+/** A target in use whose version is certain. */
+export function createTarget(id: TargetId): SchedulableTarget {
 	return {
 		id,
 		zone: 'kingston-a' as ZoneName,
