Ask the store once more if an answer to a read of the present state does not come

Cause: an entry whose feed is lost reads the present state from the store. That call had no limit but that of the follower's whole watch, 0.9 of the maximum delay (5.4 s there), so that an answer that was lost held up all changes for so long.

Change: if no answer comes within a fifth of the maximum delay, the store is asked once more while the first call goes on, which takes another connection. The first answer counts.

Test: lostAnswers.test.ts resets the open calls of all entries at ten moments of a read and answers none of the next calls.

--- a/src/core/store/test/modelStore.ts
+++ b/src/core/store/test/modelStore.ts
@@ -77,6 +77,12 @@
 		}
 	}
 
+	/** Forgets all changes made so far. Watches that continue from before the latest one are told so. */
+	clearHistory(): void {
+		this.oldestWatchRevision = this.revision;
+		this.history = [];
+	}
+
 	async list(
 		prefix: string,
 		afterKey: string | undefined,
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -12,6 +12,7 @@
  * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
  *   entry that would watch the store itself, and by one that has no listing yet.
  * - After a suspension of the process or a restore the present state is wanted, so the store is asked.
+ * - An answer of the store is lost while the present state is wanted. The store is asked once more, on another connection.
  *
  * If the age of what this entry knows has a bound, three more rules keep it known while any other entry in reach has the store:
  *
@@ -229,7 +230,7 @@
 		const answer =
 			waitMs > 0
 				? await this.watchUntilLost(prefix, state, afterRevision, waitMs, signal)
-				: await this.store.watch(prefix, afterRevision, waitMs, signal);
+				: await this.readPresentState(prefix, afterRevision, signal);
 		const tookMs = this.timers.getNow() - startedMs;
 		return this.noteAnswer(state, answer).map(result => ({
 			...result,
@@ -237,6 +238,25 @@
 		}));
 	}
 
+	/**
+	 * Reads the changes without waiting for one. An answer that does not come soon may be lost, so the store is then asked once
+	 * more, on another connection, and whichever call is answered first counts.
+	 */
+	private async readPresentState(
+		prefix: string,
+		afterRevision: number,
+		signal: AbortSignal,
+	): Promise<Result<StoreWatchResult, StoreError>> {
+		const unanswered = new AbortController();
+		const callSignal = AbortSignal.any([signal, unanswered.signal]);
+		const first = this.store.watch(prefix, afterRevision, 0, callSignal);
+		const quickAnswer = await this.waitBriefly(first);
+		const answer =
+			quickAnswer ?? (await takeFirstAnswer([first, this.store.watch(prefix, afterRevision, 0, callSignal)]));
+		unanswered.abort();
+		return answer;
+	}
+
 	/** Ends the watch as failed if the path to the store is lost meanwhile. */
 	private async watchUntilLost(
 		prefix: string,
@@ -597,6 +617,23 @@
 	};
 }
 
+/** Returns the first answer of the store, or the last failure if no call is answered. */
+async function takeFirstAnswer<TValue>(
+	calls: readonly Promise<Result<TValue, StoreError>>[],
+): Promise<Result<TValue, StoreError>> {
+	return new Promise(resolve => {
+		let openCalls = calls.length;
+		for (const call of calls) {
+			void call.then(answer => {
+				openCalls--;
+				if (openCalls === 0 || !isStoreSilent(answer)) {
+					resolve(answer);
+				}
+			});
+		}
+	});
+}
+
 function isStoreSilent(answer: Result<unknown, StoreError>): boolean {
 	return answer.isErr() && isUnanswered(answer.error);
 }
--- /dev/null
+++ b/src/entry/common/storeRelay/test/lostAnswers.test.ts
@@ -0,0 +1,79 @@
+/**
+ * Entries whose open calls to the store are reset at once, and whose next calls are never answered, at each moment of a read.
+ */
+
+import { SeededRandom } from '../../../../base/common/random';
+import type { RelayEntry } from './relaySimulation';
+import { maxDelayMs, prefix, RelaySite } from './relaySimulation';
+
+const settleMs = 10_000;
+/** The shortest time in which a change has to be known to all entries in touch with the store. */
+const knownWithinMs = 0.6 * maxDelayMs;
+/** The longest wait of a read. */
+const readMs = 0.6 * maxDelayMs;
+const phaseStepMs = 300;
+/** All entries wait for a change again by then. */
+const firstPhaseMs = 20;
+const phases = Array.from({ length: readMs / phaseStepMs }, (_, index) => firstPhaseMs + index * phaseStepMs);
+/** Time for which calls to the store are not answered after the reset. */
+const silenceMs = 200;
+
+interface Case {
+	readonly name: string;
+	readonly isHistoryDropped: boolean;
+	readonly isAffected: (entry: RelayEntry) => boolean;
+}
+
+const cases: readonly Case[] = [
+	{ name: 'all entries', isHistoryDropped: false, isAffected: () => true },
+	{ name: 'all entries while the store drops its history', isHistoryDropped: true, isAffected: () => true },
+	{
+		name: 'the watchers',
+		isHistoryDropped: false,
+		isAffected: ({ client }) => client.isDirect(prefix),
+	},
+];
+
+/** Loses the next calls of entries to the store, and returns the time from a change before that to when all entries have it. */
+async function measureDelay(testCase: Case, phaseMs: number): Promise<number> {
+	const site = new RelaySite(12, true, new SeededRandom(1));
+	const entries = [...site.entries.values()];
+	await site.advance(settleMs);
+	// An answered watch begins the next read.
+	site.siteStore.put(`${prefix}begin`, '1');
+	await site.advance(phaseMs);
+	const affected = entries.filter(entry => testCase.isAffected(entry));
+	for (const { ownStore } of affected) {
+		ownStore.isSilent = true;
+		ownStore.endOpenCalls();
+	}
+	const key = `${prefix}late`;
+	const writtenMs = site.timers.getNow();
+	site.siteStore.put(key, '1');
+	if (testCase.isHistoryDropped) {
+		site.siteStore.clearHistory();
+	}
+	await site.advance(silenceMs);
+	for (const { ownStore } of affected) {
+		ownStore.isSilent = false;
+	}
+	while (entries.some(({ held }) => !held.has(key)) && site.timers.getNow() - writtenMs < 2 * maxDelayMs) {
+		await site.advance(20);
+	}
+	site.dispose();
+	return site.timers.getNow() - writtenMs;
+}
+
+describe.each(cases)('a change after the connections of $name to the store were reset', testCase => {
+	// Guards against requests to a zone that is evacuated, since the next read of the store is lost and waited for.
+	it('is known in time if the next calls are never answered, whenever that falls within a read', async () => {
+		const late: string[] = [];
+		for (const phaseMs of phases) {
+			const delayMs = await measureDelay(testCase, phaseMs);
+			if (delayMs > knownWithinMs) {
+				late.push(`reset ${phaseMs} ms after the begin: ${delayMs} ms`);
+			}
+		}
+		expect(late).toEqual([]);
+	});
+});
--- a/src/entry/common/storeRelay/test/relaySimulation.ts
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -45,6 +45,9 @@
 	endsWatchesAfterMs = Number.POSITIVE_INFINITY;
 	/** Answers are held up on the way for this time. */
 	answerDelayMs = 0;
+	/** Calls that begin meanwhile are never answered, as on a connection that has gone silent; later ones are. */
+	isSilent = false;
+	private readonly openCalls = new Set<AbortController>();
 
 	constructor(
 		private readonly store: ModelStore,
@@ -56,7 +59,7 @@
 		afterKey: string | undefined,
 		signal: AbortSignal,
 	): Promise<Result<StorePage, StoreError>> {
-		return this.countAnswer(signal, () => this.store.list(below, afterKey, signal));
+		return this.countAnswer(signal, callSignal => this.store.list(below, afterKey, callSignal));
 	}
 
 	async watch(
@@ -65,8 +68,8 @@
 		waitMs: number,
 		signal: AbortSignal,
 	): Promise<Result<StoreWatchResult, StoreError>> {
-		return this.countAnswer(signal, () =>
-			this.store.watch(below, after, Math.min(waitMs, this.endsWatchesAfterMs), signal),
+		return this.countAnswer(signal, callSignal =>
+			this.store.watch(below, after, Math.min(waitMs, this.endsWatchesAfterMs), callSignal),
 		);
 	}
 
@@ -79,16 +82,30 @@
 		return Promise.resolve();
 	}
 
+	/** Ends all open calls as if their connections were reset. */
+	endOpenCalls(): void {
+		for (const call of this.openCalls) {
+			call.abort();
+		}
+	}
+
 	/** An answer that arrives during a cut is lost, so that the call ends with its timeout. */
 	private async countAnswer<TValue>(
 		signal: AbortSignal,
-		ask: () => Promise<Result<TValue, StoreError>>,
+		ask: (signal: AbortSignal) => Promise<Result<TValue, StoreError>>,
 	): Promise<Result<TValue, StoreError>> {
 		this.calls++;
 		if (this.isRefused) {
 			return err({ kind: StoreErrorKind.Refused, detail: 'turned away' });
 		}
-		return this.carryAnswer(signal, await ask());
+		if (this.isSilent) {
+			return waitUntilAborted(signal);
+		}
+		const connection = new AbortController();
+		this.openCalls.add(connection);
+		const answer = await ask(AbortSignal.any([signal, connection.signal]));
+		this.openCalls.delete(connection);
+		return this.carryAnswer(signal, answer);
 	}
 
 	private async carryAnswer<TValue>(
@@ -99,19 +116,21 @@
 			await new Promise<void>(resolve => this.timers.schedule(this.answerDelayMs, resolve));
 		}
 		await this.timers.waitUntilAwake();
-		if (!this.isCut) {
-			return answer;
+		return this.isCut ? waitUntilAborted(signal) : answer;
+	}
+}
+
+/** Returns the end of a call that is never answered. */
+async function waitUntilAborted<TValue>(signal: AbortSignal): Promise<Result<TValue, StoreError>> {
+	await new Promise<void>(resolve => {
+		if (signal.aborted) {
+			resolve();
 		}
-		await new Promise<void>(resolve => {
-			if (signal.aborted) {
-				resolve();
-			}
-			signal.addEventListener('abort', () => {
-				resolve();
-			});
+		signal.addEventListener('abort', () => {
+			resolve();
 		});
-		return err({ kind: StoreErrorKind.Unreachable, detail: 'no answer' });
-	}
+	});
+	return err({ kind: StoreErrorKind.Unreachable, detail: 'no answer' });
 }
 
 export class RelayEntry extends Disposable {
