Pass on no state of the store before the store has answered

Cause: an entry counted as reading the store itself as soon as it asked. While its call had no answer it accepted readers and told them that its state was current, up to 1.6 times the maximum delay old.

Change: only an answer makes an entry a direct reader. Since the answer to a call that waits comes late, the first call after a feed asks for the present state. An entry that no one answers ends its feeds, also if it read another one before.

--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -92,7 +92,7 @@
 	isProbing: boolean;
 	/** Number of entries that were asked since the store last answered. */
 	askedCount: number;
-	/** Whether the last answer came from the store itself. */
+	/** Whether the last answer came from the store itself. A call that is not answered yet does not count. */
 	isDirect: boolean;
 	/** Whether the store is waiting for a change to answer a call. */
 	isWaiting: boolean;
@@ -188,9 +188,12 @@
 		const hadFeed = state.feed !== undefined;
 		const feed = this.findFeed(prefix, state, afterRevision);
 		if (feed === undefined) {
-			return hadFeed && this.isAgeBounded()
-				? this.watchStoreOrOthers(prefix, state, afterRevision, signal)
-				: this.watchStore(prefix, state, afterRevision, remainingMs, signal);
+			if (hadFeed && this.isAgeBounded()) {
+				return this.watchStoreOrOthers(prefix, state, afterRevision, signal);
+			}
+			// The answer to a read that waits would come too late for others that read here.
+			const directWaitMs = state.isDirect ? remainingMs : 0;
+			return this.watchStore(prefix, state, afterRevision, directWaitMs, signal);
 		}
 		this.probeStore(prefix, state, afterRevision);
 		switch (await feed.wait(remainingMs, signal)) {
@@ -224,7 +227,6 @@
 		waitMs: number,
 		signal: AbortSignal,
 	): Promise<Result<StoreWatchResult, StoreError>> {
-		state.isDirect = true;
 		const sentMs = this.ageClock.getNow();
 		const startedMs = this.timers.getNow();
 		const answer =
@@ -232,6 +234,7 @@
 				? await this.watchUntilLost(prefix, state, afterRevision, waitMs, signal)
 				: await this.readPresentState(prefix, afterRevision, signal);
 		const tookMs = this.timers.getNow() - startedMs;
+		state.isDirect = answer.isOk();
 		return this.noteAnswer(state, answer).map(result => ({
 			...result,
 			asOfMs: computeWatchAsOfMs({ sentMs, waitMs, tookMs, isEmpty: result.changes.length === 0 }),
@@ -290,8 +293,9 @@
 		afterKey: string | undefined,
 		signal: AbortSignal,
 	): Promise<Result<StorePage, StoreError>> {
-		state.isDirect = true;
-		return this.noteAnswer(state, await this.store.list(prefix, afterKey, signal));
+		const answer = await this.store.list(prefix, afterKey, signal);
+		state.isDirect = answer.isOk();
+		return this.noteAnswer(state, answer);
 	}
 
 	/** Asks a store that did not answer lately and other entries at the same time. */
@@ -364,7 +368,6 @@
 		}
 		search.abort();
 		this.closeFeed(prefix, state, 'the store answers');
-		state.isDirect = true;
 		return undefined;
 	}
 
--- a/src/entry/common/storeRelay/storeFeeds.ts
+++ b/src/entry/common/storeRelay/storeFeeds.ts
@@ -182,8 +182,8 @@
 		observer.receive({ ...this.describe(feed, reader), isListing, written, removed: [] });
 	}
 
-	private isStoreLost({ source, isDirect, isTurnedAway }: Feed): boolean {
-		return isTurnedAway() || (isDirect() && !source.isReached() && source.getCurrentAsOfMs() !== undefined);
+	private isStoreLost({ source, isTurnedAway }: Feed): boolean {
+		return isTurnedAway() || (!source.isReached() && source.getCurrentAsOfMs() !== undefined);
 	}
 
 	/** Whether what this entry has may be passed on as the state of the store. */
