Ask the store and another entry at the same time after a failed call

Cause: after a failed call an entry waited a fifth of the maximum delay for another entry's feed before it asked the store again. That the store has dropped its history was no answer in this, so the listing after it waited for another entry once more. Only entries whose keys have a bounded age asked both at once.

Change: all entries do what those with bounded ages did: a read that follows a failure asks both, and whoever answers first is read. An answer that the history is gone ends the failure.

Test: lostAnswers.test.ts, "the watchers while all others stand still": before, a change was known after 4.0 s at all ten moments of a read, 3 s allowed; now within that.

--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -10,14 +10,15 @@
  * - The entry has just started. Its first watch waits until the other entries are known: all entries may start at once, and
  *   each change would wake all of them.
  * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
- *   entry that would watch the store itself, and by one that has no listing yet.
+ *   entry that would watch the store itself, and by one that has no listing yet. Each new read asks the store at the same time,
+ *   and whoever answers first is read.
  * - After a suspension of the process or a restore the present state is wanted, so the store is asked.
  * - An answer of the store is lost while the present state is wanted. The store is asked once more, on another connection.
  *
  * If the age of what this entry knows has a bound, three more rules keep it known while any other entry in reach has the store:
  *
- * - The feed is lost and the store does not answer at once. Other entries are asked meanwhile, one after the other, also those
- *   of other regions, and whoever answers first is read.
+ * - The feed is lost and the store does not answer at once. Not one other entry is asked meanwhile, but one after the other, also
+ *   those of other regions.
  * - The store did not answer some seconds ago. It is probed beside the feed, which is kept until the store answers.
  * - Others begin to read here. The store is read at once, so that they do not wait for the end of a feed's wait.
  */
@@ -151,16 +152,9 @@
 			return ok({ items: written, hasMore: false, revision, era, asOfMs, isRelayed: true });
 		}
 		this.closeFeed(prefix, state, 'a listing is needed');
-		if (afterKey === undefined && this.isTurnedAway(state) && this.isAgeBounded()) {
-			return this.listFromStoreOrOthers(prefix, state, signal);
-		}
-		if (afterKey === undefined && this.isTurnedAway(state)) {
-			const feed = await this.openWhileTurnedAway(prefix, state, 0, signal);
-			if (feed?.getNext()?.isListing === true) {
-				return this.list(prefix, afterKey, signal);
-			}
-		}
-		return this.listFromStore(prefix, state, afterKey, signal);
+		return afterKey === undefined && this.isTurnedAway(state)
+			? this.listFromStoreOrOthers(prefix, state, signal)
+			: this.listFromStore(prefix, state, afterKey, signal);
 	}
 
 	async watch(
@@ -172,28 +166,16 @@
 		const state = this.getState(prefix);
 		if (waitMs === 0) {
 			this.closeFeed(prefix, state, 'the present state is needed');
-			if (this.isAgeBounded()) {
-				return this.watchStoreOrOthers(prefix, state, afterRevision, signal);
-			}
-			const feed = this.isTurnedAway(state)
-				? await this.openWhileTurnedAway(prefix, state, afterRevision, signal)
-				: undefined;
-			if (feed === undefined) {
-				return this.watchStore(prefix, state, afterRevision, waitMs, signal);
-			}
-			state.isDirect = false;
-			return this.takeMessage(feed, afterRevision);
+			return this.watchStoreOrOthers(prefix, state, afterRevision, signal);
 		}
 		const remainingMs = waitMs - (await this.waitUntilSettled(waitMs, signal));
 		const hadFeed = state.feed !== undefined;
 		const feed = this.findFeed(prefix, state, afterRevision);
 		if (feed === undefined) {
-			if (hadFeed && this.isAgeBounded()) {
-				return this.watchStoreOrOthers(prefix, state, afterRevision, signal);
-			}
 			// The answer to a read that waits would come too late for others that read here.
-			const directWaitMs = state.isDirect ? remainingMs : 0;
-			return this.watchStore(prefix, state, afterRevision, directWaitMs, signal);
+			return hadFeed || !state.isDirect
+				? this.watchStoreOrOthers(prefix, state, afterRevision, signal)
+				: this.watchStore(prefix, state, afterRevision, remainingMs, signal);
 		}
 		this.probeStore(prefix, state, afterRevision);
 		switch (await feed.wait(remainingMs, signal)) {
@@ -205,9 +187,7 @@
 				return err({ kind: StoreErrorKind.Unreachable, detail: 'the call was cancelled' });
 			case FeedWaitEnd.Lost:
 				this.abandonFeed(prefix, state, feed);
-				return this.isAgeBounded()
-					? this.watchStoreOrOthers(prefix, state, afterRevision, signal)
-					: this.watchStore(prefix, state, afterRevision, 0, signal);
+				return this.watchStoreOrOthers(prefix, state, afterRevision, signal);
 		}
 	}
 
@@ -298,7 +278,7 @@
 		return this.noteAnswer(state, answer);
 	}
 
-	/** Asks a store that did not answer lately and other entries at the same time. */
+	/** Asks a store that did not answer lately and another entry at the same time. */
 	private async listFromStoreOrOthers(
 		prefix: string,
 		state: PrefixState,
@@ -574,13 +554,13 @@
 		if (era !== undefined && era > (this.era ?? 0)) {
 			this.era = era;
 		}
-		if (answer.isOk() || (this.isAgeBounded() && !isUnanswered(answer.error))) {
+		if (answer.isErr() && isUnanswered(answer.error)) {
+			state.isFailing = true;
+			state.turnedAwayUntilMs = this.timers.getNow() + turnedAwayMs;
+		} else {
 			state.turnedAwayUntilMs = 0;
 			state.isFailing = false;
 			state.askedCount = 0;
-		} else if (isUnanswered(answer.error)) {
-			state.isFailing = true;
-			state.turnedAwayUntilMs = this.timers.getNow() + turnedAwayMs;
 		}
 		return answer;
 	}
--- a/src/entry/common/storeRelay/test/lostAnswers.test.ts
+++ b/src/entry/common/storeRelay/test/lostAnswers.test.ts
@@ -15,26 +15,40 @@
 /** All entries wait for a change again by then. */
 const firstPhaseMs = 20;
 const phases = Array.from({ length: readMs / phaseStepMs }, (_, index) => firstPhaseMs + index * phaseStepMs);
-/** Time for which calls to the store are not answered after the reset. */
-const silenceMs = 200;
 
 interface Case {
 	readonly name: string;
+	/** Time for which calls to the store are not answered after the reset. */
+	readonly silenceMs: number;
 	readonly isHistoryDropped: boolean;
 	readonly isAffected: (entry: RelayEntry) => boolean;
+	/** Whether the other entries stand still from the reset on. */
+	readonly areOthersFrozen?: boolean;
 }
 
 const cases: readonly Case[] = [
-	{ name: 'all entries', isHistoryDropped: false, isAffected: () => true },
-	{ name: 'all entries while the store drops its history', isHistoryDropped: true, isAffected: () => true },
+	{ name: 'all entries', silenceMs: 200, isHistoryDropped: false, isAffected: () => true },
 	{
-		name: 'the watchers',
-		isHistoryDropped: false,
-		isAffected: ({ client }) => client.isDirect(prefix),
+		name: 'all entries while the store drops its history',
+		silenceMs: 200,
+		isHistoryDropped: true,
+		isAffected: () => true,
+	},
+	{ name: 'the watchers', silenceMs: 200, isHistoryDropped: false, isAffected: isWatcher },
+	{
+		name: 'the watchers while all others stand still',
+		silenceMs: 1_500,
+		isHistoryDropped: true,
+		isAffected: isWatcher,
+		areOthersFrozen: true,
 	},
 ];
 
-/** Loses the next calls of entries to the store, and returns the time from a change before that to when all entries have it. */
+function isWatcher({ client }: RelayEntry): boolean {
+	return client.isDirect(prefix);
+}
+
+/** Loses the next calls of entries to the store, and returns the time from a change before that to when all running entries have it. */
 async function measureDelay(testCase: Case, phaseMs: number): Promise<number> {
 	const site = new RelaySite(12, true, new SeededRandom(1));
 	const entries = [...site.entries.values()];
@@ -43,6 +57,11 @@
 	site.siteStore.put(`${prefix}begin`, '1');
 	await site.advance(phaseMs);
 	const affected = entries.filter(entry => testCase.isAffected(entry));
+	const others = entries.filter(entry => !affected.includes(entry));
+	for (const other of others) {
+		other.isFrozen = testCase.areOthersFrozen === true;
+	}
+	const running = entries.filter(({ isFrozen }) => !isFrozen);
 	for (const { ownStore } of affected) {
 		ownStore.isSilent = true;
 		ownStore.endOpenCalls();
@@ -53,11 +72,11 @@
 	if (testCase.isHistoryDropped) {
 		site.siteStore.clearHistory();
 	}
-	await site.advance(silenceMs);
+	await site.advance(testCase.silenceMs);
 	for (const { ownStore } of affected) {
 		ownStore.isSilent = false;
 	}
-	while (entries.some(({ held }) => !held.has(key)) && site.timers.getNow() - writtenMs < 2 * maxDelayMs) {
+	while (running.some(({ held }) => !held.has(key)) && site.timers.getNow() - writtenMs < 2 * maxDelayMs) {
 		await site.advance(20);
 	}
 	site.dispose();
