Use no target before the evacuations of zones have been read

Cause: an entry that starts may have its configuration from another entry and its targets from the registrations, while its read of the operators' items fails. It then counted as ready, and no zone as evacuated.

Change: where evacuations are followed, all zones count as evacuated until they have been read once, and the entry is not ready. The first listing of a prefix is emitted even if it is empty, so that this ends where operators have written nothing.

--- a/src/core/discovery/common/discovery.ts
+++ b/src/core/discovery/common/discovery.ts
@@ -7,6 +7,8 @@
  * refused. A removal read just after an outage therefore applies only if the target has not registered again within
  * `reregistrationGraceMs`. A target that had asked for no new requests is removed at once in any case.
  *
+ * The configuration may be known from another entry before the evacuations are read. Until then no target receives requests.
+ *
  * Registrations read from a store that was restored from an older copy may be outdated. Such a registration does not
  * make a leaving or removed target of the same boot available again; the target re-registers with its current state.
  */
@@ -85,7 +87,8 @@
 	private source: IRegistrationSource | undefined;
 	private restoredMs = Number.NEGATIVE_INFINITY;
 	private readonly seenVersions = new SeenVersions();
-	private evacuated: ReadonlySet<ZoneName> = new Set();
+	/** Undefined if the evacuations are followed but not read yet. */
+	private evacuated: ReadonlySet<ZoneName> | undefined = new Set();
 	private hasRead = false;
 	private hasChanged = false;
 	private readonly channel = this.register(new Channel<undefined>());
@@ -177,8 +180,17 @@
 		}
 	}
 
+	/** Declares that the evacuations are followed. All zones count as evacuated until `setEvacuated` is called. */
+	followEvacuations(): void {
+		this.evacuated = undefined;
+	}
+
+	hasReadEvacuations(): boolean {
+		return this.evacuated !== undefined;
+	}
+
 	isEvacuated(zone: ZoneName): boolean {
-		return this.evacuated.has(zone);
+		return this.evacuated === undefined || this.evacuated.has(zone);
 	}
 
 	applyRegistrations(change: RegistrationChange, nowMs: number): void {
@@ -208,12 +220,13 @@
 	 * restarted meanwhile, and registrations that show it arrive late; such targets count as cold for `coldMs`.
 	 */
 	setEvacuated(zones: ReadonlySet<ZoneName>, coldMs: number, nowMs: number): void {
+		const before = this.evacuated ?? new Set();
 		for (const zone of zones) {
-			if (!this.evacuated.has(zone)) {
+			if (!before.has(zone)) {
 				this.record(zone, 'in use', 'evacuated', 'operator');
 			}
 		}
-		for (const zone of this.evacuated) {
+		for (const zone of before) {
 			if (!zones.has(zone)) {
 				this.record(zone, 'evacuated', 'in use', 'operator');
 				this.setZoneCold(zone, nowMs + coldMs);
--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -30,7 +30,7 @@
 import { StoreMirror } from './storeMirror';
 import { computeWatchAsOfMs } from './watchAge';
 
-/** A change of the items below the prefix. */
+/** A change of the items below the prefix. The first one is emitted even if there are no items. */
 export interface FollowedChange extends MirrorChange {
 	readonly revision: number;
 	/**
@@ -288,7 +288,8 @@
 		}
 		this.recordAnswer();
 		const { written, removed, superseded } = read.value;
-		if (written.length + removed.length + superseded.length > 0) {
+		const isFirst = this.emittedPosition === undefined;
+		if (isFirst || written.length + removed.length + superseded.length > 0) {
 			const nowMs = this.timers.getNow();
 			this.changes.emit({
 				...read.value,
