Take no success without a length for whole that ended before its request was written

Change: the end of the connection doesn't end a success without a length while bytes of the request are still to be written. An answer that rejects the request needs no more of it and is passed on as before.

--- a/src/entry/node/targets/connectionState.ts
+++ b/src/entry/node/targets/connectionState.ts
@@ -20,6 +20,8 @@
 export class ConnectionState {
 	/** Whether the connection ended with an error or a reset. */
 	wasReset = false;
+	/** Whether the target ended the connection before the request was written. */
+	endedDuringRequest = false;
 	private socket: Socket | undefined;
 	private bytesBefore = 0;
 	private payloadBytes = 0;
@@ -32,12 +34,14 @@
 	open(socket: Socket | undefined): void {
 		this.socket = socket;
 		this.wasReset = false;
+		this.endedDuringRequest = false;
 		this.beginAnswer(this.resumeParser);
 		socket?.on('error', (error: NodeJS.ErrnoException) => {
 			this.wasReset = true;
 			setResetCode(error);
 		});
 		socket?.on('end', () => {
+			this.endedDuringRequest = socket.writableLength > 0;
 			this.wasReset ||= isReset(socket);
 			// undici throws from its listener if the connection ends while its parser is paused.
 			this.resumeParser?.();
--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -4,7 +4,8 @@
  * to a socket, and an error without this call means that no byte was sent.
  *
  * An answer without a length ends when its connection closes. undici treats a connection reset as that end and
- * would deliver a truncated answer as complete, so each connection records whether it was reset.
+ * would deliver a truncated answer as complete, so each connection records whether it was reset. A target that ends its side
+ * before it has the whole request resets the connection next, so only an answer that rejects the request is complete then.
  *
  * A faulty target may send a second answer on a connection once the next request arrives there. Its request id does not
  * show that it belongs to an earlier attempt of the same request, so such a request is sent on another connection.
@@ -63,6 +64,7 @@
 	bodyTimeout: timeoutDisabled,
 };
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
+const minRedirectStatus = 300;
 
 /** Sends attempts to one target. */
 export interface ITargetClient {
@@ -278,6 +280,8 @@
 	private controller: Dispatcher.DispatchController | undefined;
 	private isOver = false;
 	private isPaused = false;
+	/** Whether an end of the connection before the whole request was written is not that of the answer. */
+	private needsWholeRequest = false;
 	/** The whole answer was read, and the observer hasn't resumed yet. */
 	private isEndHeld = false;
 	private cancelReason: string | undefined;
@@ -290,7 +294,7 @@
 		private readonly onDidLeaveQueue: () => void,
 	) {}
 
-	/** Fails an attempt that waits for a connection. It is not sent. */
+	/** Fails the attempt. One that waits for a connection is not sent. */
 	abandon(reason: string): void {
 		this.cancel(reason);
 		this.observer.noteFailed(new Error(reason));
@@ -349,6 +353,7 @@
 		const lines = listHeaderLines(answerHeaders);
 		const hasBody = this.method !== 'HEAD' && !statusesWithoutBody.has(statusCode);
 		const endsWithConnection = hasBody && !isFramed(lines);
+		this.needsWholeRequest = endsWithConnection && statusCode < minRedirectStatus;
 		this.observer.receiveHead({ status: statusCode, lines, endsWithConnection });
 	}
 
@@ -372,19 +377,29 @@
 		if (this.isOver) {
 			return;
 		}
-		const wasReset = this.connection?.wasReset === true;
-		this.isEndHeld = this.isPaused && !wasReset;
+		const fault = this.findEndFault();
+		this.isEndHeld = this.isPaused && fault === undefined;
 		if (this.isEndHeld) {
 			return;
 		}
 		this.isOver = true;
-		if (wasReset) {
-			this.observer.noteFailed(new Error('the connection was reset before the end of the answer'));
+		if (fault !== undefined) {
+			this.observer.noteFailed(new Error(fault));
 			return;
 		}
 		this.observer.noteCompleted();
 	}
 
+	/** Returns why the end of the answer is none. */
+	private findEndFault(): string | undefined {
+		if (this.connection?.wasReset === true) {
+			return 'the connection was reset before the end of the answer';
+		}
+		return this.needsWholeRequest && this.connection?.endedDuringRequest === true
+			? 'the target ended the connection before it had the whole request'
+			: undefined;
+	}
+
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		this.onDidLeaveQueue();
 		if (!this.isOver) {
