Pass on no answer whose status is above 599

Checked here: statuses below 100 fail the attempt, since undici rejects them (000, 001, 042, 099). 600 and 999 were passed on.

Change: a status above 599 fails the attempt as well, and its connection is closed.

Test: earlyAnswers.test.ts, "an answer whose status is no status of HTTP": 600 and 999 failed before.

--- a/src/entry/node/targets/targetClient.ts
+++ b/src/entry/node/targets/targetClient.ts
@@ -65,6 +65,8 @@
 };
 const statusesWithoutBody: ReadonlySet<number> = new Set([204, 304]);
 const minRedirectStatus = 300;
+/** undici itself fails answers with statuses below 100. */
+const maxStatus = 599;
 
 /** Sends attempts to one target. */
 export interface ITargetClient {
@@ -349,6 +351,10 @@
 		if (this.isOver || isInformational) {
 			return;
 		}
+		if (statusCode > maxStatus) {
+			this.abandon(`the target answered with the invalid status ${statusCode}`);
+			return;
+		}
 		this.controller = controller;
 		const lines = listHeaderLines(answerHeaders);
 		const hasBody = this.method !== 'HEAD' && !statusesWithoutBody.has(statusCode);
--- a/src/entry/node/targets/test/earlyAnswers.test.ts
+++ b/src/entry/node/targets/test/earlyAnswers.test.ts
@@ -156,3 +156,15 @@
 		expect({ data, end }).toEqual({ data: part, end: 'completed' });
 	});
 });
+
+describe('an answer whose status is no status of HTTP', () => {
+	// Guards against answers of a target in trouble that reach the caller with a status such as 000.
+	it.each(['000', '001', '042', '099', '600', '999'])('fails if it is %s', async status => {
+		const answer = `HTTP/1.1 ${status} OK\r\ncontent-length: ${part.length}\r\n\r\n${part}`;
+		const { heads, data, end } = await sendUpload(1, answer, socket => {
+			setTimeout(() => socket.destroy(), 50);
+		});
+		expect({ heads, data }).toEqual({ heads: [], data: '' });
+		expect(end).toMatch(/^failed: /);
+	});
+});
