Read the store at once when another entry begins to read here

Cause: an entry that was asked for a feed while it read another one's waited for the end of its own wait, up to 0.6 of the maximum delay, before it turned to the store. Its reader gave it up after 0.2 or 0.4 of it, without news until then.

Change: entries with bounded ages did so already, now all do. An answer that arrives for a call that was cancelled, since another entry was read, doesn't make an entry a direct reader.

Test: unansweredWatcher.test.ts, "sends the present state before its feed counts as silent": before, no message within the 2 s after which a feed counts as silent.

--- a/src/entry/common/storeRelay/feedReader.ts
+++ b/src/entry/common/storeRelay/feedReader.ts
@@ -32,6 +32,7 @@
 	/** When the watcher accepted the feed, by the age clock; this or earlier. */
 	private acceptedMs: number;
 	private messageCount = 0;
+	private isWaitEnded = false;
 	private readonly connection: IDisposable;
 	private wake: (() => void) | undefined;
 	private lastHeardMs: number;
@@ -87,7 +88,7 @@
 
 	/** Ends a wait, because another reason to read than a message has come up. */
 	endWait(): void {
-		this.messageCount++;
+		this.isWaitEnded = true;
 		this.wake?.();
 	}
 
@@ -117,13 +118,11 @@
 	 */
 	async wait(waitMs: number, signal: AbortSignal): Promise<FeedWaitEnd> {
 		const { messageCount } = this;
-		const end = await this.waitFor(
-			waitMs,
-			signal,
-			() =>
-				this.messages.length > 0 ||
-				(this.times.bounds !== undefined && this.latest !== undefined && this.messageCount !== messageCount),
-		);
+		this.isWaitEnded = false;
+		const end = await this.waitFor(waitMs, signal, () => {
+			const isHeartbeatEnd = this.times.bounds !== undefined && this.messageCount !== messageCount;
+			return this.messages.length > 0 || (this.latest !== undefined && (isHeartbeatEnd || this.isWaitEnded));
+		});
 		return end === FeedWaitEnd.Message && this.messages.length === 0 ? FeedWaitEnd.Unchanged : end;
 	}
 
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -13,14 +13,14 @@
  *   entry that would watch the store itself, and by one that has no listing yet. Each new read asks the store at the same time,
  *   and whoever answers first is read.
  * - After a suspension of the process or a restore the present state is wanted, so the store is asked.
+ * - Others begin to read here. The store is read at once, so that they do not wait for the end of a feed's wait.
  * - An answer of the store is lost while the present state is wanted. The store is asked once more, on another connection.
  *
- * If the age of what this entry knows has a bound, three more rules keep it known while any other entry in reach has the store:
+ * If the age of what this entry knows has a bound, two more rules keep it known while any other entry in reach has the store:
  *
  * - The feed is lost and the store does not answer at once. Not one other entry is asked meanwhile, but one after the other, also
  *   those of other regions.
  * - The store did not answer some seconds ago. It is probed beside the feed, which is kept until the store answers.
- * - Others begin to read here. The store is read at once, so that they do not wait for the end of a feed's wait.
  */
 
 import type { Result } from 'neverthrow';
@@ -134,9 +134,7 @@
 
 	/** Called when another entry begins to read the changes here. */
 	noteReader(prefix: string): void {
-		if (this.isAgeBounded()) {
-			this.prefixes.get(prefix)?.feed?.endWait();
-		}
+		this.prefixes.get(prefix)?.feed?.endWait();
 	}
 
 	async list(
@@ -214,7 +212,7 @@
 				? await this.watchUntilLost(prefix, state, afterRevision, waitMs, signal)
 				: await this.readPresentState(prefix, afterRevision, signal);
 		const tookMs = this.timers.getNow() - startedMs;
-		state.isDirect = answer.isOk();
+		state.isDirect = answer.isOk() && !signal.aborted;
 		return this.noteAnswer(state, answer).map(result => ({
 			...result,
 			asOfMs: computeWatchAsOfMs({ sentMs, waitMs, tookMs, isEmpty: result.changes.length === 0 }),
@@ -274,7 +272,7 @@
 		signal: AbortSignal,
 	): Promise<Result<StorePage, StoreError>> {
 		const answer = await this.store.list(prefix, afterKey, signal);
-		state.isDirect = answer.isOk();
+		state.isDirect = answer.isOk() && !signal.aborted;
 		return this.noteAnswer(state, answer);
 	}
 
--- a/src/entry/common/storeRelay/test/unansweredWatcher.test.ts
+++ b/src/entry/common/storeRelay/test/unansweredWatcher.test.ts
@@ -4,12 +4,15 @@
 
 import { SeededRandom } from '../../../../base/common/random';
 import type { FeedMessage } from '../storeFeed';
+import { computeFeedTimes } from '../storeFeed';
 import type { RelayEntry } from './relaySimulation';
-import { prefix, RelaySite } from './relaySimulation';
+import { maxDelayMs, prefix, RelaySite } from './relaySimulation';
 
 const settleMs = 10_000;
-/** A feed counts as lost by then. */
-const feedSilenceMs = 2_500;
+/** The silence after which a feed counts as lost. */
+const { silenceMs } = computeFeedTimes(maxDelayMs);
+/** Longer than the silence, by the last message and the next read. */
+const feedLossMs = silenceMs + 500;
 
 interface Fixture {
 	readonly site: RelaySite;
@@ -29,7 +32,7 @@
 	const entry = [...site.entries.values()].find(other => other !== watcher)!;
 	entry.ownStore.isSilent = true;
 	site.kill(watcher.id);
-	await site.advance(feedSilenceMs);
+	await site.advance(feedLossMs);
 	const messages: FeedMessage[] = [];
 	const era = entry.follower.getEra();
 	entry.addReader(
@@ -63,3 +66,28 @@
 		site.dispose();
 	});
 });
+
+describe('an entry that is asked for a feed while it reads that of another one', () => {
+	// Guards against readers that give up an entry, and are without news until then, as it waits for its own feed first.
+	it('sends the present state before its feed counts as silent', async () => {
+		const site = new RelaySite(6, true, new SeededRandom(1));
+		await site.advance(settleMs);
+		site.siteStore.put(`${prefix}begin`, '1');
+		await site.advance(100);
+		const entry = [...site.entries.values()].find(({ client }) => !client.isDirect(prefix))!;
+		const messages: FeedMessage[] = [];
+		const { follower } = entry;
+		entry.addReader(
+			{ prefix, revision: follower.getRevision(), era: follower.getEra() },
+			{
+				receive: message => {
+					messages.push(message);
+				},
+				end: () => undefined,
+			},
+		);
+		await site.advance(silenceMs);
+		expect(messages.length).toBeGreaterThan(0);
+		site.dispose();
+	});
+});
