Log a read of the store that had no answer and was asked for again

Since the store is asked once more, an answer that is lost no longer shows as a failed call, which was what told the causes of late evacuations apart. An entry now logs the prefix and how long it waited.

--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -65,8 +65,13 @@
 	isRead(prefix: string): boolean;
 }
 
-/** Receives each change of where the changes of a prefix come from. */
-export type NoteSource = (prefix: string, watcher: InstanceId | undefined, reason: string) => void;
+/** Receives what the client decides, for the log. */
+export interface IRelayObserver {
+	/** The changes of a prefix come from another entry now, or from the store if there is none. */
+	noteSource(prefix: string, watcher: InstanceId | undefined, reason: string): void;
+	/** A read of the present state was not answered, and the store is asked once more. */
+	noteUnanswered(prefix: string, waitedMs: number): void;
+}
 
 /** Two feeds lost within this time are not followed by another one at once. */
 const repeatedLossMs = 10_000;
@@ -113,7 +118,7 @@
 		private readonly times: FeedTimes,
 		private readonly timers: ITimerService,
 		private readonly random: IRandom,
-		private readonly noteSource: NoteSource,
+		private readonly observer: IRelayObserver,
 		/** Measures the ages of answers; also counts suspensions if ages are bounded. */
 		private readonly ageClock: IClock = timers,
 	) {
@@ -231,9 +236,12 @@
 		const unanswered = new AbortController();
 		const callSignal = AbortSignal.any([signal, unanswered.signal]);
 		const first = this.store.watch(prefix, afterRevision, 0, callSignal);
-		const quickAnswer = await this.waitBriefly(first);
-		const answer =
-			quickAnswer ?? (await takeFirstAnswer([first, this.store.watch(prefix, afterRevision, 0, callSignal)]));
+		const startedMs = this.timers.getNow();
+		let answer = await this.waitBriefly(first);
+		if (answer === undefined) {
+			this.observer.noteUnanswered(prefix, this.timers.getNow() - startedMs);
+			answer = await takeFirstAnswer([first, this.store.watch(prefix, afterRevision, 0, callSignal)]);
+		}
 		unanswered.abort();
 		return answer;
 	}
@@ -498,7 +506,7 @@
 	private openFeed(prefix: string, state: PrefixState, watcher: InstanceId, revision: number): FeedReader {
 		const feed = this.createFeed(prefix, watcher, revision);
 		state.feed = feed;
-		this.noteSource(prefix, watcher, 'watches the store for this entry');
+		this.observer.noteSource(prefix, watcher, 'watches the store for this entry');
 		return feed;
 	}
 
@@ -531,7 +539,7 @@
 		}
 		state.feed.dispose();
 		state.feed = undefined;
-		this.noteSource(prefix, undefined, reason);
+		this.observer.noteSource(prefix, undefined, reason);
 	}
 
 	private listExcluded(nowMs: number): ReadonlySet<InstanceId> {
--- a/src/entry/common/storeRelay/test/relaySimulation.ts
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -186,7 +186,7 @@
 			times,
 			timers,
 			random,
-			() => undefined,
+			{ noteSource: () => undefined, noteUnanswered: () => undefined },
 			ageClock,
 		);
 		const age = ageClock && { clock: ageClock };
--- a/src/entry/node/storeRelay/storeRelay.ts
+++ b/src/entry/node/storeRelay/storeRelay.ts
@@ -56,8 +56,16 @@
 			times,
 			timers,
 			random,
-			(prefix, watcher, reason) => {
-				logger.info({ dependency: 'store', prefix, watcher, reason }, 'source of the store changed');
+			{
+				noteSource: (prefix, watcher, reason) => {
+					logger.info({ dependency: 'store', prefix, watcher, reason }, 'source of the store changed');
+				},
+				noteUnanswered: (prefix, waitedMs) => {
+					logger.warn(
+						{ dependency: 'store', prefix, waitedMs: Math.round(waitedMs) },
+						'store not answering, asked once more',
+					);
+				},
 			},
 			ageClock,
 		);
