--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -18,7 +18,7 @@
  *
  * If the age of what this entry knows has a bound, two more rules keep it known while any other entry in reach has the store:
  *
- * - The feed is lost and the store does not answer at once. Not one other entry is asked meanwhile, but one after the other, also
+ * - The feed is lost and the store does not answer at once. Several other entries are asked meanwhile, one after the other, also
  *   those of other regions.
  * - The store did not answer some seconds ago. It is probed beside the feed, which is kept until the store answers.
  */
