--- a/src/entry/common/storeRelay/test/unansweredWatcher.test.ts
+++ b/src/entry/common/storeRelay/test/unansweredWatcher.test.ts
@@ -1,5 +1,5 @@
 /**
- * Entries that are asked for a feed while their own read of the store has no answer.
+ * Entries that are asked for a feed before the store has answered them, or while they read another entry.
  */
 
 import { SeededRandom } from '../../../../base/common/random';
