--- a/src/core/store/test/modelStore.ts
+++ b/src/core/store/test/modelStore.ts
@@ -70,14 +70,13 @@
 		this.era++;
 		this.items = new Map(items);
 		this.revision = revision;
-		this.oldestWatchRevision = revision;
-		this.history = [];
+		this.clearHistory();
 		for (const { resolve } of this.watches.splice(0)) {
 			resolve(err({ kind: StoreErrorKind.Unreachable, detail: 'connection reset' }));
 		}
 	}
 
-	/** Forgets all changes made so far. Watches that continue from before the latest one are told so. */
+	/** Forgets all changes made so far. Watches that continue from before the latest one fail. */
 	clearHistory(): void {
 		this.oldestWatchRevision = this.revision;
 		this.history = [];
--- a/src/entry/common/storeRelay/test/unansweredWatcher.test.ts
+++ b/src/entry/common/storeRelay/test/unansweredWatcher.test.ts
@@ -48,7 +48,7 @@
 }
 
 describe('an entry that asked the store after it had lost its feed', () => {
-	// Guards against entries that go on by old news because another one calls its own state current before the store did.
+	// Guards against entries that keep outdated state because another one sends its own as current before the store has confirmed it.
 	it('sends its readers nothing before the store has answered', async () => {
 		const { site, messages } = await openFeedAtUnanswered();
 		await site.advance(400);
@@ -68,7 +68,7 @@
 });
 
 describe('an entry that is asked for a feed while it reads that of another one', () => {
-	// Guards against readers that give up an entry, and are without news until then, as it waits for its own feed first.
+	// Guards against readers that miss changes until they give an entry up, as it waits for its own feed first.
 	it('sends the present state before its feed counts as silent', async () => {
 		const site = new RelaySite(6, true, new SeededRandom(1));
 		await site.advance(settleMs);
--- a/src/entry/node/targets/test/earlyAnswers.test.ts
+++ b/src/entry/node/targets/test/earlyAnswers.test.ts
@@ -76,7 +76,7 @@
 	readonly end: string;
 }
 
-/** Sends a request whose target answers with `answer` after it has read some of it, and then does `finish`. */
+/** Sends a request whose target answers with `answer` after it has read some of it, and then calls `finish`. */
 async function sendUpload(
 	bodyBytes: number,
 	answer: string,
@@ -158,7 +158,7 @@
 });
 
 describe('an answer whose status is no status of HTTP', () => {
-	// Guards against answers of a target in trouble that reach the caller with a status such as 000.
+	// Guards against answers of a faulty target that reach the caller with a status such as 000.
 	it.each(['000', '001', '042', '099', '600', '999'])('fails if it is %s', async status => {
 		const answer = `HTTP/1.1 ${status} OK\r\ncontent-length: ${part.length}\r\n\r\n${part}`;
 		const { heads, data, end } = await sendUpload(1, answer, socket => {
