Share the phases of a read, the bound and the wait for a change between two tests of the relay

cutWatcher and lostAnswers had the same constants and the same loop. Bounds and cases are unchanged; a case is renamed from "stand still" to "are frozen".

--- a/src/entry/common/storeRelay/test/cutWatcher.test.ts
+++ b/src/entry/common/storeRelay/test/cutWatcher.test.ts
@@ -4,15 +4,9 @@
 
 import { SeededRandom } from '../../../../base/common/random';
 import type { RelayEntry } from './relaySimulation';
-import { maxDelayMs, prefix, RelaySite } from './relaySimulation';
+import { knownWithinMs, measureDelay, prefix, readPhases, RelaySite } from './relaySimulation';
 
 const settleMs = 10_000;
-/** The shortest time in which a change has to be known to all entries in touch with the store. */
-const knownWithinMs = 0.6 * maxDelayMs;
-/** The longest wait of a read. */
-const readMs = 0.6 * maxDelayMs;
-const phaseStepMs = 300;
-const phases = Array.from({ length: readMs / phaseStepMs }, (_, index) => index * phaseStepMs);
 /** Times from the cut to the change. */
 const changeDelays = [4, 300, 1_500, 2_900];
 const cuts = [
@@ -45,30 +39,23 @@
 	return { site, watcher, readers: [...site.entries.values()].filter(entry => entry !== watcher) };
 }
 
-/** Returns the time from a change to when all readers have it, in milliseconds. */
-async function measureDelay(site: RelaySite, readers: readonly RelayEntry[], key: string): Promise<number> {
-	site.siteStore.put(key, '1');
-	const writtenMs = site.timers.getNow();
-	while (readers.some(({ held }) => !held.has(key)) && site.timers.getNow() - writtenMs < 2 * maxDelayMs) {
-		await site.advance(20);
-	}
-	return site.timers.getNow() - writtenMs;
-}
-
 describe('a change after the watcher of a region was cut off silently', () => {
 	// Guards against requests to targets that left, since the entry that reads the store for others notices its cut late.
 	it.each(cases)(
 		'from $name is known to its readers in time, whenever the cut falls within a read, $changeDelayMs ms before the change',
 		async ({ apply, changeDelayMs }) => {
 			const late: string[] = [];
-			for (const phaseMs of phases) {
+			for (const phaseMs of readPhases) {
 				const { site, watcher, readers } = await startSite(6);
 				// An answered watch begins the next read.
 				site.siteStore.put(`${prefix}begin`, '1');
 				await site.advance(phaseMs);
 				apply(watcher);
 				await site.advance(changeDelayMs);
-				const delayMs = await measureDelay(site, readers, `${prefix}late`);
+				const key = `${prefix}late`;
+				const writtenMs = site.timers.getNow();
+				site.siteStore.put(key, '1');
+				const delayMs = await measureDelay(site, readers, key, writtenMs);
 				if (delayMs > knownWithinMs) {
 					late.push(`cut ${phaseMs} ms after the begin: ${delayMs} ms`);
 				}
--- a/src/entry/common/storeRelay/test/lostAnswers.test.ts
+++ b/src/entry/common/storeRelay/test/lostAnswers.test.ts
@@ -4,17 +4,12 @@
 
 import { SeededRandom } from '../../../../base/common/random';
 import type { RelayEntry } from './relaySimulation';
-import { maxDelayMs, prefix, RelaySite } from './relaySimulation';
+import { knownWithinMs, measureDelay, prefix, readPhases, RelaySite } from './relaySimulation';
 
 const settleMs = 10_000;
-/** The shortest time in which a change has to be known to all entries in touch with the store. */
-const knownWithinMs = 0.6 * maxDelayMs;
-/** The longest wait of a read. */
-const readMs = 0.6 * maxDelayMs;
-const phaseStepMs = 300;
 /** All entries wait for a change again by then. */
 const firstPhaseMs = 20;
-const phases = Array.from({ length: readMs / phaseStepMs }, (_, index) => firstPhaseMs + index * phaseStepMs);
+const phases = readPhases.map(phaseMs => firstPhaseMs + phaseMs);
 
 interface Case {
 	readonly name: string;
@@ -22,7 +17,7 @@
 	readonly silenceMs: number;
 	readonly isHistoryDropped: boolean;
 	readonly isAffected: (entry: RelayEntry) => boolean;
-	/** Whether the other entries stand still from the reset on. */
+	/** Whether the other entries are frozen from the reset on. */
 	readonly areOthersFrozen?: boolean;
 }
 
@@ -36,7 +31,7 @@
 	},
 	{ name: 'the watchers', silenceMs: 200, isHistoryDropped: false, isAffected: isWatcher },
 	{
-		name: 'the watchers while all others stand still',
+		name: 'the watchers while all others are frozen',
 		silenceMs: 1_500,
 		isHistoryDropped: true,
 		isAffected: isWatcher,
@@ -49,7 +44,7 @@
 }
 
 /** Loses the next calls of entries to the store, and returns the time from a change before that to when all running entries have it. */
-async function measureDelay(testCase: Case, phaseMs: number): Promise<number> {
+async function measureDelayAfterReset(testCase: Case, phaseMs: number): Promise<number> {
 	const site = new RelaySite(12, true, new SeededRandom(1));
 	const entries = [...site.entries.values()];
 	await site.advance(settleMs);
@@ -76,11 +71,9 @@
 	for (const { ownStore } of affected) {
 		ownStore.isSilent = false;
 	}
-	while (running.some(({ held }) => !held.has(key)) && site.timers.getNow() - writtenMs < 2 * maxDelayMs) {
-		await site.advance(20);
-	}
+	const delayMs = await measureDelay(site, running, key, writtenMs);
 	site.dispose();
-	return site.timers.getNow() - writtenMs;
+	return delayMs;
 }
 
 describe.each(cases)('a change after the connections of $name to the store were reset', testCase => {
@@ -88,7 +81,7 @@
 	it('is known in time if the next calls are never answered, whenever that falls within a read', async () => {
 		const late: string[] = [];
 		for (const phaseMs of phases) {
-			const delayMs = await measureDelay(testCase, phaseMs);
+			const delayMs = await measureDelayAfterReset(testCase, phaseMs);
 			if (delayMs > knownWithinMs) {
 				late.push(`reset ${phaseMs} ms after the begin: ${delayMs} ms`);
 			}
--- a/src/entry/common/storeRelay/test/relaySimulation.ts
+++ b/src/entry/common/storeRelay/test/relaySimulation.ts
@@ -31,6 +31,13 @@
 
 export const maxDelayMs = 5_000;
 export const prefix = 'servers/';
+/** The shortest time in which a change has to be known to all entries in touch with the store. */
+export const knownWithinMs = 0.6 * maxDelayMs;
+/** The longest wait of a read. */
+const readMs = 0.6 * maxDelayMs;
+const phaseStepMs = 300;
+/** Times from the begin of a read, over its whole length. */
+export const readPhases = Array.from({ length: readMs / phaseStepMs }, (_, index) => index * phaseStepMs);
 const peerDelayMs = 2;
 const clockCheckMs = 250;
 
@@ -368,3 +375,16 @@
 		super.dispose();
 	}
 }
+
+/** Waits until entries have a key, and returns the time since it was written, in milliseconds. */
+export async function measureDelay(
+	site: RelaySite,
+	entries: readonly RelayEntry[],
+	key: string,
+	writtenMs: number,
+): Promise<number> {
+	while (entries.some(({ held }) => !held.has(key)) && site.timers.getNow() - writtenMs < 2 * maxDelayMs) {
+		await site.advance(20);
+	}
+	return site.timers.getNow() - writtenMs;
+}
