--- a/src/core/store/common/storeFollower.ts
+++ b/src/core/store/common/storeFollower.ts
@@ -27,7 +27,7 @@
 import type { IStoreClient, StoreEra, StoreError, StoreItem, StorePage } from './storeClient';
 import { StoreErrorKind } from './storeClient';
 import type { MirrorChange } from './storeMirror';
-import { StoreMirror } from './storeMirror';
+import { hasChangedItems, StoreMirror } from './storeMirror';
 import { computeWatchAsOfMs } from './watchAge';
 
 /** A change of the items below the prefix. The first one is emitted even if there are no items. */
@@ -287,9 +287,8 @@
 			return;
 		}
 		this.recordAnswer();
-		const { written, removed, superseded } = read.value;
 		const isFirst = this.emittedPosition === undefined;
-		if (isFirst || written.length + removed.length + superseded.length > 0) {
+		if (isFirst || hasChangedItems(read.value)) {
 			const nowMs = this.timers.getNow();
 			this.changes.emit({
 				...read.value,
--- a/src/core/store/common/storeMirror.ts
+++ b/src/core/store/common/storeMirror.ts
@@ -22,6 +22,10 @@
 	readonly isRestored: boolean;
 }
 
+export function hasChangedItems({ written, removed, superseded }: MirrorChange): boolean {
+	return written.length + removed.length + superseded.length > 0;
+}
+
 /** Keeps the items of one prefix and computes what each listing or watch changed. */
 export class StoreMirror {
 	private items = new Map<string, StoreItem>();
