Part the direct calls to the store from the choice between the store and other entries

DirectStoreReader makes the calls to the store that notice lost answers and cut paths; which of its calls wait is now a set there and no field of each prefix. That an answer came from the store itself is noted in one place, where it stood twice. The wait for a result with a limit joins the other waits in base.

--- a/src/base/common/waitFor.ts
+++ b/src/base/common/waitFor.ts
@@ -1,7 +1,8 @@
 /**
- * A delay that can be aborted, and a wait with a time limit.
+ * A delay that can be aborted, and waits with a time limit.
  */
 
+import type { IDisposable } from './lifecycle';
 import type { ITimerService } from './timerService';
 
 /** Resolves after `delayMs`, or as soon as the signal is aborted. */
@@ -31,3 +32,22 @@
 		});
 	});
 }
+
+/** Returns the result of `work`, or undefined if it has none after `limitMs`. */
+export async function waitForResult<TValue>(
+	timers: ITimerService,
+	limitMs: number,
+	work: Promise<TValue>,
+): Promise<TValue | undefined> {
+	let limit: IDisposable | undefined;
+	const first = await Promise.race([
+		work,
+		new Promise<undefined>(resolve => {
+			limit = timers.schedule(limitMs, () => {
+				resolve(undefined);
+			});
+		}),
+	]);
+	limit?.dispose();
+	return first;
+}
--- a/src/entry/common/storeRelay/relayedStoreClient.ts
+++ b/src/entry/common/storeRelay/relayedStoreClient.ts
@@ -6,7 +6,6 @@
  * - The watcher is killed, frozen, cut off or loses the store. Its feed ends or falls silent, and the store is asked
  *   directly at once. The feed's silence limit leaves enough of the maximum delay of a change for that.
  * - Several watchers cannot be reached. The store is asked directly for a few seconds before the next feed is opened.
- * - The path to the store is cut silently while others read here. Probes detect that, and the watch ends as failed.
  * - The entry has just started. Its first watch waits until the other entries are known: all entries may start at once, and
  *   each change would wake all of them.
  * - The store turns this entry away, or the path to it is cut. Another entry is asked for a feed for some seconds, also by an
@@ -14,7 +13,6 @@
  *   and whoever answers first is read.
  * - After a suspension of the process or a restore the present state is wanted, so the store is asked.
  * - Others begin to read here. The store is read at once, so that they do not wait for the end of a feed's wait.
- * - An answer of the store is lost while the present state is wanted. The store is asked once more, on another connection.
  *
  * If the age of what this entry knows has a bound, two more rules keep it known while any other entry in reach has the store:
  *
@@ -26,11 +24,9 @@
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { IClock } from '../../../base/common/elapsedClock';
-import { subscribeTo } from '../../../base/common/channel';
-import type { IDisposable } from '../../../base/common/lifecycle';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
-import { waitFor } from '../../../base/common/waitFor';
+import { waitFor, waitForResult } from '../../../base/common/waitFor';
 import type { InstanceId } from '../../../core/ids/common/ids';
 import type {
 	IStoreClient,
@@ -42,10 +38,10 @@
 } from '../../../core/store/common/storeClient';
 import { StoreChangeKind, StoreErrorKind } from '../../../core/store/common/storeClient';
 import { computeWatchAsOfMs } from '../../../core/store/common/watchAge';
+import { DirectStoreReader, isStoreSilent, isUnanswered } from './directStoreReader';
 import type { ReceivedMessage } from './feedReader';
 import { FeedReader, FeedWaitEnd } from './feedReader';
 import type { FeedTimes, IFeedOpener } from './storeFeed';
-import { StorePathMonitor } from './storePathMonitor';
 
 /** Chooses the entry whose feed is read. */
 export interface IWatcherChooser {
@@ -100,15 +96,13 @@
 	askedCount: number;
 	/** Whether the last answer came from the store itself. A call that is not answered yet does not count. */
 	isDirect: boolean;
-	/** Whether the store is waiting for a change to answer a call. */
-	isWaiting: boolean;
 }
 
 export class RelayedStoreClient implements IStoreClient {
 	private readonly prefixes = new Map<string, PrefixState>();
 	private readonly excludedUntilMs = new Map<InstanceId, number>();
 	private readonly startedMs: number;
-	private readonly path: StorePathMonitor;
+	private readonly reader: DirectStoreReader;
 	private era: StoreEra | undefined;
 
 	constructor(
@@ -123,7 +117,15 @@
 		private readonly ageClock: IClock = timers,
 	) {
 		this.startedMs = timers.getNow();
-		this.path = new StorePathMonitor(store, times.probes, timers, () => this.isWaitingForReaders());
+		this.reader = new DirectStoreReader(
+			store,
+			times,
+			timers,
+			prefix => chooser.isRead(prefix),
+			(prefix, waitedMs) => {
+				observer.noteUnanswered(prefix, waitedMs);
+			},
+		);
 	}
 
 	/** Whether the last answer for a prefix came from the store itself. */
@@ -195,7 +197,7 @@
 	}
 
 	async close(): Promise<void> {
-		this.path.dispose();
+		this.reader.dispose();
 		for (const state of this.prefixes.values()) {
 			state.feed?.dispose();
 			state.feed = undefined;
@@ -212,76 +214,21 @@
 	): Promise<Result<StoreWatchResult, StoreError>> {
 		const sentMs = this.ageClock.getNow();
 		const startedMs = this.timers.getNow();
-		const answer =
-			waitMs > 0
-				? await this.watchUntilLost(prefix, state, afterRevision, waitMs, signal)
-				: await this.readPresentState(prefix, afterRevision, signal);
+		const answer = await this.reader.watch(prefix, afterRevision, waitMs, signal);
 		const tookMs = this.timers.getNow() - startedMs;
-		state.isDirect = answer.isOk() && !signal.aborted;
-		return this.noteAnswer(state, answer).map(result => ({
+		return this.noteStoreAnswer(state, answer, signal).map(result => ({
 			...result,
 			asOfMs: computeWatchAsOfMs({ sentMs, waitMs, tookMs, isEmpty: result.changes.length === 0 }),
 		}));
 	}
 
-	/**
-	 * Reads the changes without waiting for one. An answer that does not come soon may be lost, so the store is then asked once
-	 * more, on another connection, and whichever call is answered first counts.
-	 */
-	private async readPresentState(
-		prefix: string,
-		afterRevision: number,
-		signal: AbortSignal,
-	): Promise<Result<StoreWatchResult, StoreError>> {
-		const unanswered = new AbortController();
-		const callSignal = AbortSignal.any([signal, unanswered.signal]);
-		const first = this.store.watch(prefix, afterRevision, 0, callSignal);
-		const startedMs = this.timers.getNow();
-		let answer = await this.waitBriefly(first);
-		if (answer === undefined) {
-			this.observer.noteUnanswered(prefix, this.timers.getNow() - startedMs);
-			answer = await takeFirstAnswer([first, this.store.watch(prefix, afterRevision, 0, callSignal)]);
-		}
-		unanswered.abort();
-		return answer;
-	}
-
-	/** Ends the watch as failed if the path to the store is lost meanwhile. */
-	private async watchUntilLost(
-		prefix: string,
-		state: PrefixState,
-		afterRevision: number,
-		waitMs: number,
-		signal: AbortSignal,
-	): Promise<Result<StoreWatchResult, StoreError>> {
-		const loss = new AbortController();
-		const subscription = subscribeTo(this.path.onDidLose, detail => {
-			loss.abort(detail);
-		});
-		state.isWaiting = true;
-		const anySignal = AbortSignal.any([signal, loss.signal]);
-		const answer = await this.store.watch(prefix, afterRevision, waitMs, anySignal);
-		state.isWaiting = false;
-		subscription.dispose();
-		return loss.signal.aborted && answer.isErr()
-			? err({ kind: StoreErrorKind.Unreachable, detail: String(loss.signal.reason) })
-			: answer;
-	}
-
-	/** Whether others depend on a call that waits at the store. */
-	private isWaitingForReaders(): boolean {
-		return [...this.prefixes].some(([prefix, { isWaiting }]) => isWaiting && this.chooser.isRead(prefix));
-	}
-
 	private async listFromStore(
 		prefix: string,
 		state: PrefixState,
 		afterKey: string | undefined,
 		signal: AbortSignal,
 	): Promise<Result<StorePage, StoreError>> {
-		const answer = await this.store.list(prefix, afterKey, signal);
-		state.isDirect = answer.isOk() && !signal.aborted;
-		return this.noteAnswer(state, answer);
+		return this.noteStoreAnswer(state, await this.store.list(prefix, afterKey, signal), signal);
 	}
 
 	/** Asks a store that did not answer lately and another entry at the same time. */
@@ -317,7 +264,9 @@
 			0,
 			AbortSignal.any([signal, storeCall.signal]),
 		);
-		const quickAnswer = state.isFailing ? undefined : await this.waitBriefly(storeAnswer);
+		const quickAnswer = state.isFailing
+			? undefined
+			: await waitForResult(this.timers, this.times.settleMs, storeAnswer);
 		if (signal.aborted || (quickAnswer !== undefined && !isStoreSilent(quickAnswer))) {
 			return quickAnswer ?? storeAnswer;
 		}
@@ -357,20 +306,6 @@
 		return undefined;
 	}
 
-	private async waitBriefly<TValue>(work: Promise<TValue>): Promise<TValue | undefined> {
-		let limit: IDisposable | undefined;
-		const first = await Promise.race([
-			work,
-			new Promise<undefined>(resolve => {
-				limit = this.timers.schedule(this.times.settleMs, () => {
-					resolve(undefined);
-				});
-			}),
-		]);
-		limit?.dispose();
-		return first;
-	}
-
 	/** Asks a store that has failed some seconds ago whether it answers again, while a feed is read. */
 	private probeStore(prefix: string, state: PrefixState, afterRevision: number): void {
 		if (!state.isFailing || state.isProbing || this.timers.getNow() < state.turnedAwayUntilMs) {
@@ -551,6 +486,16 @@
 		return new Set(this.excludedUntilMs.keys());
 	}
 
+	/** Also notes that the state came from the store. An answer to a cancelled call is not used. */
+	private noteStoreAnswer<TValue extends { readonly era?: StoreEra | undefined }>(
+		state: PrefixState,
+		answer: Result<TValue, StoreError>,
+		signal: AbortSignal,
+	): Result<TValue, StoreError> {
+		state.isDirect = answer.isOk() && !signal.aborted;
+		return this.noteAnswer(state, answer);
+	}
+
 	/** Keeps the era of an answer of the store, and whether the store turns this entry away. */
 	private noteAnswer<TValue extends { readonly era?: StoreEra | undefined }>(
 		state: PrefixState,
@@ -585,7 +530,6 @@
 			isProbing: false,
 			askedCount: 0,
 			isDirect: false,
-			isWaiting: false,
 		};
 		this.prefixes.set(prefix, state);
 		return state;
@@ -605,28 +549,3 @@
 		isRelayed: true,
 	};
 }
-
-/** Returns the first answer of the store, or the last failure if no call is answered. */
-async function takeFirstAnswer<TValue>(
-	calls: readonly Promise<Result<TValue, StoreError>>[],
-): Promise<Result<TValue, StoreError>> {
-	return new Promise(resolve => {
-		let openCalls = calls.length;
-		for (const call of calls) {
-			void call.then(answer => {
-				openCalls--;
-				if (openCalls === 0 || !isStoreSilent(answer)) {
-					resolve(answer);
-				}
-			});
-		}
-	});
-}
-
-function isStoreSilent(answer: Result<unknown, StoreError>): boolean {
-	return answer.isErr() && isUnanswered(answer.error);
-}
-
-function isUnanswered({ kind }: StoreError): boolean {
-	return kind === StoreErrorKind.Unreachable || kind === StoreErrorKind.Refused;
-}
