--- /dev/null
+++ b/review/kit2/serverProcess.ts
@@ -0,0 +1,112 @@
+/**
+ * A stand-in for a plain server of the deployment. It registers itself in the store, renews the registration, and writes one
+ * line to its standard output for each request that it runs.
+ */
+
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { createServer, request as sendRequest } from 'node:http';
+
+interface ServerOptions {
+	readonly id: string;
+	readonly service: string;
+	readonly zone: string;
+	readonly port: number;
+	/** The port at which the server is registered, if a path leads to it. */
+	readonly publicPort?: number;
+	readonly storePort: number;
+	readonly slots: number;
+	readonly runMs: number;
+}
+
+const options = JSON.parse(process.argv[2] ?? '{}') as ServerOptions;
+const heartbeatMs = 1_200;
+const leaseHeartbeats = 3;
+const idleTimeoutMs = 60_000;
+const born = Date.now();
+let seq = 0;
+let running = 0;
+
+function putRegistration(): void {
+	const { id, service, zone, port, publicPort = port, slots, storePort } = options;
+	seq++;
+	const path = `/standin/put?key=servers/${id}&lease_ms=${heartbeatMs * leaseHeartbeats}`;
+	const text = JSON.stringify({
+		service,
+		address: `127.0.0.1:${publicPort}`,
+		zone,
+		version: 'v1',
+		slots,
+		state: 'ready',
+		cold_left_ms: 0,
+		seq,
+		born,
+	});
+	const call = sendRequest({ host: '127.0.0.1', port: storePort, path, method: 'POST' }, answer => {
+		answer.resume();
+	});
+	call.on('error', () => undefined);
+	call.end(text);
+}
+
+function createHeaders(request: IncomingMessage): Record<string, string> {
+	return {
+		'anvilroad-request-id': String(request.headers['anvilroad-request-id'] ?? ''),
+		'anvilroad-instance-id': options.id,
+		'anvilroad-server-load': `${running},0,${options.slots}`,
+	};
+}
+
+function refuse(request: IncomingMessage, response: ServerResponse, status: number): void {
+	response.writeHead(status, { ...createHeaders(request), 'anvilroad-not-run': '1', 'content-length': 0 });
+	response.end();
+}
+
+function serve(request: IncomingMessage, response: ServerResponse, bodyBytes: number): void {
+	const id = String(request.headers['anvilroad-request-id'] ?? '');
+	if (request.url === '/health') {
+		response.writeHead(200, { ...createHeaders(request), 'content-length': 0 });
+		response.end();
+		return;
+	}
+	const expected = request.headers['anvilroad-expect-instance'];
+	if (id === '' || (expected !== undefined && expected !== options.id)) {
+		refuse(request, response, id === '' ? 400 : 421);
+		return;
+	}
+	if (running >= options.slots) {
+		refuse(request, response, 503);
+		return;
+	}
+	running++;
+	process.stdout.write(
+		`${JSON.stringify({ ran: id, at: Date.now(), server: options.id, method: request.method, url: request.url, bodyBytes })}\n`,
+	);
+	setTimeout(() => {
+		running--;
+		const text = `answer to ${id}`;
+		response.writeHead(200, {
+			...createHeaders(request),
+			'anvilroad-server-stamp': `${options.id}.${id}`,
+			'content-length': Buffer.byteLength(text),
+		});
+		response.end(text);
+	}, options.runMs);
+}
+
+const server = createServer((request, response) => {
+	let bodyBytes = 0;
+	request.on('data', (chunk: Buffer) => {
+		bodyBytes += chunk.byteLength;
+	});
+	request.on('error', () => undefined);
+	response.on('error', () => undefined);
+	request.on('end', () => {
+		serve(request, response, bodyBytes);
+	});
+});
+server.keepAliveTimeout = idleTimeoutMs;
+server.listen({ port: options.port, host: '127.0.0.1' }, () => {
+	process.stdout.write('listening\n');
+	putRegistration();
+	setInterval(putRegistration, heartbeatMs);
+});
