--- a/review/kit2/client.ts
+++ b/review/kit2/client.ts
@@ -18,6 +18,8 @@
 	readonly leaveAfterMs?: number;
 }
 
+export type ClientAnswer = Answer & Pick<ClientRequest, 'id'>;
+
 /** Sends requests on kept connections and records what was sent and answered. */
 export class Clients {
 	private readonly agent = new Agent({ keepAlive: true, maxSockets: 400 });
@@ -25,7 +27,7 @@
 	constructor(private readonly site: Pick<Site, 'record'>) {}
 
 	/** Resolves at the client's deadline at the latest, with status 0 if no whole answer has come. */
-	async send(call: ClientRequest): Promise<Answer> {
+	async send(call: ClientRequest): Promise<ClientAnswer> {
 		const { id, port, hostName, method, path, deadlineMs, body } = call;
 		const sentMs = performance.now();
 		this.site.record(
@@ -71,7 +73,7 @@
 		});
 		const text = answer.status === 200 ? '' : ` ${answer.text.trim().slice(0, 160)}`;
 		this.site.record(`answered  ${id} ${answer.status} after ${Math.round(answer.tookMs)} ms${text}`);
-		return answer;
+		return { ...answer, id };
 	}
 
 	close(): void {
--- a/review/kit2/site.ts
+++ b/review/kit2/site.ts
@@ -18,6 +18,9 @@
 const portSpan = 13_000;
 const pollMs = 50;
 const maxStartMs = 20_000;
+const restartMs = 1_000;
+/** The case could not run to its end. */
+const exitCodeNotRun = 2;
 
 export interface EntryPlace {
 	readonly id: string;
@@ -34,7 +37,8 @@
 }
 
 export interface RunningEntry extends EntryPlace {
-	readonly process: ChildProcess;
+	process: ChildProcess;
+	readonly settings: string;
 	/** The operators' port. */
 	readonly otherPort: number;
 	readonly frontPort: number;
@@ -159,6 +163,7 @@
 	readonly entries: RunningEntry[] = [];
 	readonly servers: RunningServer[] = [];
 	storePort = 0;
+	private readonly runs: string[] = [];
 	private readonly folder = mkdtempSync(join(tmpdir(), 'review-'));
 	private readonly processes: ChildProcess[] = [];
 	private version = 0;
@@ -174,6 +179,11 @@
 		private readonly bounds: Readonly<Record<string, number>>,
 	) {
 		writeFileSync(recordFile, '');
+		for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+			process.once(signal, () => {
+				void this.stop().then(() => process.exit(exitCodeNotRun));
+			});
+		}
 	}
 
 	/** Adds a line to the record, with the seconds since the start. */
@@ -202,7 +212,12 @@
 
 	/** @param megabitsPerSecond Bandwidth of each direction; 0 for an unlimited one. */
 	async startPath(targetPort: number, port: number, megabitsPerSecond = 0): Promise<RunningPath> {
-		const words = ['target/review-2/kit2/relayProcess.js', String(port), String(targetPort), String(megabitsPerSecond)];
+		const words = [
+			'target/review-2/kit2/relayProcess.js',
+			String(port),
+			String(targetPort),
+			String(megabitsPerSecond),
+		];
 		const child = this.startProcess('node', words, `path ${port}`);
 		await this.waitForListening(child, 'path');
 		return { process: child, port, targetPort };
@@ -221,6 +236,7 @@
 			for (const line of chunk.toString().split('\n')) {
 				if (line.startsWith('{')) {
 					this.record(`run       ${line}`);
+					this.runs.push((JSON.parse(line) as { ran: string }).ran);
 				}
 			}
 		});
@@ -265,12 +281,18 @@
 				provider: { address: `${host}:${this.storePort}` },
 			};
 			writeFileSync(settings, renderTemplate(template, values));
-			const child = this.startEntryProcess(settings, entry.id);
-			this.entries.push({ ...entry, process: child });
+			this.entries.push({ ...entry, settings, process: this.startEntryProcess(settings, entry.id) });
 		}
 		await Promise.all(this.entries.map(entry => this.waitUntilReady(entry)));
 	}
 
+	/** Kills an entry, and starts it again with the same settings after a short delay. */
+	async killEntry(entry: RunningEntry): Promise<void> {
+		entry.process.kill('SIGKILL');
+		await waitFor(restartMs);
+		entry.process = this.startEntryProcess(entry.settings, entry.id);
+	}
+
 	/** Ends all processes that this class started. */
 	async stop(): Promise<void> {
 		for (const child of this.processes) {
@@ -283,6 +305,11 @@
 		rmSync(this.folder, { recursive: true, force: true });
 	}
 
+	/** Lists the ids of the requests that servers began to run, one for each run. */
+	listRuns(): readonly string[] {
+		return this.runs;
+	}
+
 	async isReady({ readyPort }: Pick<RunningEntry, 'readyPort'>): Promise<boolean> {
 		return (await sendOnce(readyPort, '/api/ready')).status === 200;
 	}
