--- a/review/kit2/serverProcess.ts
+++ b/review/kit2/serverProcess.ts
@@ -16,6 +16,9 @@
 	readonly storePort: number;
 	readonly slots: number;
 	readonly runMs: number;
+	/** Events of a whole stream, each after this time; without events, answers are plain. */
+	readonly events?: number;
+	readonly eventMs?: number;
 }
 
 const options = JSON.parse(process.argv[2] ?? '{}') as ServerOptions;
@@ -61,6 +64,36 @@
 	response.end();
 }
 
+/** Streams the events after the one that the caller has, and stops as soon as its connection closes. */
+function streamEvents(request: IncomingMessage, response: ServerResponse, id: string): void {
+	const { events = 0, eventMs = 0 } = options;
+	let event = Number(request.headers['last-event-id'] ?? 0);
+	response.writeHead(200, {
+		...createHeaders(request),
+		'anvilroad-server-stamp': `${options.id}.${id}`,
+		'content-type': 'text/event-stream',
+	});
+	const finish = (reason: string): void => {
+		clearInterval(timer);
+		running--;
+		process.stdout.write(
+			`${JSON.stringify({ ended: id, at: Date.now(), server: options.id, event, reason })}\n`,
+		);
+	};
+	const timer = setInterval(() => {
+		if (response.destroyed) {
+			finish('its connection is closed');
+			return;
+		}
+		event++;
+		response.write(`id: ${event}\ndata: token-${event}\n\n`);
+		if (event >= events) {
+			response.end();
+			finish('whole');
+		}
+	}, eventMs);
+}
+
 function serve(request: IncomingMessage, response: ServerResponse, bodyBytes: number): void {
 	const id = String(request.headers['anvilroad-request-id'] ?? '');
 	if (request.url === '/health') {
@@ -81,6 +114,10 @@
 	process.stdout.write(
 		`${JSON.stringify({ ran: id, at: Date.now(), server: options.id, method: request.method, url: request.url, bodyBytes })}\n`,
 	);
+	if (options.events !== undefined) {
+		streamEvents(request, response, id);
+		return;
+	}
 	setTimeout(() => {
 		running--;
 		const text = `answer to ${id}`;
--- a/review/kit2/site.ts
+++ b/review/kit2/site.ts
@@ -34,6 +34,8 @@
 	readonly zone: string;
 	readonly slots: number;
 	readonly runMs: number;
+	readonly events?: number;
+	readonly eventMs?: number;
 }
 
 export interface RunningEntry extends EntryPlace {
@@ -59,6 +61,21 @@
 	readonly port: number;
 }
 
+/** A line of a server: the id of a request that it begins to run, or has ended to run, and the time in Unix milliseconds. */
+export interface ServerNote {
+	readonly ran?: string;
+	readonly ended?: string;
+	readonly at: number;
+	readonly server: string;
+	readonly reason?: string;
+}
+
+/** The connections of one entry to another. */
+export interface EntryLink {
+	readonly from: string;
+	readonly to: string;
+}
+
 /** What a client received: the status, or 0 if the connection ended without an answer. */
 export interface Answer {
 	readonly status: number;
@@ -162,8 +179,11 @@
 export class Site {
 	readonly entries: RunningEntry[] = [];
 	readonly servers: RunningServer[] = [];
+	/** The relays between entries. */
+	readonly links: RunningPath[] = [];
 	storePort = 0;
-	private readonly runs: string[] = [];
+	/** What the servers wrote. */
+	readonly notes: ServerNote[] = [];
 	private readonly folder = mkdtempSync(join(tmpdir(), 'review-'));
 	private readonly processes: ChildProcess[] = [];
 	private version = 0;
@@ -236,7 +256,8 @@
 			for (const line of chunk.toString().split('\n')) {
 				if (line.startsWith('{')) {
 					this.record(`run       ${line}`);
-					this.runs.push((JSON.parse(line) as { ran: string }).ran);
+					const note = JSON.parse(line) as ServerNote;
+					this.notes.push(note);
 				}
 			}
 		});
@@ -246,8 +267,12 @@
 		return server;
 	}
 
-	/** Starts all entries at nearly the same time, as at the first start of the system, and waits until they are ready. */
-	async startEntries(places: readonly EntryPlace[]): Promise<void> {
+	/**
+	 * Starts all entries at nearly the same time, as at the first start of the system, and waits until they are ready.
+	 *
+	 * @param links The connections between entries that lead through relays, as through an address translation.
+	 */
+	async startEntries(places: readonly EntryPlace[], links: readonly EntryLink[] = []): Promise<void> {
 		const ports = [];
 		for (const place of places) {
 			const [frontPort, controlPort, directoryPort, readyPort, otherPort] = [
@@ -260,6 +285,16 @@
 			ports.push({ ...place, frontPort, controlPort, directoryPort, readyPort, otherPort });
 		}
 		const seeds = ports.slice(0, 3).map(({ controlPort }) => `${host}:${controlPort}`);
+		const routes = new Map<string, string[]>();
+		for (const { from, to } of links) {
+			const target = ports.find(({ id }) => id === to)?.controlPort ?? 0;
+			const path = await this.startPath(target, await findFreePort());
+			this.links.push(path);
+			routes.set(from, [
+				...(routes.get(from) ?? []),
+				`http://${host}:${target} = http://${host}:${path.port}`,
+			]);
+		}
 		for (const entry of ports) {
 			const settings = join(this.folder, `${entry.id}.ini`);
 			const template = readFileSync(join(root, 'deploy/entry.ini'), 'utf8');
@@ -280,7 +315,11 @@
 				bounds: this.bounds,
 				provider: { address: `${host}:${this.storePort}` },
 			};
-			writeFileSync(settings, renderTemplate(template, values));
+			const peerRoutes = ['\n[peer_routes]', ...(routes.get(entry.id) ?? [])].join('\n');
+			writeFileSync(
+				settings,
+				`${renderTemplate(template, values)}${routes.has(entry.id) ? peerRoutes : ''}\n`,
+			);
 			this.entries.push({ ...entry, settings, process: this.startEntryProcess(settings, entry.id) });
 		}
 		await Promise.all(this.entries.map(entry => this.waitUntilReady(entry)));
@@ -307,7 +346,7 @@
 
 	/** Lists the ids of the requests that servers began to run, one for each run. */
 	listRuns(): readonly string[] {
-		return this.runs;
+		return this.notes.flatMap(({ ran }) => (ran === undefined ? [] : [ran]));
 	}
 
 	async isReady({ readyPort }: Pick<RunningEntry, 'readyPort'>): Promise<boolean> {
