--- a/review/9/case.ts
+++ b/review/9/case.ts
@@ -1,149 +1,152 @@
 /**
- * Clients leave while their requests are on the way from one entry to another. What the second entry has read of their bodies
- * stays counted as held, until it takes no more bodies.
+ * An entry loses the path to all servers of a service in its region. Requests that were in flight there are put back into the
+ * queue of a runner that has been paused because no server is reached, and stay there until the path is whole again.
  */
 
-import { readFileSync } from 'node:fs';
 import { join } from 'node:path';
-import type { RunningEntry } from '../kit2/site';
-import { sendOnce, Site, waitFor } from '../kit2/site';
+import type { Answer, RunningPath } from '../kit2/site';
+import { findFreePort, host, Site, waitFor } from '../kit2/site';
 import { Clients } from '../kit2/client';
+import { connect } from 'node:net';
 
-const hostName = 'records.example';
+const hostName = 'lookups.example';
+const timeoutMs = 4_000;
 const deadlineMs = 8_000;
-const bodyBytes = 4_194_304;
+const afterTimeoutMs = 500;
+const minLate = 8;
+const minLateShare = 0.25;
+const burst = 48;
+const burstPeriodMs = 500;
+const burstsBefore = 6;
+const periodMs = 100;
+const cutMs = 12_000;
+const restartMs = 50;
+/** More connections than wait at a port that accepts none. */
+const fillers = 4;
+/** A third of the servers are at home. */
+const serversAtHome = 4;
+const serversElsewhere = 8;
+const place = { service: 'bookings', slots: 16, runMs: 60 };
 /** More than a heartbeat of the entries, so that each knows the others. */
 const settleMs = 6_000;
-const roundSize = 4;
-/** The share of the clients that leave, and within which time. */
-const leavingShare = 0.3;
-const kibPerMb = 1_024;
-const leaveWithin = { manyMs: 160, singleMs: 50 };
-const roundsBetweenLooks = 50;
-/** The longest time for which clients leave. They stop when the entry has refused a body. */
-const troubleMs = 85_000;
-const recoveryMs = 12_000;
-const judgedRequests = 40;
-const minServedShare = 0.25;
 const hasTrouble = process.env.TROUBLE !== '0';
 
-const route = { host: hostName, service: 'bookings', timeout_ms: 8_000, goal_ms: 500, priority: 2 };
 const configuration = {
 	routes: [
 		{
-			...route,
-			name: 'save-record',
-			path_prefix: '/save/',
-			kind: 'non_idempotent',
-			attempts: 1,
-			home_regions: ['montego'],
+			name: 'visit-lookup',
+			host: hostName,
+			path_prefix: '/visits/',
+			kind: 'idempotent',
+			service: 'bookings',
+			timeout_ms: timeoutMs,
+			goal_ms: 500,
+			attempts: 2,
+			priority: 2,
 		},
-		{ ...route, name: 'read-record', path_prefix: '/read/', kind: 'idempotent', attempts: 2 },
 	],
 	services: [{ name: 'bookings', max_conns: 96 }],
 	limits: {
 		max_header_bytes: 16_384,
-		max_body_bytes: bodyBytes,
+		max_body_bytes: 4_194_304,
 		header_timeout_ms: 3_000,
 		idle_timeout_ms: 15_000,
 	},
 };
 
-const bounds = { contact_ms: 5_000, grace_s: 8, retry_ratio: 0.2, retry_slack: 52, retry_window_s: 10 };
+const bounds = {
+	contact_ms: 5_000,
+	grace_s: 8,
+	retry_ratio: 0.2,
+	retry_slack: 52,
+	retry_window_s: 10,
+};
 
-async function readHeldBytes({ otherPort }: RunningEntry): Promise<string> {
-	const { text } = await sendOnce(otherPort, '/metrics');
-	return /^anvilroad_\w*held_body_bytes\S* (\S+)$/m.exec(text)?.[1] ?? 'unknown';
+/** Cuts a path silently: it passes no bytes, and new connections are not opened. */
+function cutPath({ process: child, port }: RunningPath): void {
+	child.kill('SIGSTOP');
+	for (let count = 0; count < fillers; count++) {
+		connect(port, host).on('error', () => undefined);
+	}
 }
 
-function readAnonymousMb({ process: child }: RunningEntry): number {
-	const text = readFileSync(`/proc/${child.pid ?? 0}/status`, 'utf8');
-	return Number(/^RssAnon:\s+(\d+) kB/m.exec(text)?.[1] ?? 0) / kibPerMb;
+/** What was held up on the path is lost. */
+async function renewPath(site: Site, { process: child, port, targetPort }: RunningPath): Promise<void> {
+	child.kill('SIGKILL');
+	await waitFor(restartMs);
+	await site.startPath(targetPort, port);
 }
 
 async function runCase(folder: string): Promise<number> {
-	const zones = { 'kingston-a': 'kingston', 'montego-a': 'montego' };
-	const site = new Site(zones, join(folder, 'record.txt'), bounds);
+	const site = new Site(
+		{ 'kingston-a': 'kingston', 'montego-a': 'montego' },
+		join(folder, 'record.txt'),
+		bounds,
+	);
 	try {
 		await site.startStore();
 		await site.putConfiguration(configuration);
-		for (const zone of Object.keys(zones)) {
-			for (const number of [1, 2]) {
-				await site.startServer({ id: `${zone}-${number}`, service: 'bookings', zone, slots: 16, runMs: 20 });
-			}
+		const paths: RunningPath[] = [];
+		for (let number = 1; number <= serversAtHome; number++) {
+			const port = await findFreePort();
+			const { port: targetPort } = await site.startServer(
+				{ ...place, id: `kingston-${number}`, zone: 'kingston-a' },
+				port,
+			);
+			paths.push(await site.startPath(targetPort, port));
+		}
+		for (let number = 1; number <= serversElsewhere; number++) {
+			await site.startServer({ ...place, id: `montego-${number}`, zone: 'montego-a' });
 		}
 		await site.startEntries([
 			{ id: 'front-kingston-a-1', zone: 'kingston-a', region: 'kingston' },
-			{ id: 'front-kingston-a-2', zone: 'kingston-a', region: 'kingston' },
 			{ id: 'front-montego-a-1', zone: 'montego-a', region: 'montego' },
+			{ id: 'front-montego-a-2', zone: 'montego-a', region: 'montego' },
+			{ id: 'front-montego-a-3', zone: 'montego-a', region: 'montego' },
 		]);
 		await waitFor(settleMs);
-		const [near, other, home] = site.entries;
-		if (near === undefined || other === undefined || home === undefined) {
-			return 2;
-		}
 		const clients = new Clients(site);
-		const body = Buffer.alloc(bodyBytes, 'x');
-		const endsMs = performance.now() + troubleMs;
-		let isRefused = false;
-		const sendUpload = async (
-			{ id, frontPort }: RunningEntry,
-			name: string,
-			leaveWithinMs: number | undefined,
-		): Promise<void> => {
-			const { text } = await clients.send({
-				id: `${id}-${name}`,
-				port: frontPort,
+		const [entry] = site.entries;
+		const pending: Promise<Answer>[] = [];
+		const send = (id: string): void => {
+			const call = {
+				id,
+				port: entry?.frontPort ?? 0,
 				hostName,
-				method: 'POST',
-				path: `/save/${name}`,
+				method: 'GET',
+				path: `/visits/${id}`,
 				deadlineMs,
-				body,
-				...(leaveWithinMs === undefined ? {} : { leaveAfterMs: Math.random() * leaveWithinMs }),
-			});
-			isRefused ||= text.includes('entry-full');
+			};
+			pending.push(clients.send(call));
 		};
-		const sendRounds = async (entry: RunningEntry, phase: string, isParallel: boolean): Promise<void> => {
-			for (let round = 0; performance.now() < endsMs && !isRefused; round++) {
-				const sent: Promise<void>[] = [];
-				for (let index = 0; index < roundSize; index++) {
-					const isLeaving = hasTrouble && index < Math.floor(roundSize * leavingShare);
-					const leaveWithinMs = isParallel ? leaveWithin.manyMs : leaveWithin.singleMs;
-					const leaveMs = isLeaving ? leaveWithinMs : undefined;
-					sent.push(sendUpload(entry, `${phase}-${round}-${index}`, leaveMs));
-					if (!isParallel) {
-						await sent.at(-1);
-					}
-				}
-				await Promise.all(sent);
-				if (round % roundsBetweenLooks === 0) {
-					site.record(`held body bytes: ${await readHeldBytes(home)} at home`);
-				}
+		for (let count = 0; count < burstsBefore; count++) {
+			for (let index = 0; index < burst; index++) {
+				send(`before${count}-${index}`);
 			}
-		};
-		await Promise.all([sendRounds(near, 'many', true), sendRounds(other, 'many', true)]);
-		// Fewer at once, until a single body is refused.
-		isRefused = false;
-		await sendRounds(near, 'single', false);
-		site.record(`${Math.round(readAnonymousMb(home))} MB of anonymous memory at home`);
-		await waitFor(recoveryMs);
-		const call = { port: home.frontPort, hostName, deadlineMs };
-		const saves = [];
-		const reads = [];
-		for (let index = 0; index < judgedRequests; index++) {
-			saves.push(
-				await clients.send({ ...call, id: `save${index}`, method: 'POST', path: '/save/last', body }),
-			);
-			reads.push(await clients.send({ ...call, id: `read${index}`, method: 'GET', path: '/read/last' }));
+			await waitFor(burstPeriodMs);
+		}
+		await Promise.all(pending.splice(0));
+		if (hasTrouble) {
+			site.record('the path from front-kingston-a-1 to the servers of kingston is cut');
+			paths.forEach(cutPath);
+		}
+		for (let count = 0; count < cutMs / periodMs; count++) {
+			send(`during-${count}`);
+			await waitFor(periodMs);
+		}
+		if (hasTrouble) {
+			await Promise.all(paths.map(path => renewPath(site, path)));
+			site.record('the path is whole again');
 		}
-		const savesServed = saves.filter(({ status }) => status === 200).length;
-		const served = savesServed + reads.filter(({ status }) => status === 200).length;
-		site.record(`held body bytes: ${await readHeldBytes(home)} at home`);
+		const answers = await Promise.all(pending);
+		const overdue = answers.filter(({ tookMs }) => tookMs >= timeoutMs);
+		const late = overdue.filter(({ tookMs }) => tookMs >= timeoutMs + afterTimeoutMs);
+		const isBroken = late.length >= minLate && late.length > overdue.length * minLateShare;
 		site.record(
-			`${savesServed} of ${saves.length} saves served, ${served} of ${2 * judgedRequests} requests`,
+			`${answers.length} requests, ${overdue.length} unanswered at ${timeoutMs} ms, ${late.length} unanswered ${afterTimeoutMs} ms later`,
 		);
 		clients.close();
-		return savesServed / saves.length < (minServedShare * served) / (2 * judgedRequests) ? 1 : 0;
+		return isBroken ? 1 : 0;
 	} finally {
 		await site.stop();
 	}
--- a/review/kit2/serverProcess.ts
+++ b/review/kit2/serverProcess.ts
@@ -19,6 +19,11 @@
 	/** Events of a whole stream, each after this time; without events, answers are plain. */
 	readonly events?: number;
 	readonly eventMs?: number;
+	/** Pieces of an answer without a length, each after this time. */
+	readonly pieces?: number;
+	readonly pieceMs?: number;
+	/** How long the server still runs after a notice (SIGUSR2). */
+	readonly noticeMs?: number;
 }
 
 const options = JSON.parse(process.argv[2] ?? '{}') as ServerOptions;
@@ -28,6 +33,7 @@
 const born = Date.now();
 let seq = 0;
 let running = 0;
+let endsMs: number | undefined;
 
 function putRegistration(): void {
 	const { id, service, zone, port, publicPort = port, slots, storePort } = options;
@@ -39,7 +45,8 @@
 		zone,
 		version: 'v1',
 		slots,
-		state: 'ready',
+		state: endsMs === undefined ? 'ready' : 'draining',
+		...(endsMs === undefined ? {} : { remaining_ms: Math.max(0, endsMs - Date.now()) }),
 		cold_left_ms: 0,
 		seq,
 		born,
@@ -64,6 +71,27 @@
 	response.end();
 }
 
+/** Sends an answer without a length, which ends with its connection. */
+function sendPieces(request: IncomingMessage, response: ServerResponse, id: string): void {
+	const { pieces = 0, pieceMs = 0 } = options;
+	response.useChunkedEncodingByDefault = false;
+	response.writeHead(200, {
+		...createHeaders(request),
+		'anvilroad-server-stamp': `${options.id}.${id}`,
+		connection: 'close',
+	});
+	let piece = 0;
+	const timer = setInterval(() => {
+		piece++;
+		response.write(`piece ${piece} of ${pieces}\n`);
+		if (piece >= pieces || response.destroyed) {
+			clearInterval(timer);
+			running--;
+			response.end();
+		}
+	}, pieceMs);
+}
+
 /** Streams the events after the one that the caller has, and stops as soon as its connection closes. */
 function streamEvents(request: IncomingMessage, response: ServerResponse, id: string): void {
 	const { events = 0, eventMs = 0 } = options;
@@ -114,6 +142,10 @@
 	process.stdout.write(
 		`${JSON.stringify({ ran: id, at: Date.now(), server: options.id, method: request.method, url: request.url, bodyBytes })}\n`,
 	);
+	if (options.pieces !== undefined) {
+		sendPieces(request, response, id);
+		return;
+	}
 	if (options.events !== undefined) {
 		streamEvents(request, response, id);
 		return;
@@ -147,3 +179,7 @@
 	putRegistration();
 	setInterval(putRegistration, heartbeatMs);
 });
+process.on('SIGUSR2', () => {
+	endsMs = Date.now() + (options.noticeMs ?? 0);
+	putRegistration();
+});
--- a/review/kit2/site.ts
+++ b/review/kit2/site.ts
@@ -36,6 +36,9 @@
 	readonly runMs: number;
 	readonly events?: number;
 	readonly eventMs?: number;
+	readonly pieces?: number;
+	readonly pieceMs?: number;
+	readonly noticeMs?: number;
 }
 
 export interface RunningEntry extends EntryPlace {
