--- a/review/kit2/site.ts
+++ b/review/kit2/site.ts
@@ -207,6 +207,11 @@
 				void this.stop().then(() => process.exit(exitCodeNotRun));
 			});
 		}
+		// Node would exit with 1, which says that a rule was broken.
+		process.once('uncaughtException', error => {
+			process.stderr.write(`${error.stack ?? error.message}\n`);
+			void this.stop().then(() => process.exit(exitCodeNotRun));
+		});
 	}
 
 	/** Adds a line to the record, with the seconds since the start. */
