Hand over requests whose attempt ends after the paths to all targets are lost

Cause: when the paths are lost, the runner of the service is paused. It hands over the requests that wait at that moment, and from then on ignores its queue. An attempt that ends later (its target silent, reset, checked for a crash, not run, unconfirmed) puts its request back into that queue, where nothing starts, rejects or times it out until the paths are whole again.

Change: a paused runner keeps no waiting request. Wherever it would advance its scheduler, it hands all of them to a fallback, the router, which forwards them to another entry or rejects them. A silent attempt at a target that isn't reached ends if another entry can get its request, instead of when a target here has capacity. The wait for a confirmation also ends while another entry is asked for it. A stop can no longer be undone by paths that come back, and a request that comes back while its start is delayed is queued once.

The simulation of cut regions counted callers only from five seconds after a cut, let answers in flight pass a cut path, and gave each request one attempt. It now also has paths that accept connections and answer nothing, routes, targets that fail in each way, cuts between entries, and stops.

--- a/src/entry/common/scheduling/serviceScheduler.ts
+++ b/src/entry/common/scheduling/serviceScheduler.ts
@@ -267,8 +267,10 @@
 	 * Records that the target of the running attempt has sent nothing for too long, and returns whether the attempt
 	 * should end. It should not if no other target could take the request now: the target may only be busy, and the
 	 * answer would be lost.
+	 *
+	 * @param isTakenOver Whether another entry takes the request, so that the targets here need no capacity for it.
 	 */
-	noteSilence(requestId: RequestId, nowMs: number): boolean;
+	noteSilence(requestId: RequestId, nowMs: number, isTakenOver?: boolean): boolean;
 	/** Records that a target has ended an earlier answer before its last byte, as if it were whole. */
 	noteEarlyEnd?(target: TargetId, nowMs: number): void;
 	/** Records a load report of a target. */
--- a/src/entry/common/workScheduling/workScheduler.ts
+++ b/src/entry/common/workScheduling/workScheduler.ts
@@ -233,11 +233,14 @@
 		return tracked !== undefined && this.isPlaceable(tracked, this.listMatched(tracked.request), nowMs);
 	}
 
-	noteSilence(requestId: RequestId, nowMs: number): boolean {
+	noteSilence(requestId: RequestId, nowMs: number, isTakenOver = false): boolean {
 		const tracked = this.requests.get(requestId);
 		if (tracked === undefined) {
 			return true;
 		}
+		if (isTakenOver) {
+			return this.isRepeatAllowedAfterRun(tracked, nowMs);
+		}
 		const { runningOn, triedTargets, request } = tracked;
 		const others = this.listMatched(request).filter(
 			target => target !== runningOn && !triedTargets.includes(target.id),
@@ -262,8 +265,13 @@
 				nowMs + target.estimateFirstByteMs(request, nowMs) <= request.deadlineMs
 			);
 		});
+		return hasCapacity && this.isRepeatAllowedAfterRun(tracked, nowMs);
+	}
+
+	/** Whether the request may be attempted again after its current attempt, which may have run. */
+	private isRepeatAllowedAfterRun(tracked: TrackedRequest, nowMs: number): boolean {
 		const after = { ...tracked, possibleRuns: tracked.possibleRuns + 1, mayHaveRun: true };
-		return hasCapacity && this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
+		return this.isRetryAllowed(after, AttemptEnd.Erred, nowMs);
 	}
 
 	noteEarlyEnd(target: TargetId, nowMs: number): void {
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -270,7 +270,7 @@
 		await waitUntil(acceptingMs + refusesMs);
 		await Promise.race([this.activeRuns.waitUntilIdle(), waitUntil(endRequestsMs)]);
 		const unfinished = this.activeRuns.count();
-		this.runners.pause();
+		this.runners.stop();
 		this.activeRuns.stopAll(createRequestError(ErrorKind.Leaving, 'the time for this stop is over'));
 		const closed = [this.callers, this.peerServer, ...this.ports].map(port => port.close());
 		await Promise.race([Promise.all(closed), waitUntil(endsMs)]);
--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -34,9 +34,10 @@
 import type { PeerConnection } from '../peers/peerClients';
 import type { TicketService } from '../tickets/ticketService';
 import type { RefusedCall } from './activeRuns';
+import type { IRequestFallback } from './requestFallback';
+import { createUnreachedError } from './requestFallback';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import type { ServiceRunner } from './serviceRunner';
-import { createUnreachedError } from './serviceRunner';
 import { isAnswering } from './attemptEnds';
 import { createSchedulable } from './schedulableRequest';
 import type { IRequestForwarder } from './ticketRouter';
@@ -65,8 +66,8 @@
 		isKeyed: boolean,
 	): InstanceId | undefined;
 	noteRelayEnd(instance: InstanceId, end: ForwardEnd): void;
-	/** Calls back with each request that waited for a target when the last path to the targets was lost. */
-	watchReturned(serve: (run: RequestRun) => void): void;
+	/** Sets what takes the requests of a service while this entry reaches none of its targets. */
+	setFallback(fallback: IRequestFallback): void;
 	/** Whether an entry reports the attempts of requests that are forwarded to it. */
 	isCountingAttempts(instance: InstanceId): boolean;
 	/** Whether an entry confirms the keys of requests that are forwarded to it. */
@@ -141,8 +142,11 @@
 		private readonly keys: IKeyCheck = noKeyCheck,
 	) {
 		this.tickets = new TicketRouter(context, tickets, this, timers);
-		context.watchReturned(run => {
-			this.serveElsewhere(run, [], createUnreachedError());
+		context.setFallback({
+			isAvailable: run => this.isServableElsewhere(run),
+			takeOver: run => {
+				this.serveElsewhere(run, [], createUnreachedError());
+			},
 		});
 	}
 
@@ -259,6 +263,17 @@
 		}
 	}
 
+	/** Whether another entry can get the request. One that was forwarded here goes back to its sender, which decides. */
+	private isServableElsewhere(run: RequestRun): boolean {
+		if (run.call.origin !== undefined) {
+			return true;
+		}
+		const hasEntry = (): boolean =>
+			this.pickNeighbour(run, []) !== undefined ||
+			(isAllowedToLeave(run) && this.listOffers(run, []).length > 0);
+		return this.isForwardable(run, []) && hasEntry();
+	}
+
 	private isForwardable(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
 		return (
 			run.call.origin === undefined &&
@@ -270,23 +285,38 @@
 
 	/** Forwards the request to another entry of this region. */
 	private startAtNeighbour(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
-		const { service, keyDigest } = run.call.head;
-		const isKeyed = keyDigest !== undefined;
-		const tried = listInstances(triedEntries);
-		const to = this.isLocalRegionAllowed(run)
-			? this.context.pickNeighbour(service, tried, run.findRequiredVersion(), isKeyed)
-			: undefined;
+		const to = this.pickNeighbour(run, triedEntries);
 		const peer = to === undefined ? undefined : this.context.findPeer(to);
 		if (to === undefined || peer === undefined || !this.isAttemptLimitKept(run, to)) {
 			return false;
 		}
 		const startLimitMs = Math.min(maxRelayStartMs, run.getRemainingMs() * maxRelayStartShare);
 		const startByMs = this.timers.getNow() + startLimitMs;
-		const reason = `no target of ${service} is reached`;
+		const reason = `no target of ${run.call.head.service} is reached`;
 		void this.forwardToNeighbour(run, { to, peer, reason, startByMs }, triedEntries);
 		return true;
 	}
 
+	private pickNeighbour(run: RequestRun, triedEntries: readonly TriedEntry[]): InstanceId | undefined {
+		const { service, keyDigest } = run.call.head;
+		const tried = listInstances(triedEntries);
+		return this.isLocalRegionAllowed(run)
+			? this.context.pickNeighbour(service, tried, run.findRequiredVersion(), keyDigest !== undefined)
+			: undefined;
+	}
+
+	/** Lists the offers of other regions that the request may go to. */
+	private listOffers(run: RequestRun, triedEntries: readonly TriedEntry[]): readonly RemoteOffer[] {
+		const { plan, head } = run.call;
+		const triedInstances = listInstances(triedEntries);
+		const unfitRegions = triedEntries.map(({ unfitRegion }) => unfitRegion);
+		return this.context
+			.listOffers(head.service, run.findRequiredVersion(), head.keyDigest !== undefined)
+			.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedInstances.includes(instance))
+			.filter(({ region }) => !unfitRegions.includes(region))
+			.filter(({ instance }) => this.isAttemptLimitKept(run, instance));
+	}
+
 	/** An entry of an earlier release would make all attempts of the route once more. */
 	private isAttemptLimitKept(run: RequestRun, to: InstanceId): boolean {
 		return run.history.possibleRuns === 0 || this.context.isCountingAttempts(to);
@@ -304,19 +334,11 @@
 
 	/** Forwards the request to another region if the policy decides so, except to the entries in `triedEntries`. */
 	private startSendAway(run: RequestRun, triedEntries: readonly TriedEntry[]): boolean {
-		const { plan, head } = run.call;
+		const { head } = run.call;
 		const runner = this.context.getRunner(head.service);
 		const request = createSchedulable(run);
 		const owner = this.context.findOwnerRegion(run);
-		const required = run.findRequiredVersion();
-		const triedInstances = listInstances(triedEntries);
-		const unfitRegions = triedEntries.map(({ unfitRegion }) => unfitRegion);
-		const listOffers = (): readonly RemoteOffer[] =>
-			this.context
-				.listOffers(head.service, required, head.keyDigest !== undefined)
-				.filter(({ instance, region }) => isAllowedRegion(plan, region) && !triedInstances.includes(instance))
-				.filter(({ region }) => !unfitRegions.includes(region))
-				.filter(({ instance }) => this.isAttemptLimitKept(run, instance));
+		const listOffers = (): readonly RemoteOffer[] => this.listOffers(run, triedEntries);
 		const isCut = this.context.isCut(head.service);
 		const localRoom = runner.measureRoom(request);
 		const question: SendAwayContext = {
--- a/src/entry/node/requests/routerContext.ts
+++ b/src/entry/node/requests/routerContext.ts
@@ -3,7 +3,6 @@
  * regions offer.
  */
 
-import { subscribeTo } from '../../../base/common/channel';
 import type { IRandom } from '../../../base/common/random';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
@@ -38,6 +37,7 @@
 import type { PeerConnection } from '../peers/peerClients';
 import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { ActiveRuns, RefusedCall } from './activeRuns';
+import type { IRequestFallback } from './requestFallback';
 import type { IRouterContext } from './requestRouter';
 import type { AcceptedCall, RequestRun } from './requestRun';
 import type { ServiceRunner } from './serviceRunner';
@@ -150,8 +150,8 @@
 		this.neighbours.noteEnd(instance, end.error?.kind, this.timers.getNow());
 	}
 
-	watchReturned(serve: (run: RequestRun) => void): void {
-		subscribeTo(this.runners.onDidReturn, serve);
+	setFallback(fallback: IRequestFallback): void {
+		this.runners.setFallback(fallback);
 	}
 
 	isCountingAttempts(instance: InstanceId): boolean {
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -39,6 +39,8 @@
 import type { IConfirmationOwner } from './endConfirmations';
 import { EndConfirmations } from './endConfirmations';
 import type { IPathObserver } from '../paths/servicePaths';
+import type { IRequestFallback } from './requestFallback';
+import { createUnreachedError, rejectingFallback } from './requestFallback';
 import type { RequestRun } from './requestRun';
 import { isEventStream } from './requestRun';
 import { createSchedulable } from './schedulableRequest';
@@ -50,6 +52,14 @@
 	running: AttemptRun | undefined;
 }
 
+enum RunnerPhase {
+	Serving,
+	/** No target of the service is reached. */
+	Paused,
+	/** The process is about to end. */
+	Stopped,
+}
+
 /** Runs the requests of one service. */
 export class ServiceRunner extends Disposable implements IAttemptOwner, IConfirmationOwner {
 	private readonly states = new Map<RequestId, RunState>();
@@ -57,7 +67,7 @@
 	private schedulable: readonly SchedulableTarget[] = [];
 	private isAdvancing = false;
 	private isAdvancePending = false;
-	private isSuspended = false;
+	private phase = RunnerPhase.Serving;
 	private mustAdvanceAgain = false;
 	/** Decides on the uncertain ends of answers, also of those that other entries ran for this one. */
 	readonly confirmations: EndConfirmations;
@@ -73,6 +83,7 @@
 		private readonly keys: IKeyCheck = noKeyCheck,
 		/** Called with each load header of a target that can't be read. */
 		private readonly noteUnreadableLoad: (target: TargetId, text: string) => void = () => undefined,
+		private readonly fallback: IRequestFallback = rejectingFallback,
 	) {
 		super();
 		this.confirmations = new EndConfirmations(timers, this);
@@ -92,15 +103,13 @@
 
 	/** Submits a request, which this runner then answers, refuses or abandons. */
 	submit(run: RequestRun): void {
-		this.states.set(run.call.id, { run, attempts: 0, running: undefined });
 		run.lifecycle.send(RequestEvent.Enqueue);
-		this.submitToScheduler(run);
+		this.submitToScheduler({ run, attempts: 0, running: undefined });
 	}
 
 	/** Submits a request after a failed forward to another entry; its state machine is already in a queued state. */
 	submitReturned(run: RequestRun): void {
-		this.states.set(run.call.id, { run, attempts: run.history.sends, running: undefined });
-		this.submitToScheduler(run);
+		this.submitToScheduler({ run, attempts: run.history.sends, running: undefined });
 	}
 
 	/** Handles a disconnected caller: a waiting request is removed, a running attempt's connection is closed. */
@@ -129,14 +138,46 @@
 	}
 
 	/**
-	 * Stops sending requests to targets, and removes and returns those that no target has got. Until `resume` is called,
-	 * requests are refused at once.
+	 * Stops sending requests to targets, none of which is reached. Until `resume` is called, requests that no target has got are
+	 * handed over to the fallback, also if an attempt ends later, and new ones are rejected.
 	 */
-	pause(): readonly RequestRun[] {
-		this.isSuspended = true;
+	pause(): void {
+		if (this.phase === RunnerPhase.Serving) {
+			this.phase = RunnerPhase.Paused;
+			this.endUnsentAttempts();
+			this.forwardWaiting();
+		}
+	}
+
+	resume(): void {
+		if (this.phase === RunnerPhase.Paused) {
+			this.phase = RunnerPhase.Serving;
+			this.scheduler.resumeTargets();
+			this.advance();
+		}
+	}
+
+	/** Starts no more attempts. Requests that wait for one are removed, and are left to be ended by the caller. */
+	stop(): void {
+		this.phase = RunnerPhase.Stopped;
+		this.endUnsentAttempts();
+		this.takeWaiting();
+	}
+
+	private endUnsentAttempts(): void {
 		for (const { running } of [...this.states.values()]) {
 			running?.endUnsent(createUnreachedError());
 		}
+	}
+
+	private forwardWaiting(): void {
+		for (const run of this.takeWaiting()) {
+			this.fallback.takeOver(run);
+		}
+	}
+
+	/** Removes and returns the requests without an attempt in progress. */
+	private takeWaiting(): readonly RequestRun[] {
 		const waiting = [...this.states.values()].filter(({ running }) => running === undefined);
 		for (const { run } of waiting) {
 			this.scheduler.cancel(run.call.id, this.timers.getNow());
@@ -145,12 +186,6 @@
 		return waiting.map(({ run }) => run).filter(run => !run.hasEnded());
 	}
 
-	resume(): void {
-		this.isSuspended = false;
-		this.scheduler.resumeTargets();
-		this.advance();
-	}
-
 	/** Measures the capacity left for a normal request, or for the given one. */
 	measureRoom(request?: SchedulableRequest): ServiceRoom {
 		return this.scheduler.measureRoom(this.timers.getNow(), request);
@@ -210,7 +245,11 @@
 
 	noteSilence({ run, target }: AttemptRun): boolean {
 		this.paths.noteTrouble(`${target} is silent`);
-		return this.scheduler.noteSilence(run.call.id, this.timers.getNow());
+		const isPaused = this.phase === RunnerPhase.Paused;
+		if (isPaused && !this.fallback.isAvailable(run)) {
+			return false;
+		}
+		return this.scheduler.noteSilence(run.call.id, this.timers.getNow(), isPaused);
 	}
 
 	noteEnd(attempt: AttemptRun, end: AttemptEnd, error: RequestError | undefined): void {
@@ -305,6 +344,7 @@
 	endConfirmation(run: RequestRun, error: RequestError): boolean {
 		const state = this.states.get(run.call.id);
 		if (state === undefined) {
+			run.stop(error);
 			return true;
 		}
 		if (state.running !== undefined) {
@@ -370,28 +410,28 @@
 		run.noteSubmitted();
 	}
 
-	private submitToScheduler(run: RequestRun): void {
-		const refusal = this.crashDetector.findRefusal(run.call) ?? this.findSuspension();
+	private submitToScheduler(state: RunState): void {
+		const { run } = state;
+		const isServing = this.phase === RunnerPhase.Serving;
+		const refusal =
+			this.crashDetector.findRefusal(run.call) ?? (isServing ? undefined : createUnreachedError());
 		if (refusal !== undefined) {
-			this.states.delete(run.call.id);
 			run.note(JournalStep.Refused, refusal.detail);
 			run.fail(refusal);
 			return;
 		}
+		this.states.set(run.call.id, state);
 		run.note(JournalStep.Queued, this.describeQueue());
 		run.noteSubmitted();
 		// A pending advance starts whatever is queued by then, so the request is queued only after a poll of its own.
 		this.startGate.run(() => {
-			this.addToQueue(run);
+			this.addToQueue(state);
 		});
 	}
 
-	private findSuspension(): RequestError | undefined {
-		return this.isSuspended ? createUnreachedError() : undefined;
-	}
-
-	private addToQueue(run: RequestRun): void {
-		if (this.states.get(run.call.id)?.run !== run) {
+	private addToQueue(state: RunState): void {
+		const { run } = state;
+		if (this.states.get(run.call.id) !== state) {
 			return;
 		}
 		const request = {
@@ -411,7 +451,11 @@
 
 	/** Advances the scheduler, or does so once the sockets have been read if the event loop is behind. */
 	private advance(): void {
-		if (this.isAdvancePending || this.isSuspended) {
+		if (this.phase === RunnerPhase.Paused) {
+			this.forwardWaiting();
+			return;
+		}
+		if (this.isAdvancePending || this.phase === RunnerPhase.Stopped) {
 			return;
 		}
 		this.isAdvancePending = true;
@@ -426,7 +470,7 @@
 	 * such a nested call only makes the outer loop run once more.
 	 */
 	private advanceNow(): void {
-		if (this.isSuspended) {
+		if (this.phase !== RunnerPhase.Serving) {
 			return;
 		}
 		if (this.isAdvancing) {
@@ -545,13 +589,3 @@
 }
 
 const unknownSoftware: TargetSoftware = { version: undefined, boot: undefined };
-
-/** Suggested to callers as the retry delay while no target is reached: the time in which the paths are probed twice. */
-const unreachedRetryAfterMs = 1_000;
-
-/** Creates the error of a request that can't be served because this entry reaches no target. */
-export function createUnreachedError(): RequestError {
-	return createRequestError(ErrorKind.NoTarget, 'this entry reaches no target of the service', {
-		retryAfterMs: unreachedRetryAfterMs,
-	});
-}
--- a/src/entry/node/requests/serviceRunners.ts
+++ b/src/entry/node/requests/serviceRunners.ts
@@ -3,8 +3,7 @@
  * region change. A send-away policy decides which requests are forwarded to another region.
  */
 
-import type { Stream } from 'most';
-import { Channel, subscribeTo } from '../../../base/common/channel';
+import { subscribeTo } from '../../../base/common/channel';
 import type { IDisposable } from '../../../base/common/lifecycle';
 import { Disposable, DisposableStore, toDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
@@ -21,7 +20,8 @@
 import type { ManifestKeeper } from '../manifest/manifestKeeper';
 import type { EntrySharing, ITargetRegistry } from '../targets/targetDirectory';
 import type { CrashDetector } from './crashDetector';
-import type { RequestRun } from './requestRun';
+import type { IRequestFallback } from './requestFallback';
+import { rejectingFallback } from './requestFallback';
 import { ServiceRunner } from './serviceRunner';
 import type { ILoadHeaderObserver } from './unreadableLoads';
 import { ignoredLoadHeaders } from './unreadableLoads';
@@ -51,10 +51,7 @@
 	private targetUpdates = 0;
 	private readonly ownedRunners = this.register(new DisposableStore());
 	private sharingUpdate: IDisposable | undefined;
-	private readonly returned = this.register(new Channel<RequestRun>());
-
-	/** Emits the requests that no target has got when the last path to the targets of their service is lost. */
-	readonly onDidReturn: Stream<RequestRun> = this.returned.stream;
+	private fallback = rejectingFallback;
 
 	constructor(
 		private readonly manifests: ManifestKeeper,
@@ -81,6 +78,11 @@
 		);
 	}
 
+	/** Sets what takes the requests of a service while none of its targets is reached; without it they are rejected. */
+	setFallback(fallback: IRequestFallback): void {
+		this.fallback = fallback;
+	}
+
 	/** Number of times that the targets of a service were updated so far. */
 	get targetUpdateCount(): number {
 		return this.targetUpdates;
@@ -126,9 +128,9 @@
 	}
 
 	/** Starts no more attempts. Requests that wait for one are removed, and are left to be ended by the caller. */
-	pause(): void {
+	stop(): void {
 		for (const { runner } of this.services.values()) {
-			runner.pause();
+			runner.stop();
 		}
 	}
 
@@ -158,11 +160,21 @@
 				(target, text) => {
 					this.loadHeaders.noteUnreadable(service, target, text);
 				},
+				{
+					isAvailable: run => this.fallback.isAvailable(run),
+					takeOver: run => {
+						this.fallback.takeOver(run);
+					},
+				},
 			),
 		);
 		this.ownedRunners.add(
 			subscribeTo(paths.onDidChange, isCut => {
-				this.applyCut(runner, isCut);
+				if (isCut) {
+					runner.pause();
+				} else {
+					runner.resume();
+				}
 			}),
 		);
 		const opened = { runner, paths, sendAway: this.policies.createSendAway(), sharing: undefined };
@@ -171,16 +183,6 @@
 		return opened;
 	}
 
-	private applyCut(runner: ServiceRunner, isCut: boolean): void {
-		if (!isCut) {
-			runner.resume();
-			return;
-		}
-		for (const run of runner.pause()) {
-			this.returned.emit(run);
-		}
-	}
-
 	private update(service: ServiceName): void {
 		const state = this.services.get(service);
 		if (state === undefined) {
--- a/src/entry/node/requests/test/flowFixtures.ts
+++ b/src/entry/node/requests/test/flowFixtures.ts
@@ -31,6 +31,8 @@
 import type { IServiceScheduler } from '../../../common/scheduling/serviceScheduler';
 import type { AttemptRequest, IAttempt, IAttemptObserver, ITargetClient } from '../../targets/targetClient';
 import { CrashDetector } from '../crashDetector';
+import type { IRequestFallback } from '../requestFallback';
+import { rejectingFallback } from '../requestFallback';
 import type { AcceptedCall, IRunObserver, RequestEnd } from '../requestRun';
 import { RequestRun } from '../requestRun';
 import { ServiceRunner } from '../serviceRunner';
@@ -173,6 +175,7 @@
 	timers = new ManualTimerService(),
 	startGate: IStartGate = openStartGate,
 	keys: IKeyCheck = noKeyCheck,
+	fallback: IRequestFallback = rejectingFallback,
 ): Flow {
 	const attempts: CapturedAttempt[] = [];
 	const renewedTargets: TargetId[] = [];
@@ -213,6 +216,8 @@
 		startGate,
 		{ noteSent: () => undefined, noteAnswer: () => undefined, noteTrouble: () => undefined },
 		keys,
+		undefined,
+		fallback,
 	);
 	const zone = 'kingston-a' as ZoneName;
 	runner.setTargets(ids.map(id => ({ id, zone, isSameZone: true, slots: 8, share: 1, isLeaving: false })));
--- a/src/entry/node/requests/test/forwardFixtures.ts
+++ b/src/entry/node/requests/test/forwardFixtures.ts
@@ -137,7 +137,7 @@
 		pickNeighbour: () => undefined,
 		isCountingAttempts: () => true,
 		noteRelayEnd: () => undefined,
-		watchReturned: () => undefined,
+		setFallback: () => undefined,
 		findOwnerRegion: () => undefined,
 		findPeer: () => peer.connection,
 		findRegion: () => undefined,
--- a/src/entry/node/requests/test/randomEntry.ts
+++ b/src/entry/node/requests/test/randomEntry.ts
@@ -176,7 +176,7 @@
 			isCut: () => false,
 			pickNeighbour: () => undefined,
 			isCountingAttempts: () => true,
-			watchReturned: () => undefined,
+			setFallback: () => undefined,
 			findOwnerRegion: () => undefined,
 			findPeer: () => createRandomPeer(this.source),
 			findRegion: () => undefined,
--- a/src/entry/node/requests/test/requestRouter.test.ts
+++ b/src/entry/node/requests/test/requestRouter.test.ts
@@ -49,7 +49,7 @@
 		pickNeighbour: () => undefined,
 		isCountingAttempts: () => true,
 		noteRelayEnd: () => undefined,
-		watchReturned: () => undefined,
+		setFallback: () => undefined,
 		findOwnerRegion: () => undefined,
 		findPeer: () => undefined,
 		describeSender: () => ({ region }),
--- a/src/entry/node/test/callHandlerFixtures.ts
+++ b/src/entry/node/test/callHandlerFixtures.ts
@@ -168,7 +168,7 @@
 		isCountingAttempts: () => true,
 		isConfirmingKeys: () => true,
 		noteRelayEnd: () => undefined,
-		watchReturned: () => undefined,
+		setFallback: () => undefined,
 		listOffers: () => [],
 		findStreamOrigin: async () => Promise.resolve(undefined),
 		findPeer: () => closedPeer,
--- a/src/entry/node/test/cutOffEntries.test.ts
+++ b/src/entry/node/test/cutOffEntries.test.ts
@@ -1,3 +1,5 @@
+import { RouteKind } from '../../../core/manifest/common/routes';
+import type { CapturingSink } from '../requests/test/flowFixtures';
 import type { CallerCounts, CutOffEntry, CutOffOptions } from './cutOffRegion';
 import { CutOffRegions } from './cutOffRegion';
 import { CutMode } from './scriptedTargetClient';
@@ -120,3 +122,38 @@
 		site.dispose();
 	});
 });
+
+describe.each(modes)(
+	'requests in flight when their entry loses all paths to targets, connections %s',
+	mode => {
+		// Guards against requests that are queued for another attempt after the loss, where nothing serves or rejects them.
+		it('have an answer at the timeout of their route, from another region if an attempt is left', async () => {
+			const site = new CutOffRegions({
+				...base,
+				entriesPerRegion: 1,
+				mode,
+				seed: 1,
+				isRegionRequired: false,
+			});
+			await site.advance(settleMs);
+			const [entry] = site.listIn(region);
+			const limitMs = 4_000;
+			const lookup = { kind: RouteKind.Idempotent, isResumable: false, attempts: 2, limitMs };
+			const send = async (requests: number): Promise<readonly CapturingSink[]> => {
+				const sinks: CapturingSink[] = [];
+				for (let sent = 0; sent < requests; sent++) {
+					sinks.push(...Array.from({ length: 4 }, () => site.sendRouted(entry!, lookup)));
+					await site.advance(100);
+				}
+				return sinks;
+			};
+			await send(10);
+			site.cut([entry!]);
+			const sinks = await send(30);
+			await site.advance(limitMs);
+			const unanswered = sinks.filter(({ hasEnded, refusal }) => !hasEnded && refusal === undefined);
+			expect({ mode, unanswered: unanswered.length }).toEqual({ mode, unanswered: 0 });
+			site.dispose();
+		});
+	},
+);
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -11,6 +11,7 @@
 import { AuditKind } from '../../../core/audit/common/auditTrail';
 import { RingAuditTrail } from '../../../core/audit/common/ringAuditTrail';
 import { Discovery } from '../../../core/discovery/common/discovery';
+import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import { RingRequestJournal } from '../../../core/explain/common/ringRequestJournal';
 import type {
 	BootId,
@@ -25,6 +26,9 @@
 	ZoneName,
 } from '../../../core/ids/common/ids';
 import { checkManifest, RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
+import type { ManifestRoute } from '../../../core/manifest/common/routes';
+import { isRepeatable, RouteKind } from '../../../core/manifest/common/routes';
+import { RequestClass } from '../../../core/requests/common/requestClass';
 import type { EntrySettings } from '../../../core/settings/common/entrySettings';
 import { EntryMetrics } from '../../../core/telemetry/node/entryMetrics';
 import type {
@@ -33,6 +37,7 @@
 	ForwardRequestResponse,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { NativeTargetDialect } from '../../common/dialect/nativeTargetDialect';
+import type { CallHead, RoutedCall } from '../../common/callers/callHead';
 import { openStartGate } from '../../common/intake/test/startGates';
 import { planCall } from '../../common/placement/callPlan';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
@@ -43,6 +48,7 @@
 import { EntryFleet } from '../fleet/entryFleet';
 import { OwnView } from '../fleet/ownView';
 import type { IndexedManifest, ManifestKeeper } from '../manifest/manifestKeeper';
+import { createForwardedCall } from '../peers/forwardedCall';
 import type { PeerClients } from '../peers/peerClients';
 import { PeerSink } from '../peers/peerSink';
 import { ActiveRuns } from '../requests/activeRuns';
@@ -55,12 +61,14 @@
 import { DiscoveredTargetRegistry } from '../targets/discoveredTargetRegistry';
 import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { TicketService } from '../tickets/ticketService';
-import { CutMode, ScriptedTargetClient } from './scriptedTargetClient';
+import type { CutMode, Reply } from './scriptedTargetClient';
+import { ScriptedTargetClient, wholeReply } from './scriptedTargetClient';
 
 const service = 'bookings' as ServiceName;
 const regions = ['kingston', 'montego'] as const;
 const stepMs = 10;
 const networkMs = 2;
+const softwareVersion = 'v1' as SoftwareVersion;
 const exchangeTimeoutMs = 2_000;
 const runOnceRule = {
 	method: 'POST',
@@ -79,6 +87,17 @@
 	readonly isRepeatable: boolean;
 	readonly mode: CutMode;
 	readonly seed: number;
+	/** Returns how a target answers the next attempt; every one answers in whole by default. */
+	readonly pickReply?: (random: SeededRandom) => Reply;
+}
+
+/** What a caller asks for by a route. */
+export interface RoutedRequest {
+	readonly kind: RouteKind;
+	readonly isResumable: boolean;
+	readonly attempts: number;
+	/** The deadline of the caller or the timeout of the route, whichever is first. */
+	readonly limitMs: number;
 }
 
 /** What the callers of one entry got within a time span. */
@@ -89,6 +108,10 @@
 	keptWaiting: number;
 }
 
+/** The longest check whether a target is down, and how often one is. */
+const maxProbeMs = 1_000;
+const crashShare = 0.1;
+
 /** Time after which a caller counts a request as failed. */
 const patienceMs = 2_400;
 
@@ -103,7 +126,12 @@
 	/** The number of times that each request was run by a target. */
 	readonly runs = new Map<RequestId, number>();
 	readonly manifest: IndexedManifest;
+	/** What the callers of routes asked for. */
+	readonly routed = new Map<RequestId, RoutedRequest>();
 	private readonly cutEntries = new Set<InstanceId>();
+	/** Pairs of entries, as `from to`, of which the first does not reach the second. */
+	private readonly cutPeers = new Set<string>();
+	private readonly sinks = new Map<RequestId, CapturingSink>();
 	private requests = 0;
 
 	constructor(readonly options: CutOffOptions) {
@@ -150,8 +178,40 @@
 		}
 	}
 
-	openPaths(): void {
-		this.cutEntries.clear();
+	openPaths(entries: readonly CutOffEntry[] = this.entries): void {
+		for (const { id } of entries) {
+			this.cutEntries.delete(id);
+		}
+	}
+
+	/** Cuts the paths between two entries in both directions, or opens them again. */
+	setPeersCut(one: CutOffEntry, other: CutOffEntry, isCut: boolean): void {
+		for (const pair of [`${one.id} ${other.id}`, `${other.id} ${one.id}`]) {
+			if (isCut) {
+				this.cutPeers.add(pair);
+			} else {
+				this.cutPeers.delete(pair);
+			}
+		}
+	}
+
+	isPeerCut(from: InstanceId, to: InstanceId): boolean {
+		return this.cutPeers.has(`${from} ${to}`);
+	}
+
+	/** Sends a request by a route to an entry. */
+	sendRouted(entry: CutOffEntry, routed: RoutedRequest): CapturingSink {
+		const sink = new CapturingSink();
+		const id = `request-${++this.requests}` as RequestId;
+		this.routed.set(id, routed);
+		this.sinks.set(id, sink);
+		entry.accept(id, sink);
+		return sink;
+	}
+
+	/** The number of whole events of a stream that its caller has. */
+	countEvents(id: RequestId): number {
+		return (this.sinks.get(id)?.text.match(/\n\n/g) ?? []).length;
 	}
 
 	isCut(entry: InstanceId): boolean {
@@ -170,6 +230,15 @@
 		return counts;
 	}
 
+	/** Whether a target whose connection broke is down; known after a while. */
+	async probeForCrash(): Promise<boolean> {
+		if (this.options.pickReply === undefined) {
+			return false;
+		}
+		await new Promise<void>(resolve => this.timers.schedule(this.random.pickBelow(maxProbeMs), resolve));
+		return this.random.pickFraction() < crashShare;
+	}
+
 	dispose(): void {
 		for (const entry of this.entries) {
 			entry.dispose();
@@ -216,6 +285,9 @@
 	private readonly fleet: EntryFleet;
 	private readonly runners: ServiceRunners;
 	private readonly router: RequestRouter;
+	private readonly runs: ActiveRuns;
+	private readonly discovery: Discovery;
+	private isStopped = false;
 	private readonly clients = new Map<TargetId, ScriptedTargetClient>();
 	private readonly trail = new RingAuditTrail(100, () => new Date(0));
 
@@ -242,6 +314,7 @@
 				this.trail,
 			),
 		);
+		this.discovery = this.store.add(new Discovery(this.trail));
 		const targets = this.createTargets();
 		this.runners = this.store.add(
 			new ServiceRunners(
@@ -250,7 +323,7 @@
 				() => this.fleet.getEntrySharing(),
 				new CrashDetector(
 					new Quarantine(),
-					() => Promise.resolve(false),
+					() => site.probeForCrash(),
 					() => Promise.resolve(),
 					timers,
 				),
@@ -273,7 +346,7 @@
 		});
 		const metrics = new EntryMetrics({ version: '1', instance: id, region, zone: `${region}-a` });
 		const journal = new RingRequestJournal(10_000, () => new Date(0));
-		const runs = new ActiveRuns(journal, metrics, new HeldBytes(1_000_000_000), timers, {
+		this.runs = new ActiveRuns(journal, metrics, new HeldBytes(1_000_000_000), timers, {
 			noteBegun: () => undefined,
 		});
 		const context = new RouterContext(
@@ -282,7 +355,7 @@
 			this.runners,
 			targets,
 			this.fleet,
-			runs,
+			this.runs,
 			metrics,
 			timers,
 			{ find: async () => Promise.resolve(undefined) },
@@ -298,6 +371,26 @@
 		this.store.dispose();
 	}
 
+	/** Ends all requests as at the end of a stop. */
+	stop(): void {
+		this.isStopped = true;
+		this.runners.stop();
+		this.runs.stopAll(createRequestError(ErrorKind.Leaving, 'the time for this stop is over'));
+	}
+
+	/** Takes a target out of use. */
+	removeTarget(index: number): void {
+		const removed = [`${this.region}-target-${index}` as TargetId];
+		this.discovery.applyRegistrations(
+			{ registered: [], removed, isAfterOutage: false },
+			this.site.timers.getNow(),
+		);
+	}
+
+	hasStopped(): boolean {
+		return this.isStopped;
+	}
+
 	/** Accepts a request of a caller. */
 	accept(id: RequestId, sink: CapturingSink): void {
 		this.router.dispatch(this.createCall(id), sink);
@@ -322,15 +415,14 @@
 		let call: AcceptedCall | undefined;
 		for await (const { part } of requests) {
 			if (part.case === 'head') {
-				const { requestId, fromInstance, fromRegion, hops, remainingMs, startWithinMs } = part.value;
+				const { requestId, hops, lastEventId } = part.value;
 				expect(hops).toBe(1);
-				const arrivedMs = this.site.timers.getNow();
-				call = {
-					...this.createCall(requestId as RequestId),
-					deadlineMs: arrivedMs + remainingMs,
-					...(startWithinMs === undefined ? {} : { startByMs: arrivedMs + startWithinMs }),
-					origin: { instance: fromInstance as InstanceId, region: fromRegion as RegionName },
-				};
+				const { head, plan, body } = this.createCall(requestId as RequestId);
+				const readTime = { readMs: this.site.timers.getNow(), lagMs: 0 };
+				const lastId = lastEventId === '' ? undefined : lastEventId;
+				const routed = head.routed && { ...head.routed, lastEventId: lastId };
+				const forwarded: CallHead = routed === undefined ? head : { ...head, routed };
+				call = createForwardedCall(part.value, forwarded, plan, body, readTime);
 			}
 		}
 		const sink = new PeerSink();
@@ -351,7 +443,9 @@
 			method: 'POST',
 			path: '/run',
 		});
-		return createCall(id, planned._unsafeUnwrap(), 'work', this.site.timers.getNow());
+		const call = createCall(id, planned._unsafeUnwrap(), 'work', this.site.timers.getNow());
+		const routed = this.site.routed.get(id);
+		return routed === undefined ? call : createRoutedCall(call, routed);
 	}
 
 	private createSettings(): EntrySettings {
@@ -371,12 +465,12 @@
 			this.site.entries.find(({ id }) => id === new URL(peerUrl).hostname);
 		return {
 			open: (peerUrl: string) => ({
-				session: { connect: async () => Promise.resolve('open') },
+				session: { connect: () => this.openConnection(find(peerUrl)) },
 				client: {
 					exchangeViews: async ({ views }: { views: WireView[] }) => {
 						await wait(networkMs);
 						const peer = find(peerUrl);
-						if (peer === undefined) {
+						if (peer === undefined || !this.isReaching(peer)) {
 							await wait(exchangeTimeoutMs);
 							throw new Error('no such entry');
 						}
@@ -385,17 +479,65 @@
 					forwardRequest: (
 						requests: AsyncIterable<ForwardRequestRequest>,
 						{ signal }: { signal: AbortSignal },
-					) => find(peerUrl)!.serveForwarded(requests, signal),
+					) => this.forwardTo(find(peerUrl)!, requests, signal),
 				},
 			}),
 			closeAbsent: () => undefined,
 		} as unknown as PeerClients;
 	}
 
+	private isReaching(peer: CutOffEntry): boolean {
+		return !peer.hasStopped() && !this.site.isPeerCut(this.id, peer.id);
+	}
+
+	/** Over a path that is cut, a connection neither opens nor fails; a process that has ended refuses it. */
+	private async openConnection(peer: CutOffEntry | undefined): Promise<string> {
+		if (peer === undefined || peer.hasStopped()) {
+			return 'error';
+		}
+		if (!this.isReaching(peer)) {
+			await new Promise(() => undefined);
+		}
+		return 'open';
+	}
+
+	/** Messages over a path that is cut are lost, and a cancelled call fails at once. */
+	private async *forwardTo(
+		peer: CutOffEntry,
+		requests: AsyncIterable<ForwardRequestRequest>,
+		signal: AbortSignal,
+	): AsyncGenerator<ForwardRequestResponse> {
+		const cancelled = new Promise<undefined>(resolve => {
+			signal.addEventListener('abort', () => {
+				resolve(undefined);
+			});
+		});
+		const atPeer = new AbortController();
+		signal.addEventListener('abort', () => {
+			if (this.isReaching(peer)) {
+				atPeer.abort();
+			}
+		});
+		const answers = this.isReaching(peer) ? peer.serveForwarded(requests, atPeer.signal) : undefined;
+		for (;;) {
+			const next = await Promise.race([answers?.next() ?? cancelled, cancelled]);
+			if (next !== undefined && !this.isReaching(peer)) {
+				await cancelled;
+			}
+			if (next === undefined || signal.aborted) {
+				throw new Error('the call was cancelled');
+			}
+			if (next.done === true) {
+				return;
+			}
+			yield next.value;
+		}
+	}
+
 	/** The real registry, with connections that a script answers. */
 	private createTargets(): ITargetRegistry {
 		const { timers, options } = this.site;
-		const discovery = this.store.add(new Discovery(this.trail));
+		const { discovery } = this;
 		const location = { region: this.region, zone: `${this.region}-a` as ZoneName };
 		const registry = this.store.add(new DiscoveredTargetRegistry(location, discovery, timers));
 		const registered = regions.flatMap(region =>
@@ -410,7 +552,7 @@
 				remainingMs: undefined,
 				coldLeftMs: 0,
 				boot: '1' as BootId,
-				version: 'v1' as SoftwareVersion,
+				version: softwareVersion,
 			})),
 		);
 		discovery.applyRegistrations({ registered, removed: [], isAfterOutage: false }, 0);
@@ -419,7 +561,11 @@
 		return new Proxy(registry, {
 			get: (object, name) => {
 				if (name === 'findClient') {
-					return (target: TargetId) => this.findClient(target, isCut);
+					return (target: TargetId) =>
+						object.findClient(target) === undefined ? undefined : this.findClient(target, isCut);
+				}
+				if (name === 'observeVersion') {
+					return () => () => softwareVersion;
 				}
 				if (name === 'probePaths') {
 					return async () => {
@@ -439,9 +585,14 @@
 		if (known !== undefined) {
 			return known;
 		}
-		const { timers, options, runs } = this.site;
-		const created = new ScriptedTargetClient(timers, isCut, options.mode, request => {
-			runs.set(request, (runs.get(request) ?? 0) + 1);
+		const { site } = this;
+		const created = new ScriptedTargetClient(site.timers, isCut, site.options.mode, {
+			noteRun: request => {
+				site.runs.set(request, (site.runs.get(request) ?? 0) + 1);
+			},
+			pickReply: () => site.options.pickReply?.(site.random) ?? wholeReply,
+			isStream: request => site.routed.get(request)?.kind === RouteKind.Stream,
+			countEvents: request => site.countEvents(request),
 		});
 		this.clients.set(target, created);
 		this.store.add(
@@ -452,3 +603,32 @@
 		return created;
 	}
 }
+
+/** Time limits of requests that are short enough for a silent target to be noticed before their deadline. */
+const routedLimits = { firstByteMs: 400, idleMs: 400 };
+
+function createRoutedCall(
+	call: AcceptedCall,
+	{ kind, isResumable, attempts, limitMs }: RoutedRequest,
+): AcceptedCall {
+	const route = { kind, isResumable, attempts, firstByteAimMs: limitMs / 2 } as ManifestRoute;
+	const routed: RoutedCall = {
+		route,
+		priority: 1,
+		host: 'rounds.example',
+		callerRequestId: call.id,
+		prompt: undefined,
+		lastEventId: undefined,
+		resumes: undefined,
+	};
+	const repeat = isRepeatable(route) ? RepeatRule.Idempotent : RepeatRule.AtMostOnce;
+	const rules = { repeat, unticketed: UnticketedRule.RunOnce };
+	const normal = { ...call.plan.classes[RequestClass.Normal], ...routedLimits };
+	return {
+		...call,
+		head: { ...call.head, routed, deadlineMs: limitMs },
+		body: Buffer.from(call.id),
+		plan: { ...call.plan, ...rules, classes: { ...call.plan.classes, [RequestClass.Normal]: normal } },
+		deadlineMs: call.arrivedMs + limitMs,
+	};
+}
