Refuse a request to resume a stream at its deadline while its origin is asked for

What callers saw: a request that resumes a stream which this entry doesn't know waits until other entries have answered, up to 450 ms, also if its deadline is earlier.

Change: the wait ends at the deadline, and the request is refused with the same error as one whose origin nobody knows. The new test of requestRouter.test.ts failed before: no answer at the deadline of 200 ms.

--- a/src/entry/node/requests/requestRouter.ts
+++ b/src/entry/node/requests/requestRouter.ts
@@ -5,6 +5,7 @@
  */
 
 import type { ITimerService } from '../../../base/common/timerService';
+import { waitForResult } from '../../../base/common/waitFor';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
@@ -214,10 +215,11 @@
 		this.submitLocally(run);
 	}
 
-	/** Finds the origin of a stream that a caller resumes before the request is routed. Refuses it if nobody knows it. */
+	/** Finds the origin of a stream that a caller resumes before the request is routed. Refuses it if nobody knows it in time. */
 	private async sendResumed(run: RequestRun): Promise<void> {
 		const { service, routed } = run.call.head;
-		const origin = await this.context.findStreamOrigin(service, routed?.resumes);
+		const search = this.context.findStreamOrigin(service, routed?.resumes);
+		const origin = await waitForResult(this.timers, run.getRemainingMs(), search);
 		if (run.hasEnded()) {
 			return;
 		}
--- a/src/entry/node/requests/test/forwardFixtures.ts
+++ b/src/entry/node/requests/test/forwardFixtures.ts
@@ -133,6 +133,7 @@
 			keyedOffers.push(isKeyed);
 			return [offer];
 		},
+		findStreamOrigin: () => new Promise(() => undefined),
 		isCut: () => false,
 		pickNeighbour: () => undefined,
 		isCountingAttempts: () => true,
--- a/src/entry/node/requests/test/requestRouter.test.ts
+++ b/src/entry/node/requests/test/requestRouter.test.ts
@@ -1,7 +1,10 @@
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
+import { ErrorKind } from '../../../../core/errors/common/errorKinds';
 import { RingRequestJournal } from '../../../../core/explain/common/ringRequestJournal';
 import type { InstanceId, RegionName, RequestId } from '../../../../core/ids/common/ids';
 import { RepeatRule } from '../../../../core/manifest/common/manifest';
+import { RouteKind } from '../../../../core/manifest/common/routes';
+import type { RoutedCall } from '../../../common/callers/callHead';
 import { openStartGate } from '../../../common/intake/test/startGates';
 import { RequestLifecycle } from '../../../common/requests/requestLifecycle';
 import type { RemoteOffer, SendAwayContext, SendAwayDecision } from '../../../common/sendAway/sendAwayPolicy';
@@ -10,6 +13,7 @@
 import { RequestRouter } from '../requestRouter';
 import { RequestRun } from '../requestRun';
 import { CapturingSink, createCall, createObserver, createPlan } from './flowFixtures';
+import { createFixture } from './forwardFixtures';
 
 const region = 'kingston' as RegionName;
 
@@ -88,3 +92,18 @@
 		expect(countCreatedOffers(size, 130, compare)).toBe(size * 130);
 	});
 });
+
+describe('a request to resume a stream whose origin nobody tells', () => {
+	// Guards against callers that wait beyond their deadline for entries that are asked for the origin.
+	it('is refused at its deadline', async () => {
+		const { dispatch, advance } = createFixture();
+		const limitMs = 200;
+		const route = { kind: RouteKind.Stream, isResumable: true, attempts: 3, firstByteAimMs: 500 };
+		const routed = { route, callerRequestId: 'r1', lastEventId: '3' } as RoutedCall;
+		const sink = dispatch(limitMs, { routed });
+		await advance(limitMs - 1);
+		expect(sink.refusal).toBeUndefined();
+		await advance(1);
+		expect(sink.refusal?.kind).toBe(ErrorKind.StreamUnknown);
+	});
+});
