Show requests that wait where nothing serves them, and end them after their deadline

Each part that holds a request ends it at its deadline. A request that none of them has ended 50 ms later is now ended by the list of open requests, whatever state its service is in, counted, and logged with its state. An answer that has begun isn't cut off by a default deadline, as before. A queued call that has been ended so isn't sent any more.

In metrics.test.ts the new counter is listed among those that sound entries do not record.

--- a/src/bin/test/metrics.test.ts
+++ b/src/bin/test/metrics.test.ts
@@ -207,11 +207,12 @@
 			const unrecorded = listEntryMetrics()
 				.map(({ name }) => name)
 				.filter(name => !hasSamples(page, name));
-			// These entries have no certificates, and no bound for withdrawn keys.
+			// These entries have no certificates, no bound for withdrawn keys, and end their requests in time.
 			const expected = [
 				...listUnrecordedMetrics(),
 				'anvilroad_certificate_expiry_timestamp_seconds',
 				'anvilroad_key_knowledge_age_seconds',
+				'anvilroad_overdue_requests_total',
 			];
 			expect(unrecorded.sort()).toEqual(expected.sort());
 		},
--- a/src/core/telemetry/common/entryMetricDefinitions.ts
+++ b/src/core/telemetry/common/entryMetricDefinitions.ts
@@ -56,6 +56,12 @@
 		'outcome',
 		'error',
 	),
+	overdue: createDefinition(
+		'overdue_requests_total',
+		'Requests that nothing had ended by their deadline, by the state in which they were.',
+		'service',
+		'state',
+	),
 	attempts: createDefinition('attempts_total', 'Attempts at targets, by how they ended.', 'service', 'end'),
 	answerEnds: createDefinition(
 		'answer_ends_total',
@@ -122,6 +128,12 @@
 	leaving: createDefinition('leaving', '1 when the entry is leaving, else 0.'),
 	queued: createDefinition('queued_requests', 'Requests that wait for a target.', 'service'),
 	running: createDefinition('running_requests', 'Requests that run at a target.', 'service'),
+	longestWait: createDefinition(
+		'longest_wait_seconds',
+		'Time for which a request has waited without an attempt in progress, at the most.',
+		'service',
+	),
+	pathsCut: createDefinition('paths_cut', '1 while no target of the service is reached, else 0.', 'service'),
 	predictedWait: createDefinition(
 		'predicted_wait_seconds',
 		'Predicted wait of a normal request that arrives now.',
--- a/src/core/telemetry/node/entryMetrics.ts
+++ b/src/core/telemetry/node/entryMetrics.ts
@@ -43,6 +43,10 @@
 	readonly queued: number;
 	readonly running: number;
 	readonly waitMs: number;
+	/** Time for which a request has waited without an attempt in progress, at the most. */
+	readonly longestWaitMs: number;
+	/** Whether no target is reached. */
+	readonly isCut: boolean;
 	/** Number of targets of the service by the state of their state machine. */
 	readonly targetsByState: ReadonlyMap<string, number>;
 }
@@ -66,6 +70,7 @@
 	readonly contentType = this.registry.contentType;
 
 	private readonly requests = this.createCounter(counterDefinitions.requests);
+	private readonly overdue = this.createCounter(counterDefinitions.overdue);
 	private readonly attempts = this.createCounter(counterDefinitions.attempts);
 	private readonly answerEnds = this.createCounter(counterDefinitions.answerEnds);
 	private readonly unreadableLoads = this.createCounter(counterDefinitions.unreadableLoads);
@@ -85,6 +90,8 @@
 	private readonly leaving = this.createGauge(gaugeDefinitions.leaving);
 	private readonly queued = this.createGauge(gaugeDefinitions.queued);
 	private readonly running = this.createGauge(gaugeDefinitions.running);
+	private readonly longestWait = this.createGauge(gaugeDefinitions.longestWait);
+	private readonly pathsCut = this.createGauge(gaugeDefinitions.pathsCut);
 	private readonly predictedWait = this.createGauge(gaugeDefinitions.predictedWait);
 	private readonly targets = new StateGauge(this.createGauge(gaugeDefinitions.targets), (service, state) => ({
 		service,
@@ -149,6 +156,11 @@
 		});
 	}
 
+	/** @param state The state of the request, one of the closed list of its state machine. */
+	noteOverdue(service: string, state: string): void {
+		this.overdue.inc({ service: this.findServiceLabel(service), state });
+	}
+
 	noteFirstByte(service: string, requestClass: RequestClass, tookMs: number): void {
 		const labels = { service: this.findServiceLabel(service), class: requestClass };
 		this.firstByte.observe(labels, tookMs / millisecondsPerSecond);
@@ -280,6 +292,8 @@
 		}
 		this.queued.set({ service }, gauges.queued);
 		this.running.set({ service }, gauges.running);
+		this.longestWait.set({ service }, gauges.longestWaitMs / millisecondsPerSecond);
+		this.pathsCut.set({ service }, gauges.isCut ? 1 : 0);
 		this.predictedWait.set({ service }, gauges.waitMs / millisecondsPerSecond);
 		this.targets.set(service, gauges.targetsByState);
 	}
@@ -301,6 +315,8 @@
 	private removeGauges(service: string): void {
 		this.queued.remove({ service });
 		this.running.remove({ service });
+		this.longestWait.remove({ service });
+		this.pathsCut.remove({ service });
 		this.predictedWait.remove({ service });
 		this.targets.remove(service);
 	}
--- a/src/core/telemetry/test/entryMetrics.test.ts
+++ b/src/core/telemetry/test/entryMetrics.test.ts
@@ -57,12 +57,14 @@
 	// disappear. Otherwise an alert on failed targets would fire until the entry is restarted.
 	it('removes the counts of states and services that no longer exist', async () => {
 		const metrics = createMetrics();
-		const gauges = { queued: 1, running: 2, waitMs: 1_500 };
+		const gauges = { queued: 1, running: 2, waitMs: 1_500, longestWaitMs: 2_500, isCut: true };
 		metrics.setService('bookings', { ...gauges, targetsByState: new Map([['failed', 1]]) });
 		metrics.setService('bookings', { ...gauges, targetsByState: new Map([['serving', 1]]) });
 		const before = await metrics.render();
 		expect(before).toContain('anvilroad_targets{service="bookings",state="serving"} 1');
 		expect(before).toContain('anvilroad_predicted_wait_seconds{service="bookings"} 1.5');
+		expect(before).toContain('anvilroad_longest_wait_seconds{service="bookings"} 2.5');
+		expect(before).toContain('anvilroad_paths_cut{service="bookings"} 1');
 		expect(before).not.toContain('state="failed"');
 		metrics.setServices([]);
 		expect(await metrics.render()).not.toContain('service="bookings"');
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -373,6 +373,7 @@
 				targets: this.platform.targets,
 				fleet: this.fleet,
 				runners: this.runners,
+				activeRuns: this.activeRuns,
 				tickets: this.tickets,
 				callHandler: this.callHandler,
 				heldBytes: this.heldBytes,
--- a/src/entry/node/entryTelemetry.ts
+++ b/src/entry/node/entryTelemetry.ts
@@ -17,6 +17,7 @@
 import type { EntryLimits } from './limits/entryLimits';
 import type { ManifestKeeper } from './manifest/manifestKeeper';
 import { countPeersByState } from './operatorsSource';
+import type { ActiveRuns } from './requests/activeRuns';
 import type { ServiceRunners } from './requests/serviceRunners';
 import type { ITargetRegistry } from './targets/targetDirectory';
 import type { TicketService } from './tickets/ticketService';
@@ -31,6 +32,7 @@
 	readonly targets: ITargetRegistry;
 	readonly fleet: EntryFleet;
 	readonly runners: ServiceRunners;
+	readonly activeRuns: Pick<ActiveRuns, 'measureLongestWaitMs'>;
 	readonly tickets: TicketService;
 	readonly callHandler: CallHandler;
 	readonly heldBytes: HeldBytes;
@@ -71,7 +73,7 @@
 	}
 
 	private setGauges(): void {
-		const { heldBytes, limits, tickets, callHandler, fleet, runners, targets } = this.components;
+		const { heldBytes, limits, tickets, callHandler, fleet, runners, activeRuns, targets } = this.components;
 		limits.updateMetrics();
 		this.metrics.setHeldBytes(heldBytes.getTotal());
 		this.metrics.setTicketsOutstanding(tickets.countUsedTickets());
@@ -84,7 +86,12 @@
 		this.metrics.setPeers(countPeersByState(fleet));
 		for (const service of runners.listServices()) {
 			const room = runners.getRunner(service).measureRoom();
-			this.metrics.setService(service, { ...room, targetsByState: countTargetsByState(targets, service) });
+			this.metrics.setService(service, {
+				...room,
+				longestWaitMs: activeRuns.measureLongestWaitMs(service),
+				isCut: runners.isCut(service),
+				targetsByState: countTargetsByState(targets, service),
+			});
 		}
 	}
 }
--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -1,15 +1,19 @@
 /**
  * The requests in progress at this entry. A graceful shutdown waits until none is left. When a request ends,
  * its metrics are recorded and the memory reserved for its body is released.
+ *
+ * The part that holds a request (a queue, an attempt, a forward, a crash check) ends it at its deadline. A request that none
+ * of them has ended is ended here, and counted, because it shows a fault: its caller would otherwise wait for nothing.
  */
 
+import type { IDisposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import type { RequestError } from '../../../core/errors/common/errorKinds';
-import { ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
+import { createRequestError, ErrorKind, getOutcomeOf } from '../../../core/errors/common/errorKinds';
 import { Outcome } from '../../../core/errors/common/outcome';
 import type { IRequestJournal } from '../../../core/explain/common/requestJournal';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
-import type { RequestId, StreamId } from '../../../core/ids/common/ids';
+import type { RequestId, ServiceName, StreamId } from '../../../core/ids/common/ids';
 import { RequestClass } from '../../../core/requests/common/requestClass';
 import { otherServiceLabel } from '../../../core/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../../core/telemetry/node/entryMetrics';
@@ -38,9 +42,13 @@
 /** Used in the journal for fields that could not be read from the head. */
 const unknownLabel = 'unknown';
 
+/** Time after a deadline in which the part that holds the request ends it. */
+const overdueMs = 50;
+
 /** Creates request runs, tracks them until they end, and records their metrics. */
 export class ActiveRuns implements IRunObserver {
-	private readonly runs = new Set<RequestRun>();
+	/** Each with the timer that ends it if nothing else does. */
+	private readonly runs = new Map<RequestRun, IDisposable>();
 	private readonly ids = new Set<RequestId>();
 	private readonly idleWaiters: (() => void)[] = [];
 	private readonly work = { requestsStarted: 0, attemptsStarted: 0, answerChunks: 0, callerCloses: 0 };
@@ -66,11 +74,22 @@
 		const line = `${call.head.method} ${call.head.path}`;
 		this.journal.addStep(call.id, JournalStep.Received, line, call.arrivedMs);
 		const run = new RequestRun(call, new RequestLifecycle(), sink, this.journal, this.timers, this);
-		this.runs.add(run);
+		const limit = this.timers.schedule(run.getRemainingMs() + overdueMs, () => {
+			this.endOverdue(run);
+		});
+		this.runs.set(run, limit);
 		this.ids.add(call.id);
 		return run;
 	}
 
+	/** Measures for how long a request of the service has waited without an attempt or forward in progress, at the most. */
+	measureLongestWaitMs(service: ServiceName): number {
+		const waits = [...this.runs.keys()]
+			.filter(({ call }) => call.head.service === service)
+			.map(run => run.measureQueuedMs());
+		return Math.max(0, ...waits);
+	}
+
 	/** Records a request that was refused before its run was created, so that it can be looked up later. */
 	recordRefused(call: RefusedCall, error: RequestError): void {
 		const { id, head, line, arrivedMs } = call;
@@ -102,7 +121,7 @@
 
 	/** Ends all requests in progress because the process is about to end. */
 	stopAll(error: RequestError): void {
-		for (const run of [...this.runs]) {
+		for (const run of [...this.runs.keys()]) {
 			run.stop(error);
 		}
 	}
@@ -143,6 +162,7 @@
 
 	noteEnd(run: RequestRun, end: RequestEnd): void {
 		const { service, requestClass } = run.call.head;
+		this.runs.get(run)?.dispose();
 		this.runs.delete(run);
 		this.ids.delete(run.call.id);
 		this.heldBytes.release(run.call.body.byteLength);
@@ -163,6 +183,18 @@
 		}
 	}
 
+	/** A default deadline cuts off no answer that has begun. */
+	private endOverdue(run: RequestRun): void {
+		if (run.hasBegun() && !run.call.isDeadlineGiven) {
+			return;
+		}
+		const state = run.lifecycle.getState();
+		this.metrics.noteOverdue(run.call.head.service, state);
+		const isNotRun = run.lifecycle.getOutcome() === Outcome.NotRun;
+		const kind = isNotRun ? ErrorKind.DeadlineUnreachable : ErrorKind.DeadlineExceeded;
+		run.stop(createRequestError(kind, `overdue, not ended by its deadline in state ${state}`));
+	}
+
 	private noteNotRun(head: CallHead | undefined, outcome: Outcome): void {
 		if (head !== undefined && outcome === Outcome.NotRun) {
 			this.limits?.noteNotRun(head);
--- a/src/entry/node/requests/requestRun.ts
+++ b/src/entry/node/requests/requestRun.ts
@@ -84,6 +84,8 @@
 	noteEnd(run: RequestRun, end: RequestEnd): void;
 }
 
+const queuedStates: ReadonlySet<RequestState> = new Set([RequestState.Queued, RequestState.QueuedInDoubt]);
+
 /** A request in progress. */
 export class RequestRun {
 	private firstByteMs: number | undefined;
@@ -187,6 +189,13 @@
 		this.waitingSinceMs = this.timers.getNow();
 	}
 
+	/** Returns how long the request has waited without an attempt or forward in progress; 0 if one is in progress. */
+	measureQueuedMs(): number {
+		return queuedStates.has(this.lifecycle.getState())
+			? this.timers.getNow() - (this.waitingSinceMs ?? this.call.arrivedMs)
+			: 0;
+	}
+
 	noteAttemptStart(): void {
 		if (this.waitingSinceMs !== undefined) {
 			this.observer.noteQueueWait(this, this.timers.getNow() - this.waitingSinceMs);
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -515,6 +515,12 @@
 			return;
 		}
 		const { call } = state.run;
+		if (state.run.hasEnded()) {
+			this.scheduler.noteEnd(decision.requestId, AttemptEnd.Cancelled, this.timers.getNow());
+			this.states.delete(decision.requestId);
+			this.mustAdvanceAgain = true;
+			return;
+		}
 		const refusal = this.crashDetector.findRefusal(call) ?? this.keys.findRefusal(call.head);
 		if (refusal !== undefined) {
 			this.scheduler.noteEnd(decision.requestId, AttemptEnd.Cancelled, this.timers.getNow());
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -285,6 +285,7 @@
 	private readonly fleet: EntryFleet;
 	private readonly runners: ServiceRunners;
 	private readonly router: RequestRouter;
+	private readonly metrics: EntryMetrics;
 	private readonly runs: ActiveRuns;
 	private readonly discovery: Discovery;
 	private isStopped = false;
@@ -344,9 +345,9 @@
 			quarantine: new Quarantine(),
 			timers,
 		});
-		const metrics = new EntryMetrics({ version: '1', instance: id, region, zone: `${region}-a` });
+		this.metrics = new EntryMetrics({ version: '1', instance: id, region, zone: `${region}-a` });
 		const journal = new RingRequestJournal(10_000, () => new Date(0));
-		this.runs = new ActiveRuns(journal, metrics, new HeldBytes(1_000_000_000), timers, {
+		this.runs = new ActiveRuns(journal, this.metrics, new HeldBytes(1_000_000_000), timers, {
 			noteBegun: () => undefined,
 		});
 		const context = new RouterContext(
@@ -356,7 +357,7 @@
 			targets,
 			this.fleet,
 			this.runs,
-			metrics,
+			this.metrics,
 			timers,
 			{ find: async () => Promise.resolve(undefined) },
 			{ find: async () => Promise.resolve(undefined) },
@@ -387,6 +388,12 @@
 		);
 	}
 
+	/** Lists the counts of requests that nothing had ended by their deadline. */
+	async listOverdue(): Promise<readonly string[]> {
+		const page = await this.metrics.render();
+		return page.split('\n').filter(line => line.startsWith('anvilroad_overdue_requests_total{'));
+	}
+
 	hasStopped(): boolean {
 		return this.isStopped;
 	}
--- a/src/entry/node/test/drawnCuts.test.ts
+++ b/src/entry/node/test/drawnCuts.test.ts
@@ -96,6 +96,11 @@
 		return this.broken;
 	}
 
+	/** Lists what the metrics of all entries show of requests that were not ended in time. */
+	async listOverdue(): Promise<readonly string[]> {
+		return (await Promise.all(this.site.entries.map(entry => entry.listOverdue()))).flat();
+	}
+
 	countSent(): number {
 		return this.sent.length;
 	}
@@ -185,7 +190,8 @@
 	it.each(seeds)('has one answer at its deadline or the timeout of its route: seed %d', async seed => {
 		const cuts = new DrawnCuts(seed);
 		const broken = await cuts.run();
-		expect({ seed, broken }).toEqual({ seed, broken: [] });
+		const overdue = await cuts.listOverdue();
+		expect({ seed, broken, overdue }).toEqual({ seed, broken: [], overdue: [] });
 		expect(cuts.countSent()).toBeGreaterThan(0);
 	});
 });
