Keep requests with one id apart at an entry that gets them from others

An entry that loses its connection to another one forwards the request again, possibly to the same entry once the path is whole, while the first run goes on there because its cancellation was lost. Callers can also use an id twice at two entries. Queues, schedulers and the runner tell requests apart by this id, so the end of one run was taken for that of the other: a slot of the target stayed taken, and a request that was still queued would never have been started.

Change: a request whose id is in use gets another one inside this entry. If the same entry forwards a request again that may run more than once, it has given the first forward up, which is then ended here as well.

The simulation of cut paths now also knows the version of its targets, so that its streams go on elsewhere.

--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -14,6 +14,7 @@
 import type { IRequestJournal } from '../../../core/explain/common/requestJournal';
 import { JournalStep } from '../../../core/explain/common/requestJournal';
 import type { RequestId, ServiceName, StreamId } from '../../../core/ids/common/ids';
+import { RepeatRule } from '../../../core/manifest/common/manifest';
 import { RequestClass } from '../../../core/requests/common/requestClass';
 import { otherServiceLabel } from '../../../core/telemetry/common/entryMetricLabels';
 import type { EntryMetrics } from '../../../core/telemetry/node/entryMetrics';
@@ -49,7 +50,8 @@
 export class ActiveRuns implements IRunObserver {
 	/** Each with the timer that ends it if nothing else does. */
 	private readonly runs = new Map<RequestRun, IDisposable>();
-	private readonly ids = new Set<RequestId>();
+	private readonly runsById = new Map<RequestId, RequestRun>();
+	private repeatedIds = 0;
 	private readonly idleWaiters: (() => void)[] = [];
 	private readonly work = { requestsStarted: 0, attemptsStarted: 0, answerChunks: 0, callerCloses: 0 };
 
@@ -67,7 +69,8 @@
 		return this.work;
 	}
 
-	open(call: AcceptedCall, sink: IAnswerSink): RequestRun {
+	open(accepted: AcceptedCall, sink: IAnswerSink): RequestRun {
+		const call = this.withUnusedId(accepted);
 		const { service, organisation, requestClass } = call.head;
 		this.work.requestsStarted++;
 		this.journal.open(call.id, { service, organisation, requestClass }, call.arrivedMs);
@@ -78,7 +81,7 @@
 			this.endOverdue(run);
 		});
 		this.runs.set(run, limit);
-		this.ids.add(call.id);
+		this.runsById.set(call.id, run);
 		return run;
 	}
 
@@ -112,7 +115,7 @@
 
 	/** Whether a request with this id is in progress. */
 	has(id: RequestId): boolean {
-		return this.ids.has(id);
+		return this.runsById.has(id);
 	}
 
 	count(): number {
@@ -164,7 +167,7 @@
 		const { service, requestClass } = run.call.head;
 		this.runs.get(run)?.dispose();
 		this.runs.delete(run);
-		this.ids.delete(run.call.id);
+		this.runsById.delete(run.call.id);
 		this.heldBytes.release(run.call.body.byteLength);
 		this.noteErrorKind(end.errorKind);
 		this.noteNotRun(run.call.head, end.outcome);
@@ -183,6 +186,31 @@
 		}
 	}
 
+	/**
+	 * Returns the call with an id that no request in progress has, since queues and targets tell requests apart by it. An entry
+	 * forwards a request again only if it has given up the forward before, whose cancellation may have been lost with the connection.
+	 */
+	private withUnusedId(call: AcceptedCall): AcceptedCall {
+		const earlier = this.runsById.get(call.id);
+		if (earlier === undefined) {
+			return call;
+		}
+		const isGivenUp =
+			call.origin !== undefined &&
+			call.origin.instance === earlier.call.origin?.instance &&
+			isRepeatable(call);
+		if (isGivenUp) {
+			earlier.stop(createRequestError(ErrorKind.PeerFailed, `${call.origin.instance} has sent it again`));
+		}
+		return { ...call, id: this.createUnusedId(call.id) };
+	}
+
+	private createUnusedId(id: RequestId): RequestId {
+		this.repeatedIds++;
+		const created = `${id}.${this.repeatedIds}` as RequestId;
+		return this.has(created) ? this.createUnusedId(id) : created;
+	}
+
 	/** A default deadline cuts off no answer that has begun. */
 	private endOverdue(run: RequestRun): void {
 		if (run.hasBegun() && !run.call.isDeadlineGiven) {
@@ -207,3 +235,7 @@
 		}
 	}
 }
+
+function isRepeatable({ plan }: AcceptedCall): boolean {
+	return plan.repeat === RepeatRule.Idempotent;
+}
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -42,6 +42,7 @@
 import { planCall } from '../../common/placement/callPlan';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { Quarantine } from '../../common/quarantine/quarantine';
+import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import { FirstByteSendAwayPolicy } from '../../common/sendAway/firstByteSendAwayPolicy';
 import { WorkScheduler } from '../../common/workScheduling/workScheduler';
 import { HeldBytes } from '../callers/bodyReader';
@@ -574,6 +575,10 @@
 				if (name === 'observeVersion') {
 					return () => () => softwareVersion;
 				}
+				if (name === 'listSchedulable') {
+					return (...described: Parameters<ITargetRegistry['listSchedulable']>) =>
+						object.listSchedulable(...described).map(setCertainVersion);
+				}
 				if (name === 'probePaths') {
 					return async () => {
 						const probed = Math.min(3, options.targetsPerRegion);
@@ -611,6 +616,13 @@
 	}
 }
 
+function setCertainVersion(target: SchedulableTarget): SchedulableTarget {
+	const { registered } = target;
+	return registered === undefined
+		? target
+		: { ...target, registered: { ...registered, findCertainVersion: () => softwareVersion } };
+}
+
 /** Time limits of requests that are short enough for a silent target to be noticed before their deadline. */
 const routedLimits = { firstByteMs: 400, idleMs: 400 };
 
