Run no part of a forwarded body as if it were the whole

Cause: the library's compatibility layer ends the request stream of a cancelled HTTP/2 request like that of a complete one, and reports the cancellation later in the same turn. A cancellation between two messages of a forward therefore looked like the end of the body, and nothing compared its length with what the sender had.

Evidence: the entry of the caller logged the forward as abandoned at 01.629, the other one started the request at 01.642 with what it had read, and learnt of the cancellation at 01.643.

Change: the sender states the length of the body (a new field, which earlier releases ignore). The receiver refuses any other number of bytes as an incomplete body, which leaves the ticket of a call unused. Where no length is stated, it checks for the cancellation a turn later.

--- a/src/entry/node/callers/bodyReader.ts
+++ b/src/entry/node/callers/bodyReader.ts
@@ -12,6 +12,12 @@
 import type { RequestError } from '../../../core/errors/common/errorKinds';
 import { createRequestError, ErrorKind } from '../../../core/errors/common/errorKinds';
 
+/** Errors of a body of which the rest did not come. */
+export const incompleteBodyKinds: ReadonlySet<ErrorKind> = new Set([
+	ErrorKind.BodyIncomplete,
+	ErrorKind.DeadlineUnreachable,
+]);
+
 /** Counts and limits the body bytes that are buffered for all requests of the entry. */
 export class HeldBytes {
 	private total = 0;
--- a/src/entry/node/callers/callerServer.ts
+++ b/src/entry/node/callers/callerServer.ts
@@ -30,7 +30,7 @@
 import type { AcceptedCall } from '../requests/requestRun';
 import { AnsweringServer } from './answeringServer';
 import type { HeldBytes } from './bodyReader';
-import { readBody } from './bodyReader';
+import { incompleteBodyKinds, readBody } from './bodyReader';
 import { CallerSink } from './callerSink';
 
 /** The operations of the entry that the server uses. */
@@ -75,11 +75,6 @@
 const headerOverflowCode = 'HPE_HEADER_OVERFLOW';
 /** The caller did not send a complete head in time, so there is no request to answer. */
 const requestTimeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
-/** Errors of a body of which the rest did not come. */
-const incompleteBodyKinds: ReadonlySet<ErrorKind> = new Set([
-	ErrorKind.BodyIncomplete,
-	ErrorKind.DeadlineUnreachable,
-]);
 /** Interval at which Node checks connections for timeouts. */
 const timeoutCheckIntervalMs = 1_000;
 
--- a/src/entry/node/peers/forwardRun.ts
+++ b/src/entry/node/peers/forwardRun.ts
@@ -362,6 +362,7 @@
 					host: head.routed?.host ?? '',
 					lastEventId: this.run.getLastEventId() ?? '',
 					isContinuation: this.run.hasBegun(),
+					bodyBytes: this.run.call.body.byteLength,
 					attempts: encodeHistory(this.run.history),
 					...(head.keyDigest === undefined ? {} : { keyDigest: encodeKeyDigest(head.keyDigest) }),
 					...(this.maxRuns === undefined ? {} : { maxRuns: this.maxRuns }),
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -10,6 +10,7 @@
 import type { Http2SecureServer, Http2Server } from 'node:http2';
 import { createSecureServer, createServer } from 'node:http2';
 import type { AddressInfo, Socket } from 'node:net';
+import { setImmediate } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { Disposable } from '../../../base/common/lifecycle';
@@ -48,7 +49,7 @@
 import { estimateArrivalMs } from '../../common/intake/arrivalTime';
 import type { ReadTime } from '../../common/intake/arrivalTime';
 import type { ILoopLag } from '../../common/intake/loopLagGate';
-import type { IsAbandoned, RequestIntake } from '../../common/intake/requestIntake';
+import type { RequestIntake } from '../../common/intake/requestIntake';
 import type { KeyOwner } from '../../common/keys/callerKey';
 import type { CallPlan, ForwardOrigin } from '../../common/placement/callPlan';
 import type { OriginGroup } from '../../common/streams/originLog';
@@ -58,6 +59,7 @@
 import { encodeVersionHistory } from '../streams/versionHistoryCodec';
 import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { HeldBytes } from '../callers/bodyReader';
+import { incompleteBodyKinds } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
 import { decodeHistory } from './attemptHistoryCodec';
 import { createForwardedCall, readForwardedHead } from './forwardedCall';
@@ -219,7 +221,7 @@
 		const readMs = this.timers.getNow();
 		const lagMs = this.loopLag.getLagMs();
 		const iterator = requests[Symbol.asyncIterator]();
-		const accepted = await this.readForwardedCall(iterator, { readMs, lagMs }, () => context.signal.aborted);
+		const accepted = await this.readForwardedCall(iterator, { readMs, lagMs }, context.signal);
 		if (accepted.isErr()) {
 			yield createFaultMessage(accepted.error.error, accepted.error.history);
 			return;
@@ -235,7 +237,7 @@
 	private async readForwardedCall(
 		iterator: AsyncIterator<ForwardRequestRequest>,
 		readTime: ReadTime,
-		isAbandoned: IsAbandoned,
+		signal: AbortSignal,
 	): Promise<Result<AcceptedCall, RejectedForward>> {
 		const first = await iterator.next();
 		if (first.done === true || first.value.part.case !== 'head') {
@@ -257,9 +259,9 @@
 		if (head.isErr() || plan.isErr()) {
 			return err(this.createReportedError(message, plan._unsafeUnwrapErr()));
 		}
-		const body = await this.readBodyChunks(iterator);
+		const body = await this.readBodyChunks(iterator, message.bodyBytes, signal);
 		const deadlineMs = estimateArrivalMs(readTime, message.remainingMs) + message.remainingMs;
-		const admitted = body.isErr() ? undefined : await this.intake.admit(isAbandoned, deadlineMs);
+		const admitted = body.isErr() ? undefined : await this.intake.admit(() => signal.aborted, deadlineMs);
 		if (body.isOk() && admitted?.isErr() === true) {
 			this.heldBytes.release(body.value.byteLength);
 			return err(this.createReportedError(message, admitted.error));
@@ -271,12 +273,17 @@
 
 	private createReportedError(message: ForwardHead, error: RequestError): RejectedForward {
 		const history = message.attempts === undefined ? noAttempts : decodeHistory(message.attempts);
-		const reported = message.ticket === '' ? error : this.handler.refuseTicketedCall(message.ticket, error);
+		// A resend of a call whose body was incomplete can run with its ticket.
+		const isTicketRefused = message.ticket !== '' && !incompleteBodyKinds.has(error.kind);
+		const reported = isTicketRefused ? this.handler.refuseTicketedCall(message.ticket, error) : error;
 		return { error: reported, history };
 	}
 
+	/** @param statedBytes The length of the body; undefined from entries of earlier releases. */
 	private async readBodyChunks(
 		iterator: AsyncIterator<ForwardRequestRequest>,
+		statedBytes: number | undefined,
+		signal: AbortSignal,
 	): Promise<Result<Uint8Array, RequestError>> {
 		const chunks: Uint8Array[] = [];
 		let bytes = 0;
@@ -294,6 +301,15 @@
 			bytes += chunk.byteLength;
 			chunks.push(chunk);
 		}
+		if (statedBytes === undefined) {
+			// Without a stated length, only the abort that follows within the turn shows that the request was cancelled.
+			await setImmediate();
+		}
+		const isComplete = statedBytes === undefined ? !signal.aborted : statedBytes === bytes;
+		if (!isComplete) {
+			this.heldBytes.release(bytes);
+			return err(createRequestError(ErrorKind.BodyIncomplete, `${bytes} bytes received`));
+		}
 		return ok(Buffer.concat(chunks));
 	}
 }
