Release the bytes of a forwarded body at each way in which its reading can end

Cause: the bytes of each message were reserved, and released at a limit only. A forward that is cancelled in the middle of a message makes the reading throw, and one whose sender is cut off lets it wait without a limit; in both cases the bytes stayed reserved as long as the process ran.

Change: one class reads a forwarded body. Whatever ends the reading but the complete body releases its bytes: a limit, the deadline of the request, its cancellation, the loss of the connection, an error of the reading. An incomplete body leaves the ticket of a call unused, as for callers.

forwardedBodies.test.ts: the body whose sender is cut off stayed reserved before (the test exceeded its time), and is released at the deadline now.

--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -10,9 +10,8 @@
 import type { Http2SecureServer, Http2Server } from 'node:http2';
 import { createSecureServer, createServer } from 'node:http2';
 import type { AddressInfo, Socket } from 'node:net';
-import { setImmediate } from 'node:timers/promises';
 import type { Result } from 'neverthrow';
-import { err, ok } from 'neverthrow';
+import { err } from 'neverthrow';
 import { Disposable } from '../../../base/common/lifecycle';
 import type { ITimerService } from '../../../base/common/timerService';
 import { listenOn } from '../../../base/node/listenOn';
@@ -62,6 +61,8 @@
 import { incompleteBodyKinds } from '../callers/bodyReader';
 import type { AcceptedCall } from '../requests/requestRun';
 import { decodeHistory } from './attemptHistoryCodec';
+import type { ForwardedParts } from './forwardedBody';
+import { ForwardedBodyReader } from './forwardedBody';
 import { createForwardedCall, readForwardedHead } from './forwardedCall';
 import { SessionDrainer } from './sessionDrainer';
 import { setSessionWindow, windowSettings } from './flowWindows';
@@ -220,8 +221,8 @@
 	): AsyncGenerator<ForwardRequestResponse> {
 		const readMs = this.timers.getNow();
 		const lagMs = this.loopLag.getLagMs();
-		const iterator = requests[Symbol.asyncIterator]();
-		const accepted = await this.readForwardedCall(iterator, { readMs, lagMs }, context.signal);
+		const parts = requests[Symbol.asyncIterator]();
+		const accepted = await this.readForwardedCall(parts, { readMs, lagMs }, context.signal);
 		if (accepted.isErr()) {
 			yield createFaultMessage(accepted.error.error, accepted.error.history);
 			return;
@@ -235,11 +236,11 @@
 	}
 
 	private async readForwardedCall(
-		iterator: AsyncIterator<ForwardRequestRequest>,
+		parts: ForwardedParts,
 		readTime: ReadTime,
 		signal: AbortSignal,
 	): Promise<Result<AcceptedCall, RejectedForward>> {
-		const first = await iterator.next();
+		const first = await parts.next();
 		if (first.done === true || first.value.part.case !== 'head') {
 			const error = createRequestError(
 				ErrorKind.PeerFailed,
@@ -259,8 +260,9 @@
 		if (head.isErr() || plan.isErr()) {
 			return err(this.createReportedError(message, plan._unsafeUnwrapErr()));
 		}
-		const body = await this.readBodyChunks(iterator, message.bodyBytes, signal);
 		const deadlineMs = estimateArrivalMs(readTime, message.remainingMs) + message.remainingMs;
+		const limits = { maxBytes: this.maxBodyBytes, deadlineMs, statedBytes: message.bodyBytes };
+		const body = await new ForwardedBodyReader(parts, signal, limits, this.heldBytes, this.timers).read();
 		const admitted = body.isErr() ? undefined : await this.intake.admit(() => signal.aborted, deadlineMs);
 		if (body.isOk() && admitted?.isErr() === true) {
 			this.heldBytes.release(body.value.byteLength);
@@ -278,38 +280,4 @@
 		const reported = isTicketRefused ? this.handler.refuseTicketedCall(message.ticket, error) : error;
 		return { error: reported, history };
 	}
-
-	/** @param statedBytes The length of the body; undefined from entries of earlier releases. */
-	private async readBodyChunks(
-		iterator: AsyncIterator<ForwardRequestRequest>,
-		statedBytes: number | undefined,
-		signal: AbortSignal,
-	): Promise<Result<Uint8Array, RequestError>> {
-		const chunks: Uint8Array[] = [];
-		let bytes = 0;
-		for (let next = await iterator.next(); next.done !== true; next = await iterator.next()) {
-			if (next.value.part.case !== 'body') {
-				continue;
-			}
-			const chunk = next.value.part.value;
-			const isTooLarge = bytes + chunk.byteLength > this.maxBodyBytes;
-			if (isTooLarge || !this.heldBytes.reserve(chunk.byteLength)) {
-				this.heldBytes.release(bytes);
-				const kind = isTooLarge ? ErrorKind.BodyTooLarge : ErrorKind.EntryFull;
-				return err(createRequestError(kind, `limit reached after ${bytes} bytes`));
-			}
-			bytes += chunk.byteLength;
-			chunks.push(chunk);
-		}
-		if (statedBytes === undefined) {
-			// Without a stated length, only the abort that follows within the turn shows that the request was cancelled.
-			await setImmediate();
-		}
-		const isComplete = statedBytes === undefined ? !signal.aborted : statedBytes === bytes;
-		if (!isComplete) {
-			this.heldBytes.release(bytes);
-			return err(createRequestError(ErrorKind.BodyIncomplete, `${bytes} bytes received`));
-		}
-		return ok(Buffer.concat(chunks));
-	}
 }
--- a/src/entry/node/peers/test/forwardedBodies.test.ts
+++ b/src/entry/node/peers/test/forwardedBodies.test.ts
@@ -10,6 +10,7 @@
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
 import type { RequestError } from '../../../../core/errors/common/errorKinds';
+import { ErrorKind } from '../../../../core/errors/common/errorKinds';
 import type {
 	ForwardRequestRequest,
 	ForwardRequestResponse,
@@ -23,6 +24,7 @@
 import { HeldBytes } from '../../callers/bodyReader';
 import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import type { AcceptedCall } from '../../requests/requestRun';
+import { ForwardedBodyReader } from '../forwardedBody';
 import { PeerClients } from '../peerClients';
 import type { IPeerHandler } from '../peerServer';
 import { PeerServer } from '../peerServer';
@@ -126,6 +128,21 @@
 	await ended;
 }
 
+/** Fails in place of the message with this index. */
+async function* failAfter(
+	messages: AsyncIterable<ForwardRequestRequest>,
+	count: number,
+): AsyncGenerator<ForwardRequestRequest> {
+	let passed = 0;
+	for await (const message of messages) {
+		if (passed === count) {
+			throw new Error('premature end of stream');
+		}
+		passed++;
+		yield message;
+	}
+}
+
 const never = new Promise(() => undefined);
 
 async function waitUntil(isMet: () => boolean): Promise<void> {
@@ -145,6 +162,47 @@
 const planned = ok<CallPlan, RequestError>({} as CallPlan);
 
 describe('the body of a forwarded request', () => {
+	// Guards against an entry that refuses every upload because bytes of bodies that nobody will read stay reserved.
+	it('is released if its sender cancels the request before its end', async () => {
+		const { forward, heldBytes, accepted, refusedTickets, openStreams } = await startEntry(planned);
+		const cancel = new AbortController();
+		const answers = listParts(forward(sendBody(4, never), cancel.signal)).catch(() => 'cancelled');
+		await waitUntil(() => heldBytes.getTotal() === 4 * chunkBytes);
+		cancel.abort();
+		expect(await answers).toBe('cancelled');
+		await waitUntil(() => openStreams.size === 0);
+		await waitUntil(() => heldBytes.getTotal() === 0);
+		expect([accepted.length, refusedTickets.length]).toEqual([0, 0]);
+	});
+
+	// Guards against the same, and a reading without end, if the sender is cut off in the middle of a body.
+	it('is released at its deadline if the rest does not come', async () => {
+		const { forward, heldBytes, timers, refusedTickets } = await startEntry(planned);
+		const answers = listParts(forward(sendBody(4, never)));
+		await waitUntil(() => heldBytes.getTotal() === 4 * chunkBytes);
+		timers.advance(remainingMs);
+		expect(await answers).toEqual([ErrorKind.DeadlineUnreachable]);
+		expect([heldBytes.getTotal(), refusedTickets.length]).toEqual([0, 0]);
+	});
+
+	// Guards against the same if the cancellation comes in the middle of a message, which makes the reading fail.
+	it('is released if its reading fails', async () => {
+		const heldBytes = new HeldBytes(maxBodyBytes);
+		const parts = failAfter(sendBody(4, Promise.resolve()), 4);
+		const limits = { maxBytes: maxBodyBytes, deadlineMs: remainingMs, statedBytes: 8 * chunkBytes };
+		const { signal } = new AbortController();
+		const reader = new ForwardedBodyReader(parts, signal, limits, heldBytes, new ManualTimerService());
+		const body = await reader.read();
+		expect(body._unsafeUnwrapErr().kind).toBe(ErrorKind.BodyIncomplete);
+		expect(heldBytes.getTotal()).toBe(0);
+	});
+
+	it('is released if it exceeds the memory for bodies', async () => {
+		const { forward, heldBytes, refusedTickets } = await startEntry(planned, 4 * chunkBytes);
+		expect(await listParts(forward(sendBody(8, Promise.resolve())))).toEqual([ErrorKind.EntryFull]);
+		expect([heldBytes.getTotal(), refusedTickets]).toEqual([0, [ticket]]);
+	});
+
 	it('stays reserved for a request that is accepted', async () => {
 		const { forward, heldBytes, accepted } = await startEntry(planned);
 		expect(await listParts(forward(sendBody(8, Promise.resolve())))).toEqual(['end']);
