Read and drop the rest of a forwarded request that is refused

Cause: a request that was refused by its head, or at a limit, was not read any further. What its sender had sent stayed in the window of its stream, up to 4 MiB each, and the stream stayed open as long as the session.

Change: the rest is read and dropped, until the sender, which has the refusal, closes the stream. Closing it from here with RST_STREAM was tried and dropped: the sender's library then reports a premature close in place of the refusal.

--- a/src/entry/node/peers/forwardedBody.ts
+++ b/src/entry/node/peers/forwardedBody.ts
@@ -138,3 +138,17 @@
 		return undefined;
 	}
 }
+
+/**
+ * Reads and drops what is left of a refused request, until its sender has cancelled it. Unread, it would fill the window of its stream,
+ * which stays open as long as the session.
+ */
+export async function drainParts(parts: ForwardedParts): Promise<void> {
+	try {
+		while ((await parts.next()).done !== true) {
+			continue;
+		}
+	} catch {
+		// The request was cancelled in the middle of a message, so nothing is left of it.
+	}
+}
--- a/src/entry/node/peers/peerServer.ts
+++ b/src/entry/node/peers/peerServer.ts
@@ -62,7 +62,7 @@
 import type { AcceptedCall } from '../requests/requestRun';
 import { decodeHistory } from './attemptHistoryCodec';
 import type { ForwardedParts } from './forwardedBody';
-import { ForwardedBodyReader } from './forwardedBody';
+import { drainParts, ForwardedBodyReader } from './forwardedBody';
 import { createForwardedCall, readForwardedHead } from './forwardedCall';
 import { SessionDrainer } from './sessionDrainer';
 import { setSessionWindow, windowSettings } from './flowWindows';
@@ -224,6 +224,7 @@
 		const parts = requests[Symbol.asyncIterator]();
 		const accepted = await this.readForwardedCall(parts, { readMs, lagMs }, context.signal);
 		if (accepted.isErr()) {
+			void drainParts(parts);
 			yield createFaultMessage(accepted.error.error, accepted.error.history);
 			return;
 		}
--- a/src/entry/node/peers/test/forwardedBodies.test.ts
+++ b/src/entry/node/peers/test/forwardedBodies.test.ts
@@ -4,13 +4,14 @@
 
 import { create } from '@bufbuild/protobuf';
 import type { Result } from 'neverthrow';
-import { ok } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { Http2Server, ServerHttp2Stream } from 'node:http2';
 import { DisposableStore, toDisposable } from '../../../../base/common/lifecycle';
 import { ManualTimerService } from '../../../../base/common/manualTimerService';
 import { SeededRandom } from '../../../../base/common/random';
 import type { RequestError } from '../../../../core/errors/common/errorKinds';
-import { ErrorKind } from '../../../../core/errors/common/errorKinds';
+import { createRequestError, ErrorKind } from '../../../../core/errors/common/errorKinds';
+import type { InstanceId, RegionName } from '../../../../core/ids/common/ids';
 import type {
 	ForwardRequestRequest,
 	ForwardRequestResponse,
@@ -24,15 +25,23 @@
 import { HeldBytes } from '../../callers/bodyReader';
 import { ImmediateTurnScheduler } from '../../immediateTurnScheduler';
 import type { AcceptedCall } from '../../requests/requestRun';
+import { StreamRun } from '../../requests/test/streamRuns';
+import type { ForwardSender } from '../forwardRun';
+import { ForwardEndKind, ForwardRun } from '../forwardRun';
 import { ForwardedBodyReader } from '../forwardedBody';
+import type { PeerConnection } from '../peerClients';
 import { PeerClients } from '../peerClients';
 import type { IPeerHandler } from '../peerServer';
 import { PeerServer } from '../peerServer';
 
 const remainingMs = 4_000;
 const chunkBytes = 65_536;
+/** More than the window of a stream holds. */
+const manyChunks = 160;
 const maxBodyBytes = 64 * 1_048_576;
 const ticket = 'ticket-1';
+/** Time in which what has been sent arrives. */
+const settleMs = 200;
 
 interface ReceivingEntry {
 	readonly timers: ManualTimerService;
@@ -42,6 +51,7 @@
 	readonly refusedTickets: readonly string[];
 	/** Streams that are not closed. */
 	readonly openStreams: ReadonlySet<ServerHttp2Stream>;
+	readonly connection: PeerConnection;
 	forward(
 		parts: AsyncIterable<ForwardRequestRequest>,
 		signal?: AbortSignal,
@@ -97,6 +107,7 @@
 	store.add(toDisposable(() => void server.close()));
 	const connection = clients.open(`http://127.0.0.1:${port}`);
 	return {
+		connection,
 		timers,
 		heldBytes,
 		accepted,
@@ -227,3 +238,32 @@
 		expect([accepted.length, refusedTickets.length]).toEqual([0, 0]);
 	});
 });
+
+describe('a forwarded request that is refused by its head', () => {
+	// Guards against memory that grows by the body of each refused upload until the session ends.
+	it('leaves nothing of its body at the entry that refuses it', async () => {
+		const refusal = createRequestError(ErrorKind.Leaving, 'entry-2');
+		const { forward, openStreams } = await startEntry(err(refusal));
+		expect(await listParts(forward(sendBody(manyChunks, Promise.resolve())))).toEqual([ErrorKind.Leaving]);
+		const countUnread = (): number =>
+			[...openStreams].reduce((sum, { readableLength }) => sum + readableLength, 0);
+		await new Promise(resolve => setTimeout(resolve, settleMs));
+		expect(countUnread()).toBe(0);
+	});
+
+	// Guards against streams that stay open, with what is left to send, as long as the session.
+	it('is sent no further, and its stream is closed', async () => {
+		const refusal = createRequestError(ErrorKind.Leaving, 'entry-2');
+		const { connection, openStreams } = await startEntry(err(refusal));
+		const { run, timers } = new StreamRun();
+		Object.assign(run.call, { body: Buffer.alloc(manyChunks * chunkBytes) });
+		const to = 'entry-2' as InstanceId;
+		const sender = { instance: 'entry-1' as InstanceId, region: 'ocho' as RegionName, manifestVersion: 1 };
+		const route = { to, peer: connection, reason: 'no target' };
+		const forward = new ForwardRun(run, route, sender as ForwardSender, true, timers);
+		const end = await forward.forward();
+		expect(end).toMatchObject({ kind: ForwardEndKind.Refused, error: { kind: ErrorKind.Leaving } });
+		expect(end.sentBytes).toBeLessThan(run.call.body.byteLength);
+		await waitUntil(() => openStreams.size === 0);
+	});
+});
