Limit the held bodies by the memory of the process

Cause: max_held_bytes was 256 MiB by default, whatever the machine had, and the deployment didn't set it. The settings page asked to leave 200 MiB beside it; the machines have 350 MB and less.

Evidence: killed at 354 MB without having refused a body for its memory.

Change: the limit follows from the new setting memory_mb, less these 200 MiB, and is at least 16 MiB. Where the memory isn't known, it is 128 MiB.

--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -100,10 +100,10 @@
 		.strictObject({
 			max_head_bytes: createIntegerSchema(1_024, bytesPerMebibyte).default(16_384),
 			max_body_bytes: createIntegerSchema(1, 256 * bytesPerMebibyte).default(8 * bytesPerMebibyte),
-			/** Total bytes of the bodies of queued and running requests at this entry. */
-			max_held_bytes: createIntegerSchema(bytesPerMebibyte, 4_096 * bytesPerMebibyte).default(
-				256 * bytesPerMebibyte,
-			),
+			/** Memory that the process may use, in MiB; unset if it is not known. */
+			memory_mb: createIntegerSchema(64, 1_048_576).optional(),
+			/** Total bytes of the bodies of queued and running requests at this entry. By default a share of the memory. */
+			max_held_bytes: createIntegerSchema(bytesPerMebibyte, 4_096 * bytesPerMebibyte).optional(),
 		})
 		.prefault({}),
 	tickets: z
@@ -163,3 +163,19 @@
 		}
 	}
 }
+
+/** What the process needs beside the bodies that it holds, their copies included. */
+const otherMebibytes = 200;
+/** Leaves enough room beside it on the smallest machines that are known. */
+const defaultHeldMebibytes = 128;
+/** Some bodies of ordinary size, also where the memory is short. */
+const minHeldMebibytes = 16;
+
+/** Computes how many bytes of bodies the entry may hold. Beyond its memory the platform ends the process with all its requests. */
+export function computeMaxHeldBytes(limits: EntrySettings['limits']): number {
+	if (limits.max_held_bytes !== undefined) {
+		return limits.max_held_bytes;
+	}
+	const held = limits.memory_mb === undefined ? defaultHeldMebibytes : limits.memory_mb - otherMebibytes;
+	return Math.max(minHeldMebibytes, held) * bytesPerMebibyte;
+}
--- a/src/core/settings/test/settings.test.ts
+++ b/src/core/settings/test/settings.test.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { entrySettingsSchema } from '../common/entrySettings';
+import { computeMaxHeldBytes, entrySettingsSchema } from '../common/entrySettings';
 import { formatSettingsError, parseSettings } from '../common/settings';
 import { createIntegerSchema, originUrlSchema } from '../common/settingsTypes';
 import { isTlsEnabled } from '../common/transportSecurity';
@@ -38,6 +38,18 @@
 		expect(settings.limits.max_body_bytes).toBe(8_388_608);
 	});
 
+	// Guards against an entry whose bodies and the rest of its process need more memory than its machine has.
+	it.each([
+		['', 128],
+		['memory_mb = 350', 150],
+		['memory_mb = 160', 16],
+		['memory_mb = 350\nmax_held_bytes = 1048576', 1],
+	])('limits the held bodies by the memory of the process: %j', (limits, mebibytes) => {
+		const text = `${createText()}\n[limits]\n${limits}`;
+		const settings = parseSettings(entrySettingsSchema, text)._unsafeUnwrap();
+		expect(computeMaxHeldBytes(settings.limits)).toBe(mebibytes * 1_048_576);
+	});
+
 	it('reports every error with section, key, value and what is allowed', () => {
 		const text = createText({
 			'listen = 127.0.0.1:7001': 'listen = nowhere',
--- a/src/ctl/test/startedProgram.ts
+++ b/src/ctl/test/startedProgram.ts
@@ -39,6 +39,10 @@
 			});
 	}
 
+	get pid(): number {
+		return this.process.pid ?? 0;
+	}
+
 	/** Returns the first line that contains a text, whether already written or still to come, parsed as JSON. */
 	async waitForLine(text: string): Promise<Record<string, unknown>> {
 		const written = this.lines.find(line => line.includes(text));
--- a/src/entry/node/entry.ts
+++ b/src/entry/node/entry.ts
@@ -20,6 +20,7 @@
 import type { ManifestCallerLimits } from '../../core/manifest/common/routes';
 import { OperatorsServer } from '../../core/operators/node/operatorsServer';
 import type { EntrySettings } from '../../core/settings/common/entrySettings';
+import { computeMaxHeldBytes } from '../../core/settings/common/entrySettings';
 import { EntryMetrics } from '../../core/telemetry/node/entryMetrics';
 import { DecisionLogger, writeAuditLines } from '../../core/telemetry/node/logger';
 import { EventLoopMonitor } from '../common/eventLoop/eventLoopMonitor';
@@ -118,7 +119,7 @@
 		this.journal = this.createJournal();
 		this.metrics = new EntryMetrics({ version: programVersion, instance: id, region, zone });
 		this.certificates = this.register(new EntryCertificates(settings, this.auditTrail, this.metrics));
-		this.heldBytes = new HeldBytes(settings.limits.max_held_bytes);
+		this.heldBytes = new HeldBytes(computeMaxHeldBytes(settings.limits));
 		this.manifests = this.register(
 			new ManifestKeeper(
 				this.auditTrail,
@@ -547,7 +548,7 @@
 	private createOperatorsServer(programVersion: string): OperatorsServer {
 		const source = new EntryOperatorsSource(
 			{ ...this.settings.instance, boot: this.bootId, version: programVersion },
-			this.settings.limits.max_held_bytes,
+			computeMaxHeldBytes(this.settings.limits),
 			{
 				manifests: this.manifests,
 				targets: this.platform.targets,
