--- a/src/entry/node/requests/activeRuns.ts
+++ b/src/entry/node/requests/activeRuns.ts
@@ -195,12 +195,10 @@
 		if (earlier === undefined) {
 			return call;
 		}
-		const isGivenUp =
-			call.origin !== undefined &&
-			call.origin.instance === earlier.call.origin?.instance &&
-			isRepeatable(call);
-		if (isGivenUp) {
-			earlier.stop(createRequestError(ErrorKind.PeerFailed, `${call.origin.instance} has sent it again`));
+		const sender = call.origin?.instance;
+		const isSentAgain = sender !== undefined && sender === earlier.call.origin?.instance;
+		if (isSentAgain && call.plan.repeat === RepeatRule.Idempotent) {
+			earlier.stop(createRequestError(ErrorKind.PeerFailed, `${sender} has sent it again`));
 		}
 		return { ...call, id: this.createUnusedId(call.id) };
 	}
@@ -235,7 +233,3 @@
 		}
 	}
 }
-
-function isRepeatable({ plan }: AcceptedCall): boolean {
-	return plan.repeat === RepeatRule.Idempotent;
-}
--- a/src/entry/node/requests/serviceRunner.ts
+++ b/src/entry/node/requests/serviceRunner.ts
@@ -515,6 +515,7 @@
 			return;
 		}
 		const { call } = state.run;
+		// A call with a ticket is not removed from the queue when its deadline or a stop ends it.
 		if (state.run.hasEnded()) {
 			this.scheduler.noteEnd(decision.requestId, AttemptEnd.Cancelled, this.timers.getNow());
 			this.states.delete(decision.requestId);
