--- a/src/entry/node/peers/forwardedBody.ts
+++ b/src/entry/node/peers/forwardedBody.ts
@@ -40,7 +40,7 @@
 
 	constructor(
 		private readonly parts: ForwardedParts,
-		/** Aborted when the sender cancels the request or its connection is lost. Reading a message may just hang then. */
+		/** Aborted when the sender cancels the request or its connection is lost, after which no further message may come. */
 		private readonly signal: AbortSignal,
 		private readonly limits: ForwardedBodyLimits,
 		private readonly heldBytes: HeldBytes,
--- a/src/entry/node/test/cutOffRegion.ts
+++ b/src/entry/node/test/cutOffRegion.ts
@@ -20,15 +20,12 @@
 	RegionName,
 	RequestId,
 	ServiceName,
-	SoftwareVersion,
 	TargetId,
 	TargetUrl,
 	ZoneName,
 } from '../../../core/ids/common/ids';
 import { checkManifest, RepeatRule, UnticketedRule } from '../../../core/manifest/common/manifest';
-import type { ManifestRoute } from '../../../core/manifest/common/routes';
-import { isRepeatable, RouteKind } from '../../../core/manifest/common/routes';
-import { RequestClass } from '../../../core/requests/common/requestClass';
+import { RouteKind } from '../../../core/manifest/common/routes';
 import type { EntrySettings } from '../../../core/settings/common/entrySettings';
 import { EntryMetrics } from '../../../core/telemetry/node/entryMetrics';
 import type {
@@ -37,12 +34,11 @@
 	ForwardRequestResponse,
 } from '../../../gen/anvilroad/peer/v1/peer_pb';
 import { NativeTargetDialect } from '../../common/dialect/nativeTargetDialect';
-import type { CallHead, RoutedCall } from '../../common/callers/callHead';
+import type { CallHead } from '../../common/callers/callHead';
 import { openStartGate } from '../../common/intake/test/startGates';
 import { planCall } from '../../common/placement/callPlan';
 import { ManifestIndex } from '../../common/placement/manifestIndex';
 import { Quarantine } from '../../common/quarantine/quarantine';
-import type { SchedulableTarget } from '../../common/scheduling/serviceScheduler';
 import { FirstByteSendAwayPolicy } from '../../common/sendAway/firstByteSendAwayPolicy';
 import { WorkScheduler } from '../../common/workScheduling/workScheduler';
 import { HeldBytes } from '../callers/bodyReader';
@@ -50,7 +46,6 @@
 import { OwnView } from '../fleet/ownView';
 import type { IndexedManifest, ManifestKeeper } from '../manifest/manifestKeeper';
 import { createForwardedCall } from '../peers/forwardedCall';
-import type { PeerClients } from '../peers/peerClients';
 import { PeerSink } from '../peers/peerSink';
 import { ActiveRuns } from '../requests/activeRuns';
 import { CrashDetector } from '../requests/crashDetector';
@@ -62,15 +57,15 @@
 import { DiscoveredTargetRegistry } from '../targets/discoveredTargetRegistry';
 import type { ITargetRegistry } from '../targets/targetDirectory';
 import type { TicketService } from '../tickets/ticketService';
+import { CutOffPeers, networkMs } from './cutOffPeers';
+import type { RoutedRequest } from './routedRequests';
+import { createRoutedCall, setCertainVersion, softwareVersion } from './routedRequests';
 import type { CutMode, Reply } from './scriptedTargetClient';
 import { ScriptedTargetClient, wholeReply } from './scriptedTargetClient';
 
 const service = 'bookings' as ServiceName;
 const regions = ['kingston', 'montego'] as const;
 const stepMs = 10;
-const networkMs = 2;
-const softwareVersion = 'v1' as SoftwareVersion;
-const exchangeTimeoutMs = 2_000;
 const runOnceRule = {
 	method: 'POST',
 	path: '/run',
@@ -92,15 +87,6 @@
 	readonly pickReply?: (random: SeededRandom) => Reply;
 }
 
-/** What a caller asks for by a route. */
-export interface RoutedRequest {
-	readonly kind: RouteKind;
-	readonly isResumable: boolean;
-	readonly attempts: number;
-	/** The deadline of the caller or the timeout of the route, whichever is first. */
-	readonly limitMs: number;
-}
-
 /** What the callers of one entry got within a time span. */
 export interface CallerCounts {
 	sent: number;
@@ -310,7 +296,7 @@
 					seeds: regions.map(name => `http://${name}-0:2`),
 				},
 				() => ownView.createView(),
-				this.createPeers(),
+				new CutOffPeers(id, site).createClients(),
 				timers,
 				random,
 				this.trail,
@@ -464,84 +450,6 @@
 		} as unknown as EntrySettings;
 	}
 
-	private createPeers(): PeerClients {
-		const { timers } = this.site;
-		const wait = async (ms: number): Promise<void> => {
-			await new Promise<void>(resolve => timers.schedule(ms, resolve));
-		};
-		const find = (peerUrl: string): CutOffEntry | undefined =>
-			this.site.entries.find(({ id }) => id === new URL(peerUrl).hostname);
-		return {
-			open: (peerUrl: string) => ({
-				session: { connect: () => this.openConnection(find(peerUrl)) },
-				client: {
-					exchangeViews: async ({ views }: { views: WireView[] }) => {
-						await wait(networkMs);
-						const peer = find(peerUrl);
-						if (peer === undefined || !this.isReaching(peer)) {
-							await wait(exchangeTimeoutMs);
-							throw new Error('no such entry');
-						}
-						return { views: peer.receiveViews(views) };
-					},
-					forwardRequest: (
-						requests: AsyncIterable<ForwardRequestRequest>,
-						{ signal }: { signal: AbortSignal },
-					) => this.forwardTo(find(peerUrl)!, requests, signal),
-				},
-			}),
-			closeAbsent: () => undefined,
-		} as unknown as PeerClients;
-	}
-
-	private isReaching(peer: CutOffEntry): boolean {
-		return !peer.hasStopped() && !this.site.isPeerCut(this.id, peer.id);
-	}
-
-	/** Over a path that is cut, a connection neither opens nor fails; a process that has ended refuses it. */
-	private async openConnection(peer: CutOffEntry | undefined): Promise<string> {
-		if (peer === undefined || peer.hasStopped()) {
-			return 'error';
-		}
-		if (!this.isReaching(peer)) {
-			await new Promise(() => undefined);
-		}
-		return 'open';
-	}
-
-	/** Messages over a path that is cut are lost, and a cancelled call fails at once. */
-	private async *forwardTo(
-		peer: CutOffEntry,
-		requests: AsyncIterable<ForwardRequestRequest>,
-		signal: AbortSignal,
-	): AsyncGenerator<ForwardRequestResponse> {
-		const cancelled = new Promise<undefined>(resolve => {
-			signal.addEventListener('abort', () => {
-				resolve(undefined);
-			});
-		});
-		const atPeer = new AbortController();
-		signal.addEventListener('abort', () => {
-			if (this.isReaching(peer)) {
-				atPeer.abort();
-			}
-		});
-		const answers = this.isReaching(peer) ? peer.serveForwarded(requests, atPeer.signal) : undefined;
-		for (;;) {
-			const next = await Promise.race([answers?.next() ?? cancelled, cancelled]);
-			if (next !== undefined && !this.isReaching(peer)) {
-				await cancelled;
-			}
-			if (next === undefined || signal.aborted) {
-				throw new Error('the call was cancelled');
-			}
-			if (next.done === true) {
-				return;
-			}
-			yield next.value;
-		}
-	}
-
 	/** The real registry, with connections that a script answers. */
 	private createTargets(): ITargetRegistry {
 		const { timers, options } = this.site;
@@ -615,39 +523,3 @@
 		return created;
 	}
 }
-
-function setCertainVersion(target: SchedulableTarget): SchedulableTarget {
-	const { registered } = target;
-	return registered === undefined
-		? target
-		: { ...target, registered: { ...registered, findCertainVersion: () => softwareVersion } };
-}
-
-/** Time limits of requests that are short enough for a silent target to be noticed before their deadline. */
-const routedLimits = { firstByteMs: 400, idleMs: 400 };
-
-function createRoutedCall(
-	call: AcceptedCall,
-	{ kind, isResumable, attempts, limitMs }: RoutedRequest,
-): AcceptedCall {
-	const route = { kind, isResumable, attempts, firstByteAimMs: limitMs / 2 } as ManifestRoute;
-	const routed: RoutedCall = {
-		route,
-		priority: 1,
-		host: 'rounds.example',
-		callerRequestId: call.id,
-		prompt: undefined,
-		lastEventId: undefined,
-		resumes: undefined,
-	};
-	const repeat = isRepeatable(route) ? RepeatRule.Idempotent : RepeatRule.AtMostOnce;
-	const rules = { repeat, unticketed: UnticketedRule.RunOnce };
-	const normal = { ...call.plan.classes[RequestClass.Normal], ...routedLimits };
-	return {
-		...call,
-		head: { ...call.head, routed, deadlineMs: limitMs },
-		body: Buffer.from(call.id),
-		plan: { ...call.plan, ...rules, classes: { ...call.plan.classes, [RequestClass.Normal]: normal } },
-		deadlineMs: call.arrivedMs + limitMs,
-	};
-}
--- a/src/entry/node/test/drawnCuts.test.ts
+++ b/src/entry/node/test/drawnCuts.test.ts
@@ -8,8 +8,8 @@
 import { SeededRandom } from '../../../base/common/random';
 import { RouteKind } from '../../../core/manifest/common/routes';
 import type { CapturingSink } from '../requests/test/flowFixtures';
-import type { RoutedRequest } from './cutOffRegion';
 import { CutOffRegions } from './cutOffRegion';
+import type { RoutedRequest } from './routedRequests';
 import type { Reply } from './scriptedTargetClient';
 import { CutMode, ReplyKind, wholeReply } from './scriptedTargetClient';
 
