--- a/src/core/settings/common/entrySettings.ts
+++ b/src/core/settings/common/entrySettings.ts
@@ -166,7 +166,7 @@
 
 /** What the process needs beside the bodies that it holds, their copies included. */
 const otherMebibytes = 200;
-/** Leaves enough room beside it on the smallest machines that are known. */
+/** Fits a process that may use 350 MiB. */
 const defaultHeldMebibytes = 128;
 /** Some bodies of ordinary size, also where the memory is short. */
 const minHeldMebibytes = 16;
